--- /dev/null
+++ b/crates/geraniumctl/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one module each.
+
+pub mod apply;
+pub mod check;
--- /dev/null
+++ b/crates/geraniumctl/src/lib.rs
@@ -0,0 +1,6 @@
+//! Command line of operators: `geraniumctl`.
+
+pub mod cli;
+pub mod commands;
+
+pub use cli::{Cli, run};
--- /dev/null
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -0,0 +1,137 @@
+//! What the dispatcher is told to do.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+
+use crate::modules::membership::PeerNews;
+use crate::modules::sheet::Sheet;
+use crate::modules::targets::{TargetInfo, TaskKey};
+use crate::names::{KindName, ServiceName, TeamName};
+use crate::ticket::Ticket;
+
+/// Name of one waiting caller, given by the host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub struct Waiter(pub u64);
+
+/// Who passed a request to this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller, through the balancer.
+    Caller,
+    /// Another entry VM; never passed on again.
+    Peer,
+}
+
+/// One task as submitted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TaskSpec {
+    /// Opaque input of the task.
+    pub payload: Arc<str>,
+    /// Declared run time in milliseconds; a hint only.
+    pub expected_ms: Option<u64>,
+}
+
+/// One job as submitted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobSpec {
+    /// Service that runs the tasks.
+    pub service: ServiceName,
+    /// Request kind.
+    pub kind: KindName,
+    /// Team whose quota counts, where one was named.
+    pub team: Option<TeamName>,
+    /// Time the caller waits, in milliseconds from arrival; the sheet's where absent.
+    pub deadline_ms: Option<u64>,
+    /// The parallel tasks, in order.
+    pub tasks: Vec<TaskSpec>,
+}
+
+/// How a task's start ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TaskOutcome {
+    /// The target answered with the task's output.
+    Completed {
+        /// Output of the task.
+        output: String,
+    },
+    /// The target ran the task and it failed.
+    Failed,
+    /// The task did not start: refused by the target, or no connection was made.
+    NotStarted {
+        /// What kept it from starting.
+        cause: NotStartedCause,
+    },
+    /// The connection broke or the lease lapsed; the task may have run.
+    Unknown,
+}
+
+/// What kept a task from starting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotStartedCause {
+    /// The target has no free slot.
+    Full,
+    /// The target is leaving.
+    Leaving,
+    /// No connection to the target was made.
+    Unreachable,
+    /// This VM had no free dispatch thread.
+    NotSent,
+}
+
+/// One command to the dispatcher.
+#[derive(Debug)]
+pub enum Command {
+    /// Run a job under a ticket, or join its earlier submission.
+    Submit {
+        /// Name of the submission.
+        ticket: Ticket,
+        /// Hash of the body; a resubmission must bring the same.
+        digest: u128,
+        /// The job.
+        job: JobSpec,
+        /// Who waits for the answer.
+        waiter: Waiter,
+        /// Who passed it here.
+        origin: Origin,
+    },
+    /// Wait for the answer of a ticket without submitting.
+    Watch {
+        /// Name of the submission.
+        ticket: Ticket,
+        /// Longest wait in milliseconds; the host ends it.
+        wait_ms: u64,
+        /// Who waits.
+        waiter: Waiter,
+        /// Who passed it here.
+        origin: Origin,
+    },
+    /// Cancel a submission, or spend its ticket where it has not arrived.
+    Cancel {
+        /// Name of the submission.
+        ticket: Ticket,
+        /// Who waits for the outcome.
+        waiter: Waiter,
+        /// Who passed it here.
+        origin: Origin,
+    },
+    /// A started task has ended.
+    EndTask {
+        /// The task.
+        task: TaskKey,
+        /// How it ended.
+        outcome: TaskOutcome,
+    },
+    /// Put a sheet in force, if it is newer than the one in force.
+    PutSheet(Arc<Sheet>),
+    /// Take over the platform's list of targets.
+    ListTargets(Vec<TargetInfo>),
+    /// Take over the platform's list of entry VMs.
+    ListPeers(Vec<PeerNews>),
+    /// Note a heartbeat of another entry VM.
+    HearPeer(PeerNews),
+    /// Start nothing new and let what runs finish.
+    Drain,
+    /// Let time pass: deadlines, retries, heartbeats.
+    Tick,
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/configs/claims.rs
@@ -0,0 +1,24 @@
+//! Settings of the claim table.
+
+use std::time::Duration;
+
+/// How long claims and answers are kept.
+#[derive(Debug, Clone)]
+pub struct ClaimsConfig {
+    /// Time from minting within which a ticket may be submitted first.
+    pub ticket_ttl: Duration,
+    /// Time beyond `ticket_ttl` before the floor passes a ticket.
+    pub floor_margin: Duration,
+    /// Most bytes of kept outputs; the oldest answers are dropped beyond it.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for ClaimsConfig {
+    fn default() -> Self {
+        Self {
+            ticket_ttl: Duration::from_mins(10),
+            floor_margin: Duration::from_mins(2),
+            max_answer_bytes: 16 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/configs/retry.rs
@@ -0,0 +1,27 @@
+//! Settings of retries.
+
+use std::time::Duration;
+
+/// Budget for starting a task again that did not start.
+#[derive(Debug, Clone)]
+pub struct RetryConfig {
+    /// Retries earned by each first start, in tenths.
+    pub earned_tenths: u32,
+    /// Most retries that can be saved up, in tenths.
+    pub max_saved_tenths: u32,
+    /// Most attempts for one task.
+    pub max_attempts: u32,
+    /// Wait before a target that refused is tried again.
+    pub target_pause: Duration,
+}
+
+impl Default for RetryConfig {
+    fn default() -> Self {
+        Self {
+            earned_tenths: 1,
+            max_saved_tenths: 1_000,
+            max_attempts: 8,
+            target_pause: Duration::from_millis(20),
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/dispatcher/cancel.rs
@@ -0,0 +1,39 @@
+//! Cancelling submissions.
+
+use crate::command::{Origin, Waiter};
+use crate::context::Context;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::submit::reject;
+use crate::effect::{Effect, PeerCall, Rejection};
+use crate::modules::claims::Decision;
+use crate::reason::Reason;
+use crate::ticket::Ticket;
+
+impl Dispatcher {
+    /// Cancels a job in flight, or spends a ticket that has not been submitted yet.
+    pub(super) fn cancel(
+        &mut self,
+        cx: &Context<'_>,
+        ticket: Ticket,
+        waiter: Waiter,
+        origin: Origin,
+        out: &mut Vec<Effect>,
+    ) {
+        if ticket.incarnation != self.identity.incarnation {
+            self.forward(cx, PeerCall::Cancel { ticket }, waiter, origin, out);
+            return;
+        }
+        match self.claims.look_up(ticket) {
+            Decision::Fresh => {
+                self.claims.spend(ticket, Reason::Cancelled);
+                reject(waiter, Rejection::not_run(Reason::Cancelled), out);
+            }
+            Decision::Join(key) => {
+                self.reply_known(ticket, Decision::Join(key), waiter, out);
+                self.finish_job(cx, key, Some(Reason::Cancelled), out);
+                self.start_all(cx, out);
+            }
+            known => self.reply_known(ticket, known, waiter, out),
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of the dispatcher, without sockets, threads or clocks.
+//!
+//! [`Dispatcher`] takes a [`Command`] and a [`Context`] with the present time, and pushes
+//! [`Effect`]s for its host to carry out. The same code runs in the entry process and on the
+//! policy bench in virtual time.
+
+pub mod collections;
+pub mod command;
+pub mod configs;
+pub mod context;
+pub mod dispatcher;
+pub mod effect;
+pub mod modules;
+pub mod names;
+pub mod query;
+pub mod reason;
+pub mod ticket;
+pub mod verdict;
+
+pub use command::{Command, JobSpec, Origin, TaskOutcome, TaskSpec, Waiter};
+pub use configs::Config;
+pub use context::{Clock, Context};
+pub use dispatcher::{Dispatcher, Identity};
+pub use effect::{Answer, Effect, PeerCall, Rejection, Reply, TaskId, TaskResult};
+pub use query::{JobProgress, Query};
+pub use reason::Reason;
+pub use ticket::{Incarnation, Ticket, TicketKey, TicketMint};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/claims.rs
@@ -0,0 +1,351 @@
+//! Claim table: what is known of the tickets of one incarnation.
+//!
+//! The table answers one question without asking anyone: may this submission start its tasks?
+//! Only a genuine ticket that is neither known nor below the floor may.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::context::Context;
+use crate::effect::Answer;
+use crate::modules::jobs::JobKey;
+use crate::reason::Reason;
+use crate::ticket::{Incarnation, Ticket, TicketKey};
+use crate::verdict::Verdict;
+
+/// Time between two notes of how far minting has come.
+const MARK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is known of one ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claim {
+    /// Its job is queued or runs here.
+    Active {
+        /// Hash of the body.
+        digest: u128,
+        /// The job.
+        job: JobKey,
+    },
+    /// Its job has ended and the answer is kept.
+    Answered {
+        /// Hash of the body.
+        digest: u128,
+        /// The answer.
+        answer: Arc<Answer>,
+    },
+    /// Its job has ended; the answer was dropped to bound memory.
+    Dropped {
+        /// Hash of the body.
+        digest: u128,
+        /// Verdict of the dropped answer.
+        verdict: Verdict,
+    },
+    /// It was refused or cancelled before anything started, for ever.
+    Spent {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// What the table says of a submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Nothing is known: it may start, once it is claimed.
+    Fresh,
+    /// It is in flight; wait for its answer.
+    Join(JobKey),
+    /// It has ended; this is its answer.
+    Kept(Arc<Answer>),
+    /// It has ended with this verdict; the answer is no longer kept.
+    Dropped(Verdict),
+    /// It did not run and never will.
+    Spent(Reason),
+    /// It was submitted before with another body.
+    OtherBody,
+    /// It is below the floor: it may have run.
+    Expired,
+    /// The ticket is not genuine.
+    Forged,
+}
+
+/// How far minting had come at a time.
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    at: Instant,
+    next_seq: u64,
+}
+
+/// Claims on the tickets of one incarnation.
+#[derive(Debug)]
+pub struct ClaimBook {
+    incarnation: Incarnation,
+    key: TicketKey,
+    floor: u64,
+    claims: BTreeMap<u64, Claim>,
+    marks: VecDeque<Mark>,
+    answered: VecDeque<u64>,
+    answer_bytes: usize,
+}
+
+impl ClaimBook {
+    /// Makes the empty table of an incarnation.
+    pub fn new(incarnation: Incarnation, key: TicketKey) -> Self {
+        Self {
+            incarnation,
+            key,
+            floor: 1,
+            claims: BTreeMap::new(),
+            marks: VecDeque::new(),
+            answered: VecDeque::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    /// Incarnation whose tickets these are.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Lowest sequence whose absence from the table proves that it was never submitted.
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Number of tickets known.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Whether no ticket is known.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Decides on a submission; changes nothing.
+    pub fn decide(&self, ticket: Ticket, digest: u128) -> Decision {
+        let decision = self.look_up(ticket);
+        let known_digest = match self.claims.get(&ticket.seq) {
+            Some(
+                Claim::Active { digest, .. }
+                | Claim::Answered { digest, .. }
+                | Claim::Dropped { digest, .. },
+            ) => *digest,
+            Some(Claim::Spent { .. }) | None => return decision,
+        };
+        if decision != Decision::Forged && known_digest != digest {
+            return Decision::OtherBody;
+        }
+        decision
+    }
+
+    /// What is known of a ticket, whatever its body.
+    pub fn look_up(&self, ticket: Ticket) -> Decision {
+        if ticket.incarnation != self.incarnation || !ticket.is_genuine(&self.key) {
+            return Decision::Forged;
+        }
+        match self.claims.get(&ticket.seq) {
+            Some(Claim::Active { job, .. }) => Decision::Join(*job),
+            Some(Claim::Answered { answer, .. }) => Decision::Kept(Arc::clone(answer)),
+            Some(Claim::Dropped { verdict, .. }) => Decision::Dropped(*verdict),
+            Some(Claim::Spent { reason }) => Decision::Spent(*reason),
+            None if ticket.seq < self.floor => Decision::Expired,
+            None => Decision::Fresh,
+        }
+    }
+
+    /// Claims a fresh ticket for a job.
+    pub fn claim(&mut self, ticket: Ticket, digest: u128, job: JobKey) {
+        self.claims
+            .insert(ticket.seq, Claim::Active { digest, job });
+    }
+
+    /// Spends a ticket whose submission started nothing.
+    pub fn spend(&mut self, ticket: Ticket, reason: Reason) {
+        self.claims.insert(ticket.seq, Claim::Spent { reason });
+    }
+
+    /// Keeps the answer of an active ticket.
+    pub fn answer(&mut self, cx: &Context<'_>, ticket: Ticket, answer: &Arc<Answer>) {
+        let Some(Claim::Active { digest, .. }) = self.claims.get(&ticket.seq) else {
+            return;
+        };
+        let claim = Claim::Answered {
+            digest: *digest,
+            answer: Arc::clone(answer),
+        };
+        self.claims.insert(ticket.seq, claim);
+        self.answered.push_back(ticket.seq);
+        self.answer_bytes += bytes_of(answer);
+        self.drop_oldest_answers(cx.cfg.claims.max_answer_bytes);
+    }
+
+    fn drop_oldest_answers(&mut self, max_bytes: usize) {
+        while self.answer_bytes > max_bytes {
+            let Some(seq) = self.answered.pop_front() else {
+                return;
+            };
+            let Some(Claim::Answered { digest, answer }) = self.claims.get(&seq) else {
+                continue;
+            };
+            self.answer_bytes -= bytes_of(answer);
+            let dropped = Claim::Dropped {
+                digest: *digest,
+                verdict: answer.verdict,
+            };
+            self.claims.insert(seq, dropped);
+        }
+    }
+
+    /// Notes how far minting has come and raises the floor past expired tickets.
+    ///
+    /// Active tickets below the new floor stay known until they are answered.
+    pub fn advance(&mut self, cx: &Context<'_>, next_seq: u64) {
+        let is_due = self
+            .marks
+            .back()
+            .is_none_or(|mark| cx.now >= mark.at + MARK_INTERVAL);
+        if is_due {
+            self.marks.push_back(Mark {
+                at: cx.now,
+                next_seq,
+            });
+        }
+        let keep = cx.cfg.claims.ticket_ttl + cx.cfg.claims.floor_margin;
+        while let Some(mark) = self.marks.front().copied() {
+            if mark.at + keep > cx.now {
+                break;
+            }
+            self.marks.pop_front();
+            self.raise_floor(mark.next_seq);
+        }
+    }
+
+    fn raise_floor(&mut self, floor: u64) {
+        if floor <= self.floor {
+            return;
+        }
+        self.floor = floor;
+        let above = self.claims.split_off(&floor);
+        let below = std::mem::replace(&mut self.claims, above);
+        for (seq, claim) in below {
+            match claim {
+                Claim::Active { .. } => {
+                    self.claims.insert(seq, claim);
+                }
+                Claim::Answered { answer, .. } => self.answer_bytes -= bytes_of(&answer),
+                Claim::Dropped { .. } | Claim::Spent { .. } => {}
+            }
+        }
+    }
+}
+
+fn bytes_of(answer: &Answer) -> usize {
+    answer
+        .tasks
+        .iter()
+        .map(|task| task.output.len() + size_of_val(task))
+        .sum()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::configs::Config;
+    use crate::ticket::TicketMint;
+
+    struct BookBuilder {
+        cfg: Config,
+    }
+
+    impl BookBuilder {
+        fn new() -> Self {
+            Self {
+                cfg: Config::default(),
+            }
+        }
+
+        fn with_max_answer_bytes(mut self, bytes: usize) -> Self {
+            self.cfg.claims.max_answer_bytes = bytes;
+            self
+        }
+
+        fn build(self) -> (ClaimBook, TicketMint, Config) {
+            let key = TicketKey([1; 16]);
+            let incarnation = Incarnation(9);
+            let mint = TicketMint::new("szeged".parse().unwrap(), incarnation, key);
+            (ClaimBook::new(incarnation, key), mint, self.cfg)
+        }
+    }
+
+    fn answer(output: &str) -> Arc<Answer> {
+        let task = crate::effect::TaskResult {
+            verdict: Verdict::Completed,
+            output: output.to_owned(),
+        };
+        Arc::new(Answer {
+            verdict: Verdict::Completed,
+            reason: None,
+            tasks: vec![task],
+        })
+    }
+
+    #[test]
+    fn a_refused_ticket_stays_spent() {
+        let (mut book, mint, _) = BookBuilder::new().build();
+        let ticket = mint.mint().unwrap();
+        assert_eq!(book.decide(ticket, 1), Decision::Fresh);
+        book.spend(ticket, Reason::QueueFull);
+        assert_eq!(book.decide(ticket, 1), Decision::Spent(Reason::QueueFull));
+    }
+
+    #[test]
+    fn another_body_is_told_apart() {
+        let (mut book, mint, _) = BookBuilder::new().build();
+        let ticket = mint.mint().unwrap();
+        book.claim(ticket, 1, JobKey::default());
+        assert_eq!(book.decide(ticket, 1), Decision::Join(JobKey::default()));
+        assert_eq!(book.decide(ticket, 2), Decision::OtherBody);
+    }
+
+    #[test]
+    fn an_unknown_ticket_below_the_floor_is_never_fresh() {
+        let (mut book, mint, cfg) = BookBuilder::new().build();
+        let old = mint.mint().unwrap();
+        let start = Instant::now();
+        book.advance(&Context::new(start, &cfg), mint.next_seq());
+        let later = start + cfg.claims.ticket_ttl + cfg.claims.floor_margin;
+        book.advance(&Context::new(later, &cfg), mint.next_seq());
+        assert_eq!(book.decide(old, 1), Decision::Expired);
+        assert_eq!(book.decide(mint.mint().unwrap(), 1), Decision::Fresh);
+    }
+
+    #[test]
+    fn an_active_claim_outlives_the_floor() {
+        let (mut book, mint, cfg) = BookBuilder::new().build();
+        let old = mint.mint().unwrap();
+        book.claim(old, 1, JobKey::default());
+        let start = Instant::now();
+        book.advance(&Context::new(start, &cfg), mint.next_seq());
+        let later = start + cfg.claims.ticket_ttl + cfg.claims.floor_margin;
+        book.advance(&Context::new(later, &cfg), mint.next_seq());
+        assert_eq!(book.decide(old, 1), Decision::Join(JobKey::default()));
+    }
+
+    #[test]
+    fn a_dropped_answer_is_remembered_as_run() {
+        let (mut book, mint, cfg) = BookBuilder::new().with_max_answer_bytes(100).build();
+        let cx = Context::new(Instant::now(), &cfg);
+        let (first, second) = (mint.mint().unwrap(), mint.mint().unwrap());
+        for ticket in [first, second] {
+            book.claim(ticket, 1, JobKey::default());
+            book.answer(&cx, ticket, &answer(&"x".repeat(60)));
+        }
+        assert_eq!(book.decide(first, 1), Decision::Dropped(Verdict::Completed));
+        assert_eq!(
+            book.decide(second, 1),
+            Decision::Kept(answer(&"x".repeat(60)))
+        );
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/jobs.rs
@@ -0,0 +1,217 @@
+//! Jobs and tasks in flight at their owner.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::command::Waiter;
+use crate::effect::{Answer, TaskResult};
+use crate::modules::sheet::Urgency;
+use crate::modules::targets::{TargetKey, TaskKey};
+use crate::names::ServiceName;
+use crate::query::JobProgress;
+use crate::reason::Reason;
+use crate::ticket::Ticket;
+use crate::verdict::Verdict;
+
+new_key_type! {
+    /// Key of a job in its arena.
+    pub struct JobKey;
+}
+
+/// Where one task stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TaskState {
+    /// Waits for a slot.
+    Queued,
+    /// Was handed to a target.
+    Running {
+        /// The target.
+        target: TargetKey,
+    },
+    /// Ended.
+    Ended {
+        /// Its result.
+        result: TaskResult,
+    },
+}
+
+/// One task in flight.
+#[derive(Debug)]
+pub struct Task {
+    /// Its job.
+    pub job: JobKey,
+    /// Position in the job, from 0.
+    pub index: u32,
+    /// Opaque input.
+    pub payload: Arc<str>,
+    /// Where it stands.
+    pub state: TaskState,
+    /// Starts tried so far.
+    pub attempts: u32,
+}
+
+/// One job in flight.
+#[derive(Debug)]
+pub struct Job {
+    /// Name of the submission.
+    pub ticket: Ticket,
+    /// Service that runs it.
+    pub service: ServiceName,
+    /// Urgency class of its request kind.
+    pub urgency: Urgency,
+    /// Time by which the answer is due.
+    pub deadline: Instant,
+    /// Its tasks, in order.
+    pub tasks: Vec<TaskKey>,
+    /// Tasks without a result.
+    pub open: u32,
+    /// Who waits for the answer.
+    pub waiters: Vec<Waiter>,
+}
+
+/// Arenas of jobs and tasks.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    jobs: SlotMap<JobKey, Job>,
+    tasks: SlotMap<TaskKey, Task>,
+}
+
+impl Jobs {
+    /// Takes in a job with the payloads of its tasks.
+    pub fn insert(&mut self, mut job: Job, payloads: Vec<Arc<str>>) -> JobKey {
+        job.open = u32::try_from(payloads.len()).unwrap_or(u32::MAX);
+        let key = self.jobs.insert(job);
+        let mut tasks = Vec::with_capacity(payloads.len());
+        for (index, payload) in (0..).zip(payloads) {
+            let task = Task {
+                job: key,
+                index,
+                payload,
+                state: TaskState::Queued,
+                attempts: 0,
+            };
+            tasks.push(self.tasks.insert(task));
+        }
+        self.jobs[key].tasks = tasks;
+        key
+    }
+
+    /// The job, while it is in flight.
+    pub fn job(&self, key: JobKey) -> Option<&Job> {
+        self.jobs.get(key)
+    }
+
+    /// The job to change, while it is in flight.
+    pub fn job_mut(&mut self, key: JobKey) -> Option<&mut Job> {
+        self.jobs.get_mut(key)
+    }
+
+    /// The task, while its job is in flight.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.tasks.get(key)
+    }
+
+    /// The task to change, while its job is in flight.
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.tasks.get_mut(key)
+    }
+
+    /// Number of jobs in flight.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether no job is in flight.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Keeps the result of a task; returns how many tasks of its job are still open.
+    pub fn end_task(&mut self, key: TaskKey, result: TaskResult) -> Option<u32> {
+        let task = self.tasks.get_mut(key)?;
+        task.state = TaskState::Ended { result };
+        let job = self.jobs.get_mut(task.job)?;
+        job.open -= 1;
+        Some(job.open)
+    }
+
+    /// How far a job is.
+    pub fn progress(&self, key: JobKey) -> Option<JobProgress> {
+        let job = self.jobs.get(key)?;
+        let mut progress = JobProgress {
+            ticket: job.ticket,
+            queued: 0,
+            running: 0,
+            ended: 0,
+        };
+        for task in &job.tasks {
+            match self.tasks[*task].state {
+                TaskState::Queued => progress.queued += 1,
+                TaskState::Running { .. } => progress.running += 1,
+                TaskState::Ended { .. } => progress.ended += 1,
+            }
+        }
+        Some(progress)
+    }
+
+    /// Removes a job and makes its answer; `reason` says why it failed, if it did.
+    pub fn finish(&mut self, key: JobKey, reason: Option<Reason>) -> Option<(Job, Answer)> {
+        let job = self.jobs.remove(key)?;
+        let mut results = Vec::with_capacity(job.tasks.len());
+        for task in &job.tasks {
+            results.push(self.tasks.remove(*task).map_or_else(not_run, result_of));
+        }
+        let answer = make_answer(results, reason);
+        Some((job, answer))
+    }
+}
+
+fn not_run() -> TaskResult {
+    TaskResult {
+        verdict: Verdict::NotRun,
+        output: String::new(),
+    }
+}
+
+fn result_of(task: Task) -> TaskResult {
+    match task.state {
+        TaskState::Queued => not_run(),
+        TaskState::Running { .. } => TaskResult {
+            verdict: Verdict::MayHaveRun,
+            output: String::new(),
+        },
+        TaskState::Ended { result } => result,
+    }
+}
+
+/// A failed job's answer carries no outputs, so that nobody takes it for a whole one.
+fn make_answer(mut tasks: Vec<TaskResult>, reason: Option<Reason>) -> Answer {
+    if tasks.iter().all(|task| task.verdict == Verdict::Completed) {
+        return Answer {
+            verdict: Verdict::Completed,
+            reason: None,
+            tasks,
+        };
+    }
+    for task in &mut tasks {
+        task.output = String::new();
+    }
+    Answer {
+        verdict: failed_verdict(&tasks),
+        reason,
+        tasks,
+    }
+}
+
+fn failed_verdict(tasks: &[TaskResult]) -> Verdict {
+    let has = |verdict| tasks.iter().any(|task| task.verdict == verdict);
+    if has(Verdict::Completed) || has(Verdict::Failed) {
+        Verdict::Failed
+    } else if has(Verdict::MayHaveRun) {
+        Verdict::MayHaveRun
+    } else {
+        Verdict::NotRun
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -0,0 +1,175 @@
+//! Entry VMs known to this one, from the platform's list and from their heartbeats.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use crate::collections::Map;
+use crate::context::Context;
+use crate::names::{DataCentre, VmName};
+use crate::ticket::Incarnation;
+
+/// What is heard of one entry VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerNews {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where it takes requests of other entry VMs.
+    pub address: SocketAddr,
+    /// Its incarnation; `None` where only the platform's list names it.
+    pub incarnation: Option<Incarnation>,
+    /// Sheet revision that it has in force.
+    pub revision: u64,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// Incarnations whose tickets it holds by hand-over.
+    pub held: Vec<Incarnation>,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    news: PeerNews,
+    heard_at: Option<Instant>,
+    beat_at: Option<Instant>,
+}
+
+/// Where the owner of a ticket is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Owner {
+    /// At this peer address.
+    At(SocketAddr),
+    /// Known, but not heard for a while.
+    Silent,
+    /// Not known here: gone, or never heard.
+    Unknown,
+}
+
+/// Entry VMs known to this one.
+#[derive(Debug, Default)]
+pub struct Membership {
+    peers: Map<VmName, Peer>,
+    owners: Map<Incarnation, VmName>,
+}
+
+impl Membership {
+    /// Takes over the platform's list; VMs that are gone from it and silent are forgotten.
+    pub fn list(&mut self, cx: &Context<'_>, listed: Vec<PeerNews>) {
+        let names: Vec<VmName> = listed.iter().map(|news| news.vm).collect();
+        for news in listed {
+            let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
+                news: news.clone(),
+                heard_at: None,
+                beat_at: None,
+            });
+            peer.news.address = news.address;
+            peer.news.is_leaving |= news.is_leaving;
+        }
+        self.peers
+            .retain(|vm, peer| names.contains(vm) || peer.is_heard(cx));
+    }
+
+    /// Notes a heartbeat.
+    pub fn hear(&mut self, cx: &Context<'_>, news: PeerNews) {
+        let Some(incarnation) = news.incarnation else {
+            return;
+        };
+        self.owners.insert(incarnation, news.vm);
+        for held in &news.held {
+            self.owners.insert(*held, news.vm);
+        }
+        let beat_at = self.peers.get(&news.vm).and_then(|peer| peer.beat_at);
+        let peer = Peer {
+            heard_at: Some(cx.now),
+            beat_at,
+            news,
+        };
+        self.peers.insert(peer.news.vm, peer);
+    }
+
+    /// Where the owner of an incarnation's tickets is.
+    pub fn owner_of(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
+        let Some(peer) = self
+            .owners
+            .get(&incarnation)
+            .and_then(|vm| self.peers.get(vm))
+        else {
+            return Owner::Unknown;
+        };
+        let answers_for =
+            peer.news.incarnation == Some(incarnation) || peer.news.held.contains(&incarnation);
+        if !answers_for {
+            Owner::Unknown
+        } else if peer.is_heard(cx) {
+            Owner::At(peer.news.address)
+        } else {
+            Owner::Silent
+        }
+    }
+
+    /// Peers whose heartbeat is due, which counts as sent.
+    pub fn take_due_beats(&mut self, cx: &Context<'_>) -> Vec<SocketAddr> {
+        let interval = cx.cfg.membership.heartbeat_interval;
+        let mut due = Vec::new();
+        for peer in self.peers.values_mut() {
+            if peer.beat_at.is_none_or(|at| cx.now >= at + interval) {
+                peer.beat_at = Some(cx.now);
+                due.push(peer.news.address);
+            }
+        }
+        due
+    }
+
+    /// Number of peers heard within the silence.
+    pub fn heard(&self, cx: &Context<'_>) -> usize {
+        self.peers.values().filter(|peer| peer.is_heard(cx)).count()
+    }
+
+    /// News of all peers.
+    pub fn peers(&self) -> impl Iterator<Item = &PeerNews> {
+        self.peers.values().map(|peer| &peer.news)
+    }
+}
+
+impl Peer {
+    fn is_heard(&self, cx: &Context<'_>) -> bool {
+        self.heard_at
+            .is_some_and(|at| cx.now < at + cx.cfg.membership.silence)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::configs::Config;
+
+    fn news(incarnation: u64) -> PeerNews {
+        PeerNews {
+            vm: "e1".parse().unwrap(),
+            data_centre: "szeged".parse().unwrap(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            incarnation: Some(Incarnation(incarnation)),
+            revision: 0,
+            is_leaving: false,
+            held: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn an_owner_is_found_until_it_is_silent_or_replaced() {
+        let cfg = Config::default();
+        let start = Instant::now();
+        let cx = Context::new(start, &cfg);
+        let mut membership = Membership::default();
+        assert_eq!(membership.owner_of(&cx, Incarnation(1)), Owner::Unknown);
+        membership.hear(&cx, news(1));
+        assert_eq!(
+            membership.owner_of(&cx, Incarnation(1)),
+            Owner::At(news(1).address)
+        );
+        let later = Context::new(start + cfg.membership.silence, &cfg);
+        assert_eq!(membership.owner_of(&later, Incarnation(1)), Owner::Silent);
+        membership.hear(&later, news(2));
+        assert_eq!(membership.owner_of(&later, Incarnation(1)), Owner::Unknown);
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-platform/src/client.rs
@@ -0,0 +1,162 @@
+//! HTTP client of the platform.
+
+use std::time::Duration;
+
+use attohttpc::{ErrorKind, RequestBuilder, Session};
+use geraniumrelay_wire::{TableRow, TableRows, Transaction, TransactionResult, VmList};
+use serde::de::DeserializeOwned;
+
+use crate::error::PlatformError;
+
+/// Where the platform is and how long its calls may take.
+#[derive(Debug, Clone)]
+pub struct PlatformConfig {
+    /// Base URL, such as `http://10.0.0.1:8100`.
+    pub url: String,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Longest wait for a whole reply.
+    pub timeout: Duration,
+}
+
+impl PlatformConfig {
+    /// Settings for a platform at `url`.
+    pub fn new(url: impl Into<String>) -> Self {
+        Self {
+            url: url.into(),
+            connect_timeout: Duration::from_millis(500),
+            timeout: Duration::from_secs(2),
+        }
+    }
+
+    /// The same settings with another time-out.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+/// Client of the platform's services.
+#[derive(Debug)]
+pub struct PlatformClient {
+    cfg: PlatformConfig,
+    session: Session,
+}
+
+impl PlatformClient {
+    /// Makes a client; nothing is sent yet.
+    pub fn new(cfg: PlatformConfig) -> Self {
+        let mut session = Session::new();
+        session.connect_timeout(cfg.connect_timeout);
+        session.read_timeout(cfg.timeout);
+        session.timeout(cfg.timeout);
+        session.follow_redirects(false);
+        session.proxy_settings(attohttpc::ProxySettings::builder().build());
+        Self { cfg, session }
+    }
+
+    /// Reads one row; an absent row has version 0.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`]; nothing is written.
+    pub fn row(&self, key: &str) -> Result<TableRow, PlatformError> {
+        let req = self
+            .session
+            .get(self.url("/v1/table/row"))
+            .param("key", key);
+        read_json(send(req)?)
+    }
+
+    /// Reads up to `limit` rows whose keys start with `prefix` and come after `after`.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`]; nothing is written.
+    pub fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<TableRows, PlatformError> {
+        let req = self.session.get(self.url("/v1/table/rows"));
+        let req = req
+            .param("prefix", prefix)
+            .param("after", after)
+            .param("limit", limit);
+        read_json(send(req)?)
+    }
+
+    /// Commits a transaction, durably or not at all.
+    ///
+    /// # Errors
+    /// [`PlatformError::Unknown`] where it may have taken effect; with the others it has not.
+    pub fn commit(&self, transaction: &Transaction) -> Result<TransactionResult, PlatformError> {
+        let req = self.session.post(self.url("/v1/table/transactions"));
+        let req = req.json(transaction).map_err(|e| unreachable_error(&e))?;
+        read_json(send(req)?)
+    }
+
+    /// Reads the lagging list of VMs.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`]; nothing is written.
+    pub fn vms(&self) -> Result<VmList, PlatformError> {
+        read_json(send(self.session.get(self.url("/v1/vms")))?)
+    }
+
+    /// Writes a whole object.
+    ///
+    /// # Errors
+    /// [`PlatformError::Unknown`] where it may have taken effect; with the others it has not.
+    pub fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        let req = self.session.put(self.url("/v1/object")).param("name", name);
+        send(req.bytes(content.to_vec())).map(drop)
+    }
+
+    /// Reads a whole object; `None` where there is none.
+    ///
+    /// # Errors
+    /// Any [`PlatformError`]; nothing is written.
+    pub fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let req = self.session.get(self.url("/v1/object")).param("name", name);
+        match send(req) {
+            Ok(res) => res.bytes().map(Some).map_err(|e| unknown_error(&e)),
+            Err(PlatformError::Refused { status: 404 }) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.cfg.url)
+    }
+}
+
+fn send<B: attohttpc::body::Body>(
+    req: RequestBuilder<B>,
+) -> Result<attohttpc::Response, PlatformError> {
+    let res = req.send().map_err(|e| {
+        if matches!(e.kind(), ErrorKind::ConnectError { .. }) {
+            unreachable_error(&e)
+        } else {
+            unknown_error(&e)
+        }
+    })?;
+    if res.is_success() {
+        Ok(res)
+    } else {
+        Err(PlatformError::Refused {
+            status: res.status().as_u16(),
+        })
+    }
+}
+
+fn read_json<T: DeserializeOwned>(res: attohttpc::Response) -> Result<T, PlatformError> {
+    res.json().map_err(|e| unknown_error(&e))
+}
+
+fn unreachable_error(e: &attohttpc::Error) -> PlatformError {
+    PlatformError::Unreachable {
+        detail: e.to_string(),
+    }
+}
+
+fn unknown_error(e: &attohttpc::Error) -> PlatformError {
+    PlatformError::Unknown {
+        detail: e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-testkit/src/caller.rs
@@ -0,0 +1,153 @@
+//! A caller: speaks the HTTP interface and never repeats a request by itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geraniumrelay_wire::{JobAnswer, JobRequest, Problem, TaskRequest, Tickets};
+use ureq::{Agent, Body, http};
+
+/// Longest wait for a whole reply.
+const TIMEOUT: Duration = Duration::from_mins(1);
+
+/// What a caller learns of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    /// An answer, complete or failed.
+    Answer(JobAnswer),
+    /// A refusal.
+    Problem(Problem),
+    /// The submission is in flight.
+    InFlight,
+    /// The connection broke or a reply could not be read.
+    Lost(String),
+}
+
+impl Told {
+    /// Verdict of the answer or refusal; empty where there is none.
+    pub fn verdict(&self) -> &str {
+        match self {
+            Self::Answer(answer) => &answer.verdict,
+            Self::Problem(problem) => &problem.verdict,
+            Self::InFlight | Self::Lost(_) => "",
+        }
+    }
+
+    /// Whether it is the answer of a complete job.
+    pub fn is_complete(&self) -> bool {
+        matches!(self, Self::Answer(answer) if answer.status == "complete")
+    }
+}
+
+/// A caller with connections that it keeps.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    agent: Agent,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Caller {
+    /// Makes a caller without connections.
+    pub fn new() -> Self {
+        let cfg = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None);
+        Self {
+            agent: cfg.timeout_global(Some(TIMEOUT)).build().into(),
+        }
+    }
+
+    /// Draws tickets from an entry process; empty where it can't give any.
+    pub fn tickets(&self, entry: SocketAddr, count: usize) -> Vec<String> {
+        let url = format!("http://{entry}/v1/tickets?count={count}");
+        let Ok(mut res) = self.agent.post(url).send_empty() else {
+            return Vec::new();
+        };
+        if res.status() != 201 {
+            return Vec::new();
+        }
+        let body = res.body_mut().read_to_vec().unwrap_or_default();
+        serde_json::from_slice::<Tickets>(&body)
+            .map(|t| t.tickets)
+            .unwrap_or_default()
+    }
+
+    /// Submits a job under a ticket.
+    pub fn submit(&self, entry: SocketAddr, ticket: &str, job: &JobRequest) -> Told {
+        let url = format!("http://{entry}/v1/jobs/{ticket}");
+        let body = serde_json::to_vec(job).expect("a job has a JSON form");
+        told(
+            self.agent
+                .put(url)
+                .header("content-type", "application/json")
+                .send(&body),
+        )
+    }
+
+    /// Asks for the state or answer of a ticket.
+    pub fn query(&self, entry: SocketAddr, ticket: &str, wait: Duration) -> Told {
+        let wait_ms = wait.as_millis();
+        told(
+            self.agent
+                .get(format!("http://{entry}/v1/jobs/{ticket}?wait_ms={wait_ms}"))
+                .call(),
+        )
+    }
+
+    /// Cancels a submission.
+    pub fn cancel(&self, entry: SocketAddr, ticket: &str) -> Told {
+        told(
+            self.agent
+                .delete(format!("http://{entry}/v1/jobs/{ticket}"))
+                .call(),
+        )
+    }
+
+    /// Status and body of any resource; status 0 where the connection broke.
+    pub fn get(&self, entry: SocketAddr, path: &str) -> (u16, String) {
+        match self.agent.get(format!("http://{entry}{path}")).call() {
+            Ok(mut res) => {
+                let text = res.body_mut().read_to_string().unwrap_or_default();
+                (res.status().as_u16(), text)
+            }
+            Err(e) => (0, e.to_string()),
+        }
+    }
+}
+
+fn told(res: Result<http::Response<Body>, ureq::Error>) -> Told {
+    let mut res = match res {
+        Ok(res) => res,
+        Err(e) => return Told::Lost(e.to_string()),
+    };
+    let body = match res.body_mut().read_to_vec() {
+        Ok(body) => body,
+        Err(e) => return Told::Lost(e.to_string()),
+    };
+    let read = match res.status().as_u16() {
+        200 => serde_json::from_slice(&body).map(Told::Answer),
+        202 => Ok(Told::InFlight),
+        _ => serde_json::from_slice(&body).map(Told::Problem),
+    };
+    read.unwrap_or_else(|e| Told::Lost(e.to_string()))
+}
+
+/// A job of tasks that each run for some milliseconds and output their own index.
+pub fn job_of(service: &str, kind: &str, run_ms: &[u64]) -> JobRequest {
+    let tasks = run_ms.iter().enumerate().map(|(i, ms)| TaskRequest {
+        payload: format!("run:{ms}:{i}"),
+        expected_ms: None,
+    });
+    JobRequest {
+        service: service.to_owned(),
+        kind: kind.to_owned(),
+        team: None,
+        deadline_ms: None,
+        tasks: tasks.collect(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -0,0 +1,230 @@
+//! Entry processes with their stand-ins, for tests of whole processes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use geraniumrelay_platform::{
+    Acceptance, AuditEntry, PlatformClient, PlatformConfig, SheetRecord, SheetStore,
+};
+use geraniumrelay_wire::Vm;
+
+use crate::caller::Caller;
+use crate::certs::TestCerts;
+use crate::entry_process::{EntryPlan, EntryProcess};
+use crate::platform::PlatformStandIn;
+use crate::target::TargetStandIn;
+
+/// Longest wait for entry processes to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time between two looks at readiness.
+const READY_STEP: Duration = Duration::from_millis(20);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct ClusterPlan {
+    /// Service that all targets run.
+    pub service: String,
+    /// Data centres and the entry processes of each.
+    pub data_centres: Vec<(String, usize)>,
+    /// Targets of each data centre.
+    pub targets: usize,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Sheet in its CSV form.
+    pub sheet: String,
+    /// Further settings of the entry processes, as environment variables.
+    pub settings: Vec<(String, String)>,
+}
+
+impl ClusterPlan {
+    /// Plans `entries` entry processes in one data centre, Szeged, with the sample sheet.
+    pub fn new(entries: usize, targets: usize) -> Self {
+        Self {
+            service: "kiallitas-pont".to_owned(),
+            data_centres: vec![("szeged".to_owned(), entries)],
+            targets,
+            slots: 8,
+            sheet: include_str!("../../../samples/kiallitas-pont.csv").to_owned(),
+            settings: Vec::new(),
+        }
+    }
+
+    /// The same plan with other data centres and entry processes of each.
+    #[must_use]
+    pub fn with_data_centres(mut self, data_centres: &[(&str, usize)]) -> Self {
+        self.data_centres = data_centres
+            .iter()
+            .map(|(dc, n)| ((*dc).to_owned(), *n))
+            .collect();
+        self
+    }
+
+    /// The same plan with one more setting of the entry processes.
+    #[must_use]
+    pub fn with_setting(mut self, name: &str, value: &str) -> Self {
+        self.settings.push((name.to_owned(), value.to_owned()));
+        self
+    }
+}
+
+/// Running entry processes and stand-ins.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// The entry processes.
+    pub entries: Vec<EntryProcess>,
+    /// The targets.
+    pub targets: Vec<TargetStandIn>,
+    /// Certificates of the entry processes.
+    pub certs: TestCerts,
+    plan: ClusterPlan,
+    target_listings: Vec<Vm>,
+    dir: PathBuf,
+}
+
+impl Cluster {
+    /// Starts everything, has the sheet accepted and waits until all entry processes are ready.
+    pub fn start(plan: ClusterPlan) -> Self {
+        let dir = scratch_dir();
+        let certs = TestCerts::write(&dir);
+        let platform = PlatformStandIn::start();
+        let mut cluster = Self {
+            platform,
+            entries: Vec::new(),
+            targets: Vec::new(),
+            certs,
+            plan,
+            target_listings: Vec::new(),
+            dir,
+        };
+        cluster.start_targets();
+        for (dc, count) in cluster.plan.data_centres.clone() {
+            for n in 0..count {
+                cluster.add_entry(&format!("{dc}-e{n}"), &dc);
+            }
+        }
+        cluster.apply(1);
+        cluster.wait_ready();
+        cluster
+    }
+
+    fn start_targets(&mut self) {
+        for (dc, _) in &self.plan.data_centres {
+            for n in 0..self.plan.targets {
+                let target = TargetStandIn::start(self.plan.slots);
+                self.target_listings.push(Vm {
+                    name: format!("{dc}-t{n}"),
+                    role: "target".to_owned(),
+                    data_centre: dc.clone(),
+                    service: self.plan.service.clone(),
+                    address: target.address().to_string(),
+                    ..Vm::default()
+                });
+                self.targets.push(target);
+            }
+        }
+    }
+
+    /// Starts one more entry process and lists it.
+    pub fn add_entry(&mut self, vm: &str, data_centre: &str) {
+        let (platform, certs) = (self.platform.url(), self.certs.clone());
+        let mut plan = EntryPlan::new(vm, data_centre, platform, certs);
+        plan.settings.clone_from(&self.plan.settings);
+        self.entries.push(EntryProcess::start(&plan));
+        self.list();
+    }
+
+    /// Lists the VMs as they are now.
+    pub fn list(&self) {
+        let entries = self.entries.iter().map(EntryProcess::listing);
+        self.platform.set_vms(
+            entries
+                .chain(self.target_listings.iter().cloned())
+                .collect(),
+        );
+    }
+
+    /// Marks a target as leaving in the platform's list.
+    pub fn list_leaving(&mut self, target: usize) {
+        self.target_listings[target].leaving = true;
+        self.list();
+    }
+
+    /// Has the plan's sheet accepted as `revision`.
+    pub fn apply(&self, revision: u64) {
+        let client = PlatformClient::new(PlatformConfig::new(self.platform.url()));
+        let apply_id = format!("apply-{revision}");
+        let record = SheetRecord {
+            revision,
+            apply_id: apply_id.clone(),
+            sheet: self.plan.sheet.clone(),
+        };
+        let audit = AuditEntry {
+            revision,
+            apply_id,
+            ..AuditEntry::default()
+        };
+        let outcome = SheetStore::new(&client).accept(revision - 1, &record, &audit);
+        assert_eq!(outcome, Ok(Acceptance::Accepted { revision }));
+    }
+
+    /// Waits until every entry process is ready, has heard all others and knows its targets.
+    pub fn wait_ready(&self) {
+        let caller = Caller::new();
+        let until = Instant::now() + READY_TIMEOUT;
+        let is_ready = |entry: SocketAddr| {
+            caller.get(entry, "/readyz").0 == 200
+                && gauge(&caller, entry, "geraniumrelay_peers_heard") >= self.entries.len() - 1
+                && gauge(&caller, entry, "geraniumrelay_targets") >= self.plan.targets
+        };
+        for entry in &self.entries {
+            while !is_ready(entry.address) {
+                assert!(Instant::now() < until, "{} is not ready in time", entry.vm);
+                std::thread::sleep(READY_STEP);
+            }
+        }
+    }
+
+    /// Addresses of all entry processes for callers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.address).collect()
+    }
+
+    /// Starts of each task, over all targets.
+    pub fn starts_per_task(&self) -> HashMap<String, u32> {
+        let mut starts = HashMap::new();
+        for record in self.targets.iter().flat_map(TargetStandIn::starts) {
+            *starts.entry(record.task).or_insert(0) += 1;
+        }
+        starts
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // Left-over certificates in the temporary directory do no harm.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Value of a gauge of an entry process; 0 where it can't be read.
+pub fn gauge(caller: &Caller, entry: SocketAddr, name: &str) -> usize {
+    let (_, text) = caller.get(entry, "/metrics");
+    let value = text
+        .lines()
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    value.and_then(|n| n.trim().parse().ok()).unwrap_or(0)
+}
+
+fn scratch_dir() -> PathBuf {
+    let name = format!(
+        "geraniumrelay-{}-{:08x}",
+        std::process::id(),
+        rand::random::<u32>()
+    );
+    std::env::temp_dir().join(name)
+}
--- /dev/null
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for the platform, targets and balancer, each with fault switches.
+//!
+//! They speak the published interfaces over loopback. Only tests, benches and the demo use them,
+//! and only this package ever starts a process.
+
+pub mod balancer;
+pub mod certs;
+pub mod platform;
+pub mod ports;
+pub mod target;
+
+pub use balancer::Balancer;
+pub use certs::TestCerts;
+pub use platform::{PlatformFaults, PlatformStandIn};
+pub use target::{StartRecord, TargetFaults, TargetStandIn};
+pub mod caller;
+pub mod cluster;
+pub mod entry_process;
+
+pub use caller::Caller;
+pub use cluster::{Cluster, ClusterPlan};
+pub use entry_process::EntryProcess;
--- /dev/null
+++ b/crates/geraniumrelay-testkit/src/platform.rs
@@ -0,0 +1,241 @@
+//! Stand-in for the platform: transactional table, object store and lagging VM list.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniumrelay_wire::{TableRow, TableRows, Transaction, TransactionResult, Vm, VmList};
+use rouille::{Request, Response, Server};
+
+use crate::ports::free_address;
+
+/// Time of a synced write.
+const WRITE_TIME: Duration = Duration::from_millis(5);
+
+/// Workers of the stand-in's HTTP server.
+const HTTP_THREADS: usize = 16;
+
+/// Fault switches of the platform.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformFaults {
+    /// Every call is refused.
+    pub is_away: bool,
+    /// Added to every call.
+    pub delay: Duration,
+    /// Next writes that take effect and whose replies are lost.
+    pub lost_replies: u32,
+    /// Time by which the VM list lags.
+    pub list_lag: Duration,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<String, TableRow>,
+    objects: BTreeMap<String, Vec<u8>>,
+    lists: Vec<(Instant, Vec<Vm>)>,
+    faults: PlatformFaults,
+    writes: u64,
+    reads: u64,
+}
+
+/// A platform on loopback.
+#[derive(Debug, Clone)]
+pub struct PlatformStandIn {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl PlatformStandIn {
+    /// Starts a platform with empty table and list.
+    pub fn start() -> Self {
+        Self::start_at(free_address())
+    }
+
+    /// Starts a platform at an address.
+    pub fn start_at(address: SocketAddr) -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = Arc::clone(&state);
+        let server = Server::new(address, move |req| serve(&shared, req))
+            .expect("platform stand-in listens")
+            .pool_size(HTTP_THREADS);
+        thread::spawn(move || server.run());
+        Self { address, state }
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Changes the fault switches.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Replaces the VM list; readers see it after the lag.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.lock().lists.push((Instant::now(), vms));
+    }
+
+    /// All rows of the table, for audits.
+    pub fn rows(&self) -> Vec<TableRow> {
+        self.lock().rows.values().cloned().collect()
+    }
+
+    /// Writes and reads served so far.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.writes, state.reads)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn serve(state: &Mutex<State>, req: &Request) -> Response {
+    let faults = lock(state).faults.clone();
+    thread::sleep(faults.delay);
+    if faults.is_away {
+        return Response::text("away").with_status_code(503);
+    }
+    let path = req.url();
+    match (req.method(), path.as_str()) {
+        ("GET", "/v1/table/row") => read_row(state, req),
+        ("GET", "/v1/table/rows") => read_rows(state, req),
+        ("POST", "/v1/table/transactions") => commit(state, req),
+        ("GET", "/v1/vms") => read_vms(state),
+        ("PUT", "/v1/object") => write_object(state, req),
+        ("GET", "/v1/object") => read_object(state, req),
+        _ => Response::empty_404(),
+    }
+}
+
+fn read_row(state: &Mutex<State>, req: &Request) -> Response {
+    let key = req.get_param("key").unwrap_or_default();
+    let mut state = lock(state);
+    state.reads += 1;
+    let absent = TableRow {
+        key: key.clone(),
+        ..TableRow::default()
+    };
+    Response::json(state.rows.get(&key).unwrap_or(&absent))
+}
+
+fn read_rows(state: &Mutex<State>, req: &Request) -> Response {
+    let prefix = req.get_param("prefix").unwrap_or_default();
+    let after = req.get_param("after").unwrap_or_default();
+    let limit = req
+        .get_param("limit")
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(100);
+    let mut state = lock(state);
+    state.reads += 1;
+    let rows = state.rows.range(prefix.clone()..).map(|(_, row)| row);
+    let rows = rows.take_while(|row| row.key.starts_with(&prefix));
+    let rows = rows
+        .filter(|row| row.key > after)
+        .take(limit)
+        .cloned()
+        .collect();
+    Response::json(&TableRows { rows })
+}
+
+fn commit(state: &Mutex<State>, req: &Request) -> Response {
+    let Some(transaction) = read_json::<Transaction>(req) else {
+        return Response::empty_400();
+    };
+    thread::sleep(WRITE_TIME);
+    let mut state = lock(state);
+    state.writes += 1;
+    let result = apply(&mut state.rows, &transaction);
+    if state.faults.lost_replies > 0 && result.committed {
+        state.faults.lost_replies -= 1;
+        return Response::text("reply lost").with_status_code(200);
+    }
+    Response::json(&result)
+}
+
+fn apply(rows: &mut BTreeMap<String, TableRow>, transaction: &Transaction) -> TransactionResult {
+    let mut conflicts = Vec::new();
+    for condition in &transaction.conditions {
+        let absent = TableRow {
+            key: condition.key.clone(),
+            ..TableRow::default()
+        };
+        let row = rows.get(&condition.key).unwrap_or(&absent);
+        if row.version != condition.version {
+            conflicts.push(row.clone());
+        }
+    }
+    if !conflicts.is_empty() {
+        return TransactionResult {
+            committed: false,
+            conflicts,
+        };
+    }
+    for write in &transaction.writes {
+        let Some(value) = write.value.clone() else {
+            rows.remove(&write.key);
+            continue;
+        };
+        let version = rows.get(&write.key).map_or(0, |row| row.version) + 1;
+        rows.insert(
+            write.key.clone(),
+            TableRow {
+                key: write.key.clone(),
+                version,
+                value,
+            },
+        );
+    }
+    TransactionResult {
+        committed: true,
+        conflicts,
+    }
+}
+
+fn read_vms(state: &Mutex<State>) -> Response {
+    let mut state = lock(state);
+    state.reads += 1;
+    let lag = state.faults.list_lag;
+    let visible = state.lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+    let vms = visible.map(|(_, vms)| vms.clone()).unwrap_or_default();
+    Response::json(&VmList { vms })
+}
+
+fn write_object(state: &Mutex<State>, req: &Request) -> Response {
+    let name = req.get_param("name").unwrap_or_default();
+    let mut content = Vec::new();
+    let read = req.data().map(|mut data| data.read_to_end(&mut content));
+    if !matches!(read, Some(Ok(_))) {
+        return Response::empty_400();
+    }
+    thread::sleep(WRITE_TIME);
+    let mut state = lock(state);
+    state.writes += 1;
+    state.objects.insert(name, content);
+    Response::empty_204()
+}
+
+fn read_object(state: &Mutex<State>, req: &Request) -> Response {
+    let name = req.get_param("name").unwrap_or_default();
+    let mut state = lock(state);
+    state.reads += 1;
+    match state.objects.get(&name) {
+        Some(content) => Response::from_data("application/octet-stream", content.clone()),
+        None => Response::empty_404(),
+    }
+}
+
+/// Reads a JSON body, whatever its content type says.
+pub(crate) fn read_json<T: serde::de::DeserializeOwned>(req: &Request) -> Option<T> {
+    serde_json::from_reader(req.data()?).ok()
+}
--- /dev/null
+++ b/crates/geraniumrelay-wire/src/lib.rs
@@ -0,0 +1,8 @@
+//! Generated message types of every border: callers, targets, platform and peers.
+//!
+//! The types come from `proto/geraniumrelay.proto` and are committed, so the build needs no
+//! generator. `tests/generated.rs` generates them again and compares.
+
+mod generated;
+
+pub use generated::*;
--- /dev/null
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -0,0 +1,78 @@
+//! Keeps the committed types equal to what the proto file generates.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Set to rewrite the committed file in place of comparing with it.
+const REGENERATE: &str = "GERANIUMRELAY_REGENERATE";
+
+/// Messages whose JSON comes from callers or operators: an unknown field is their mistake.
+const STRICT: [&str; 2] = ["TaskRequest", "JobRequest"];
+
+/// Messages that only cross between entry VMs have no JSON form.
+const BINARY_ONLY: [&str; 7] = [
+    "ForwardSubmit",
+    "ForwardQuery",
+    "ForwardCancel",
+    "Heartbeat",
+    "SheetPush",
+    "PeerRequest",
+    "PeerReply",
+];
+
+fn generate() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let proto = root.join("proto/geraniumrelay.proto");
+    let descriptors = protox::compile([proto], [root.join("proto")]).expect("proto compiles");
+    let out_dir: PathBuf =
+        std::env::temp_dir().join(format!("geraniumrelay-wire-{}", std::process::id()));
+    fs::create_dir_all(&out_dir).expect("temporary directory");
+    let mut cfg = prost_build::Config::new();
+    cfg.out_dir(&out_dir);
+    for message in &descriptors.file[0].message_type {
+        let name = message.name();
+        if BINARY_ONLY.contains(&name) {
+            continue;
+        }
+        cfg.type_attribute(name, "#[derive(serde::Serialize, serde::Deserialize)]");
+        cfg.type_attribute(
+            name,
+            if STRICT.contains(&name) {
+                "#[serde(deny_unknown_fields)]"
+            } else {
+                "#[serde(default)]"
+            },
+        );
+    }
+    for field in [
+        "JobRequest.team",
+        "JobRequest.deadline_ms",
+        "TaskRequest.expected_ms",
+        "TableWrite.value",
+    ] {
+        cfg.field_attribute(
+            field,
+            "#[serde(default, skip_serializing_if = \"Option::is_none\")]",
+        );
+    }
+    cfg.compile_fds(descriptors).expect("types are generated");
+    let code = fs::read_to_string(out_dir.join("geraniumrelay.v1.rs")).expect("generated file");
+    fs::remove_dir_all(&out_dir).expect("temporary directory is removed");
+    format!(
+        "//! Generated from `proto/geraniumrelay.proto`; see `tests/generated.rs`.\n#![allow(\n    missing_docs,\n    clippy::all,\n    clippy::pedantic,\n    clippy::allow_attributes_without_reason\n)]\n\n{code}"
+    )
+}
+
+#[test]
+fn committed_types_match_the_proto_file() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/generated.rs");
+    let expected = generate();
+    if std::env::var_os(REGENERATE).is_some() {
+        fs::write(&path, &expected).expect("types are written");
+    }
+    let committed = fs::read_to_string(&path).expect("committed types");
+    assert!(
+        committed == expected,
+        "run the test with {REGENERATE}=1 and commit the result"
+    );
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/convert.rs
@@ -0,0 +1,218 @@
+//! Conversions between the generated types of the border and the dispatcher's own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geraniumrelay_core::command::TaskSpec;
+use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::{
+    Answer, Incarnation, JobProgress, JobSpec, PeerCall, Rejection, Reply, TaskResult, Ticket,
+    Verdict,
+};
+use geraniumrelay_wire::{
+    ForwardCancel, ForwardQuery, ForwardSubmit, Heartbeat, JobAnswer, JobRequest, JobState,
+    PeerReply, PeerRequest, Problem, TaskAnswer, TaskRequest, peer_reply, peer_request,
+};
+use prost::Message;
+use siphasher::sip128::{Hasher128, SipHasher24};
+
+/// Status of an answer of which every task completed.
+const COMPLETE: &str = "complete";
+
+/// Status of any other answer.
+const FAILED: &str = "failed";
+
+/// Status of a submission without an answer.
+const IN_FLIGHT: &str = "in-flight";
+
+/// Hash of a submission's content; the same for every form in which it travels.
+pub fn digest_of(req: &JobRequest) -> u128 {
+    let mut hasher = SipHasher24::new();
+    std::hash::Hasher::write(&mut hasher, &req.encode_to_vec());
+    hasher.finish128().as_u128()
+}
+
+/// Reads a submission; `None` for a service, kind or team that is no name.
+pub fn job_spec(req: JobRequest) -> Option<JobSpec> {
+    let team = match req.team {
+        Some(team) => Some(team.parse().ok()?),
+        None => None,
+    };
+    let tasks = req.tasks.into_iter().map(|task| TaskSpec {
+        payload: task.payload.into(),
+        expected_ms: task.expected_ms,
+    });
+    Some(JobSpec {
+        service: req.service.parse().ok()?,
+        kind: req.kind.parse().ok()?,
+        team,
+        deadline_ms: req.deadline_ms,
+        tasks: tasks.collect(),
+    })
+}
+
+/// Writes a submission.
+pub fn job_request(job: &JobSpec) -> JobRequest {
+    let tasks = job.tasks.iter().map(|task| TaskRequest {
+        payload: task.payload.as_ref().to_owned(),
+        expected_ms: task.expected_ms,
+    });
+    JobRequest {
+        service: job.service.to_string(),
+        kind: job.kind.to_string(),
+        team: job.team.map(|team| team.to_string()),
+        deadline_ms: job.deadline_ms,
+        tasks: tasks.collect(),
+    }
+}
+
+/// Writes an answer, without a next ticket.
+pub fn job_answer(ticket: Ticket, answer: &Answer) -> JobAnswer {
+    let tasks = (0..).zip(&answer.tasks).map(|(index, task)| TaskAnswer {
+        index,
+        verdict: task.verdict.to_string(),
+        output: task.output.clone(),
+    });
+    JobAnswer {
+        ticket: ticket.to_string(),
+        status: if answer.is_complete() {
+            COMPLETE
+        } else {
+            FAILED
+        }
+        .to_owned(),
+        verdict: answer.verdict.to_string(),
+        tasks: tasks.collect(),
+        reason: answer
+            .reason
+            .map(|reason| reason.to_string())
+            .unwrap_or_default(),
+        next_ticket: String::new(),
+    }
+}
+
+/// Writes how far a submission is.
+pub fn job_state(progress: JobProgress) -> JobState {
+    JobState {
+        ticket: progress.ticket.to_string(),
+        status: IN_FLIGHT.to_owned(),
+        queued: progress.queued,
+        running: progress.running,
+        ended: progress.ended,
+    }
+}
+
+/// Writes a refusal as a problem without HTTP status.
+pub fn problem(rejection: Rejection) -> Problem {
+    let retry_after = rejection
+        .retry_after
+        .map_or(0, |after| after.as_secs().max(1));
+    Problem {
+        verdict: rejection.verdict.to_string(),
+        reason: rejection.reason.to_string(),
+        retry_after_s: u32::try_from(retry_after).unwrap_or(u32::MAX),
+        ..Problem::default()
+    }
+}
+
+/// Writes a reply to another entry VM.
+pub fn peer_reply(reply: Reply) -> PeerReply {
+    let body = match reply {
+        Reply::Answer { ticket, answer } => peer_reply::Body::Answer(job_answer(ticket, &answer)),
+        Reply::Progress(progress) => peer_reply::Body::State(job_state(progress)),
+        Reply::Rejected(rejection) => peer_reply::Body::Problem(problem(rejection)),
+    };
+    PeerReply { body: Some(body) }
+}
+
+/// Reads a reply of another entry VM; `None` where it is no reply to a caller.
+pub fn reply_of_peer(reply: PeerReply) -> Option<Reply> {
+    match reply.body? {
+        peer_reply::Body::Answer(answer) => read_answer(answer),
+        peer_reply::Body::State(state) => Some(Reply::Progress(JobProgress {
+            ticket: state.ticket.parse().ok()?,
+            queued: state.queued,
+            running: state.running,
+            ended: state.ended,
+        })),
+        peer_reply::Body::Problem(problem) => Some(Reply::Rejected(Rejection {
+            verdict: problem.verdict.parse().ok()?,
+            reason: problem.reason.parse().ok()?,
+            retry_after: read_retry_after(problem.retry_after_s),
+        })),
+        peer_reply::Body::Heartbeat(_) => None,
+    }
+}
+
+fn read_retry_after(seconds: u32) -> Option<Duration> {
+    (seconds > 0).then(|| Duration::from_secs(u64::from(seconds)))
+}
+
+fn read_answer(answer: JobAnswer) -> Option<Reply> {
+    let ticket = answer.ticket.parse().ok()?;
+    let verdict: Verdict = answer.verdict.parse().ok()?;
+    let reason = match answer.reason.as_str() {
+        "" => None,
+        text => Some(text.parse().ok()?),
+    };
+    let mut tasks = Vec::with_capacity(answer.tasks.len());
+    for task in answer.tasks {
+        tasks.push(TaskResult {
+            verdict: task.verdict.parse().ok()?,
+            output: task.output,
+        });
+    }
+    let answer = Answer {
+        verdict,
+        reason,
+        tasks,
+    };
+    Some(Reply::Answer {
+        ticket,
+        answer: answer.into(),
+    })
+}
+
+/// Writes a request to the owner of a ticket.
+pub fn peer_request(call: &PeerCall) -> PeerRequest {
+    let ticket = call.ticket().to_string();
+    let body = match call {
+        PeerCall::Submit { job, .. } => peer_request::Body::Submit(ForwardSubmit {
+            ticket,
+            job: Some(job_request(job)),
+        }),
+        PeerCall::Watch { wait_ms, .. } => peer_request::Body::Query(ForwardQuery {
+            ticket,
+            wait_ms: *wait_ms,
+        }),
+        PeerCall::Cancel { .. } => peer_request::Body::Cancel(ForwardCancel { ticket }),
+    };
+    PeerRequest { body: Some(body) }
+}
+
+/// Writes a heartbeat.
+pub fn heartbeat(news: &PeerNews) -> Heartbeat {
+    Heartbeat {
+        incarnation: news.incarnation.map_or(0, |incarnation| incarnation.0),
+        vm: news.vm.to_string(),
+        data_centre: news.data_centre.to_string(),
+        revision: news.revision,
+        leaving: news.is_leaving,
+        held: news.held.iter().map(|held| held.0).collect(),
+        address: news.address.to_string(),
+    }
+}
+
+/// Reads a heartbeat; `None` where it is malformed.
+pub fn peer_news(beat: &Heartbeat) -> Option<PeerNews> {
+    let address: SocketAddr = beat.address.parse().ok()?;
+    Some(PeerNews {
+        vm: beat.vm.parse().ok()?,
+        data_centre: beat.data_centre.parse().ok()?,
+        address,
+        incarnation: Some(Incarnation(beat.incarnation)),
+        revision: beat.revision,
+        is_leaving: beat.leaving,
+        held: beat.held.iter().copied().map(Incarnation).collect(),
+    })
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/decision.rs
@@ -0,0 +1,233 @@
+//! The decision thread, which alone owns the dispatcher.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use flume::{Receiver, RecvTimeoutError, Sender};
+use geraniumrelay_core::{Clock, Command, Config, Context, Dispatcher, Effect, Reply, Waiter};
+use log::info;
+use slotmap::{KeyData, SlotMap, new_key_type};
+
+use crate::dispatch::{DispatchTx, TaskJob};
+use crate::metrics::Metrics;
+use crate::peers::{PeerJob, PeerTx};
+use crate::requests::{Call, Input};
+
+/// Longest time between two ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Inputs decided between two looks at the clock for ticks.
+const MAX_BATCH: usize = 256;
+
+new_key_type! {
+    struct WaiterKey;
+}
+
+/// Rings to the threads that carry effects out.
+#[derive(Debug)]
+pub struct Outlets {
+    /// To the dispatch pool.
+    pub dispatch: DispatchTx,
+    /// To the peer transport.
+    pub peers: PeerTx,
+    /// Told once everything that ran here has ended after a drain.
+    pub drained: Sender<()>,
+}
+
+/// State of the decision thread.
+#[derive(Debug)]
+pub struct DecisionThread<C> {
+    clock: C,
+    cfg: Config,
+    dispatcher: Dispatcher,
+    outlets: Outlets,
+    metrics: Arc<Metrics>,
+    waiters: SlotMap<WaiterKey, Sender<Reply>>,
+    effects: Vec<Effect>,
+}
+
+impl<C: Clock> DecisionThread<C> {
+    /// Makes the thread's state.
+    pub fn new(
+        clock: C,
+        cfg: Config,
+        dispatcher: Dispatcher,
+        outlets: Outlets,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let (waiters, effects) = (SlotMap::with_key(), Vec::new());
+        Self {
+            clock,
+            cfg,
+            dispatcher,
+            outlets,
+            metrics,
+            waiters,
+            effects,
+        }
+    }
+
+    /// Decides until all senders are gone.
+    pub fn run(mut self, rx: &Receiver<Input>) {
+        let mut next_tick = self.clock.now();
+        loop {
+            match rx.recv_deadline(self.wake_at(next_tick)) {
+                Ok(input) => self.take_batch(input, rx),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            let now = self.clock.now();
+            if now >= self.wake_at(next_tick) {
+                next_tick = now + TICK_INTERVAL;
+                self.decide(now, Command::Tick);
+                let cx = Context::new(now, &self.cfg);
+                self.metrics
+                    .set_peers_heard(self.dispatcher.peers_heard(&cx));
+                self.metrics.set_targets(self.dispatcher.targets_known());
+            }
+        }
+    }
+
+    fn wake_at(&self, next_tick: Instant) -> Instant {
+        self.dispatcher
+            .next_wake()
+            .map_or(next_tick, |at| at.min(next_tick))
+    }
+
+    fn take_batch(&mut self, first: Input, rx: &Receiver<Input>) {
+        let now = self.clock.now();
+        self.take(now, first);
+        for input in rx.try_iter().take(MAX_BATCH) {
+            self.take(now, input);
+        }
+    }
+
+    fn take(&mut self, now: Instant, input: Input) {
+        match input {
+            Input::Call { call, tx } => {
+                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
+                self.decide(now, command_of(call, waiter));
+            }
+            Input::Tell(cmd) => self.decide(now, cmd),
+            Input::AskNews { tx } => {
+                // Whoever asked may have given up.
+                let _ = tx.send(self.dispatcher.own_news());
+            }
+            Input::Ask { query, tx } => {
+                // Whoever asked may have given up.
+                let _ = tx.send(self.dispatcher.query(query));
+            }
+        }
+    }
+
+    fn decide(&mut self, now: Instant, cmd: Command) {
+        let mut effects = std::mem::take(&mut self.effects);
+        let cx = Context::new(now, &self.cfg);
+        self.dispatcher.handle(&cx, cmd, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(now, effect);
+        }
+        self.effects = effects;
+        self.metrics
+            .set_jobs_in_flight(self.dispatcher.jobs_in_flight());
+    }
+
+    fn carry_out(&mut self, now: Instant, effect: Effect) {
+        match effect {
+            Effect::Start {
+                task,
+                id,
+                address,
+                payload,
+                lease,
+            } => {
+                self.metrics.count_start();
+                let job = TaskJob {
+                    task,
+                    id,
+                    address,
+                    payload,
+                    lease,
+                };
+                if let Some(refused) = self.outlets.dispatch.start(job) {
+                    self.decide(now, refused);
+                }
+            }
+            Effect::Stop { id, address } => self.outlets.dispatch.stop(id, address),
+            Effect::Reply { waiter, reply } => {
+                if let Some(tx) = self.take_waiter(waiter) {
+                    // The caller may have gone.
+                    let _ = tx.try_send(reply);
+                }
+            }
+            Effect::Forward {
+                waiter,
+                address,
+                call,
+            } => {
+                self.metrics.count_forward();
+                if let Some(tx) = self.take_waiter(waiter) {
+                    self.outlets
+                        .peers
+                        .send(PeerJob::Forward { address, call, tx });
+                }
+            }
+            Effect::Beat { address, news } => {
+                self.outlets.peers.send(PeerJob::Beat { address, news });
+            }
+            Effect::PushSheet { address, sheet } => {
+                self.outlets
+                    .peers
+                    .send(PeerJob::PushSheet { address, sheet });
+            }
+            Effect::SheetInForce { revision } => {
+                self.metrics.set_revision(revision);
+                info!(revision; "sheet_in_force");
+            }
+            Effect::Drained => {
+                // The process may already be ending.
+                let _ = self.outlets.drained.send(());
+            }
+        }
+    }
+
+    fn take_waiter(&mut self, waiter: Waiter) -> Option<Sender<Reply>> {
+        self.waiters
+            .remove(WaiterKey::from(KeyData::from_ffi(waiter.0)))
+    }
+}
+
+fn command_of(call: Call, waiter: Waiter) -> Command {
+    match call {
+        Call::Submit {
+            ticket,
+            digest,
+            job,
+            origin,
+        } => Command::Submit {
+            ticket,
+            digest,
+            job,
+            waiter,
+            origin,
+        },
+        Call::Watch {
+            ticket,
+            wait,
+            origin,
+        } => {
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            Command::Watch {
+                ticket,
+                wait_ms,
+                waiter,
+                origin,
+            }
+        }
+        Call::Cancel { ticket, origin } => Command::Cancel {
+            ticket,
+            waiter,
+            origin,
+        },
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -0,0 +1,8 @@
+//! HTTP intake: callers' requests, health and metrics.
+
+mod body;
+mod jobs;
+mod problem;
+mod server;
+
+pub use server::{HttpServer, Intake};
--- /dev/null
+++ b/crates/geraniumrelay/src/http/problem.rs
@@ -0,0 +1,84 @@
+//! Errors to callers, as application/problem+json (RFC 9457).
+
+use geraniumrelay_core::{Reason, Rejection, Ticket};
+use geraniumrelay_wire::Problem;
+use rouille::Response;
+
+use crate::convert;
+use crate::http::body::BodyError;
+
+/// Media type of problems.
+const PROBLEM_JSON: &str = "application/problem+json";
+
+/// A refusal decided by the dispatcher.
+pub fn of_rejection(rejection: Rejection, next_ticket: Option<Ticket>) -> Response {
+    let problem = Problem {
+        title: "the request was refused".to_owned(),
+        status: status_of(rejection.reason).into(),
+        next_ticket: next_ticket
+            .map(|ticket| ticket.to_string())
+            .unwrap_or_default(),
+        ..convert::problem(rejection)
+    };
+    respond(problem)
+}
+
+/// A body that can't be used; nothing was decided, so an earlier submission may have run.
+pub fn of_body(e: BodyError) -> Response {
+    let (status, detail) = match e {
+        BodyError::TooLarge => (413, "the body is too large".to_owned()),
+        BodyError::Broken => (400, "the body broke off".to_owned()),
+        BodyError::Malformed(detail) => (400, detail),
+    };
+    of_request(status, "body-unusable", detail)
+}
+
+/// A request that is no request of this interface.
+pub fn of_request(status: u16, reason: &str, detail: impl Into<String>) -> Response {
+    respond(Problem {
+        title: "the request can't be used".to_owned(),
+        status: status.into(),
+        detail: detail.into(),
+        reason: reason.to_owned(),
+        ..Problem::default()
+    })
+}
+
+fn respond(problem: Problem) -> Response {
+    let status = u16::try_from(problem.status).unwrap_or(500);
+    let problem = Problem {
+        r#type: "about:blank".to_owned(),
+        ..problem
+    };
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let res = Response::from_data(PROBLEM_JSON, body).with_status_code(status);
+    if problem.retry_after_s == 0 {
+        return res;
+    }
+    res.with_additional_header("Retry-After", problem.retry_after_s.to_string())
+}
+
+fn status_of(reason: Reason) -> u16 {
+    match reason {
+        Reason::UnknownService
+        | Reason::UnknownKind
+        | Reason::UnknownTeam
+        | Reason::NoTasks
+        | Reason::TooManyTasks
+        | Reason::DeadlineUnreachable => 422,
+        Reason::BadTicket | Reason::UnknownTicket => 404,
+        Reason::OtherBody | Reason::Cancelled => 409,
+        Reason::TicketExpired | Reason::OwnerGone | Reason::AnswerDropped => 410,
+        Reason::ServiceLeaving
+        | Reason::NoCapacity
+        | Reason::QueueFull
+        | Reason::DeadlinePassed
+        | Reason::TaskFailed
+        | Reason::TargetLost
+        | Reason::RetriesSpent
+        | Reason::VmLeaving
+        | Reason::OwnerUnreachable
+        | Reason::NoSheet
+        | Reason::Overloaded => 503,
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -0,0 +1,153 @@
+//! Metrics in the form that Prometheus scrapes.
+
+use geraniumrelay_core::Verdict;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the response time buckets, in seconds.
+const RESPONSE_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// Metrics of one entry process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    starts: IntCounter,
+    forwards: IntCounter,
+    replies: IntCounterVec,
+    refusals: IntCounterVec,
+    response: Histogram,
+    jobs_in_flight: IntGauge,
+    revision: IntGauge,
+    peers_heard: IntGauge,
+    targets: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// A name that is registered twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let starts = IntCounter::new("geraniumrelay_task_starts_total", "Starts sent to targets")?;
+        let forwards = IntCounter::new(
+            "geraniumrelay_forwards_total",
+            "Requests passed on to their owner",
+        )?;
+        let replies = IntCounterVec::new(
+            Opts::new(
+                "geraniumrelay_replies_total",
+                "Answers to callers by verdict",
+            ),
+            &["verdict"],
+        )?;
+        let refusals = IntCounterVec::new(
+            Opts::new(
+                "geraniumrelay_refusals_total",
+                "Refusals to callers by reason",
+            ),
+            &["reason"],
+        )?;
+        let response = Histogram::with_opts(
+            HistogramOpts::new(
+                "geraniumrelay_response_seconds",
+                "Time from request to answer",
+            )
+            .buckets(RESPONSE_BUCKETS_S.to_vec()),
+        )?;
+        let jobs_in_flight = IntGauge::new(
+            "geraniumrelay_jobs_in_flight",
+            "Jobs queued or running here",
+        )?;
+        let revision = IntGauge::new("geraniumrelay_sheet_revision", "Sheet revision in force")?;
+        let peers_heard = IntGauge::new(
+            "geraniumrelay_peers_heard",
+            "Entry VMs heard within the silence",
+        )?;
+        registry.register(Box::new(peers_heard.clone()))?;
+        let targets = IntGauge::new("geraniumrelay_targets", "Targets known")?;
+        registry.register(Box::new(targets.clone()))?;
+        registry.register(Box::new(starts.clone()))?;
+        registry.register(Box::new(forwards.clone()))?;
+        registry.register(Box::new(replies.clone()))?;
+        registry.register(Box::new(refusals.clone()))?;
+        registry.register(Box::new(response.clone()))?;
+        registry.register(Box::new(jobs_in_flight.clone()))?;
+        registry.register(Box::new(revision.clone()))?;
+        Ok(Self {
+            registry,
+            starts,
+            forwards,
+            replies,
+            refusals,
+            response,
+            jobs_in_flight,
+            revision,
+            peers_heard,
+            targets,
+        })
+    }
+
+    /// Counts a start sent to a target.
+    pub fn count_start(&self) {
+        self.starts.inc();
+    }
+
+    /// Counts a request passed on to its owner.
+    pub fn count_forward(&self) {
+        self.forwards.inc();
+    }
+
+    /// Counts an answer to a caller.
+    pub fn count_answer(&self, verdict: Verdict, seconds: f64) {
+        self.replies
+            .with_label_values(&[&verdict.to_string()])
+            .inc();
+        self.response.observe(seconds);
+    }
+
+    /// Counts a refusal to a caller.
+    pub fn count_refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Sets the number of jobs in flight.
+    pub fn set_jobs_in_flight(&self, jobs: usize) {
+        self.jobs_in_flight
+            .set(i64::try_from(jobs).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of entry VMs heard within the silence.
+    pub fn set_peers_heard(&self, peers: usize) {
+        self.peers_heard
+            .set(i64::try_from(peers).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of targets known.
+    pub fn set_targets(&self, targets: usize) {
+        self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the revision in force.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Revision in force; 0 before the first.
+    pub fn revision(&self) -> i64 {
+        self.revision.get()
+    }
+
+    /// All metrics in text form.
+    ///
+    /// # Errors
+    /// A metric that can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/process.rs
@@ -0,0 +1,147 @@
+//! Start and stop of the entry process.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use flume::Receiver;
+use geraniumrelay_core::{
+    Clock, Command, Config, Context, Dispatcher, Identity, Incarnation, TicketKey, TicketMint,
+};
+use geraniumrelay_platform::{PlatformClient, PlatformConfig};
+use log::{error, info, warn};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::clock::SystemClock;
+use crate::decision::{DecisionThread, Outlets};
+use crate::dispatch::DispatchTx;
+use crate::http::{HttpServer, Intake};
+use crate::metrics::Metrics;
+use crate::peer_tls::PeerTls;
+use crate::peers::{self, PeerTx};
+use crate::poller::Poller;
+use crate::requests::DecisionTx;
+use crate::settings::Settings;
+
+/// Time for the last replies to leave their sockets.
+const LAST_REPLIES: Duration = Duration::from_millis(200);
+
+/// Runs the process until it is told to stop and everything in flight has ended.
+///
+/// # Errors
+/// Settings that are not usable, addresses that can't be listened on, certificates that can't be
+/// read.
+pub fn run(settings: &Settings) -> anyhow::Result<()> {
+    crate::logging::init();
+    settings.check()?;
+    let entry = Entry::start(settings)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals")?;
+    let signal = signals.forever().next();
+    info!(signal:? = signal; "stopping");
+    entry.stop(settings.stop_timeout);
+    Ok(())
+}
+
+/// The running threads.
+#[derive(Debug)]
+struct Entry {
+    decision: DecisionTx,
+    drained: Receiver<()>,
+    http: HttpServer,
+    is_stopping: Arc<AtomicBool>,
+}
+
+impl Entry {
+    fn start(settings: &Settings) -> anyhow::Result<Self> {
+        let clock = SystemClock;
+        let cfg = Config::default();
+        let metrics = Arc::new(Metrics::new()?);
+        let identity = identity(settings);
+        let key = TicketKey(rand::random());
+        let mint = TicketMint::new(identity.data_centre, identity.incarnation, key);
+        let tls = PeerTls::read(&settings.ca, &settings.cert, &settings.key)?;
+
+        let (decision, decision_rx) = DecisionTx::ring();
+        let (peers, peer_rx) = PeerTx::ring();
+        let (drained_tx, drained) = flume::bounded(1);
+        let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
+        let outlets = Outlets {
+            dispatch,
+            peers,
+            drained: drained_tx,
+        };
+
+        let dispatcher = Dispatcher::new(&Context::new(clock.now(), &cfg), identity, mint.clone());
+        let ticket_ttl = cfg.claims.ticket_ttl;
+        let thread = DecisionThread::new(clock, cfg, dispatcher, outlets, Arc::clone(&metrics));
+        spawn("decision", move || thread.run(&decision_rx))?;
+
+        let (listen, decision_tx) = (settings.peer_listen, decision.clone());
+        spawn("peers", move || {
+            if let Err(e) = peers::run(listen, tls, &peer_rx, &decision_tx) {
+                error!(error = e.to_string().as_str(); "peer_transport_failed");
+            }
+        })?;
+
+        let client = PlatformClient::new(PlatformConfig::new(settings.platform.clone()));
+        let poller = Poller::new(client, identity, decision.clone());
+        spawn("poller", move || poller.run())?;
+
+        let is_stopping = Arc::new(AtomicBool::new(false));
+        let intake = Intake {
+            clock,
+            decision: decision.clone(),
+            mint,
+            ticket_ttl,
+            max_body: settings.max_body,
+            metrics,
+            is_stopping: Arc::clone(&is_stopping),
+            open_requests: Arc::default(),
+        };
+        let http = HttpServer::start(settings.listen, intake)?;
+        info!(
+            vm:% = settings.vm, data_centre:% = settings.data_centre,
+            incarnation:% = identity.incarnation, listen:% = settings.listen;
+            "started"
+        );
+        Ok(Self {
+            decision,
+            drained,
+            http,
+            is_stopping,
+        })
+    }
+
+    fn stop(&self, timeout: Duration) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+        let until = SystemClock.now() + timeout;
+        self.decision.tell(Command::Drain);
+        let has_drained = self.drained.recv_deadline(until).is_ok();
+        let is_idle = self.http.wait_idle(&SystemClock, until);
+        thread::sleep(LAST_REPLIES);
+        if has_drained && is_idle {
+            info!("stopped");
+        } else {
+            warn!(has_drained, is_idle; "stopped_with_work_in_flight");
+        }
+    }
+}
+
+fn identity(settings: &Settings) -> Identity {
+    Identity {
+        vm: settings.vm,
+        data_centre: settings.data_centre,
+        peer_address: settings.peer_listen,
+        incarnation: Incarnation(rand::random()),
+    }
+}
+
+fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(f)
+        .map(drop)
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/requests.rs
@@ -0,0 +1,136 @@
+//! What other threads send to the decision thread.
+
+use std::time::Duration;
+
+use flume::{Receiver, Sender};
+use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Ticket};
+
+/// Most entries of the ring to the decision thread.
+const RING_ENTRIES: usize = 16_384;
+
+/// Entries beyond which callers' requests are turned away, so that ends of tasks still fit.
+const REQUEST_ENTRIES: usize = RING_ENTRIES / 2;
+
+/// A request with somebody who waits for the reply.
+#[derive(Debug)]
+pub enum Call {
+    /// Run a job or join its earlier submission.
+    Submit {
+        /// Name of the submission.
+        ticket: Ticket,
+        /// Hash of the body.
+        digest: u128,
+        /// The job.
+        job: JobSpec,
+        /// Who passed it here.
+        origin: Origin,
+    },
+    /// Wait for an answer.
+    Watch {
+        /// Name of the submission.
+        ticket: Ticket,
+        /// Longest wait.
+        wait: Duration,
+        /// Who passed it here.
+        origin: Origin,
+    },
+    /// Cancel a submission.
+    Cancel {
+        /// Name of the submission.
+        ticket: Ticket,
+        /// Who passed it here.
+        origin: Origin,
+    },
+}
+
+/// One entry of the ring to the decision thread.
+#[derive(Debug)]
+pub enum Input {
+    /// A request with a waiter.
+    Call {
+        /// The request.
+        call: Call,
+        /// Where its one reply goes.
+        tx: Sender<Reply>,
+    },
+    /// A command that nobody waits for.
+    Tell(Command),
+    /// What this VM would say in a heartbeat.
+    AskNews {
+        /// Where the answer goes.
+        tx: Sender<PeerNews>,
+    },
+    /// A question.
+    Ask {
+        /// The question.
+        query: Query,
+        /// Where the answer goes.
+        tx: Sender<Option<Reply>>,
+    },
+}
+
+/// The ring to the decision thread is too full for callers' requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Overloaded;
+
+/// Sending end of the ring to the decision thread.
+#[derive(Debug, Clone)]
+pub struct DecisionTx(Sender<Input>);
+
+impl DecisionTx {
+    /// Makes the ring.
+    pub fn ring() -> (Self, Receiver<Input>) {
+        let (tx, rx) = flume::bounded(RING_ENTRIES);
+        (Self(tx), rx)
+    }
+
+    /// Sends a request; its reply comes through the receiver.
+    ///
+    /// # Errors
+    /// [`Overloaded`], with the request neither decided nor noted.
+    pub fn call(&self, call: Call) -> Result<Receiver<Reply>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::Call { call, tx })?;
+        Ok(rx)
+    }
+
+    /// Asks a question.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn ask(&self, query: Query) -> Result<Receiver<Option<Reply>>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::Ask { query, tx })?;
+        Ok(rx)
+    }
+
+    /// Asks for what this VM would say in a heartbeat.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn ask_news(&self) -> Result<Receiver<PeerNews>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::AskNews { tx })?;
+        Ok(rx)
+    }
+
+    /// Sends a command that must not be lost; waits for room.
+    pub fn tell(&self, cmd: Command) {
+        // The decision thread outlives all senders but at the process's end.
+        let _ = self.0.send(Input::Tell(cmd));
+    }
+
+    /// Sends a command from an asynchronous task; waits for room.
+    pub async fn tell_async(&self, cmd: Command) {
+        // The decision thread outlives all senders but at the process's end.
+        let _ = self.0.send_async(Input::Tell(cmd)).await;
+    }
+
+    fn try_send(&self, input: Input) -> Result<(), Overloaded> {
+        if self.0.len() >= REQUEST_ENTRIES {
+            return Err(Overloaded);
+        }
+        self.0.try_send(input).map_err(|_| Overloaded)
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/settings.rs
@@ -0,0 +1,128 @@
+//! Settings of the entry process, from flags and environment variables.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::bail;
+use clap::Parser;
+use geraniumrelay_core::names::{DataCentre, VmName};
+
+/// Dispatcher for sub-second tasks: the process of one entry VM.
+#[derive(Debug, Clone, Parser)]
+#[command(version, about)]
+pub struct Settings {
+    /// Name of this VM, as in the platform's list.
+    #[arg(long, env = "GERANIUMRELAY_VM")]
+    pub vm: VmName,
+
+    /// Data centre of this VM, as in the sheet.
+    #[arg(long, env = "GERANIUMRELAY_DATA_CENTRE")]
+    pub data_centre: DataCentre,
+
+    /// IP and port for callers.
+    #[arg(long, env = "GERANIUMRELAY_LISTEN")]
+    pub listen: SocketAddr,
+
+    /// IP and port for other entry VMs.
+    #[arg(long, env = "GERANIUMRELAY_PEER_LISTEN")]
+    pub peer_listen: SocketAddr,
+
+    /// Base URL of the platform.
+    #[arg(long, env = "GERANIUMRELAY_PLATFORM")]
+    pub platform: String,
+
+    /// CA certificate of the entry processes, PEM.
+    #[arg(long, env = "GERANIUMRELAY_CA")]
+    pub ca: PathBuf,
+
+    /// Certificate of this process, PEM.
+    #[arg(long, env = "GERANIUMRELAY_CERT")]
+    pub cert: PathBuf,
+
+    /// Private key of this process, PEM.
+    #[arg(long, env = "GERANIUMRELAY_KEY")]
+    pub key: PathBuf,
+
+    /// Threads that hold connections to targets.
+    #[arg(long, env = "GERANIUMRELAY_DISPATCH_THREADS", default_value_t = 512)]
+    pub dispatch_threads: usize,
+
+    /// Largest request body in bytes.
+    #[arg(long, env = "GERANIUMRELAY_MAX_BODY", default_value_t = 1 << 20)]
+    pub max_body: usize,
+
+    /// Longest wait of a stop for what is in flight.
+    #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
+    pub stop_timeout: Duration,
+}
+
+impl Settings {
+    /// Checks what the types alone don't, and names every fault at once.
+    ///
+    /// # Errors
+    /// One error with a line for each fault.
+    pub fn check(&self) -> anyhow::Result<()> {
+        let mut faults = Vec::new();
+        for (flag, path) in [
+            ("--ca", &self.ca),
+            ("--cert", &self.cert),
+            ("--key", &self.key),
+        ] {
+            if !path.is_file() {
+                faults.push(format!("{flag}: {} is not a file", path.display()));
+            }
+        }
+        if !self.platform.starts_with("http://") {
+            faults.push(format!(
+                "--platform: \"{}\" is not an http:// URL",
+                self.platform
+            ));
+        }
+        if !(1..=4_096).contains(&self.dispatch_threads) {
+            faults.push("--dispatch-threads: allowed are 1 to 4096".to_owned());
+        }
+        if !(1..=64 << 20).contains(&self.max_body) {
+            faults.push("--max-body: allowed are 1 to 67108864 bytes".to_owned());
+        }
+        if self.listen == self.peer_listen {
+            faults.push("--peer-listen: must differ from --listen".to_owned());
+        }
+        if faults.is_empty() {
+            return Ok(());
+        }
+        bail!("settings are not usable:\n{}", faults.join("\n"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_fault_is_named_at_once() {
+        let args = [
+            "geraniumrelay",
+            "--vm",
+            "e1",
+            "--data-centre",
+            "szeged",
+            "--listen",
+            "127.0.0.1:1",
+            "--peer-listen",
+            "127.0.0.1:1",
+            "--platform",
+            "ftp://x",
+            "--ca",
+            "/absent",
+            "--cert",
+            "/absent",
+            "--key",
+            "/absent",
+            "--dispatch-threads",
+            "0",
+        ];
+        let faults = Settings::parse_from(args).check().unwrap_err().to_string();
+        assert_eq!(faults.lines().count(), 1 + 6, "{faults}");
+    }
+}
