--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/sheet/consistency.rs
@@ -0,0 +1,104 @@
+//! Rules that hold between the rows of a sheet.
+
+use std::fmt::Display;
+use std::hash::Hash;
+
+use crate::collections::Map;
+use crate::modules::sheet::fault::SheetFault;
+use crate::modules::sheet::row::SheetRow;
+
+/// A row with its line in the file.
+#[derive(Debug)]
+pub(super) struct PlacedRow {
+    pub(super) line: u64,
+    pub(super) row: SheetRow,
+}
+
+/// Names every row that contradicts an earlier one.
+pub(super) fn check_rows(rows: &[PlacedRow], faults: &mut Vec<SheetFault>) {
+    check_duplicates(rows, faults);
+    check_places(rows, faults);
+    check_kinds(rows, faults);
+    check_shares(rows, faults);
+}
+
+fn check_duplicates(rows: &[PlacedRow], faults: &mut Vec<SheetFault>) {
+    let mut first_lines = Map::default();
+    for PlacedRow { line, row } in rows {
+        let key = (row.service, row.data_centre, row.kind, row.team);
+        let first = *first_lines.entry(key).or_insert(*line);
+        if first != *line {
+            let allowed = format!(
+                "a service, data centre, request kind and team have one row; line {first} is the same"
+            );
+            faults.push(SheetFault::new(
+                *line,
+                "request_kind",
+                row.kind.as_str(),
+                allowed,
+            ));
+        }
+    }
+}
+
+/// Rows of one service and data centre describe the same targets.
+fn check_places(rows: &[PlacedRow], faults: &mut Vec<SheetFault>) {
+    let place = |row: &SheetRow| (row.service, row.data_centre);
+    let rule = "a service and data centre";
+    check_same(rows, faults, "workers", rule, place, |row| row.workers);
+    check_same(rows, faults, "slots", rule, place, |row| row.slots);
+    check_same(rows, faults, "connections", rule, place, |row| {
+        row.connections
+    });
+    check_same(rows, faults, "state", rule, place, |row| row.state);
+}
+
+/// Rows of one request kind agree in every data centre.
+fn check_kinds(rows: &[PlacedRow], faults: &mut Vec<SheetFault>) {
+    let kind = |row: &SheetRow| (row.service, row.kind);
+    let rule = "a service and request kind";
+    check_same(rows, faults, "urgency", rule, kind, |row| row.urgency);
+    check_same(rows, faults, "idempotent", rule, kind, |row| {
+        if row.is_idempotent { "yes" } else { "no" }
+    });
+    check_same(rows, faults, "deadline_ms", rule, kind, |row| {
+        row.deadline.as_millis()
+    });
+}
+
+/// A team has one share of a service.
+fn check_shares(rows: &[PlacedRow], faults: &mut Vec<SheetFault>) {
+    let team = |row: &SheetRow| (row.service, row.team);
+    check_same(
+        rows,
+        faults,
+        "team_share",
+        "a service and team",
+        team,
+        |row| row.team_share.unwrap_or(0),
+    );
+}
+
+/// Names the rows whose value differs from the first row with the same key.
+fn check_same<K: Eq + Hash, V: PartialEq + Display>(
+    rows: &[PlacedRow],
+    faults: &mut Vec<SheetFault>,
+    column: &str,
+    rule: &str,
+    key_of: impl Fn(&SheetRow) -> K,
+    value_of: impl Fn(&SheetRow) -> V,
+) {
+    let mut firsts = Map::default();
+    for PlacedRow { line, row } in rows {
+        let value = value_of(row);
+        let (first_line, first) = firsts
+            .entry(key_of(row))
+            .or_insert_with(|| (*line, value_of(row)));
+        if *first != value {
+            let allowed = format!(
+                "{rule} have the same value on every row; line {first_line} has \"{first}\""
+            );
+            faults.push(SheetFault::new(*line, column, value.to_string(), allowed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/sheet/fault.rs
@@ -0,0 +1,55 @@
+//! Faults of a sheet, as the person who exported it reads them.
+
+use std::fmt;
+
+use derive_more::{Display, Error};
+
+/// One fault of a sheet.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("line {line}, column {column}: \"{value}\" is not allowed; {allowed}")]
+pub struct SheetFault {
+    /// Line of the file, from 1.
+    pub line: u64,
+    /// Column name.
+    pub column: String,
+    /// Offending value.
+    pub value: String,
+    /// What is allowed there.
+    pub allowed: String,
+}
+
+impl SheetFault {
+    /// Makes a fault.
+    pub fn new(
+        line: u64,
+        column: impl Into<String>,
+        value: impl Into<String>,
+        allowed: impl Into<String>,
+    ) -> Self {
+        Self {
+            line,
+            column: column.into(),
+            value: value.into(),
+            allowed: allowed.into(),
+        }
+    }
+}
+
+/// All faults of a sheet.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub struct SheetError {
+    /// The faults, in file order.
+    pub faults: Vec<SheetFault>,
+}
+
+impl fmt::Display for SheetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.faults.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
