test(testkit): let target stand-ins keep connections, stop tasks and break connections

Cause: the target stand-in ran on the server behind which kept connections starve, ignored stops and leases, and could not break a connection.

Change: it runs on hyper; stops and leases end tasks; connections can be closed after each reply or after each start.

--- a/crates/geraniumrelay-testkit/src/target.rs
+++ b/crates/geraniumrelay-testkit/src/target.rs
@@ -1,15 +1,17 @@
 //! Stand-in for a target: slots, run times, refusals, and a record of every start.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use flume::Sender;
 use geraniumrelay_wire::{TaskEnd, TaskStart, Usage};
-use rouille::{Request, Response, Server};
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode};
 
-use crate::platform::read_json;
-use crate::ports::free_address;
+use crate::http_server::{self, Handled, Handler};
 
 /// Run time of a task whose payload names none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(50);
@@ -25,6 +27,20 @@
     pub is_leaving: bool,
     /// Starts hang for this long before anything happens.
     pub pause: Duration,
+    /// What it does to connections.
+    pub connections: ConnectionFault,
+}
+
+/// What a target does to connections.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ConnectionFault {
+    /// Keeps them.
+    #[default]
+    None,
+    /// Closes after each reply, without a word of it.
+    ClosesAfterReply,
+    /// Closes after each start, without a reply.
+    HangsAfterStart,
 }
 
 /// One start, as the target saw it.
@@ -36,12 +52,21 @@
     pub at: Instant,
 }
 
+/// How a started task ended at the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    Completed,
+    Stopped,
+    LeaseLapsed,
+}
+
 #[derive(Debug, Default)]
 struct State {
-    running: u32,
+    running: HashMap<String, Sender<()>>,
     starts: Vec<StartRecord>,
     refusals: u64,
     stops: u64,
+    wasted_stops: u64,
     faults: TargetFaults,
 }
 
@@ -56,17 +81,14 @@
 impl TargetStandIn {
     /// Starts a target with a number of slots.
     pub fn start(slots: u32) -> Self {
-        let address = free_address();
-        let state = Arc::new(Mutex::new(State::default()));
-        let target = Self {
-            address,
-            slots,
-            state,
-        };
-        let shared = target.clone();
-        let server = Server::new(address, move |req| shared.serve(req)).expect("target listens");
-        thread::spawn(move || server.run());
-        target
+        http_server::start(|address| {
+            let state = Arc::new(Mutex::new(State::default()));
+            Self {
+                address,
+                slots,
+                state,
+            }
+        })
     }
 
     /// Where it answers.
@@ -85,49 +107,55 @@
         (state.refusals, state.stops)
     }
 
+    /// Stops so far of tasks that did not run.
+    pub fn wasted_stops(&self) -> u64 {
+        self.lock().wasted_stops
+    }
+
     /// Changes the fault switches.
     pub fn set_faults(&self, faults: TargetFaults) {
         self.lock().faults = faults;
     }
 
-    fn serve(&self, req: &Request) -> Response {
-        let path = req.url();
-        match (req.method(), path.strip_prefix("/v1/tasks/")) {
-            ("PUT", Some(task)) => self.run(task, req),
-            ("DELETE", Some(_)) => self.stop(),
-            ("GET", None) if path == "/v1/usage" => Response::json(&self.usage()),
-            _ => Response::empty_404(),
-        }
-    }
-
-    fn run(&self, task: &str, req: &Request) -> Response {
-        let Some(start) = read_json::<TaskStart>(req) else {
-            return Response::empty_400();
+    async fn run(&self, task: &str, body: &Bytes) -> Handled {
+        let Ok(start) = serde_json::from_slice::<TaskStart>(body) else {
+            return reply(StatusCode::BAD_REQUEST, "no task start");
         };
         let faults = self.lock().faults.clone();
-        thread::sleep(faults.pause);
-        if !self.try_start(task) {
+        tokio::time::sleep(faults.pause).await;
+        let (stop_tx, stop_rx) = flume::bounded(1);
+        if !self.try_start(task, stop_tx) {
             return refusal(faults.is_leaving);
         }
-        if !faults.fails_all {
-            thread::sleep(run_time(&start.payload) * faults.slowness.max(1));
+        let _slot = Slot { target: self, task };
+        if faults.connections == ConnectionFault::HangsAfterStart {
+            return Handled::Hang;
         }
-        self.lock().running -= 1;
         if faults.fails_all {
-            return Response::text("task failed").with_status_code(500);
+            return reply(StatusCode::INTERNAL_SERVER_ERROR, "task failed");
+        }
+        let run = tokio::time::sleep(run_time(&start.payload) * faults.slowness.max(1));
+        let lease = tokio::time::sleep(Duration::from_millis(start.lease_ms));
+        let end = tokio::select! {
+            () = run => RunEnd::Completed,
+            _ = stop_rx.recv_async() => RunEnd::Stopped,
+            () = lease => RunEnd::LeaseLapsed,
+        };
+        match end {
+            RunEnd::Completed => output(&start.payload),
+            RunEnd::Stopped => reply(StatusCode::INTERNAL_SERVER_ERROR, "stopped"),
+            RunEnd::LeaseLapsed => reply(StatusCode::INTERNAL_SERVER_ERROR, "lease lapsed"),
         }
-        Response::json(&TaskEnd {
-            output: echo(&start.payload).to_owned(),
-        })
     }
 
-    fn try_start(&self, task: &str) -> bool {
+    fn try_start(&self, task: &str, stop: Sender<()>) -> bool {
         let mut state = self.lock();
-        if state.running >= self.slots || state.faults.is_leaving {
+        let is_full = state.running.len() >= self.slots as usize;
+        if is_full || state.faults.is_leaving {
             state.refusals += 1;
             return false;
         }
-        state.running += 1;
+        state.running.insert(task.to_owned(), stop);
         state.starts.push(StartRecord {
             task: task.to_owned(),
             at: Instant::now(),
@@ -135,18 +163,29 @@
         true
     }
 
-    fn stop(&self) -> Response {
-        self.lock().stops += 1;
-        Response::empty_204()
+    fn stop(&self, task: &str) -> Handled {
+        let mut state = self.lock();
+        state.stops += 1;
+        match state.running.get(task) {
+            // It may be ending by itself at this moment.
+            Some(stop) => drop(stop.try_send(())),
+            None => state.wasted_stops += 1,
+        }
+        reply(StatusCode::NO_CONTENT, "")
     }
 
-    fn usage(&self) -> Usage {
+    fn usage(&self) -> Handled {
         let state = self.lock();
-        Usage {
-            running: state.running,
+        let running = u32::try_from(state.running.len()).unwrap_or(u32::MAX);
+        let usage = Usage {
+            running,
             slots: self.slots,
             leaving: state.faults.is_leaving,
-        }
+        };
+        reply(
+            StatusCode::OK,
+            serde_json::to_vec(&usage).unwrap_or_default(),
+        )
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -154,11 +193,55 @@
     }
 }
 
-fn refusal(is_leaving: bool) -> Response {
+impl Handler for TargetStandIn {
+    async fn handle(&self, req: Request<Bytes>) -> Handled {
+        let path = req.uri().path();
+        match (req.method(), path.strip_prefix("/v1/tasks/")) {
+            (&Method::PUT, Some(task)) => self.run(task, req.body()).await,
+            (&Method::DELETE, Some(task)) => self.stop(task),
+            (&Method::GET, None) if path == "/v1/usage" => self.usage(),
+            _ => reply(StatusCode::NOT_FOUND, "no such resource"),
+        }
+    }
+
+    fn closes_after_reply(&self) -> bool {
+        self.lock().faults.connections == ConnectionFault::ClosesAfterReply
+    }
+}
+
+/// Frees the slot of a task at its end, also where the caller has gone.
+struct Slot<'a> {
+    target: &'a TargetStandIn,
+    task: &'a str,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.target.lock().running.remove(self.task);
+    }
+}
+
+fn reply(status: StatusCode, body: impl Into<Bytes>) -> Handled {
+    let mut res = Response::new(Full::new(body.into()));
+    *res.status_mut() = status;
+    Handled::Reply(res)
+}
+
+fn output(payload: &str) -> Handled {
+    let end = TaskEnd {
+        output: echo(payload).to_owned(),
+    };
+    reply(StatusCode::OK, serde_json::to_vec(&end).unwrap_or_default())
+}
+
+fn refusal(is_leaving: bool) -> Handled {
     let reason = if is_leaving { "leaving" } else { "full" };
-    let res = Response::text("not started").with_status_code(503);
-    res.with_additional_header("Not-Started", "true")
-        .with_additional_header("Reason", reason)
+    let res = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+    let res = res.header("Not-Started", "true").header("Reason", reason);
+    Handled::Reply(
+        res.body(Full::from("not started"))
+            .expect("a refusal is a response"),
+    )
 }
 
 /// Run time that a payload asks for.
