--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -45,7 +45,7 @@
     pub key: PathBuf,
 
     /// Threads that hold connections to targets.
-    #[arg(long, env = "GERANIUMRELAY_DISPATCH_THREADS", default_value_t = 512)]
+    #[arg(long, env = "GERANIUMRELAY_DISPATCH_THREADS", default_value_t = 2)]
     pub dispatch_threads: usize,
 
     /// Largest request body in bytes.
@@ -79,8 +79,8 @@
                 self.platform
             ));
         }
-        if !(1..=4_096).contains(&self.dispatch_threads) {
-            faults.push("--dispatch-threads: allowed are 1 to 4096".to_owned());
+        if !(1..=64).contains(&self.dispatch_threads) {
+            faults.push("--dispatch-threads: allowed are 1 to 64".to_owned());
         }
         if !(1..=64 << 20).contains(&self.max_body) {
             faults.push("--max-body: allowed are 1 to 67108864 bytes".to_owned());
