test(testkit): time stand-in tasks finer than a millisecond

Cause: the runtime's timers go in steps of a millisecond, which showed in every overhead.

Change: a timer thread of the test kit wakes tasks at their time.

--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod ports;
 pub mod target;
+pub mod timer;
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
--- a/crates/geraniumrelay-testkit/src/target.rs
+++ b/crates/geraniumrelay-testkit/src/target.rs
@@ -12,6 +12,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use crate::http_server::{self, Handled, Handler};
+use crate::timer;
 
 /// Run time of a task whose payload names none.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(50);
@@ -122,7 +123,7 @@
             return reply(StatusCode::BAD_REQUEST, "no task start");
         };
         let faults = self.lock().faults.clone();
-        tokio::time::sleep(faults.pause).await;
+        timer::sleep(faults.pause).await;
         let (stop_tx, stop_rx) = flume::bounded(1);
         if !self.try_start(task, stop_tx) {
             return refusal(faults.is_leaving);
@@ -134,7 +135,7 @@
         if faults.fails_all {
             return reply(StatusCode::INTERNAL_SERVER_ERROR, "task failed");
         }
-        let run = tokio::time::sleep(run_time(&start.payload) * faults.slowness.max(1));
+        let run = timer::sleep(run_time(&start.payload) * faults.slowness.max(1));
         let lease = tokio::time::sleep(Duration::from_millis(start.lease_ms));
         let end = tokio::select! {
             () = run => RunEnd::Completed,
