feat(entry): close callers' connections at a stop without cutting a request off

Cause: a stop ended the process with kept connections open, so that a request which arrived in the last moment was cut off, and the limit of open files bounded callers at 1,024.

Change: a stop accepts what is connected, lets each connection end after its open request, and ends once all have. The limit of open files is raised to what the VM allows.

Conclusion: a stop needs no fixed wait any more.

--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -5,9 +5,11 @@
 
 mod body;
 mod jobs;
+mod listener;
 mod params;
 mod problem;
 mod response;
 mod server;
 
-pub use server::{HttpServer, Intake};
+pub use listener::HttpServer;
+pub use server::Intake;
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -1,41 +1,19 @@
-//! The HTTP server and its routes.
+//! Routes of the intake.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use anyhow::Context as _;
 use geraniumrelay_core::{Clock, TicketMint};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use log::warn;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::{LocalSet, spawn_local};
 
 use crate::http::problem;
 use crate::http::response::{self, Response};
 use crate::metrics::Metrics;
 use crate::requests::DecisionTx;
 
-/// Connections that may wait to be accepted, for bursts at opening hour.
-const LISTEN_BACKLOG: u32 = 4_096;
-
-/// Connections open at once; further ones wait in the backlog.
-const MAX_CONNECTIONS: usize = 16_384;
-
-/// Longest time for the head of a request to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Wait after a connection could not be accepted, as when file descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Media type of metrics.
 const METRICS_TEXT: &str = "text/plain; version=0.0.4";
 
@@ -56,8 +34,6 @@
     pub metrics: Arc<Metrics>,
     /// Set once this VM is stopping.
     pub is_stopping: Arc<AtomicBool>,
-    /// Requests that have no reply yet.
-    pub open_requests: Arc<AtomicUsize>,
 }
 
 impl<C: Clock> Intake<C> {
@@ -99,8 +75,8 @@
         }
     }
 
-    async fn serve(&self, req: Request<Incoming>) -> Result<Response, Infallible> {
-        let _open = OpenRequest::new(&self.open_requests);
+    /// Serves one request.
+    pub(super) async fn serve(&self, req: Request<Incoming>) -> Result<Response, Infallible> {
         Ok(self.route(req).await)
     }
 }
@@ -112,108 +88,3 @@
         "this resource has no such method",
     )
 }
-
-/// Counts a request as open until it is dropped, also where the caller goes away.
-struct OpenRequest<'a>(&'a AtomicUsize);
-
-impl<'a> OpenRequest<'a> {
-    fn new(open_requests: &'a AtomicUsize) -> Self {
-        open_requests.fetch_add(1, Ordering::SeqCst);
-        Self(open_requests)
-    }
-}
-
-impl Drop for OpenRequest<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-/// The running HTTP server.
-#[derive(Debug)]
-pub struct HttpServer {
-    open_requests: Arc<AtomicUsize>,
-}
-
-impl HttpServer {
-    /// Starts to listen, on a thread of its own.
-    ///
-    /// # Errors
-    /// An address that can't be listened on.
-    pub fn start<C: Clock + 'static>(
-        listen: SocketAddr,
-        intake: Intake<C>,
-    ) -> anyhow::Result<Self> {
-        let open_requests = Arc::clone(&intake.open_requests);
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
-        let listener = {
-            let _context = runtime.enter();
-            listener(listen).with_context(|| format!("listening for callers on {listen}"))?
-        };
-        let run = move || LocalSet::new().block_on(&runtime, accept(listener, Rc::new(intake)));
-        thread::Builder::new()
-            .name("intake".to_owned())
-            .spawn(run)?;
-        Ok(Self { open_requests })
-    }
-
-    /// Waits until every request has its reply, at most until `until`.
-    pub fn wait_idle(&self, clock: &impl Clock, until: Instant) -> bool {
-        /// Time between two looks.
-        const STEP: Duration = Duration::from_millis(10);
-        while self.open_requests.load(Ordering::SeqCst) > 0 {
-            if clock.now() >= until {
-                return false;
-            }
-            thread::sleep(STEP);
-        }
-        true
-    }
-}
-
-fn listener(listen: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if listen.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(listen)?;
-    socket.listen(LISTEN_BACKLOG)
-}
-
-async fn accept<C: Clock + 'static>(listener: TcpListener, intake: Rc<Intake<C>>) {
-    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let intake = Rc::clone(&intake);
-                spawn_local(async move {
-                    serve_connection(stream, &intake).await;
-                    drop(permit);
-                });
-            }
-            Err(e) => {
-                warn!(error = e.to_string().as_str(); "accept_failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection<C: Clock>(stream: TcpStream, intake: &Intake<C>) {
-    // Without it small replies wait for the caller's acknowledgement.
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(|req| intake.serve(req));
-    // A connection that breaks concerns its caller alone.
-    let _ = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-}
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -9,6 +9,7 @@
 mod decision;
 mod dispatch;
 mod http;
+mod limits;
 mod logging;
 mod metrics;
 mod peer_tls;
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -19,6 +19,7 @@
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
 use crate::http::{HttpServer, Intake};
+use crate::limits;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerTx};
@@ -26,9 +27,6 @@
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
 
-/// Time for the last replies to leave their sockets.
-const LAST_REPLIES: Duration = Duration::from_millis(200);
-
 /// Runs the process until it is told to stop and everything in flight has ended.
 ///
 /// # Errors
@@ -37,6 +35,7 @@
 pub fn run(settings: &Settings) -> anyhow::Result<()> {
     crate::logging::init();
     settings.check()?;
+    limits::raise_open_files();
     let entry = Entry::start(settings)?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals")?;
     let signal = signals.forever().next();
@@ -99,7 +98,6 @@
             max_body: settings.max_body,
             metrics,
             is_stopping: Arc::clone(&is_stopping),
-            open_requests: Arc::default(),
         };
         let http = HttpServer::start(settings.listen, intake)?;
         info!(
@@ -120,8 +118,7 @@
         let until = SystemClock.now() + timeout;
         self.decision.tell(Command::Drain);
         let has_drained = self.drained.recv_deadline(until).is_ok();
-        let is_idle = self.http.wait_idle(&SystemClock, until);
-        thread::sleep(LAST_REPLIES);
+        let is_idle = self.http.close(until);
         if has_drained && is_idle {
             info!("stopped");
         } else {
