feat(entry): bind callers' idempotency keys to tickets before anything starts

A caller that can't hold a ticket had no way to resubmit safely. POST /v1/jobs with Idempotency-Key now binds the key to a ticket by a conditional insert in the platform's table; a key bound earlier leads to the owner of its ticket.

Many keys share one transaction. A conflict takes its key out of the commit and leaves the others in. A lost reply is cleared up by the same conditional insert again, which takes effect or comes back with the row as it stands. While the table is away nothing starts: MayHaveRun, Retry-After, and the advice to use tickets; whoever waits behind a failed commit learns it at once.

Problems of unusable requests carry a verdict now: MayHaveRun where the request names a submission, NotRun where it names none or one that no VM ever takes.

--- a/crates/geraniumrelay-core/src/reason.rs
+++ b/crates/geraniumrelay-core/src/reason.rs
@@ -55,4 +55,6 @@
     AnswerDropped,
     /// This VM has more requests than it can take.
     Overloaded,
+    /// The platform's table, which binds idempotency keys, can't be reached.
+    StoreAway,
 }
--- a/crates/geraniumrelay-platform/src/lib.rs
+++ b/crates/geraniumrelay-platform/src/lib.rs
@@ -5,8 +5,13 @@
 
 mod client;
 mod error;
+mod expiry;
+mod key_store;
+mod rows;
 mod sheet_store;
 
 pub use client::{PlatformClient, PlatformConfig};
 pub use error::PlatformError;
+pub use expiry::{EXPIRY_PREFIX, ExpiryStore};
+pub use key_store::{KeyOutcome, KeyStore, KeyWish, key_row};
 pub use sheet_store::{Acceptance, AuditEntry, SHEET_KEY, SheetRecord, SheetStore, audit_key};
--- a/crates/geraniumrelay-testkit/src/caller.rs
+++ b/crates/geraniumrelay-testkit/src/caller.rs
@@ -89,6 +89,18 @@
         )
     }
 
+    /// Submits a job under a key of the caller's own.
+    pub fn submit_by_key(&self, entry: SocketAddr, key: &str, job: &JobRequest) -> Told {
+        let body = serde_json::to_vec(job).expect("a job has a JSON form");
+        told(
+            self.agent
+                .post(format!("http://{entry}/v1/jobs"))
+                .header("content-type", "application/json")
+                .header("idempotency-key", key)
+                .send(&body),
+        )
+    }
+
     /// Asks for the state or answer of a ticket.
     pub fn query(&self, entry: SocketAddr, ticket: &str, wait: Duration) -> Told {
         let wait_ms = wait.as_millis();
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -215,6 +215,78 @@
     #[prost(message, repeated, tag = "2")]
     pub conflicts: ::prost::alloc::vec::Vec<TableRow>,
 }
+/// Row that binds a caller's idempotency key to a ticket.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeyBinding {
+    #[prost(string, tag = "1")]
+    pub ticket: ::prost::alloc::string::String,
+    /// Hash of the body that came with the key, in hexadecimal.
+    #[prost(string, tag = "2")]
+    pub digest: ::prost::alloc::string::String,
+}
+/// Row that lists rows to delete after the time in its key.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ExpiryBatch {
+    #[prost(string, repeated, tag = "1")]
+    pub keys: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// Row of the journal: one submission of a kind that is not idempotent.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct JournalRow {
+    #[prost(string, tag = "1")]
+    pub ticket: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub kind: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub team: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "5")]
+    pub tasks: u32,
+    /// Hash of the body, in hexadecimal.
+    #[prost(string, tag = "6")]
+    pub digest: ::prost::alloc::string::String,
+    /// RFC 3339 time at which the owner took it in.
+    #[prost(string, tag = "7")]
+    pub taken_in: ::prost::alloc::string::String,
+    /// Verdict of the answer; empty while there is none.
+    #[prost(string, tag = "8")]
+    pub verdict: ::prost::alloc::string::String,
+    /// The answer; absent while there is none and where it was too large to keep.
+    #[prost(message, optional, tag = "9")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: ::core::option::Option<JobAnswer>,
+}
+/// Row of one incarnation that writes the journal.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JournalWriter {
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    #[prost(string, tag = "2")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Grows by one with each commit of this incarnation.
+    #[prost(uint64, tag = "4")]
+    pub commit: u64,
+    /// RFC 3339 time up to which everything that was taken in is in the journal.
+    #[prost(string, tag = "5")]
+    pub complete_until: ::prost::alloc::string::String,
+    /// Submissions that are missing from the journal.
+    #[prost(uint64, tag = "6")]
+    pub dropped: u64,
+    /// Set once the incarnation has stopped with everything written.
+    #[prost(bool, tag = "7")]
+    pub closed: bool,
+}
 /// One VM of the platform's list.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -49,6 +49,7 @@
         "JobRequest.deadline_ms",
         "TaskRequest.expected_ms",
         "TableWrite.value",
+        "JournalRow.answer",
     ] {
         cfg.field_attribute(
             field,
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use flume::Receiver;
-use geraniumrelay_core::{Clock, Origin, Query, Reason, Rejection, Reply, Ticket};
+use geraniumrelay_core::{
+    Clock, JobSpec, Origin, Query, Reason, Rejection, Reply, Ticket, Verdict,
+};
 use geraniumrelay_wire::{JobAnswer, JobRequest, Tickets};
 use rouille::{Request, Response};
 
@@ -30,7 +32,7 @@
             Some(Ok(n)) if (1..=MAX_TICKETS).contains(&n) => n,
             Some(_) => {
                 let detail = format!("count is a whole number from 1 to {MAX_TICKETS}");
-                return problem::of_request(400, "bad-count", detail);
+                return problem::of_request(400, "bad-count", Verdict::NotRun, detail);
             }
         };
         let tickets: Vec<Ticket> = (0..count).map_while(|_| self.mint.mint()).collect();
@@ -50,14 +52,9 @@
         let Ok(ticket) = ticket.parse() else {
             return bad_ticket();
         };
-        let job = match read_json::<JobRequest>(req, self.max_body) {
-            Ok(job) => job,
-            Err(e) => return problem::of_body(e),
-        };
-        let digest = convert::digest_of(&job);
-        let Some(job) = convert::job_spec(job) else {
-            let detail = "service, kind and team are names of a-z, 0-9, '-' and '_'";
-            return problem::of_request(422, "bad-name", detail);
+        let (digest, job) = match self.read_job(req) {
+            Ok(read) => read,
+            Err(res) => return res,
         };
         self.call(Call::Submit {
             ticket,
@@ -67,6 +64,19 @@
         })
     }
 
+    /// Reads a submission with the hash of its content. Nothing is decided where it can't be used,
+    /// and an earlier request under the same name may have run.
+    pub(super) fn read_job(&self, req: &Request) -> Result<(u128, JobSpec), Response> {
+        let job = read_json::<JobRequest>(req, self.max_body).map_err(problem::of_body)?;
+        let digest = convert::digest_of(&job);
+        let Some(job) = convert::job_spec(job) else {
+            let detail = "service, kind and team are names of a-z, 0-9, '-' and '_'";
+            let verdict = Verdict::MayHaveRun;
+            return Err(problem::of_request(422, "bad-name", verdict, detail));
+        };
+        Ok((digest, job))
+    }
+
     /// `GET /v1/jobs/{ticket}`
     pub(super) fn query(&self, ticket: &str, req: &Request) -> Response {
         let Ok(ticket) = ticket.parse() else {
@@ -76,7 +86,8 @@
             None => Duration::ZERO,
             Some(Ok(ms)) => Duration::from_millis(ms).min(MAX_QUERY_WAIT),
             Some(Err(_)) => {
-                return problem::of_request(400, "bad-wait", "wait_ms is a number of milliseconds");
+                let detail = "wait_ms is a number of milliseconds";
+                return problem::of_request(400, "bad-wait", Verdict::MayHaveRun, detail);
             }
         };
         if let Some(reply) = self.known(ticket, wait) {
@@ -125,7 +136,7 @@
         }
     }
 
-    fn call(&self, call: Call) -> Response {
+    pub(super) fn call(&self, call: Call) -> Response {
         let started = self.clock.now();
         let Ok(rx) = self.decision.call(call) else {
             return overloaded();
@@ -149,13 +160,16 @@
             Reply::Progress(progress) => {
                 Response::json(&convert::job_state(progress)).with_status_code(202)
             }
-            Reply::Rejected(rejection) => {
-                self.metrics.count_refusal(&rejection.reason.to_string());
-                problem::of_rejection(rejection, self.mint.mint())
-            }
+            Reply::Rejected(rejection) => self.refuse(rejection),
         }
     }
 
+    /// Refuses with a ticket for the caller's next submission.
+    pub(super) fn refuse(&self, rejection: Rejection) -> Response {
+        self.metrics.count_refusal(&rejection.reason.to_string());
+        problem::of_rejection(rejection, self.mint.mint())
+    }
+
     fn next_ticket(&self) -> String {
         self.mint
             .mint()
--- /dev/null
+++ b/crates/geraniumrelay/src/http/keys.rs
@@ -0,0 +1,106 @@
+//! Submissions that a caller names by a key of its own, `POST /v1/jobs`.
+
+use std::time::Duration;
+
+use geraniumrelay_core::names::TeamName;
+use geraniumrelay_core::{Clock, JobSpec, Origin, Reason, Rejection, Ticket, Verdict};
+use geraniumrelay_platform::{KeyOutcome, KeyWish, key_row};
+use geraniumrelay_wire::KeyBinding;
+use rouille::{Request, Response};
+
+use crate::http::problem;
+use crate::http::server::Intake;
+use crate::requests::{Call, Overloaded};
+
+/// Header that carries the key.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// Longest key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Wait before asking again while the platform's table is away.
+const STORE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+impl<C: Clock> Intake<C> {
+    /// `POST /v1/jobs`
+    pub(super) fn submit_by_key(&self, req: &Request) -> Response {
+        let Some(key) = req.header(KEY_HEADER).filter(|key| is_key(key)) else {
+            return bad_key();
+        };
+        let (digest, job) = match self.read_job(req) {
+            Ok(read) => read,
+            Err(res) => return res,
+        };
+        match self.ticket_of(key, digest, &job) {
+            Ok(ticket) => self.call(Call::Submit {
+                ticket,
+                digest,
+                job,
+                origin: Origin::Caller,
+            }),
+            Err(rejection) => self.refuse(rejection),
+        }
+    }
+
+    /// The ticket that a key is bound to; where it is bound to none, to a new one.
+    ///
+    /// No refusal here says `NotRun`: an earlier request with the key may have bound it.
+    fn ticket_of(&self, key: &str, digest: u128, job: &JobSpec) -> Result<Ticket, Rejection> {
+        let Some(ticket) = self.mint.mint() else {
+            return Err(Rejection::may_have_run(Reason::VmLeaving));
+        };
+        let team = job.team.as_ref().map(TeamName::as_str);
+        let digest = format!("{digest:032x}");
+        let wish = KeyWish {
+            row: key_row(job.service.as_str(), team, key),
+            binding: KeyBinding {
+                ticket: ticket.to_string(),
+                digest: digest.clone(),
+            },
+        };
+        match self.keys.bind(wish) {
+            Ok(KeyOutcome::Bound) => Ok(ticket),
+            Ok(KeyOutcome::Earlier(binding)) if binding.digest != digest => {
+                Err(Rejection::may_have_run(Reason::OtherBody))
+            }
+            Ok(KeyOutcome::Earlier(binding)) => binding
+                .ticket
+                .parse()
+                .map_err(|_| Rejection::may_have_run(Reason::BadTicket)),
+            Ok(KeyOutcome::Unknown) => Err(may_have_run(Reason::StoreAway)),
+            Err(Overloaded) => Err(may_have_run(Reason::Overloaded)),
+        }
+    }
+}
+
+fn may_have_run(reason: Reason) -> Rejection {
+    Rejection::may_have_run(reason).with_retry_after(STORE_RETRY_AFTER)
+}
+
+/// Whether a text can be a key: visible ASCII characters, not too many.
+fn is_key(text: &str) -> bool {
+    (1..=MAX_KEY_BYTES).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
+/// No VM ever takes such a key, so nothing ran under it and nothing will.
+fn bad_key() -> Response {
+    let detail = format!(
+        "{KEY_HEADER} is a header of 1 to {MAX_KEY_BYTES} visible ASCII characters without spaces"
+    );
+    problem::of_request(400, "bad-key", Verdict::NotRun, detail)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_are_short_and_visible() {
+        assert!(is_key("order-17/a"));
+        assert!(is_key(&"k".repeat(MAX_KEY_BYTES)));
+        for text in ["", "a b", "a\tb", "a\u{7f}", "é"] {
+            assert!(!is_key(text), "{text:?}");
+        }
+        assert!(!is_key(&"k".repeat(MAX_KEY_BYTES + 1)));
+    }
+}
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod jobs;
+mod keys;
 mod problem;
 mod server;
 
--- a/crates/geraniumrelay/src/http/problem.rs
+++ b/crates/geraniumrelay/src/http/problem.rs
@@ -1,6 +1,6 @@
 //! Errors to callers, as application/problem+json (RFC 9457).
 
-use geraniumrelay_core::{Reason, Rejection, Ticket};
+use geraniumrelay_core::{Reason, Rejection, Ticket, Verdict};
 use geraniumrelay_wire::Problem;
 use rouille::Response;
 
@@ -14,6 +14,7 @@
 pub fn of_rejection(rejection: Rejection, next_ticket: Option<Ticket>) -> Response {
     let problem = Problem {
         title: "the request was refused".to_owned(),
+        detail: advice_on(rejection.reason).to_owned(),
         status: status_of(rejection.reason).into(),
         next_ticket: next_ticket
             .map(|ticket| ticket.to_string())
@@ -30,15 +31,22 @@
         BodyError::Broken => (400, "the body broke off".to_owned()),
         BodyError::Malformed(detail) => (400, detail),
     };
-    of_request(status, "body-unusable", detail)
+    of_request(status, "body-unusable", Verdict::MayHaveRun, detail)
 }
 
-/// A request that is no request of this interface.
-pub fn of_request(status: u16, reason: &str, detail: impl Into<String>) -> Response {
+/// A request that is no request of this interface; `verdict` speaks of the submission that it
+/// names, and is [`Verdict::NotRun`] where it names none.
+pub fn of_request(
+    status: u16,
+    reason: &str,
+    verdict: Verdict,
+    detail: impl Into<String>,
+) -> Response {
     respond(Problem {
         title: "the request can't be used".to_owned(),
         status: status.into(),
         detail: detail.into(),
+        verdict: verdict.to_string(),
         reason: reason.to_owned(),
         ..Problem::default()
     })
@@ -58,6 +66,22 @@
     res.with_additional_header("Retry-After", problem.retry_after_s.to_string())
 }
 
+/// What the caller can do about a refusal, where the verdict and `Retry-After` don't say it.
+fn advice_on(reason: Reason) -> &'static str {
+    match reason {
+        Reason::StoreAway => {
+            "idempotency keys need the platform's table, which is away; repeat later with the same \
+             key, and submit new jobs under tickets of POST /v1/tickets, which need no table"
+        }
+        Reason::OtherBody => "the same name came with another body before; each job needs its own",
+        Reason::OwnerGone | Reason::TicketExpired => {
+            "nobody starts this submission again; find out whether it ran before submitting anew"
+        }
+        Reason::OwnerUnreachable | Reason::Overloaded => "repeat the same request later",
+        _ => "",
+    }
+}
+
 fn status_of(reason: Reason) -> u16 {
     match reason {
         Reason::UnknownService
@@ -79,6 +103,7 @@
         | Reason::VmLeaving
         | Reason::OwnerUnreachable
         | Reason::NoSheet
+        | Reason::StoreAway
         | Reason::Overloaded => 503,
     }
 }
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -6,10 +6,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use geraniumrelay_core::{Clock, TicketMint};
+use geraniumrelay_core::{Clock, TicketMint, Verdict};
 use rouille::{Request, Response, Server};
 
 use crate::http::problem;
+use crate::key_binder::KeyBinderTx;
 use crate::metrics::Metrics;
 use crate::requests::DecisionTx;
 
@@ -22,6 +23,8 @@
     pub decision: DecisionTx,
     /// Mint of this incarnation.
     pub mint: TicketMint,
+    /// Ring to the thread that binds idempotency keys.
+    pub keys: KeyBinderTx,
     /// Time within which a ticket may be submitted first.
     pub ticket_ttl: Duration,
     /// Largest body in bytes.
@@ -42,11 +45,12 @@
             ("GET", "/readyz") => self.readiness(),
             ("GET", "/metrics") => self.metrics_text(),
             ("POST", "/v1/tickets") => self.mint_tickets(req),
+            ("POST", "/v1/jobs") => self.submit_by_key(req),
             (method, path) => match (method, path.strip_prefix("/v1/jobs/")) {
                 ("PUT", Some(ticket)) => self.submit(ticket, req),
                 ("GET", Some(ticket)) => self.query(ticket, req),
                 ("DELETE", Some(ticket)) => self.cancel(ticket),
-                _ => problem::of_request(404, "no-such-resource", path),
+                _ => problem::of_request(404, "no-such-resource", Verdict::NotRun, path),
             },
         }
     }
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -8,7 +8,9 @@
 mod convert;
 mod decision;
 mod dispatch;
+mod durable_metrics;
 mod http;
+mod key_binder;
 mod logging;
 mod metrics;
 mod peer_tls;
@@ -17,6 +19,7 @@
 mod process;
 mod requests;
 mod settings;
+mod sweeper;
 
 pub use process::run;
 pub use settings::Settings;
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -6,6 +6,8 @@
     TextEncoder,
 };
 
+use crate::durable_metrics::DurableMetrics;
+
 /// Upper bounds of the response time buckets, in seconds.
 const RESPONSE_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
 
@@ -22,6 +24,8 @@
     revision: IntGauge,
     peers_heard: IntGauge,
     targets: IntGauge,
+    /// Metrics of what is kept in the platform's table.
+    pub durable: DurableMetrics,
 }
 
 impl Metrics {
@@ -76,6 +80,7 @@
         registry.register(Box::new(response.clone()))?;
         registry.register(Box::new(jobs_in_flight.clone()))?;
         registry.register(Box::new(revision.clone()))?;
+        let durable = DurableMetrics::new(&registry)?;
         Ok(Self {
             registry,
             starts,
@@ -87,6 +92,7 @@
             revision,
             peers_heard,
             targets,
+            durable,
         })
     }
 
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -19,12 +19,14 @@
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
 use crate::http::{HttpServer, Intake};
+use crate::key_binder::{KeyBinder, KeyBinderTx};
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerTx};
 use crate::poller::Poller;
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
+use crate::sweeper;
 
 /// Time for the last replies to leave their sockets.
 const LAST_REPLIES: Duration = Duration::from_millis(200);
@@ -90,11 +92,13 @@
         let poller = Poller::new(client, identity, decision.clone());
         spawn("poller", move || poller.run())?;
 
+        let keys = start_durable(clock, settings, &metrics)?;
         let is_stopping = Arc::new(AtomicBool::new(false));
         let intake = Intake {
             clock,
             decision: decision.clone(),
             mint,
+            keys,
             ticket_ttl,
             max_body: settings.max_body,
             metrics,
@@ -130,6 +134,26 @@
     }
 }
 
+/// Starts the threads that keep rows in the platform's table.
+fn start_durable(
+    clock: SystemClock,
+    settings: &Settings,
+    metrics: &Arc<Metrics>,
+) -> anyhow::Result<KeyBinderTx> {
+    let cfg = PlatformConfig::new(settings.platform.clone());
+    let (keys, key_rx) = KeyBinderTx::ring();
+    let commit_interval = Duration::from_secs(1) / settings.key_commits;
+    let client = PlatformClient::new(cfg.clone());
+    let binder = KeyBinder::new(clock, client, settings.key_ttl, commit_interval);
+    let shared = Arc::clone(metrics);
+    spawn("keys", move || binder.run(&key_rx, &shared))?;
+
+    let client = PlatformClient::new(cfg);
+    let shared = Arc::clone(metrics);
+    spawn("sweeper", move || sweeper::run(&clock, &client, &shared))?;
+    Ok(keys)
+}
+
 fn identity(settings: &Settings) -> Identity {
     Identity {
         vm: settings.vm,
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -8,6 +8,10 @@
 use clap::Parser;
 use geraniumrelay_core::names::{DataCentre, VmName};
 
+/// Shortest life of an idempotency key's binding; well beyond the time for which an owner may still
+/// take its ticket for fresh.
+const MIN_KEY_TTL: Duration = Duration::from_hours(1);
+
 /// Dispatcher for sub-second tasks: the process of one entry VM.
 #[derive(Debug, Clone, Parser)]
 #[command(version, about)]
@@ -52,6 +56,14 @@
     #[arg(long, env = "GERANIUMRELAY_MAX_BODY", default_value_t = 1 << 20)]
     pub max_body: usize,
 
+    /// Time for which an idempotency key stays bound to its submission.
+    #[arg(long, env = "GERANIUMRELAY_KEY_TTL", default_value = "24h", value_parser = humantime::parse_duration)]
+    pub key_ttl: Duration,
+
+    /// Most group commits of idempotency keys a second.
+    #[arg(long, env = "GERANIUMRELAY_KEY_COMMITS", default_value_t = 40)]
+    pub key_commits: u32,
+
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
@@ -85,6 +97,12 @@
         if !(1..=64 << 20).contains(&self.max_body) {
             faults.push("--max-body: allowed are 1 to 67108864 bytes".to_owned());
         }
+        if self.key_ttl < MIN_KEY_TTL {
+            faults.push("--key-ttl: allowed is 1h or more".to_owned());
+        }
+        if !(1..=1_000).contains(&self.key_commits) {
+            faults.push("--key-commits: allowed are 1 to 1000".to_owned());
+        }
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
