--- a/crates/geraniumrelay-core/src/dispatcher/answer.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/answer.rs
@@ -6,6 +6,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::effect::{Effect, Reply, TaskId};
 use crate::modules::jobs::{JobKey, TaskState};
+use crate::modules::journal::JournalEntry;
 use crate::reason::Reason;
 use crate::verdict::Verdict;
 
@@ -30,6 +31,10 @@
         } else {
             self.claims.answer(cx, job.ticket, &answer);
         }
+        if let Some(intent) = job.intent {
+            let answer = Some(Arc::clone(&answer));
+            out.push(Effect::Journal(JournalEntry { intent, answer }));
+        }
         for waiter in job.waiters {
             let reply = Reply::Answer {
                 ticket: job.ticket,
--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -8,6 +8,7 @@
 use crate::effect::{Effect, PeerCall, Rejection, Reply};
 use crate::modules::claims::Decision;
 use crate::modules::jobs::Job;
+use crate::modules::journal::{Intent, JournalEntry};
 use crate::modules::queue::Queue;
 use crate::modules::sheet::{KindRule, ServiceState};
 use crate::reason::Reason;
@@ -88,10 +89,16 @@
         };
         let service = req.job.service;
         let deadline = deadline_of(cx, &req.job, rule);
+        let intent = (!rule.is_idempotent).then(|| intent_of(cx, &req));
+        if let Some(intent) = intent {
+            let answer = None;
+            out.push(Effect::Journal(JournalEntry { intent, answer }));
+        }
         let job = Job {
             ticket: req.ticket,
             service,
             urgency: rule.urgency,
+            intent,
             deadline,
             tasks: Vec::new(),
             open: 0,
@@ -147,6 +154,18 @@
     }
 }
 
+fn intent_of(cx: &Context<'_>, req: &Submission) -> Intent {
+    Intent {
+        ticket: req.ticket,
+        digest: req.digest,
+        service: req.job.service,
+        kind: req.job.kind,
+        team: req.job.team,
+        tasks: u32::try_from(req.job.tasks.len()).unwrap_or(u32::MAX),
+        taken_in: cx.now,
+    }
+}
+
 fn deadline_of(cx: &Context<'_>, job: &JobSpec, rule: KindRule) -> Instant {
     let own = job.deadline_ms.map(Duration::from_millis);
     cx.now + own.map_or(rule.deadline, |own| own.min(rule.deadline))
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 
 use crate::command::{JobSpec, Waiter};
+use crate::modules::journal::JournalEntry;
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::TaskKey;
@@ -50,6 +51,14 @@
     pub fn is_complete(&self) -> bool {
         self.verdict == Verdict::Completed
     }
+
+    /// Memory of the results and their outputs, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.tasks
+            .iter()
+            .map(|task| task.output.len() + size_of_val(task))
+            .sum()
+    }
 }
 
 /// Refusal of a request.
@@ -171,6 +180,8 @@
         /// The reply.
         reply: Reply,
     },
+    /// Note a submission or its answer in the journal.
+    Journal(JournalEntry),
     /// Pass a request on to its owner, whose reply goes to the waiter.
     Forward {
         /// Who waits.
--- a/crates/geraniumrelay-core/src/modules/claims.rs
+++ b/crates/geraniumrelay-core/src/modules/claims.rs
@@ -177,7 +177,7 @@
         };
         self.claims.insert(ticket.seq, claim);
         self.answered.push_back(ticket.seq);
-        self.answer_bytes += bytes_of(answer);
+        self.answer_bytes += answer.bytes();
         self.drop_oldest_answers(cx.cfg.claims.max_answer_bytes);
     }
 
@@ -189,7 +189,7 @@
             let Some(Claim::Answered { digest, answer }) = self.claims.get(&seq) else {
                 continue;
             };
-            self.answer_bytes -= bytes_of(answer);
+            self.answer_bytes -= answer.bytes();
             let dropped = Claim::Dropped {
                 digest: *digest,
                 verdict: answer.verdict,
@@ -234,21 +234,13 @@
                 Claim::Active { .. } => {
                     self.claims.insert(seq, claim);
                 }
-                Claim::Answered { answer, .. } => self.answer_bytes -= bytes_of(&answer),
+                Claim::Answered { answer, .. } => self.answer_bytes -= answer.bytes(),
                 Claim::Dropped { .. } | Claim::Spent { .. } => {}
             }
         }
     }
 }
 
-fn bytes_of(answer: &Answer) -> usize {
-    answer
-        .tasks
-        .iter()
-        .map(|task| task.output.len() + size_of_val(task))
-        .sum()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/geraniumrelay-core/src/modules/jobs.rs
+++ b/crates/geraniumrelay-core/src/modules/jobs.rs
@@ -7,6 +7,7 @@
 
 use crate::command::Waiter;
 use crate::effect::{Answer, TaskResult};
+use crate::modules::journal::Intent;
 use crate::modules::sheet::Urgency;
 use crate::modules::targets::{TargetKey, TaskKey};
 use crate::names::ServiceName;
@@ -61,6 +62,8 @@
     pub service: ServiceName,
     /// Urgency class of its request kind.
     pub urgency: Urgency,
+    /// What the journal notes of it; `None` where running it twice does no harm.
+    pub intent: Option<Intent>,
     /// Time by which the answer is due.
     pub deadline: Instant,
     /// Its tasks, in order.
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod jobs;
+pub mod journal;
 pub mod membership;
 pub mod queue;
 pub mod retry;
--- a/crates/geraniumrelay-platform/src/lib.rs
+++ b/crates/geraniumrelay-platform/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod error;
 mod expiry;
+mod journal_store;
 mod key_store;
 mod rows;
 mod sheet_store;
@@ -13,5 +14,6 @@
 pub use client::{PlatformClient, PlatformConfig};
 pub use error::PlatformError;
 pub use expiry::{EXPIRY_PREFIX, ExpiryStore};
+pub use journal_store::{CommitOutcome, JournalCommit, JournalStore};
 pub use key_store::{KeyOutcome, KeyStore, KeyWish, key_row};
 pub use sheet_store::{Acceptance, AuditEntry, SHEET_KEY, SheetRecord, SheetStore, audit_key};
--- a/crates/geraniumrelay/src/convert.rs
+++ b/crates/geraniumrelay/src/convert.rs
@@ -32,6 +32,11 @@
     hasher.finish128().as_u128()
 }
 
+/// Text form of a digest.
+pub fn digest_text(digest: u128) -> String {
+    format!("{digest:032x}")
+}
+
 /// Reads a submission; `None` for a service, kind or team that is no name.
 pub fn job_spec(req: JobRequest) -> Option<JobSpec> {
     let team = match req.team {
@@ -148,7 +153,8 @@
     (seconds > 0).then(|| Duration::from_secs(u64::from(seconds)))
 }
 
-fn read_answer(answer: JobAnswer) -> Option<Reply> {
+/// Reads an answer; `None` where it is malformed.
+pub fn read_answer(answer: JobAnswer) -> Option<Reply> {
     let ticket = answer.ticket.parse().ok()?;
     let verdict: Verdict = answer.verdict.parse().ok()?;
     let reason = match answer.reason.as_str() {
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -9,6 +9,7 @@
 use slotmap::{KeyData, SlotMap, new_key_type};
 
 use crate::dispatch::{DispatchTx, TaskJob};
+use crate::journal::JournalTx;
 use crate::metrics::Metrics;
 use crate::peers::{PeerJob, PeerTx};
 use crate::requests::{Call, Input};
@@ -28,6 +29,8 @@
 pub struct Outlets {
     /// To the dispatch pool.
     pub dispatch: DispatchTx,
+    /// To the journal's thread.
+    pub journal: JournalTx,
     /// To the peer transport.
     pub peers: PeerTx,
     /// Told once everything that ran here has ended after a drain.
@@ -160,6 +163,7 @@
                     let _ = tx.try_send(reply);
                 }
             }
+            Effect::Journal(entry) => self.outlets.journal.note(entry),
             Effect::Forward {
                 waiter,
                 address,
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -131,19 +131,21 @@
             rx.recv().ok()
         };
         match reply.or_else(|| self.known(ticket, Duration::ZERO)) {
-            Some(reply) => self.respond(reply),
+            Some(reply) => self.respond(self.journal.instead_of(reply, ticket, None)),
             None => overloaded(),
         }
     }
 
     pub(super) fn call(&self, call: Call) -> Response {
         let started = self.clock.now();
+        let (ticket, digest) = (call.ticket(), call.digest());
         let Ok(rx) = self.decision.call(call) else {
             return overloaded();
         };
         let Ok(reply) = rx.recv() else {
             return overloaded();
         };
+        let reply = self.journal.instead_of(reply, ticket, digest);
         if let Reply::Answer { answer, .. } = &reply {
             let seconds = self.clock.now().duration_since(started).as_secs_f64();
             self.metrics.count_answer(answer.verdict, seconds);
--- a/crates/geraniumrelay/src/http/keys.rs
+++ b/crates/geraniumrelay/src/http/keys.rs
@@ -8,6 +8,7 @@
 use geraniumrelay_wire::KeyBinding;
 use rouille::{Request, Response};
 
+use crate::convert;
 use crate::http::problem;
 use crate::http::server::Intake;
 use crate::requests::{Call, Overloaded};
@@ -50,7 +51,7 @@
             return Err(Rejection::may_have_run(Reason::VmLeaving));
         };
         let team = job.team.as_ref().map(TeamName::as_str);
-        let digest = format!("{digest:032x}");
+        let digest = convert::digest_text(digest);
         let wish = KeyWish {
             row: key_row(job.service.as_str(), team, key),
             binding: KeyBinding {
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -10,6 +10,7 @@
 use rouille::{Request, Response, Server};
 
 use crate::http::problem;
+use crate::journal_reader::JournalReader;
 use crate::key_binder::KeyBinderTx;
 use crate::metrics::Metrics;
 use crate::requests::DecisionTx;
@@ -25,6 +26,8 @@
     pub mint: TicketMint,
     /// Ring to the thread that binds idempotency keys.
     pub keys: KeyBinderTx,
+    /// Reads kept answers of submissions whose owner is gone.
+    pub journal: JournalReader,
     /// Time within which a ticket may be submitted first.
     pub ticket_ttl: Duration,
     /// Largest body in bytes.
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -18,15 +18,15 @@
 use crate::clock::SystemClock;
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
+use crate::durable::Durable;
 use crate::http::{HttpServer, Intake};
-use crate::key_binder::{KeyBinder, KeyBinderTx};
+use crate::journal::JournalTx;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerTx};
 use crate::poller::Poller;
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
-use crate::sweeper;
 
 /// Time for the last replies to leave their sockets.
 const LAST_REPLIES: Duration = Duration::from_millis(200);
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 struct Entry {
     decision: DecisionTx,
+    journal: JournalTx,
     drained: Receiver<()>,
     http: HttpServer,
     is_stopping: Arc<AtomicBool>,
@@ -70,8 +71,10 @@
         let (peers, peer_rx) = PeerTx::ring();
         let (drained_tx, drained) = flume::bounded(1);
         let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
+        let durable = Durable::start(clock, settings, identity, &cfg, &metrics)?;
         let outlets = Outlets {
             dispatch,
+            journal: durable.journal.clone(),
             peers,
             drained: drained_tx,
         };
@@ -92,13 +95,13 @@
         let poller = Poller::new(client, identity, decision.clone());
         spawn("poller", move || poller.run())?;
 
-        let keys = start_durable(clock, settings, &metrics)?;
         let is_stopping = Arc::new(AtomicBool::new(false));
         let intake = Intake {
             clock,
             decision: decision.clone(),
             mint,
-            keys,
+            keys: durable.keys,
+            journal: durable.reader,
             ticket_ttl,
             max_body: settings.max_body,
             metrics,
@@ -113,6 +116,7 @@
         );
         Ok(Self {
             decision,
+            journal: durable.journal,
             drained,
             http,
             is_stopping,
@@ -126,34 +130,15 @@
         let has_drained = self.drained.recv_deadline(until).is_ok();
         let is_idle = self.http.wait_idle(&SystemClock, until);
         thread::sleep(LAST_REPLIES);
-        if has_drained && is_idle {
+        let is_journaled = self.journal.close(until);
+        if has_drained && is_idle && is_journaled {
             info!("stopped");
         } else {
-            warn!(has_drained, is_idle; "stopped_with_work_in_flight");
+            warn!(has_drained, is_idle, is_journaled; "stopped_with_work_in_flight");
         }
     }
 }
 
-/// Starts the threads that keep rows in the platform's table.
-fn start_durable(
-    clock: SystemClock,
-    settings: &Settings,
-    metrics: &Arc<Metrics>,
-) -> anyhow::Result<KeyBinderTx> {
-    let cfg = PlatformConfig::new(settings.platform.clone());
-    let (keys, key_rx) = KeyBinderTx::ring();
-    let commit_interval = Duration::from_secs(1) / settings.key_commits;
-    let client = PlatformClient::new(cfg.clone());
-    let binder = KeyBinder::new(clock, client, settings.key_ttl, commit_interval);
-    let shared = Arc::clone(metrics);
-    spawn("keys", move || binder.run(&key_rx, &shared))?;
-
-    let client = PlatformClient::new(cfg);
-    let shared = Arc::clone(metrics);
-    spawn("sweeper", move || sweeper::run(&clock, &client, &shared))?;
-    Ok(keys)
-}
-
 fn identity(settings: &Settings) -> Identity {
     Identity {
         vm: settings.vm,
@@ -163,7 +148,8 @@
     }
 }
 
-fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+/// Starts a named thread.
+pub(crate) fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(f)
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -44,6 +44,25 @@
     },
 }
 
+impl Call {
+    /// Name of the submission.
+    pub fn ticket(&self) -> Ticket {
+        match self {
+            Self::Submit { ticket, .. }
+            | Self::Watch { ticket, .. }
+            | Self::Cancel { ticket, .. } => *ticket,
+        }
+    }
+
+    /// Hash of the body, where there is one.
+    pub fn digest(&self) -> Option<u128> {
+        match self {
+            Self::Submit { digest, .. } => Some(*digest),
+            Self::Watch { .. } | Self::Cancel { .. } => None,
+        }
+    }
+}
+
 /// One entry of the ring to the decision thread.
 #[derive(Debug)]
 pub enum Input {
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -12,6 +12,9 @@
 /// take its ticket for fresh.
 const MIN_KEY_TTL: Duration = Duration::from_hours(1);
 
+/// Shortest time for which the journal keeps a submission.
+const MIN_JOURNAL_TTL: Duration = Duration::from_mins(1);
+
 /// Dispatcher for sub-second tasks: the process of one entry VM.
 #[derive(Debug, Clone, Parser)]
 #[command(version, about)]
@@ -64,6 +67,14 @@
     #[arg(long, env = "GERANIUMRELAY_KEY_COMMITS", default_value_t = 40)]
     pub key_commits: u32,
 
+    /// Time for which the journal keeps a submission.
+    #[arg(long, env = "GERANIUMRELAY_JOURNAL_TTL", default_value = "24h", value_parser = humantime::parse_duration)]
+    pub journal_ttl: Duration,
+
+    /// Most group commits of the journal a second.
+    #[arg(long, env = "GERANIUMRELAY_JOURNAL_COMMITS", default_value_t = 10)]
+    pub journal_commits: u32,
+
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
@@ -103,6 +114,12 @@
         if !(1..=1_000).contains(&self.key_commits) {
             faults.push("--key-commits: allowed are 1 to 1000".to_owned());
         }
+        if self.journal_ttl < MIN_JOURNAL_TTL {
+            faults.push("--journal-ttl: allowed is 1m or more".to_owned());
+        }
+        if !(1..=1_000).contains(&self.journal_commits) {
+            faults.push("--journal-commits: allowed are 1 to 1000".to_owned());
+        }
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
