--- a/crates/geraniumrelay/src/durable.rs
+++ b/crates/geraniumrelay/src/durable.rs
@@ -7,7 +7,7 @@
 use geraniumrelay_platform::{PlatformClient, PlatformConfig};
 
 use crate::journal::{Journal, JournalSettings, JournalTx};
-use crate::journal_reader::JournalReader;
+use crate::journal_reader::JournalReaderTx;
 use crate::key_binder::{KeyBinder, KeyBinderTx};
 use crate::metrics::Metrics;
 use crate::process::spawn;
@@ -21,8 +21,8 @@
     pub keys: KeyBinderTx,
     /// Ring to the journal's thread.
     pub journal: JournalTx,
-    /// Reads the journal.
-    pub reader: JournalReader,
+    /// Ring to the threads that read the journal.
+    pub reader: JournalReaderTx,
 }
 
 impl Durable {
@@ -37,7 +37,8 @@
         cfg: &Config,
         metrics: &Arc<Metrics>,
     ) -> std::io::Result<Self> {
-        let client = || PlatformClient::new(PlatformConfig::new(settings.platform.clone()));
+        let platform = PlatformConfig::new(settings.platform.clone());
+        let client = || PlatformClient::new(platform.clone());
 
         let (keys, rx) = KeyBinderTx::ring();
         let interval = Duration::from_secs(1) / settings.key_commits;
@@ -60,7 +61,7 @@
             sweeper::run(&clock, &sweeper_client, &shared);
         })?;
 
-        let reader = JournalReader::new(client());
+        let reader = JournalReaderTx::spawn(&platform)?;
         Ok(Self {
             keys,
             journal,
--- a/crates/geraniumrelay/src/http/keys.rs
+++ b/crates/geraniumrelay/src/http/keys.rs
@@ -6,10 +6,12 @@
 use geraniumrelay_core::{Clock, JobSpec, Origin, Reason, Rejection, Ticket, Verdict};
 use geraniumrelay_platform::{KeyOutcome, KeyWish, key_row};
 use geraniumrelay_wire::KeyBinding;
-use rouille::{Request, Response};
+use hyper::HeaderMap;
+use hyper::body::Incoming;
 
 use crate::convert;
 use crate::http::problem;
+use crate::http::response::Response;
 use crate::http::server::Intake;
 use crate::requests::{Call, Overloaded};
 
@@ -24,29 +26,31 @@
 
 impl<C: Clock> Intake<C> {
     /// `POST /v1/jobs`
-    pub(super) fn submit_by_key(&self, req: &Request) -> Response {
-        let Some(key) = req.header(KEY_HEADER).filter(|key| is_key(key)) else {
+    pub(super) async fn submit_by_key(&self, headers: &HeaderMap, body: Incoming) -> Response {
+        let Some(key) = key_of(headers) else {
             return bad_key();
         };
-        let (digest, job) = match self.read_job(req) {
+        let (digest, job) = match self.read_job(body).await {
             Ok(read) => read,
             Err(res) => return res,
         };
-        match self.ticket_of(key, digest, &job) {
-            Ok(ticket) => self.call(Call::Submit {
-                ticket,
-                digest,
-                job,
-                origin: Origin::Caller,
-            }),
-            Err(rejection) => self.refuse(rejection),
-        }
+        let ticket = match self.ticket_of(key, digest, &job).await {
+            Ok(ticket) => ticket,
+            Err(rejection) => return self.refuse(rejection),
+        };
+        self.call(Call::Submit {
+            ticket,
+            digest,
+            job,
+            origin: Origin::Caller,
+        })
+        .await
     }
 
     /// The ticket that a key is bound to; where it is bound to none, to a new one.
     ///
     /// No refusal here says `NotRun`: an earlier request with the key may have bound it.
-    fn ticket_of(&self, key: &str, digest: u128, job: &JobSpec) -> Result<Ticket, Rejection> {
+    async fn ticket_of(&self, key: &str, digest: u128, job: &JobSpec) -> Result<Ticket, Rejection> {
         let Some(ticket) = self.mint.mint() else {
             return Err(Rejection::may_have_run(Reason::VmLeaving));
         };
@@ -59,7 +63,7 @@
                 digest: digest.clone(),
             },
         };
-        match self.keys.bind(wish) {
+        match self.keys.bind(wish).await {
             Ok(KeyOutcome::Bound) => Ok(ticket),
             Ok(KeyOutcome::Earlier(binding)) if binding.digest != digest => {
                 Err(Rejection::may_have_run(Reason::OtherBody))
@@ -78,6 +82,13 @@
     Rejection::may_have_run(reason).with_retry_after(STORE_RETRY_AFTER)
 }
 
+/// The one key of a request; `None` where there is none, several, or one that can be no key.
+fn key_of(headers: &HeaderMap) -> Option<&str> {
+    let mut keys = headers.get_all(KEY_HEADER).iter();
+    let key = keys.next()?.to_str().ok()?;
+    (keys.next().is_none() && is_key(key)).then_some(key)
+}
+
 /// Whether a text can be a key: visible ASCII characters, not too many.
 fn is_key(text: &str) -> bool {
     (1..=MAX_KEY_BYTES).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -1,9 +1,14 @@
 //! HTTP intake: callers' requests, health and metrics.
+//!
+//! One thread runs all connections on a current-thread runtime, so a request that waits for its
+//! answer costs no thread. Handlers must therefore never block.
 
 mod body;
 mod jobs;
 mod keys;
+mod params;
 mod problem;
+mod response;
 mod server;
 
 pub use server::{HttpServer, Intake};
--- a/crates/geraniumrelay/src/journal_reader.rs
+++ b/crates/geraniumrelay/src/journal_reader.rs
@@ -1,59 +1,81 @@
-//! Kept answers of submissions whose owner is gone, read from the journal.
+//! Kept answers of submissions whose owner is gone, read from the journal on threads of their own.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
+use flume::{Receiver, Sender};
 use geraniumrelay_core::{Reason, Rejection, Reply, Ticket, Verdict};
-use geraniumrelay_platform::{JournalStore, PlatformClient};
+use geraniumrelay_platform::{JournalStore, PlatformClient, PlatformConfig};
 use geraniumrelay_wire::JournalRow;
 use log::warn;
 
 use crate::convert;
+use crate::process::spawn;
 
-/// Most reads at once; beyond it the caller keeps the reply that it would get without a journal.
-const MAX_READS: usize = 32;
+/// Threads that read.
+const THREADS: usize = 4;
 
-/// Reads the journal for the threads that hold callers' connections.
+/// Reads that may wait; beyond it a caller keeps the reply that it would get without a journal.
+const RING_ENTRIES: usize = 32;
+
+/// Longest time of one read.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One read that somebody waits for.
 #[derive(Debug)]
-pub struct JournalReader {
-    client: PlatformClient,
-    reads: AtomicUsize,
+struct Read {
+    ticket: Ticket,
+    tx: Sender<Option<JournalRow>>,
 }
 
-impl JournalReader {
-    /// Reads through `client`.
-    pub fn new(client: PlatformClient) -> Self {
-        Self {
-            client,
-            reads: AtomicUsize::new(0),
+/// Ring to the threads that read the journal.
+#[derive(Debug, Clone)]
+pub struct JournalReaderTx(Sender<Read>);
+
+impl JournalReaderTx {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    /// Threads that can't be started.
+    pub fn spawn(cfg: &PlatformConfig) -> std::io::Result<Self> {
+        let (tx, rx) = flume::bounded(RING_ENTRIES);
+        for _ in 0..THREADS {
+            let client = PlatformClient::new(cfg.clone().with_timeout(READ_TIMEOUT));
+            let rx = rx.clone();
+            spawn("journal-read", move || run(&client, &rx))?;
         }
+        Ok(Self(tx))
     }
 
     /// The reply to give in place of `reply`: what the journal kept of the ticket, where the owner
     /// can't say. `digest` is the hash of the body of a resubmission.
-    pub fn instead_of(&self, reply: Reply, ticket: Ticket, digest: Option<u128>) -> Reply {
+    pub async fn instead_of(&self, reply: Reply, ticket: Ticket, digest: Option<u128>) -> Reply {
         let Reply::Rejected(rejection) = &reply else {
             return reply;
         };
         if !is_owner_at_a_loss(rejection.reason) {
             return reply;
         }
-        self.read(ticket)
-            .and_then(|row| reply_of(row, digest))
-            .unwrap_or(reply)
+        let row = self.read(ticket).await;
+        row.and_then(|row| reply_of(row, digest)).unwrap_or(reply)
     }
 
-    fn read(&self, ticket: Ticket) -> Option<JournalRow> {
-        let reads = self.reads.fetch_add(1, Ordering::SeqCst);
-        let row = if reads < MAX_READS {
-            JournalStore::new(&self.client).row(&ticket.to_string())
-        } else {
-            Ok(None)
-        };
-        self.reads.fetch_sub(1, Ordering::SeqCst);
-        row.unwrap_or_else(|e| {
-            warn!(ticket:% = ticket, error = e.to_string().as_str(); "journal_not_read");
+    async fn read(&self, ticket: Ticket) -> Option<JournalRow> {
+        let (tx, rx) = flume::bounded(1);
+        self.0.try_send(Read { ticket, tx }).ok()?;
+        rx.recv_async().await.ok()?
+    }
+}
+
+fn run(client: &PlatformClient, rx: &Receiver<Read>) {
+    while let Ok(read) = rx.recv() {
+        let row = JournalStore::new(client).row(&read.ticket.to_string());
+        let row = row.unwrap_or_else(|e| {
+            let error = e.to_string();
+            warn!(ticket:% = read.ticket, error = error.as_str(); "journal_not_read");
             None
-        })
+        });
+        // The caller may have gone.
+        let _ = read.tx.send(row);
     }
 }
 
--- a/crates/geraniumrelay/src/key_binder.rs
+++ b/crates/geraniumrelay/src/key_binder.rs
@@ -38,11 +38,11 @@
     ///
     /// # Errors
     /// [`Overloaded`], with nothing written.
-    pub fn bind(&self, wish: KeyWish) -> Result<KeyOutcome, Overloaded> {
+    pub async fn bind(&self, wish: KeyWish) -> Result<KeyOutcome, Overloaded> {
         let (tx, rx) = flume::bounded(1);
         let req = BindRequest { wish, tx };
         self.0.try_send(req).map_err(|_| Overloaded)?;
-        Ok(rx.recv().unwrap_or(KeyOutcome::Unknown))
+        Ok(rx.recv_async().await.unwrap_or(KeyOutcome::Unknown))
     }
 }
 
