--- a/crates/geraniumctl/src/cli.rs
+++ b/crates/geraniumctl/src/cli.rs
@@ -42,6 +42,8 @@
         /// The sheet, CSV.
         sheet: PathBuf,
     },
+    /// List submissions of kinds that are not idempotent, from the journal.
+    Jobs(commands::jobs::JobsArgs),
 }
 
 /// Runs a command; faults go to standard error.
@@ -49,6 +51,7 @@
     let outcome = match &cli.action {
         Action::Check { sheet } => commands::check::run(sheet),
         Action::Apply { sheet } => commands::apply::run(cli, sheet),
+        Action::Jobs(args) => commands::jobs::run(cli, args),
     };
     match outcome {
         Ok(text) => {
--- /dev/null
+++ b/crates/geraniumctl/src/commands/jobs.rs
@@ -0,0 +1,275 @@
+//! `geraniumctl jobs`: what the journal knows of submissions that must not run twice.
+
+use std::fmt::Write as _;
+use std::time::{Duration, SystemTime};
+
+use clap::Args;
+use geraniumrelay_core::collections::Map;
+use geraniumrelay_core::{Ticket, Verdict};
+use geraniumrelay_platform::{JournalStore, PlatformClient, PlatformConfig};
+use geraniumrelay_wire::{JournalRow, JournalWriter};
+use serde::Serialize;
+
+use crate::cli::Cli;
+
+/// Age of a writer row beyond which its incarnation counts as ended; several times the interval at
+/// which a live one writes it.
+const WRITER_SILENCE: Duration = Duration::from_mins(1);
+
+/// Which submissions to list.
+#[derive(Debug, Clone, Args)]
+pub struct JobsArgs {
+    /// Only those that may have run and have no answer.
+    #[arg(long)]
+    pub unresolved: bool,
+
+    /// Only those of one service.
+    #[arg(long)]
+    pub service: Option<String>,
+
+    /// As JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Where a submission stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// Its owner lives and has not answered yet.
+    InFlight,
+    /// It has an answer that says whether it ran.
+    Answered,
+    /// It may have run: its owner ended without an answer, or the answer says so.
+    Unresolved,
+}
+
+/// One submission of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ListedJob {
+    /// Where it stands.
+    pub standing: Standing,
+    /// Its name.
+    pub ticket: String,
+    /// Service.
+    pub service: String,
+    /// Request kind.
+    pub kind: String,
+    /// Team; empty where none was named.
+    pub team: String,
+    /// Number of its tasks.
+    pub tasks: u32,
+    /// RFC 3339 time at which its owner took it in.
+    pub taken_in: String,
+    /// Verdict of its answer; empty where there is none.
+    pub verdict: String,
+}
+
+/// An incarnation that ended without having closed its journal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Gap {
+    /// VM of the incarnation.
+    pub vm: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// RFC 3339 time after which submissions may be missing from the list.
+    pub complete_until: String,
+    /// Submissions that are known to be missing.
+    pub dropped: u64,
+}
+
+/// The whole list.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct JobList {
+    /// The submissions, oldest first.
+    pub jobs: Vec<ListedJob>,
+    /// Where the list may lack some.
+    pub gaps: Vec<Gap>,
+}
+
+/// Lists submissions.
+///
+/// # Errors
+/// A platform that can't be reached, or rows that can't be read.
+pub fn run(cli: &Cli, args: &JobsArgs) -> anyhow::Result<String> {
+    let client = PlatformClient::new(PlatformConfig::new(cli.platform.clone()));
+    let store = JournalStore::new(&client);
+    // Writers are read last, so that none seems to have ended before it wrote a row.
+    let rows = store.all()?;
+    let list = list_jobs(&rows, &store.writers()?, SystemTime::now(), args);
+    if args.json {
+        return Ok(serde_json::to_string_pretty(&list)?);
+    }
+    Ok(table(&list))
+}
+
+/// Chooses and arranges what to list.
+pub fn list_jobs(
+    rows: &[JournalRow],
+    writers: &[JournalWriter],
+    now: SystemTime,
+    args: &JobsArgs,
+) -> JobList {
+    let live: Map<u64, bool> = writers
+        .iter()
+        .map(|writer| (writer.incarnation, is_live(writer, now)))
+        .collect();
+    let is_wanted = |job: &ListedJob| {
+        let is_service = args.service.as_ref().is_none_or(|s| *s == job.service);
+        is_service && (!args.unresolved || job.standing == Standing::Unresolved)
+    };
+    let jobs = rows.iter().map(|row| listed(row, &live));
+    let mut jobs: Vec<ListedJob> = jobs.filter(is_wanted).collect();
+    jobs.sort_by(|a, b| a.taken_in.cmp(&b.taken_in));
+    let is_gap =
+        |writer: &&JournalWriter| writer.dropped > 0 || !writer.closed && !is_live(writer, now);
+    let gaps = writers.iter().filter(is_gap).map(gap_of).collect();
+    JobList { jobs, gaps }
+}
+
+fn is_live(writer: &JournalWriter, now: SystemTime) -> bool {
+    let Ok(written) = humantime::parse_rfc3339(&writer.written_at) else {
+        return false;
+    };
+    !writer.closed && written + WRITER_SILENCE > now
+}
+
+fn listed(row: &JournalRow, live: &Map<u64, bool>) -> ListedJob {
+    ListedJob {
+        standing: standing_of(row, live),
+        ticket: row.ticket.clone(),
+        service: row.service.clone(),
+        kind: row.kind.clone(),
+        team: row.team.clone(),
+        tasks: row.tasks,
+        taken_in: row.taken_in.clone(),
+        verdict: row.verdict.clone(),
+    }
+}
+
+fn standing_of(row: &JournalRow, live: &Map<u64, bool>) -> Standing {
+    match row.verdict.parse() {
+        Ok(Verdict::Completed | Verdict::Failed | Verdict::NotRun) => return Standing::Answered,
+        Ok(Verdict::MayHaveRun) => return Standing::Unresolved,
+        Err(_) => {}
+    }
+    let owner = row
+        .ticket
+        .parse::<Ticket>()
+        .map(|ticket| ticket.incarnation);
+    let is_owner_live = owner.is_ok_and(|owner| live.get(&owner.0) == Some(&true));
+    if is_owner_live {
+        Standing::InFlight
+    } else {
+        Standing::Unresolved
+    }
+}
+
+fn gap_of(writer: &JournalWriter) -> Gap {
+    Gap {
+        vm: writer.vm.clone(),
+        data_centre: writer.data_centre.clone(),
+        complete_until: writer.complete_until.clone(),
+        dropped: writer.dropped,
+    }
+}
+
+fn table(list: &JobList) -> String {
+    let mut text = String::new();
+    // Writing to a string can't fail.
+    for job in &list.jobs {
+        let standing = match job.standing {
+            Standing::InFlight => "in flight",
+            Standing::Answered => job.verdict.as_str(),
+            Standing::Unresolved => "may have run",
+        };
+        let _ = writeln!(
+            text,
+            "{standing:<12}  {:<24}  {:<20}  {:<16}  {:<12}  {:>3} tasks  {}",
+            job.taken_in, job.service, job.kind, job.team, job.tasks, job.ticket
+        );
+    }
+    let _ = writeln!(text, "{} submissions", list.jobs.len());
+    for gap in &list.gaps {
+        let _ = writeln!(
+            text,
+            "{} in {}: the list may lack what it took in after {}; {} are known to be missing",
+            gap.vm, gap.data_centre, gap.complete_until, gap.dropped
+        );
+    }
+    text.trim_end().to_owned()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: &str = "2026-12-03T12:00:00Z";
+
+    fn writer(incarnation: u64, written_at: &str, closed: bool) -> JournalWriter {
+        JournalWriter {
+            incarnation,
+            written_at: written_at.to_owned(),
+            closed,
+            ..JournalWriter::default()
+        }
+    }
+
+    fn row(incarnation: u64, verdict: &str) -> JournalRow {
+        JournalRow {
+            ticket: format!("szeged.{incarnation:016x}.1.00000000000000000000000000000000"),
+            verdict: verdict.to_owned(),
+            ..JournalRow::default()
+        }
+    }
+
+    fn standings(rows: &[JournalRow], writers: &[JournalWriter]) -> Vec<Standing> {
+        let args = JobsArgs {
+            unresolved: false,
+            service: None,
+            json: false,
+        };
+        let now = humantime::parse_rfc3339(NOW).unwrap();
+        let list = list_jobs(rows, writers, now, &args);
+        list.jobs.iter().map(|job| job.standing).collect()
+    }
+
+    #[test]
+    fn what_may_have_run_is_told_from_what_runs() {
+        let writers = [
+            writer(1, "2026-12-03T11:59:50Z", false),
+            writer(2, "2026-12-03T11:00:00Z", false),
+        ];
+        let rows = [
+            row(1, ""),
+            row(2, ""),
+            row(3, ""),
+            row(2, "Completed"),
+            row(1, "MayHaveRun"),
+        ];
+        let expected = [
+            Standing::InFlight,
+            Standing::Unresolved,
+            Standing::Unresolved,
+            Standing::Answered,
+            Standing::Unresolved,
+        ];
+        assert_eq!(standings(&rows, &writers), expected);
+    }
+
+    #[test]
+    fn only_writers_that_did_not_close_leave_gaps() {
+        let args = JobsArgs {
+            unresolved: true,
+            service: None,
+            json: false,
+        };
+        let writers = [
+            writer(1, "2026-12-03T11:59:50Z", false),
+            writer(2, "2026-12-03T11:00:00Z", true),
+            writer(3, "2026-12-03T11:00:00Z", false),
+        ];
+        let now = humantime::parse_rfc3339(NOW).unwrap();
+        assert_eq!(list_jobs(&[], &writers, now, &args).gaps.len(), 1);
+    }
+}
--- a/crates/geraniumctl/src/commands/mod.rs
+++ b/crates/geraniumctl/src/commands/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod apply;
 pub mod check;
+pub mod jobs;
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -286,6 +286,9 @@
     /// Set once the incarnation has stopped with everything written.
     #[prost(bool, tag = "7")]
     pub closed: bool,
+    /// RFC 3339 time at which the row was written; the row of a live incarnation is never old.
+    #[prost(string, tag = "8")]
+    pub written_at: ::prost::alloc::string::String,
 }
 /// One VM of the platform's list.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/geraniumrelay/src/journal.rs
+++ b/crates/geraniumrelay/src/journal.rs
@@ -228,6 +228,7 @@
             complete_until: wall_time(wall, now, complete_until),
             dropped: self.dropped(),
             closed,
+            written_at: wall_time(wall, now, now),
         };
         JournalCommit {
             writer,
