--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -238,7 +238,10 @@
                 self.tally.control += 2;
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
-            Effect::PushSheet { .. } | Effect::SheetInForce { .. } | Effect::Drained => {}
+            Effect::Journal(_)
+            | Effect::PushSheet { .. }
+            | Effect::SheetInForce { .. }
+            | Effect::Drained => {}
         }
     }
 
