--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod jobs;
+mod keys;
 mod listener;
 mod params;
 mod problem;
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -5,12 +5,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use geraniumrelay_core::{Clock, TicketMint};
+use geraniumrelay_core::{Clock, TicketMint, Verdict};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 
 use crate::http::problem;
 use crate::http::response::{self, Response};
+use crate::journal_reader::JournalReaderTx;
+use crate::key_binder::KeyBinderTx;
 use crate::metrics::Metrics;
 use crate::requests::DecisionTx;
 
@@ -26,6 +28,10 @@
     pub decision: DecisionTx,
     /// Mint of this incarnation.
     pub mint: TicketMint,
+    /// Ring to the thread that binds idempotency keys.
+    pub keys: KeyBinderTx,
+    /// Reads kept answers of submissions whose owner is gone.
+    pub journal: JournalReaderTx,
     /// Time within which a ticket may be submitted first.
     pub ticket_ttl: Duration,
     /// Largest body in bytes.
@@ -45,7 +51,7 @@
                 Method::PUT => self.submit(ticket, body).await,
                 Method::GET => self.query(ticket, &head.uri).await,
                 Method::DELETE => self.cancel(ticket).await,
-                _ => method_not_allowed(),
+                _ => method_not_allowed(Verdict::MayHaveRun),
             };
         }
         match (&head.method, path) {
@@ -53,8 +59,11 @@
             (&Method::GET, "/readyz") => self.readiness(),
             (&Method::GET, "/metrics") => self.metrics_text(),
             (&Method::POST, "/v1/tickets") => self.mint_tickets(&head.uri),
-            (_, "/healthz" | "/readyz" | "/metrics" | "/v1/tickets") => method_not_allowed(),
-            _ => problem::of_request(404, "no-such-resource", path),
+            (&Method::POST, "/v1/jobs") => self.submit_by_key(&head.headers, body).await,
+            (_, "/healthz" | "/readyz" | "/metrics" | "/v1/tickets" | "/v1/jobs") => {
+                method_not_allowed(Verdict::NotRun)
+            }
+            _ => problem::of_request(404, "no-such-resource", Verdict::NotRun, path),
         }
     }
 
@@ -81,10 +90,8 @@
     }
 }
 
-fn method_not_allowed() -> Response {
-    problem::of_request(
-        405,
-        "method-not-allowed",
-        "this resource has no such method",
-    )
+/// `verdict` speaks of the submission that the path names, if it names one.
+fn method_not_allowed(verdict: Verdict) -> Response {
+    let detail = "this resource has no such method";
+    problem::of_request(405, "method-not-allowed", verdict, detail)
 }
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -18,7 +18,9 @@
 use crate::clock::SystemClock;
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
+use crate::durable::Durable;
 use crate::http::{HttpServer, Intake};
+use crate::journal::JournalTx;
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
@@ -48,6 +50,7 @@
 #[derive(Debug)]
 struct Entry {
     decision: DecisionTx,
+    journal: JournalTx,
     drained: Receiver<()>,
     http: HttpServer,
     is_stopping: Arc<AtomicBool>,
@@ -67,8 +70,10 @@
         let (peers, peer_rx) = PeerTx::ring();
         let (drained_tx, drained) = flume::bounded(1);
         let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
+        let durable = Durable::start(clock, settings, identity, &cfg, &metrics)?;
         let outlets = Outlets {
             dispatch,
+            journal: durable.journal.clone(),
             peers,
             drained: drained_tx,
         };
@@ -94,6 +99,8 @@
             clock,
             decision: decision.clone(),
             mint,
+            keys: durable.keys,
+            journal: durable.reader,
             ticket_ttl,
             max_body: settings.max_body,
             metrics,
@@ -107,6 +114,7 @@
         );
         Ok(Self {
             decision,
+            journal: durable.journal,
             drained,
             http,
             is_stopping,
@@ -119,10 +127,11 @@
         self.decision.tell(Command::Drain);
         let has_drained = self.drained.recv_deadline(until).is_ok();
         let is_idle = self.http.close(until);
-        if has_drained && is_idle {
+        let is_journaled = self.journal.close(until);
+        if has_drained && is_idle && is_journaled {
             info!("stopped");
         } else {
-            warn!(has_drained, is_idle; "stopped_with_work_in_flight");
+            warn!(has_drained, is_idle, is_journaled; "stopped_with_work_in_flight");
         }
     }
 }
@@ -136,7 +145,8 @@
     }
 }
 
-fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+/// Starts a named thread.
+pub(crate) fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(f)
