--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -1,6 +1,45 @@
 //! Command line of operators: `geraniumctl`.
 
 pub mod cli;
+pub mod client;
 pub mod commands;
+pub mod exit;
+pub mod table;
 
-pub use cli::{Cli, run};
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use crate::cli::Action;
+pub use crate::cli::Cli;
+pub use crate::exit::{Exit, Failure};
+
+/// Runs a command; what it says goes to standard output, failures to standard error.
+pub fn run(cli: &Cli) -> ExitCode {
+    match execute(cli, &mut io::stdout()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            failure.exit.into()
+        }
+    }
+}
+
+/// Runs a command with its output to `out`.
+///
+/// # Errors
+/// Any [`Failure`].
+pub fn execute(cli: &Cli, out: &mut impl Write) -> Result<(), Failure> {
+    let session = &cli.session;
+    match &cli.action {
+        Action::Check { sheet } => commands::check::run(sheet, out),
+        Action::Plan { sheet } => commands::plan::run(session, sheet, out),
+        Action::Apply(args) => commands::apply::run(session, args, out),
+        Action::Status => commands::status::run(session, out),
+        Action::Services => commands::services::run(session, out),
+        Action::Targets => commands::targets::run(session, out),
+        Action::Jobs { limit } => commands::jobs::run(session, *limit, out),
+        Action::Audit { after } => commands::audit::run(session, *after, out),
+        Action::Certs(args) => commands::certs::run(args, out),
+        Action::Token { name } => commands::token::run(name, out),
+    }
+}
--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -1,5 +1,6 @@
 //! What the dispatcher is told to do.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use derive_more::Display;
@@ -124,6 +125,13 @@
     },
     /// Put a sheet in force, if it is newer than the one in force.
     PutSheet(Arc<Sheet>),
+    /// The same, for a sheet that a peer gave; the peer is told once it is in force.
+    PutPeerSheet {
+        /// The sheet.
+        sheet: Arc<Sheet>,
+        /// Peer address of the giver.
+        from: SocketAddr,
+    },
     /// Take over the platform's list of targets.
     ListTargets(Vec<TargetInfo>),
     /// Take over the platform's list of entry VMs.
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -4,11 +4,13 @@
 pub mod claims;
 pub mod membership;
 pub mod retry;
+pub mod sheet;
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
+use sheet::SheetConfig;
 
 /// Settings of all modules.
 #[derive(Debug, Clone, Default)]
@@ -21,4 +23,6 @@
     pub membership: MembershipConfig,
     /// Settings of retries.
     pub retry: RetryConfig,
+    /// Settings of how sheets spread.
+    pub sheet: SheetConfig,
 }
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -3,12 +3,13 @@
 mod answer;
 mod cancel;
 mod peers;
+mod report;
 mod run;
+mod sheets;
 mod submit;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Instant;
 
 use crate::collections::Map;
@@ -20,7 +21,8 @@
 use crate::modules::membership::Membership;
 use crate::modules::queue::Queue;
 use crate::modules::retry::RetryBudget;
-use crate::modules::sheet::{Sheet, SheetRules};
+use crate::modules::sheet::SheetRules;
+use crate::modules::sheet_fetch::SheetFetch;
 use crate::modules::targets::{TargetKey, Targets, TaskKey};
 use crate::names::{DataCentre, ServiceName, VmName};
 use crate::query::Query;
@@ -52,7 +54,7 @@
     targets: Targets,
     retries: RetryBudget,
     rules: SheetRules,
-    sheet: Option<Arc<Sheet>>,
+    sheet_fetch: SheetFetch,
     membership: Membership,
     deadlines: BTreeSet<(Instant, JobKey)>,
     is_draining: bool,
@@ -72,7 +74,7 @@
             targets: Targets::default(),
             retries: RetryBudget::new(&cx.cfg.retry),
             rules: SheetRules::default(),
-            sheet: None,
+            sheet_fetch: SheetFetch::default(),
             membership: Membership::default(),
             deadlines: BTreeSet::new(),
             is_draining: false,
@@ -124,7 +126,8 @@
                 self.cancel(cx, ticket, waiter, origin, out);
             }
             Command::EndTask { task, outcome } => self.end_task(cx, task, outcome, out),
-            Command::PutSheet(sheet) => self.put_sheet(cx, sheet, out),
+            Command::PutSheet(sheet) => self.put_sheet(cx, &sheet, out),
+            Command::PutPeerSheet { sheet, from } => self.put_peer_sheet(cx, &sheet, from, out),
             Command::ListTargets(infos) => {
                 self.targets.list(&infos);
                 self.start_all(cx, out);
@@ -182,30 +185,10 @@
         self.targets.resume(cx.now);
         self.expire(cx, out);
         self.start_all(cx, out);
+        self.fetch_sheet(cx, out);
         self.beat(cx, out);
     }
 
-    fn put_sheet(&mut self, cx: &Context<'_>, sheet: Arc<Sheet>, out: &mut Vec<Effect>) {
-        if sheet.revision <= self.rules.revision {
-            return;
-        }
-        self.rules = SheetRules::new(&sheet);
-        self.sheet = Some(sheet);
-        for (name, rule) in &self.rules.services {
-            let slots = rule
-                .slots
-                .get(&self.identity.data_centre)
-                .copied()
-                .unwrap_or(0);
-            self.targets.set_slots(*name, slots);
-        }
-        out.push(Effect::SheetInForce {
-            revision: self.rules.revision,
-        });
-        self.push_sheet_to_all(out);
-        self.start_all(cx, out);
-    }
-
     fn report_drained(&mut self, out: &mut Vec<Effect>) {
         if self.is_draining && !self.is_drained && self.jobs.is_empty() && self.running.is_empty() {
             self.is_drained = true;
--- a/crates/geraniumrelay-core/src/dispatcher/peers.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/peers.rs
@@ -1,6 +1,5 @@
-//! Work with other entry VMs: forwards, heartbeats, sheets.
+//! Work with other entry VMs: forwards and heartbeats.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::command::{Origin, Waiter};
@@ -88,10 +87,8 @@
     }
 
     pub(super) fn hear_peer(&mut self, cx: &Context<'_>, news: PeerNews, out: &mut Vec<Effect>) {
-        if news.revision < self.rules.revision {
-            self.push_sheet(news.address, out);
-        }
         self.membership.hear(cx, news);
+        self.fetch_sheet(cx, out);
     }
 
     pub(super) fn beat(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
@@ -102,21 +99,4 @@
             });
         }
     }
-
-    pub(super) fn push_sheet_to_all(&self, out: &mut Vec<Effect>) {
-        for news in self.membership.peers() {
-            if news.revision < self.rules.revision {
-                self.push_sheet(news.address, out);
-            }
-        }
-    }
-
-    fn push_sheet(&self, address: std::net::SocketAddr, out: &mut Vec<Effect>) {
-        if let Some(sheet) = &self.sheet {
-            out.push(Effect::PushSheet {
-                address,
-                sheet: Arc::clone(sheet),
-            });
-        }
-    }
 }
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -8,7 +8,6 @@
 
 use crate::command::{JobSpec, Waiter};
 use crate::modules::membership::PeerNews;
-use crate::modules::sheet::Sheet;
 use crate::modules::targets::TaskKey;
 use crate::query::JobProgress;
 use crate::reason::Reason;
@@ -187,12 +186,10 @@
         /// State of this VM.
         news: PeerNews,
     },
-    /// Push the sheet in force to another entry VM.
-    PushSheet {
+    /// Ask another entry VM for its sheet, which is newer than the one in force here.
+    FetchSheet {
         /// Peer address.
         address: SocketAddr,
-        /// The sheet.
-        sheet: Arc<Sheet>,
     },
     /// A sheet came into force here.
     SheetInForce {
--- a/crates/geraniumrelay-core/src/lib.rs
+++ b/crates/geraniumrelay-core/src/lib.rs
@@ -22,7 +22,7 @@
 pub use context::{Clock, Context};
 pub use dispatcher::{Dispatcher, Identity};
 pub use effect::{Answer, Effect, PeerCall, Rejection, Reply, TaskId, TaskResult};
-pub use query::{JobProgress, Query};
+pub use query::{JobProgress, Query, Report, ReportQuery};
 pub use reason::Reason;
 pub use ticket::{Incarnation, Ticket, TicketKey, TicketMint};
 pub use verdict::Verdict;
--- a/crates/geraniumrelay-core/src/modules/jobs.rs
+++ b/crates/geraniumrelay-core/src/modules/jobs.rs
@@ -118,6 +118,11 @@
         self.tasks.get_mut(key)
     }
 
+    /// All jobs in flight.
+    pub fn iter(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        self.jobs.iter()
+    }
+
     /// Number of jobs in flight.
     pub fn len(&self) -> usize {
         self.jobs.len()
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -1,7 +1,7 @@
 //! Entry VMs known to this one, from the platform's list and from their heartbeats.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::collections::Map;
 use crate::context::Context;
@@ -34,6 +34,17 @@
     beat_at: Option<Instant>,
 }
 
+/// What is known of a peer, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerReport {
+    /// Its last news.
+    pub news: PeerNews,
+    /// Time since it was heard; `None` where it never was.
+    pub heard_ago: Option<Duration>,
+    /// Whether it was heard within the silence.
+    pub is_reached: bool,
+}
+
 /// Where the owner of a ticket is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Owner {
@@ -125,6 +136,23 @@
         self.peers.values().filter(|peer| peer.is_heard(cx)).count()
     }
 
+    /// The reachable peer with the newest sheet.
+    pub fn newest_sheet(&self, cx: &Context<'_>) -> Option<&PeerNews> {
+        let heard = self.peers.values().filter(|peer| peer.is_heard(cx));
+        heard
+            .map(|peer| &peer.news)
+            .max_by_key(|news| news.revision)
+    }
+
+    /// News of all peers, with the time since each was heard and whether it counts as reached.
+    pub fn reports(&self, cx: &Context<'_>) -> impl Iterator<Item = PeerReport> {
+        self.peers.values().map(|peer| PeerReport {
+            news: peer.news.clone(),
+            heard_ago: peer.heard_at.map(|at| cx.now.saturating_duration_since(at)),
+            is_reached: peer.is_heard(cx),
+        })
+    }
+
     /// News of all peers.
     pub fn peers(&self) -> impl Iterator<Item = &PeerNews> {
         self.peers.values().map(|peer| &peer.news)
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -6,4 +6,5 @@
 pub mod queue;
 pub mod retry;
 pub mod sheet;
+pub mod sheet_fetch;
 pub mod targets;
--- a/crates/geraniumrelay-core/src/modules/sheet/columns.rs
+++ b/crates/geraniumrelay-core/src/modules/sheet/columns.rs
@@ -6,7 +6,7 @@
 use crate::modules::sheet::fault::SheetFault;
 
 /// Columns that every sheet has.
-const REQUIRED: [&str; 10] = [
+pub(super) const REQUIRED: [&str; 10] = [
     "service",
     "data_centre",
     "workers",
@@ -20,7 +20,7 @@
 ];
 
 /// Columns that a sheet may have besides.
-const OPTIONAL: [&str; 2] = ["team", "team_share"];
+pub(super) const OPTIONAL: [&str; 2] = ["team", "team_share"];
 
 /// Line of the header.
 const HEADER_LINE: u64 = 1;
--- a/crates/geraniumrelay-core/src/modules/sheet/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/sheet/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod columns;
 mod consistency;
+mod delta;
 mod fault;
 mod parse;
 mod plan;
@@ -11,6 +12,7 @@
 mod text;
 
 pub use change::{Capacity, Change};
+pub use delta::{SheetDelta, canonical_text};
 pub use fault::{SheetError, SheetFault};
 pub use parse::{MAX_SHEET_BYTES, parse_sheet};
 pub use plan::{PlanError, Refusal, plan};
--- a/crates/geraniumrelay-core/src/modules/targets.rs
+++ b/crates/geraniumrelay-core/src/modules/targets.rs
@@ -117,6 +117,11 @@
         self.arena.get(key)
     }
 
+    /// All targets known.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.arena.values()
+    }
+
     /// Number of targets known.
     pub fn len(&self) -> usize {
         self.arena.len()
--- a/crates/geraniumrelay-core/src/names.rs
+++ b/crates/geraniumrelay-core/src/names.rs
@@ -65,6 +65,8 @@
     TeamName,
     /// Name of a data centre.
     DataCentre,
+    /// Name of a person who operates the system.
+    OperatorName,
     /// Name of a VM.
     VmName,
 }
--- a/crates/geraniumrelay-platform/src/lib.rs
+++ b/crates/geraniumrelay-platform/src/lib.rs
@@ -9,4 +9,5 @@
 
 pub use client::{PlatformClient, PlatformConfig};
 pub use error::PlatformError;
-pub use sheet_store::{Acceptance, AuditEntry, SHEET_KEY, SheetRecord, SheetStore, audit_key};
+pub use geraniumrelay_wire::AuditEntry;
+pub use sheet_store::{Acceptance, HEAD_KEY, KEPT_DELTAS, SheetRecord, SheetStore, audit_key};
--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use geraniumrelay_platform::{
@@ -189,6 +189,17 @@
         }
     }
 
+    /// Addresses of all entry processes for operators.
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        entries.map(|entry| entry.operator_address).collect()
+    }
+
+    /// Directory for files of a test; removed with the cluster.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
     /// Addresses of all entry processes for callers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.address).collect()
--- a/crates/geraniumrelay-testkit/src/entry_process.rs
+++ b/crates/geraniumrelay-testkit/src/entry_process.rs
@@ -10,6 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::certs::TestCerts;
+use crate::operators;
 use crate::ports::free_address;
 
 /// Set in programs that are to run as an entry process.
@@ -77,6 +78,8 @@
     pub address: SocketAddr,
     /// Where it takes requests of other entry processes.
     pub peer_address: SocketAddr,
+    /// Where it takes operators' requests.
+    pub operator_address: SocketAddr,
     child: Child,
 }
 
@@ -96,6 +99,12 @@
         command.env("GERANIUMRELAY_DATA_CENTRE", &plan.data_centre);
         command.env("GERANIUMRELAY_LISTEN", address.to_string());
         command.env("GERANIUMRELAY_PEER_LISTEN", peer_address.to_string());
+        let operator_address = free_address();
+        command.env(
+            "GERANIUMRELAY_OPERATOR_LISTEN",
+            operator_address.to_string(),
+        );
+        command.env("GERANIUMRELAY_OPERATORS", operators::setting());
         command.env("GERANIUMRELAY_PLATFORM", &plan.platform);
         command.env("GERANIUMRELAY_CA", plan.certs.ca());
         command.env("GERANIUMRELAY_CERT", plan.certs.cert());
@@ -109,6 +118,7 @@
             data_centre,
             address,
             peer_address,
+            operator_address,
             child,
         }
     }
--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod balancer;
 pub mod certs;
+pub mod operators;
 pub mod platform;
 pub mod ports;
 pub mod target;
--- a/crates/geraniumrelay-testkit/src/platform.rs
+++ b/crates/geraniumrelay-testkit/src/platform.rs
@@ -1,14 +1,14 @@
 //! Stand-in for the platform: transactional table, object store and lagging VM list.
 
 use std::collections::BTreeMap;
-use std::io::Read;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use geraniumrelay_wire::{TableRow, TableRows, Transaction, TransactionResult, Vm, VmList};
-use rouille::{Request, Response, Server};
+use rouille::{Request, Response, ResponseBody, Server};
 
 use crate::ports::free_address;
 
@@ -158,11 +158,30 @@
     let result = apply(&mut state.rows, &transaction);
     if state.faults.lost_replies > 0 && result.committed {
         state.faults.lost_replies -= 1;
-        return Response::text("reply lost").with_status_code(200);
+        return broken_off();
     }
     Response::json(&result)
 }
 
+/// A reply of which only the header arrives before the connection breaks.
+fn broken_off() -> Response {
+    /// Length that the header promises, in bytes.
+    const PROMISED: usize = 64;
+    Response {
+        data: ResponseBody::from_reader_and_size(BrokenReader, PROMISED),
+        ..Response::json(&TransactionResult::default())
+    }
+}
+
+#[derive(Debug)]
+struct BrokenReader;
+
+impl Read for BrokenReader {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
 fn apply(rows: &mut BTreeMap<String, TableRow>, transaction: &Transaction) -> TransactionResult {
     let mut conflicts = Vec::new();
     for condition in &transaction.conditions {
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -215,6 +215,252 @@
     #[prost(message, repeated, tag = "2")]
     pub conflicts: ::prost::alloc::vec::Vec<TableRow>,
 }
+/// Row that names the accepted sheet.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SheetHead {
+    /// Grows by one with each acceptance.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Id of the apply that made it.
+    #[prost(string, tag = "2")]
+    pub apply_id: ::prost::alloc::string::String,
+}
+/// Row that holds the sheet of one revision.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SheetText {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// The sheet in its CSV form.
+    #[prost(string, tag = "2")]
+    pub sheet: ::prost::alloc::string::String,
+}
+/// Lines by which the sheet of a revision differs from that of the revision before.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SheetDelta {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub removed: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(string, repeated, tag = "3")]
+    pub added: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// Who changed what, and when.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct AuditEntry {
+    /// Revision that the change made.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Id of the apply.
+    #[prost(string, tag = "2")]
+    pub apply_id: ::prost::alloc::string::String,
+    /// The person.
+    #[prost(string, tag = "3")]
+    pub who: ::prost::alloc::string::String,
+    /// RFC 3339 time.
+    #[prost(string, tag = "4")]
+    pub at: ::prost::alloc::string::String,
+    /// The difference, one line each.
+    #[prost(string, repeated, tag = "5")]
+    pub changes: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Revision that the change was planned from.
+    #[prost(uint64, tag = "6")]
+    pub base: u64,
+}
+/// Audit entries in the order of their revisions.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct AuditTrail {
+    #[prost(message, repeated, tag = "1")]
+    pub entries: ::prost::alloc::vec::Vec<AuditEntry>,
+}
+/// Body of an operator's request to accept a sheet.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ApplySheet {
+    /// Revision that the change was planned from.
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    /// Chosen by the operator's program; the same for each repeat.
+    #[prost(string, tag = "2")]
+    pub apply_id: ::prost::alloc::string::String,
+    /// The sheet in its CSV form.
+    #[prost(string, tag = "3")]
+    pub sheet: ::prost::alloc::string::String,
+}
+/// Outcome of an apply that the platform has decided.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ApplyOutcome {
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
+    /// Revision of the sheet, or of the one that came first.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Audit entries of the change, or of those that came first.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: ::prost::alloc::vec::Vec<AuditEntry>,
+}
+/// What one entry VM knows of an entry VM.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EntryStatus {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Sheet revision in force there, as last heard.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Whether it was heard within the silence.
+    #[prost(bool, tag = "4")]
+    pub reached: bool,
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Time since it was heard, in milliseconds; absent where it never was.
+    #[prost(uint64, optional, tag = "6")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heard_ms_ago: ::core::option::Option<u64>,
+}
+/// State of an entry VM and of the peers that it knows.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StatusReport {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Time since the platform answered, in milliseconds; absent where it never has.
+    #[prost(uint64, optional, tag = "3")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub platform_ms_ago: ::core::option::Option<u64>,
+    /// RFC 3339 time at which the certificate of this VM expires.
+    #[prost(string, tag = "4")]
+    pub certificate_expires: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "5")]
+    pub jobs: u64,
+    #[prost(uint64, tag = "6")]
+    pub targets: u64,
+    /// All entry VMs, this one among them.
+    #[prost(message, repeated, tag = "7")]
+    pub entries: ::prost::alloc::vec::Vec<EntryStatus>,
+}
+/// One request kind in force.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KindReport {
+    #[prost(string, tag = "1")]
+    pub kind: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub urgency: ::prost::alloc::string::String,
+    #[prost(bool, tag = "3")]
+    pub idempotent: bool,
+    #[prost(uint64, tag = "4")]
+    pub deadline_ms: u64,
+}
+/// One service in one data centre, as the sheet in force has it.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServiceReport {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub state: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub workers: u32,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    #[prost(message, repeated, tag = "6")]
+    pub kinds: ::prost::alloc::vec::Vec<KindReport>,
+}
+/// All services in force.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServicesReport {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub services: ::prost::alloc::vec::Vec<ServiceReport>,
+}
+/// One target as an entry VM sees it.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetReport {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    /// "open", "paused", "leaving" or "gone".
+    #[prost(string, tag = "4")]
+    pub state: ::prost::alloc::string::String,
+    /// Tasks of this entry VM that run there.
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
+}
+/// Targets known to an entry VM.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TargetsReport {
+    #[prost(string, tag = "1")]
+    pub entry: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub targets: ::prost::alloc::vec::Vec<TargetReport>,
+}
+/// One job in flight.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct JobReport {
+    #[prost(string, tag = "1")]
+    pub ticket: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub urgency: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "4")]
+    pub queued: u32,
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
+    #[prost(uint32, tag = "6")]
+    pub ended: u32,
+    /// Time until the answer is due, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub due_in_ms: u64,
+}
+/// Jobs in flight at an entry VM.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct JobsReport {
+    #[prost(string, tag = "1")]
+    pub entry: ::prost::alloc::string::String,
+    /// Number of all jobs in flight, also of those that are not listed.
+    #[prost(uint64, tag = "2")]
+    pub total: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub jobs: ::prost::alloc::vec::Vec<JobReport>,
+}
 /// One VM of the platform's list.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
@@ -289,14 +535,23 @@
     #[prost(string, tag = "7")]
     pub address: ::prost::alloc::string::String,
 }
-/// An accepted sheet, pushed between entry VMs.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct SheetPush {
+/// Asks a peer for what was accepted after a revision.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchSheet {
+    /// Revision in force at the sender.
+    #[prost(uint64, tag = "1")]
+    pub have: u64,
+}
+/// What brings a peer to a revision: the differences in order, or the whole sheet.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SheetUpdate {
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// The sheet in its CSV form.
+    /// The sheet in its CSV form; empty where the differences suffice.
     #[prost(string, tag = "2")]
     pub sheet: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "3")]
+    pub deltas: ::prost::alloc::vec::Vec<SheetDelta>,
 }
 /// Request between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -317,13 +572,13 @@
         #[prost(message, tag = "4")]
         Heartbeat(super::Heartbeat),
         #[prost(message, tag = "5")]
-        Sheet(super::SheetPush),
+        FetchSheet(super::FetchSheet),
     }
 }
 /// Reply between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerReply {
-    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5")]
     pub body: ::core::option::Option<peer_reply::Body>,
 }
 /// Nested message and enum types in `PeerReply`.
@@ -338,5 +593,7 @@
         Problem(super::Problem),
         #[prost(message, tag = "4")]
         Heartbeat(super::Heartbeat),
+        #[prost(message, tag = "5")]
+        Sheet(super::SheetUpdate),
     }
 }
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -7,15 +7,16 @@
 const REGENERATE: &str = "GERANIUMRELAY_REGENERATE";
 
 /// Messages whose JSON comes from callers or operators: an unknown field is their mistake.
-const STRICT: [&str; 2] = ["TaskRequest", "JobRequest"];
+const STRICT: [&str; 3] = ["TaskRequest", "JobRequest", "ApplySheet"];
 
 /// Messages that only cross between entry VMs have no JSON form.
-const BINARY_ONLY: [&str; 7] = [
+const BINARY_ONLY: [&str; 8] = [
     "ForwardSubmit",
     "ForwardQuery",
     "ForwardCancel",
     "Heartbeat",
-    "SheetPush",
+    "FetchSheet",
+    "SheetUpdate",
     "PeerRequest",
     "PeerReply",
 ];
@@ -49,6 +50,8 @@
         "JobRequest.deadline_ms",
         "TaskRequest.expected_ms",
         "TableWrite.value",
+        "EntryStatus.heard_ms_ago",
+        "StatusReport.platform_ms_ago",
     ] {
         cfg.field_attribute(
             field,
--- a/crates/geraniumrelay/src/convert.rs
+++ b/crates/geraniumrelay/src/convert.rs
@@ -140,7 +140,7 @@
             reason: problem.reason.parse().ok()?,
             retry_after: read_retry_after(problem.retry_after_s),
         })),
-        peer_reply::Body::Heartbeat(_) => None,
+        peer_reply::Body::Heartbeat(_) | peer_reply::Body::Sheet(_) => None,
     }
 }
 
--- /dev/null
+++ b/crates/geraniumrelay/src/credentials.rs
@@ -0,0 +1,114 @@
+//! People and teams who sign in with a token; only the hash of each is in the settings.
+
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use sha2::{Digest, Sha256};
+
+/// Scheme of the `Authorization` header.
+const BEARER: &str = "Bearer ";
+
+/// Bytes of a SHA-256 hash.
+const HASH_BYTES: usize = 32;
+
+/// A name and the SHA-256 hash of its token.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Credential<N> {
+    name: N,
+    hash: [u8; HASH_BYTES],
+}
+
+/// Why a text is no credential.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("\"{text}\" is not NAME:SHA256, with a hash of 64 hexadecimal digits")]
+pub struct CredentialError {
+    text: String,
+}
+
+impl<N: FromStr> FromStr for Credential<N> {
+    type Err = CredentialError;
+
+    fn from_str(text: &str) -> Result<Self, CredentialError> {
+        let read = || {
+            let (name, hash) = text.split_once(':')?;
+            Some(Self {
+                name: name.parse().ok()?,
+                hash: read_hash(hash)?,
+            })
+        };
+        read().ok_or_else(|| CredentialError {
+            text: text.to_owned(),
+        })
+    }
+}
+
+fn read_hash(text: &str) -> Option<[u8; HASH_BYTES]> {
+    if text.len() != 2 * HASH_BYTES || !text.is_ascii() {
+        return None;
+    }
+    let mut hash = [0; HASH_BYTES];
+    for (i, byte) in hash.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
+    }
+    Some(hash)
+}
+
+/// Everybody who may sign in.
+#[derive(Debug, Clone)]
+pub struct Credentials<N>(Vec<Credential<N>>);
+
+impl<N: Copy> Credentials<N> {
+    /// Takes the credentials of the settings.
+    pub fn new(credentials: Vec<Credential<N>>) -> Self {
+        Self(credentials)
+    }
+
+    /// Whether nobody may sign in.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Whose token an `Authorization` header brings.
+    ///
+    /// Hashes are compared, not tokens, so the time of a comparison tells nothing of a token.
+    pub fn sign_in(&self, authorization: Option<&str>) -> Option<N> {
+        let token = authorization?.strip_prefix(BEARER)?;
+        let hash: [u8; HASH_BYTES] = Sha256::digest(token.as_bytes()).into();
+        let mut credentials = self.0.iter();
+        credentials
+            .find(|credential| credential.hash == hash)
+            .map(|credential| credential.name)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use geraniumrelay_core::names::OperatorName;
+
+    /// SHA-256 of "token".
+    const HASH: &str = "3c469e9d6c5875d37a43f353d4f88e61fcf812c66eee3457465a40b0da4153e0";
+
+    #[test]
+    fn only_the_right_token_signs_in() {
+        let anna: Credential<OperatorName> = format!("anna:{HASH}").parse().unwrap();
+        let credentials = Credentials::new(vec![anna]);
+        let name = credentials.sign_in(Some("Bearer token"));
+        assert_eq!(name, Some("anna".parse().unwrap()));
+        for wrong in [None, Some("token"), Some("Bearer other"), Some("Bearer ")] {
+            assert_eq!(credentials.sign_in(wrong), None);
+        }
+    }
+
+    #[test]
+    fn a_text_without_a_whole_hash_is_refused() {
+        for text in [
+            "anna",
+            "anna:12",
+            "Anna:00",
+            &format!("anna:{}", "é".repeat(32)),
+        ] {
+            assert!(text.parse::<Credential<OperatorName>>().is_err(), "{text}");
+        }
+    }
+}
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -113,6 +113,11 @@
                 // Whoever asked may have given up.
                 let _ = tx.send(self.dispatcher.own_news());
             }
+            Input::AskReport { query, tx } => {
+                let cx = Context::new(now, &self.cfg);
+                // Whoever asked may have given up.
+                let _ = tx.send(self.dispatcher.report(&cx, query));
+            }
             Input::Ask { query, tx } => {
                 // Whoever asked may have given up.
                 let _ = tx.send(self.dispatcher.query(query));
@@ -175,10 +180,8 @@
             Effect::Beat { address, news } => {
                 self.outlets.peers.send(PeerJob::Beat { address, news });
             }
-            Effect::PushSheet { address, sheet } => {
-                self.outlets
-                    .peers
-                    .send(PeerJob::PushSheet { address, sheet });
+            Effect::FetchSheet { address } => {
+                self.outlets.peers.send(PeerJob::FetchSheet { address });
             }
             Effect::SheetInForce { revision } => {
                 self.metrics.set_revision(revision);
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -2,21 +2,27 @@
 //! [`geraniumrelay_core`].
 //!
 //! One decision thread alone owns the dispatcher. HTTP intake, dispatch, peer transport and the
-//! platform poller are threads of their own, joined to it by bounded rings.
+//! platform poller are threads of their own, joined to it by bounded rings. Operators have an
+//! interface with an address of its own.
 
+mod certificate;
 mod clock;
 mod convert;
+mod credentials;
 mod decision;
 mod dispatch;
 mod http;
 mod logging;
 mod metrics;
+mod operator;
 mod peer_tls;
 mod peers;
+mod platform_contact;
 mod poller;
 mod process;
 mod requests;
 mod settings;
+mod sheet_cache;
 
 pub use process::run;
 pub use settings::Settings;
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics in the form that Prometheus scrapes.
 
+use std::time::SystemTime;
+
 use geraniumrelay_core::Verdict;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -22,6 +24,7 @@
     revision: IntGauge,
     peers_heard: IntGauge,
     targets: IntGauge,
+    certificate_expiry: IntGauge,
 }
 
 impl Metrics {
@@ -69,6 +72,11 @@
         registry.register(Box::new(peers_heard.clone()))?;
         let targets = IntGauge::new("geraniumrelay_targets", "Targets known")?;
         registry.register(Box::new(targets.clone()))?;
+        let certificate_expiry = IntGauge::new(
+            "geraniumrelay_certificate_expiry_seconds",
+            "Unix time at which the certificate of this process expires",
+        )?;
+        registry.register(Box::new(certificate_expiry.clone()))?;
         registry.register(Box::new(starts.clone()))?;
         registry.register(Box::new(forwards.clone()))?;
         registry.register(Box::new(replies.clone()))?;
@@ -87,6 +95,7 @@
             revision,
             peers_heard,
             targets,
+            certificate_expiry,
         })
     }
 
@@ -130,6 +139,14 @@
         self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Sets when the certificate of this process expires.
+    pub fn set_certificate_expiry(&self, at: SystemTime) {
+        let at = at.duration_since(SystemTime::UNIX_EPOCH);
+        let seconds = at.map_or(0, |at| at.as_secs());
+        self.certificate_expiry
+            .set(i64::try_from(seconds).unwrap_or(i64::MAX));
+    }
+
     /// Sets the revision in force.
     pub fn set_revision(&self, revision: u64) {
         self.revision
--- /dev/null
+++ b/crates/geraniumrelay/src/operator/reports.rs
@@ -0,0 +1,169 @@
+//! Answers to operators' questions.
+
+use std::time::Duration;
+
+use geraniumrelay_core::Clock;
+use geraniumrelay_core::modules::membership::PeerReport;
+use geraniumrelay_core::query::{self, KindReport, Report, ReportQuery};
+use geraniumrelay_platform::{PlatformClient, SheetStore};
+use geraniumrelay_wire as wire;
+use rouille::{Request, Response};
+
+use crate::operator::problem::OperatorProblem;
+use crate::operator::server::OperatorDesk;
+
+/// Longest wait for the decision thread.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Jobs listed where no number is asked for.
+const DEFAULT_JOBS: usize = 100;
+
+/// Most jobs or audit entries in one answer.
+const MAX_LISTED: usize = 1_000;
+
+impl<C: Clock> OperatorDesk<C> {
+    /// `GET /v1/operator/status`
+    pub(super) fn status(&self) -> Result<Response, OperatorProblem> {
+        let Report::Status(report) = self.ask(ReportQuery::Status)? else {
+            return Err(unexpected());
+        };
+        let expires = humantime::format_rfc3339_seconds(self.certificate_expiry);
+        Ok(Response::json(&wire::StatusReport {
+            vm: self.vm.to_string(),
+            revision: report.entries.first().map_or(0, |own| own.news.revision),
+            platform_ms_ago: self.contact.ago(&self.clock).map(millis),
+            certificate_expires: expires.to_string(),
+            jobs: report.jobs as u64,
+            targets: report.targets as u64,
+            entries: report.entries.iter().map(entry_status).collect(),
+        }))
+    }
+
+    /// `GET /v1/operator/services`
+    pub(super) fn services(&self) -> Result<Response, OperatorProblem> {
+        let Report::Services(reports) = self.ask(ReportQuery::Services)? else {
+            return Err(unexpected());
+        };
+        Ok(Response::json(&wire::ServicesReport {
+            revision: self.sheets.revision(),
+            services: reports.iter().map(service_report).collect(),
+        }))
+    }
+
+    /// `GET /v1/operator/targets`
+    pub(super) fn targets(&self) -> Result<Response, OperatorProblem> {
+        let Report::Targets(reports) = self.ask(ReportQuery::Targets)? else {
+            return Err(unexpected());
+        };
+        Ok(Response::json(&wire::TargetsReport {
+            entry: self.vm.to_string(),
+            targets: reports.iter().map(target_report).collect(),
+        }))
+    }
+
+    /// `GET /v1/operator/jobs?limit=N`
+    pub(super) fn jobs(&self, req: &Request) -> Result<Response, OperatorProblem> {
+        let limit = number(req, "limit", DEFAULT_JOBS)?.min(MAX_LISTED);
+        let Report::Jobs(reports) = self.ask(ReportQuery::Jobs { limit })? else {
+            return Err(unexpected());
+        };
+        let Report::Status(status) = self.ask(ReportQuery::Status)? else {
+            return Err(unexpected());
+        };
+        Ok(Response::json(&wire::JobsReport {
+            entry: self.vm.to_string(),
+            total: status.jobs as u64,
+            jobs: reports.iter().map(job_report).collect(),
+        }))
+    }
+
+    /// `GET /v1/operator/audit?after=REVISION&limit=N`
+    pub(super) fn audit(&self, req: &Request) -> Result<Response, OperatorProblem> {
+        let after = number(req, "after", 0)?;
+        let limit = number(req, "limit", MAX_LISTED)?.min(MAX_LISTED);
+        let client = PlatformClient::new(self.platform.clone());
+        let limit = u32::try_from(limit).unwrap_or(u32::MAX);
+        let entries = SheetStore::new(&client).audit(after, limit)?;
+        Ok(Response::json(&wire::AuditTrail { entries }))
+    }
+
+    fn ask(&self, query: ReportQuery) -> Result<Report, OperatorProblem> {
+        let busy = || OperatorProblem::new(503, "overloaded", "this entry VM is too busy");
+        let rx = self.decision.ask_report(query).map_err(|_| busy())?;
+        rx.recv_timeout(ANSWER_TIMEOUT).map_err(|_| busy())
+    }
+}
+
+fn number<T: std::str::FromStr>(
+    req: &Request,
+    name: &str,
+    default: T,
+) -> Result<T, OperatorProblem> {
+    let Some(text) = req.get_param(name) else {
+        return Ok(default);
+    };
+    let detail = format!("{name} is a whole number");
+    text.parse()
+        .map_err(|_| OperatorProblem::new(400, "bad-parameter", detail))
+}
+
+fn unexpected() -> OperatorProblem {
+    OperatorProblem::new(500, "unexpected-answer", "the answer is of another kind")
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn entry_status(report: &PeerReport) -> wire::EntryStatus {
+    wire::EntryStatus {
+        vm: report.news.vm.to_string(),
+        data_centre: report.news.data_centre.to_string(),
+        revision: report.news.revision,
+        reached: report.is_reached,
+        leaving: report.news.is_leaving,
+        heard_ms_ago: report.heard_ago.map(millis),
+    }
+}
+
+fn service_report(report: &query::ServiceReport) -> wire::ServiceReport {
+    wire::ServiceReport {
+        service: report.service.to_string(),
+        data_centre: report.data_centre.to_string(),
+        state: report.state.to_string(),
+        workers: report.workers,
+        slots: report.slots,
+        kinds: report.kinds.iter().map(kind_report).collect(),
+    }
+}
+
+fn kind_report(report: &KindReport) -> wire::KindReport {
+    wire::KindReport {
+        kind: report.kind.to_string(),
+        urgency: report.urgency.to_string(),
+        idempotent: report.is_idempotent,
+        deadline_ms: millis(report.deadline),
+    }
+}
+
+fn target_report(report: &query::TargetReport) -> wire::TargetReport {
+    wire::TargetReport {
+        vm: report.vm.to_string(),
+        service: report.service.to_string(),
+        address: report.address.to_string(),
+        state: report.state.to_string(),
+        running: report.running,
+    }
+}
+
+fn job_report(report: &query::JobReport) -> wire::JobReport {
+    wire::JobReport {
+        ticket: report.progress.ticket.to_string(),
+        service: report.service.to_string(),
+        urgency: report.urgency.to_string(),
+        queued: report.progress.queued,
+        running: report.progress.running,
+        ended: report.progress.ended,
+        due_in_ms: millis(report.due_in),
+    }
+}
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -10,9 +10,10 @@
 use flume::{Receiver, Sender};
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::modules::sheet::{Sheet, parse_sheet};
 use geraniumrelay_core::{Command, Origin, PeerCall, Reason, Rejection, Reply};
-use geraniumrelay_wire::{Heartbeat, PeerReply, PeerRequest, SheetPush, peer_reply, peer_request};
+use geraniumrelay_wire::{
+    FetchSheet, Heartbeat, PeerReply, PeerRequest, SheetUpdate, peer_reply, peer_request,
+};
 use log::{debug, warn};
 use prost::Message;
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
@@ -21,6 +22,7 @@
 use crate::convert;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::{Call, DecisionTx};
+use crate::sheet_cache::SheetCache;
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -56,12 +58,10 @@
         /// State of this VM.
         news: PeerNews,
     },
-    /// Push the sheet in force.
-    PushSheet {
+    /// Ask for a newer sheet.
+    FetchSheet {
         /// Peer address.
         address: SocketAddr,
-        /// The sheet.
-        sheet: Arc<Sheet>,
     },
 }
 
@@ -103,6 +103,7 @@
     tls: PeerTls,
     rx: &Receiver<PeerJob>,
     decision: &DecisionTx,
+    sheets: &Arc<SheetCache>,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -111,8 +112,13 @@
         let mut endpoint = Endpoint::server(tls.server, listen)
             .with_context(|| format!("listening for peers on {listen}"))?;
         endpoint.set_default_client_config(tls.client);
-        let transport = Rc::new(Transport::new(endpoint.clone(), decision.clone()));
-        spawn_local(accept(endpoint, decision.clone()));
+        spawn_local(accept(
+            endpoint.clone(),
+            decision.clone(),
+            Arc::clone(sheets),
+        ));
+        let transport = Transport::new(endpoint, decision.clone(), Arc::clone(sheets));
+        let transport = Rc::new(transport);
         while let Ok(job) = rx.recv_async().await {
             spawn_local(carry_out(Rc::clone(&transport), job));
         }
@@ -125,14 +131,16 @@
 struct Transport {
     endpoint: Endpoint,
     decision: DecisionTx,
+    sheets: Arc<SheetCache>,
     connections: RefCell<Map<SocketAddr, Connection>>,
 }
 
 impl Transport {
-    fn new(endpoint: Endpoint, decision: DecisionTx) -> Self {
+    fn new(endpoint: Endpoint, decision: DecisionTx, sheets: Arc<SheetCache>) -> Self {
         Self {
             endpoint,
             decision,
+            sheets,
             connections: RefCell::new(Map::default()),
         }
     }
@@ -171,13 +179,7 @@
             let body = peer_request::Body::Heartbeat(convert::heartbeat(&news));
             tell(&transport, address, body).await;
         }
-        PeerJob::PushSheet { address, sheet } => {
-            let push = SheetPush {
-                revision: sheet.revision,
-                sheet: sheet.text.clone(),
-            };
-            tell(&transport, address, peer_request::Body::Sheet(push)).await;
-        }
+        PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
     }
 }
 
@@ -214,22 +216,29 @@
     }
 }
 
-async fn accept(endpoint: Endpoint, decision: DecisionTx) {
+async fn accept(endpoint: Endpoint, decision: DecisionTx, sheets: Arc<SheetCache>) {
     while let Some(incoming) = endpoint.accept().await {
-        spawn_local(serve_connection(incoming, decision.clone()));
+        let sheets = Arc::clone(&sheets);
+        spawn_local(serve_connection(incoming, decision.clone(), sheets));
     }
 }
 
-async fn serve_connection(incoming: Incoming, decision: DecisionTx) {
+async fn serve_connection(incoming: Incoming, decision: DecisionTx, sheets: Arc<SheetCache>) {
     let Ok(connection) = incoming.await else {
         return;
     };
     while let Ok((tx, rx)) = connection.accept_bi().await {
-        spawn_local(serve_stream(tx, rx, decision.clone()));
+        let sheets = Arc::clone(&sheets);
+        spawn_local(serve_stream(tx, rx, decision.clone(), sheets));
     }
 }
 
-async fn serve_stream(mut tx: SendStream, mut rx: RecvStream, decision: DecisionTx) {
+async fn serve_stream(
+    mut tx: SendStream,
+    mut rx: RecvStream,
+    decision: DecisionTx,
+    sheets: Arc<SheetCache>,
+) {
     let Ok(buf) = rx.read_to_end(MAX_MESSAGE).await else {
         return;
     };
@@ -237,7 +246,7 @@
         warn!("peer_message_unreadable");
         return;
     };
-    let Some(reply) = answer(req, &decision).await else {
+    let Some(reply) = answer(req, &decision, &sheets).await else {
         return;
     };
     if tx.write_all(&reply.encode_to_vec()).await.is_ok() {
@@ -246,15 +255,16 @@
     }
 }
 
-async fn answer(req: PeerRequest, decision: &DecisionTx) -> Option<PeerReply> {
+async fn answer(req: PeerRequest, decision: &DecisionTx, sheets: &SheetCache) -> Option<PeerReply> {
     let call = match req.body? {
         peer_request::Body::Heartbeat(beat) => {
             hear(decision, &beat).await;
             return own_heartbeat(decision).await;
         }
-        peer_request::Body::Sheet(push) => {
-            take_sheet(&push, decision).await;
-            return own_heartbeat(decision).await;
+        peer_request::Body::FetchSheet(fetch) => {
+            let update = sheets.update_since(fetch.have).unwrap_or_default();
+            let body = Some(peer_reply::Body::Sheet(update));
+            return Some(PeerReply { body });
         }
         peer_request::Body::Submit(submit) => {
             let job = submit.job?;
@@ -287,20 +297,44 @@
     Some(convert::peer_reply(reply))
 }
 
-async fn take_sheet(push: &SheetPush, decision: &DecisionTx) {
-    match parse_sheet(push.revision, &push.sheet) {
-        Ok(sheet) => {
-            decision
-                .tell_async(Command::PutSheet(Arc::new(sheet)))
-                .await;
-        }
-        Err(e) => {
-            let error = e.to_string();
-            warn!(revision = push.revision, error = error.as_str(); "pushed_sheet_unreadable");
+/// Brings the sheet here to the peer's; the whole one where the differences don't fit.
+async fn fetch_sheet(transport: &Transport, address: SocketAddr) {
+    for have in [transport.sheets.revision(), 0] {
+        let Some(update) = ask_for_sheet(transport, address, have).await else {
+            return;
+        };
+        match transport.sheets.take(update) {
+            Ok(None) => return,
+            Ok(Some(sheet)) => {
+                let cmd = Command::PutPeerSheet {
+                    sheet,
+                    from: address,
+                };
+                transport.decision.tell_async(cmd).await;
+                return;
+            }
+            Err(e) => {
+                let error = e.to_string();
+                debug!(peer:% = address, have, error = error.as_str(); "sheet_update_unusable");
+            }
         }
     }
 }
 
+async fn ask_for_sheet(
+    transport: &Transport,
+    address: SocketAddr,
+    have: u64,
+) -> Option<SheetUpdate> {
+    let body = Some(peer_request::Body::FetchSheet(FetchSheet { have }));
+    let req = PeerRequest { body };
+    let exchange = tokio::time::timeout(CONTROL_TIMEOUT, transport.exchange(address, &req));
+    match exchange.await.ok()?.ok()?.body? {
+        peer_reply::Body::Sheet(update) => Some(update),
+        _ => None,
+    }
+}
+
 async fn own_heartbeat(decision: &DecisionTx) -> Option<PeerReply> {
     let rx = decision.ask_news().ok()?;
     let news = rx.recv_async().await.ok()?;
--- a/crates/geraniumrelay/src/poller.rs
+++ b/crates/geraniumrelay/src/poller.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::modules::sheet::parse_sheet;
 use geraniumrelay_core::modules::targets::TargetInfo;
-use geraniumrelay_core::{Command, Identity};
+use geraniumrelay_core::{Clock, Command, Identity};
 use geraniumrelay_platform::{PlatformClient, PlatformError, SheetStore};
-use geraniumrelay_wire::{Vm, VmList};
+use geraniumrelay_wire::{SheetUpdate, Vm, VmList};
 use log::warn;
 
+use crate::platform_contact::PlatformContact;
 use crate::requests::DecisionTx;
+use crate::sheet_cache::{SheetCache, UpdateError};
 
 /// Time between two polls.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -26,26 +27,37 @@
 
 /// Polls the platform for one entry process.
 #[derive(Debug)]
-pub struct Poller {
+pub struct Poller<C> {
+    clock: C,
     client: PlatformClient,
     identity: Identity,
     decision: DecisionTx,
-    revision: u64,
+    sheets: Arc<SheetCache>,
+    contact: Arc<PlatformContact>,
 }
 
-impl Poller {
+impl<C: Clock> Poller<C> {
     /// Makes the poller of a process that has nothing in force yet.
-    pub fn new(client: PlatformClient, identity: Identity, decision: DecisionTx) -> Self {
+    pub fn new(
+        clock: C,
+        client: PlatformClient,
+        identity: Identity,
+        decision: DecisionTx,
+        sheets: Arc<SheetCache>,
+        contact: Arc<PlatformContact>,
+    ) -> Self {
         Self {
+            clock,
             client,
             identity,
             decision,
-            revision: 0,
+            sheets,
+            contact,
         }
     }
 
     /// Polls for ever; what the platform can't give stays as it was.
-    pub fn run(mut self) {
+    pub fn run(self) {
         loop {
             if let Err(e) = self.poll() {
                 warn!(error = e.to_string().as_str(); "platform_poll_failed");
@@ -54,28 +66,46 @@
         }
     }
 
-    fn poll(&mut self) -> Result<(), PlatformError> {
+    fn poll(&self) -> Result<(), PlatformError> {
         self.poll_sheet()?;
         let list = self.client.vms()?;
         self.take_list(&list);
+        self.contact.note(&self.clock);
         Ok(())
     }
 
-    fn poll_sheet(&mut self) -> Result<(), PlatformError> {
-        let record = SheetStore::new(&self.client).current()?;
-        if record.revision <= self.revision {
+    /// Takes a newer sheet by its differences, or whole where these don't lead to it.
+    fn poll_sheet(&self) -> Result<(), PlatformError> {
+        let store = SheetStore::new(&self.client);
+        let (head, have) = (store.head()?, self.sheets.revision());
+        if head.revision <= have {
             return Ok(());
         }
-        match parse_sheet(record.revision, &record.sheet) {
-            Ok(sheet) => {
-                self.revision = record.revision;
-                self.decision.tell(Command::PutSheet(Arc::new(sheet)));
-            }
-            Err(e) => {
-                let error = e.to_string();
-                warn!(revision = record.revision, error = error.as_str(); "sheet_unreadable");
+        if let Some(deltas) = store.deltas(have, head.revision)? {
+            let update = SheetUpdate {
+                revision: head.revision,
+                deltas,
+                ..SheetUpdate::default()
+            };
+            if self.take_sheet(update).is_ok() {
+                return Ok(());
             }
         }
+        let record = store.current()?;
+        let update = SheetUpdate {
+            revision: record.revision,
+            sheet: record.sheet,
+            ..SheetUpdate::default()
+        };
+        // The cache has logged why it can't take the sheet, and keeps the one before.
+        let _ = self.take_sheet(update);
+        Ok(())
+    }
+
+    fn take_sheet(&self, update: SheetUpdate) -> Result<(), UpdateError> {
+        if let Some(sheet) = self.sheets.take(update)? {
+            self.decision.tell(Command::PutSheet(sheet));
+        }
         Ok(())
     }
 
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -15,16 +15,21 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use crate::certificate;
 use crate::clock::SystemClock;
+use crate::credentials::Credentials;
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
 use crate::http::{HttpServer, Intake};
 use crate::metrics::Metrics;
+use crate::operator::{self, OperatorDesk};
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerTx};
+use crate::platform_contact::PlatformContact;
 use crate::poller::Poller;
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
+use crate::sheet_cache::SheetCache;
 
 /// Time for the last replies to leave their sockets.
 const LAST_REPLIES: Duration = Duration::from_millis(200);
@@ -64,6 +69,9 @@
         let mint = TicketMint::new(identity.data_centre, identity.incarnation, key);
         let tls = PeerTls::read(&settings.ca, &settings.cert, &settings.key)?;
 
+        let certificate_expiry = certificate::expiry(&settings.cert)?;
+        metrics.set_certificate_expiry(certificate_expiry);
+
         let (decision, decision_rx) = DecisionTx::ring();
         let (peers, peer_rx) = PeerTx::ring();
         let (drained_tx, drained) = flume::bounded(1);
@@ -79,17 +87,43 @@
         let thread = DecisionThread::new(clock, cfg, dispatcher, outlets, Arc::clone(&metrics));
         spawn("decision", move || thread.run(&decision_rx))?;
 
+        let sheets = Arc::new(SheetCache::default());
         let (listen, decision_tx) = (settings.peer_listen, decision.clone());
+        let peer_sheets = Arc::clone(&sheets);
         spawn("peers", move || {
-            if let Err(e) = peers::run(listen, tls, &peer_rx, &decision_tx) {
+            if let Err(e) = peers::run(listen, tls, &peer_rx, &decision_tx, &peer_sheets) {
                 error!(error = e.to_string().as_str(); "peer_transport_failed");
             }
         })?;
 
-        let client = PlatformClient::new(PlatformConfig::new(settings.platform.clone()));
-        let poller = Poller::new(client, identity, decision.clone());
+        let contact = Arc::new(PlatformContact::default());
+        let platform = PlatformConfig::new(settings.platform.clone());
+        let (own_sheets, own_contact) = (Arc::clone(&sheets), Arc::clone(&contact));
+        let client = PlatformClient::new(platform.clone());
+        let poller = Poller::new(
+            clock,
+            client,
+            identity,
+            decision.clone(),
+            own_sheets,
+            own_contact,
+        );
         spawn("poller", move || poller.run())?;
 
+        if let Some(listen) = settings.operator_listen {
+            let desk = OperatorDesk {
+                clock,
+                vm: settings.vm,
+                operators: Credentials::new(settings.operators.clone()),
+                decision: decision.clone(),
+                platform,
+                sheets,
+                contact,
+                certificate_expiry,
+            };
+            operator::start(listen, desk)?;
+        }
+
         let is_stopping = Arc::new(AtomicBool::new(false));
         let intake = Intake {
             clock,
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -4,7 +4,7 @@
 
 use flume::{Receiver, Sender};
 use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Ticket};
+use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
 
 /// Most entries of the ring to the decision thread.
 const RING_ENTRIES: usize = 16_384;
@@ -61,6 +61,13 @@
         /// Where the answer goes.
         tx: Sender<PeerNews>,
     },
+    /// An operator's question.
+    AskReport {
+        /// The question.
+        query: ReportQuery,
+        /// Where the answer goes.
+        tx: Sender<Report>,
+    },
     /// A question.
     Ask {
         /// The question.
@@ -105,6 +112,16 @@
         Ok(rx)
     }
 
+    /// Asks an operator's question.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn ask_report(&self, query: ReportQuery) -> Result<Receiver<Report>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::AskReport { query, tx })?;
+        Ok(rx)
+    }
+
     /// Asks for what this VM would say in a heartbeat.
     ///
     /// # Errors
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -6,7 +6,9 @@
 
 use anyhow::bail;
 use clap::Parser;
-use geraniumrelay_core::names::{DataCentre, VmName};
+use geraniumrelay_core::names::{DataCentre, OperatorName, TeamName, VmName};
+
+use crate::credentials::Credential;
 
 /// Dispatcher for sub-second tasks: the process of one entry VM.
 #[derive(Debug, Clone, Parser)]
@@ -28,6 +30,19 @@
     #[arg(long, env = "GERANIUMRELAY_PEER_LISTEN")]
     pub peer_listen: SocketAddr,
 
+    /// IP and port for operators; none of the operators' interface without it.
+    #[arg(long, env = "GERANIUMRELAY_OPERATOR_LISTEN")]
+    pub operator_listen: Option<SocketAddr>,
+
+    /// Operators who may sign in: NAME:SHA256-OF-TOKEN, separated by commas.
+    #[arg(long, env = "GERANIUMRELAY_OPERATORS", value_delimiter = ',')]
+    pub operators: Vec<Credential<OperatorName>>,
+
+    /// Callers' teams: NAME:SHA256-OF-TOKEN, separated by commas. Where set, a request without the
+    /// token of one of them is refused.
+    #[arg(long, env = "GERANIUMRELAY_TEAMS", value_delimiter = ',')]
+    pub teams: Vec<Credential<TeamName>>,
+
     /// Base URL of the platform.
     #[arg(long, env = "GERANIUMRELAY_PLATFORM")]
     pub platform: String,
