feat(entry): have callers sign in with the token of their team

Cause: a caller could name any team, or none, and spend another team's share. Change: where the settings name teams, a request below /v1 without the token of one of them is refused with a problem before anything is read or decided; a job takes the team of the token and may not name another. Conclusion: a request without a valid token changes nothing.

--- a/crates/geraniumrelay-testkit/src/caller.rs
+++ b/crates/geraniumrelay-testkit/src/caller.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use geraniumrelay_wire::{JobAnswer, JobRequest, Problem, TaskRequest, Tickets};
-use ureq::{Agent, Body, http};
+use ureq::middleware::MiddlewareNext;
+use ureq::{Agent, Body, SendBody, http};
 
 /// Longest wait for a whole reply.
 const TIMEOUT: Duration = Duration::from_mins(1);
@@ -62,6 +63,25 @@
         }
     }
 
+    /// Makes a caller without connections that signs in with a token.
+    #[must_use]
+    pub fn with_token(&self, token: &str) -> Self {
+        let value = format!("Bearer {token}");
+        let sign_in = move |mut req: http::Request<SendBody>, next: MiddlewareNext| {
+            let value = http::HeaderValue::from_str(&value).expect("token of a header's letters");
+            req.headers_mut().insert(http::header::AUTHORIZATION, value);
+            next.handle(req)
+        };
+        let cfg = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .middleware(sign_in);
+        Self {
+            agent: cfg.timeout_global(Some(TIMEOUT)).build().into(),
+        }
+    }
+
     /// Draws tickets from an entry process; empty where it can't give any.
     pub fn tickets(&self, entry: SocketAddr, count: usize) -> Vec<String> {
         let url = format!("http://{entry}/v1/tickets?count={count}");
--- a/crates/geraniumrelay-testkit/tests/sheet_apply.rs
+++ b/crates/geraniumrelay-testkit/tests/sheet_apply.rs
@@ -6,7 +6,7 @@
 use geraniumctl::Exit;
 use geraniumrelay_testkit::caller::{Caller, Told, job_of};
 use geraniumrelay_testkit::entry_process::run_if_entry;
-use geraniumrelay_testkit::operators::{CtlOutcome, ctl};
+use geraniumrelay_testkit::operators::{CtlOutcome, credential, ctl, token_of};
 use geraniumrelay_testkit::{Cluster, ClusterPlan};
 
 /// Longest wait for something that is bound to happen.
@@ -152,3 +152,37 @@
     let told = caller.submit(entry, &ticket, &job_of("kiallitas-pont", "score", &[10]));
     assert!(told.is_complete(), "{told:?}");
 }
+
+#[test]
+fn callers_need_the_token_of_their_team_where_teams_are_set() {
+    let club = credential("club");
+    let plan = ClusterPlan::new(1, 1).with_setting("GERANIUMRELAY_TEAMS", &club);
+    let cluster = Cluster::start(plan);
+    let entry = cluster.entries[0].address;
+    let caller = Caller::new();
+    assert!(caller.tickets(entry, 1).is_empty());
+    let member = Caller::new().with_token(&token_of("club"));
+    let ticket = member.tickets(entry, 1).remove(0);
+    let job = job_of("kiallitas-pont", "score", &[10]);
+    for told in [
+        caller.submit(entry, &ticket, &job),
+        caller.cancel(entry, &ticket),
+        caller.with_token("guess").submit(entry, &ticket, &job),
+    ] {
+        assert!(
+            matches!(&told, Told::Problem(p) if p.reason == "not-signed-in"),
+            "{told:?}"
+        );
+    }
+    let mut others = job.clone();
+    others.team = Some("other".to_owned());
+    let told = member.submit(entry, &ticket, &others);
+    assert!(
+        matches!(&told, Told::Problem(p) if p.reason == "other-team"),
+        "{told:?}"
+    );
+    assert!(cluster.starts_per_task().is_empty());
+    assert_eq!(caller.get(entry, "/healthz").0, 200);
+    let told = member.submit(entry, &ticket, &job);
+    assert!(told.is_complete(), "{told:?}");
+}
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flume::Receiver;
+use geraniumrelay_core::names::TeamName;
 use geraniumrelay_core::{Clock, Origin, Query, Reason, Rejection, Reply, Ticket};
 use geraniumrelay_wire::{JobAnswer, JobRequest, Tickets};
 use hyper::body::Incoming;
@@ -14,6 +15,7 @@
 use crate::http::problem;
 use crate::http::response::{self, Response};
 use crate::http::server::Intake;
+use crate::http::teams::bind_team;
 use crate::requests::{Call, Overloaded};
 
 /// Most tickets in one batch.
@@ -49,14 +51,22 @@
     }
 
     /// `PUT /v1/jobs/{ticket}`
-    pub(super) async fn submit(&self, ticket: &str, body: Incoming) -> Response {
+    pub(super) async fn submit(
+        &self,
+        ticket: &str,
+        team: Option<TeamName>,
+        body: Incoming,
+    ) -> Response {
         let Ok(ticket) = ticket.parse() else {
             return bad_ticket();
         };
-        let job = match read_json::<JobRequest>(body, self.max_body).await {
+        let mut job = match read_json::<JobRequest>(body, self.max_body).await {
             Ok(job) => job,
             Err(e) => return problem::of_body(e),
         };
+        if let Err(refusal) = bind_team(&mut job, team) {
+            return *refusal;
+        }
         let digest = convert::digest_of(&job);
         let Some(job) = convert::job_spec(job) else {
             let detail = "service, kind and team are names of a-z, 0-9, '-' and '_'";
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -9,5 +9,6 @@
 mod problem;
 mod response;
 mod server;
+mod teams;
 
 pub use server::{HttpServer, Intake};
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context as _;
+use geraniumrelay_core::names::TeamName;
 use geraniumrelay_core::{Clock, TicketMint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -19,6 +20,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::credentials::Credentials;
 use crate::http::problem;
 use crate::http::response::{self, Response};
 use crate::metrics::Metrics;
@@ -46,6 +48,8 @@
     pub clock: C,
     /// Ring to the decision thread.
     pub decision: DecisionTx,
+    /// Callers' teams; where there are none, anybody may call.
+    pub teams: Credentials<TeamName>,
     /// Mint of this incarnation.
     pub mint: TicketMint,
     /// Time within which a ticket may be submitted first.
@@ -64,9 +68,14 @@
     async fn route(&self, req: Request<Incoming>) -> Response {
         let (head, body) = req.into_parts();
         let path = head.uri.path();
+        let team = match self.sign_in(&head.headers) {
+            Ok(team) => team,
+            Err(refusal) if path.starts_with("/v1/") => return *refusal,
+            Err(_) => None,
+        };
         if let Some(ticket) = path.strip_prefix("/v1/jobs/") {
             return match head.method {
-                Method::PUT => self.submit(ticket, body).await,
+                Method::PUT => self.submit(ticket, team, body).await,
                 Method::GET => self.query(ticket, &head.uri).await,
                 Method::DELETE => self.cancel(ticket).await,
                 _ => method_not_allowed(),
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -128,6 +128,7 @@
         let intake = Intake {
             clock,
             decision: decision.clone(),
+            teams: Credentials::new(settings.teams.clone()),
             mint,
             ticket_ttl,
             max_body: settings.max_body,
