--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod ports;
 pub mod target;
+pub mod timer;
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
