--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -5,10 +5,12 @@
 
 mod body;
 mod jobs;
+mod listener;
 mod params;
 mod problem;
 mod response;
 mod server;
 mod teams;
 
-pub use server::{HttpServer, Intake};
+pub use listener::HttpServer;
+pub use server::Intake;
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -12,6 +12,7 @@
 mod decision;
 mod dispatch;
 mod http;
+mod limits;
 mod logging;
 mod metrics;
 mod operator;
