--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -239,7 +239,7 @@
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
             Effect::Journal(_)
-            | Effect::PushSheet { .. }
+            | Effect::FetchSheet { .. }
             | Effect::SheetInForce { .. }
             | Effect::Drained => {}
         }
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -5,12 +5,14 @@
 pub mod journal;
 pub mod membership;
 pub mod retry;
+pub mod sheet;
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
 use journal::JournalConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
+use sheet::SheetConfig;
 
 /// Settings of all modules.
 #[derive(Debug, Clone, Default)]
@@ -25,4 +27,6 @@
     pub membership: MembershipConfig,
     /// Settings of retries.
     pub retry: RetryConfig,
+    /// Settings of how sheets spread.
+    pub sheet: SheetConfig,
 }
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -9,7 +9,6 @@
 use crate::command::{JobSpec, Waiter};
 use crate::modules::journal::JournalEntry;
 use crate::modules::membership::PeerNews;
-use crate::modules::sheet::Sheet;
 use crate::modules::targets::TaskKey;
 use crate::query::JobProgress;
 use crate::reason::Reason;
@@ -198,12 +197,10 @@
         /// State of this VM.
         news: PeerNews,
     },
-    /// Push the sheet in force to another entry VM.
-    PushSheet {
+    /// Ask another entry VM for its sheet, which is newer than the one in force here.
+    FetchSheet {
         /// Peer address.
         address: SocketAddr,
-        /// The sheet.
-        sheet: Arc<Sheet>,
     },
     /// A sheet came into force here.
     SheetInForce {
--- a/crates/geraniumrelay-platform/src/lib.rs
+++ b/crates/geraniumrelay-platform/src/lib.rs
@@ -14,6 +14,7 @@
 pub use client::{PlatformClient, PlatformConfig};
 pub use error::PlatformError;
 pub use expiry::{EXPIRY_PREFIX, ExpiryStore};
+pub use geraniumrelay_wire::AuditEntry;
 pub use journal_store::{CommitOutcome, JournalCommit, JournalStore};
 pub use key_store::{KeyOutcome, KeyStore, KeyWish, key_row};
-pub use sheet_store::{Acceptance, AuditEntry, SHEET_KEY, SheetRecord, SheetStore, audit_key};
+pub use sheet_store::{Acceptance, HEAD_KEY, KEPT_DELTAS, SheetRecord, SheetStore, audit_key};
