--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -4,11 +4,12 @@
 
 use derive_more::Display;
 
+use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
 use crate::names::{KindName, ServiceName, TeamName};
-use crate::ticket::Ticket;
+use crate::ticket::{Incarnation, Ticket};
 
 /// Name of one waiting caller, given by the host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
@@ -130,7 +131,23 @@
     ListPeers(Vec<PeerNews>),
     /// Note a heartbeat of another entry VM.
     HearPeer(PeerNews),
-    /// Start nothing new and let what runs finish.
+    /// Take a message of another process that hands its claims over.
+    TakeHandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Who waits for the reply.
+        waiter: Waiter,
+    },
+    /// The heir has replied to a message of the hand-over from here.
+    HearHeir {
+        /// Incarnation whose table it is.
+        owner: Incarnation,
+        /// Position of the message.
+        number: u64,
+        /// What the heir said.
+        reply: HandOverReply,
+    },
+    /// Start nothing new, hand the claims over and let what runs finish.
     Drain,
     /// Let time pass: deadlines, retries, heartbeats.
     Tick,
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -2,11 +2,13 @@
 
 pub mod admission;
 pub mod claims;
+pub mod handover;
 pub mod membership;
 pub mod retry;
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
+use handover::HandOverConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
 
@@ -17,6 +19,8 @@
     pub admission: AdmissionConfig,
     /// Settings of the claim table.
     pub claims: ClaimsConfig,
+    /// Settings of the hand-over at a graceful stop.
+    pub handover: HandOverConfig,
     /// Settings of membership.
     pub membership: MembershipConfig,
     /// Settings of retries.
--- a/crates/geraniumrelay-core/src/dispatcher/cancel.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/cancel.rs
@@ -1,6 +1,6 @@
 //! Cancelling submissions.
 
-use crate::command::{Origin, Waiter};
+use crate::command::{Command, Origin, Waiter};
 use crate::context::Context;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::submit::reject;
@@ -19,7 +19,7 @@
         origin: Origin,
         out: &mut Vec<Effect>,
     ) {
-        if ticket.incarnation != self.identity.incarnation {
+        if !self.claims.holds(ticket.incarnation) {
             self.forward(cx, PeerCall::Cancel { ticket }, waiter, origin, out);
             return;
         }
@@ -33,6 +33,14 @@
                 self.finish_job(cx, key, Some(Reason::Cancelled), out);
                 self.start_all(cx, out);
             }
+            known if known.is_elsewhere() => {
+                let cmd = Command::Cancel {
+                    ticket,
+                    waiter,
+                    origin,
+                };
+                self.pass_along(cx, &known, cmd, out);
+            }
             known => self.reply_known(ticket, known, waiter, out),
         }
     }
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -2,11 +2,12 @@
 
 mod answer;
 mod cancel;
+mod handover;
 mod peers;
 mod run;
 mod submit;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -15,7 +16,8 @@
 use crate::command::Command;
 use crate::context::Context;
 use crate::effect::{Effect, Reply};
-use crate::modules::claims::{ClaimBook, Decision};
+use crate::modules::books::Books;
+use crate::modules::claims::Decision;
 use crate::modules::jobs::{JobKey, Jobs};
 use crate::modules::membership::Membership;
 use crate::modules::queue::Queue;
@@ -44,7 +46,7 @@
 pub struct Dispatcher {
     identity: Identity,
     mint: TicketMint,
-    claims: ClaimBook,
+    claims: Books,
     jobs: Jobs,
     /// Slots in use, by task; outlives a job that was answered early.
     running: Map<TaskKey, TargetKey>,
@@ -55,6 +57,8 @@
     sheet: Option<Arc<Sheet>>,
     membership: Membership,
     deadlines: BTreeSet<(Instant, JobKey)>,
+    /// Requests that wait until the heir has acknowledged.
+    parked: VecDeque<handover::Parked>,
     is_draining: bool,
     is_drained: bool,
 }
@@ -64,7 +68,7 @@
     pub fn new(cx: &Context<'_>, identity: Identity, mint: TicketMint) -> Self {
         Self {
             identity,
-            claims: ClaimBook::new(identity.incarnation, mint.key()),
+            claims: Books::new(identity.incarnation, mint.key()),
             mint,
             jobs: Jobs::default(),
             running: Map::default(),
@@ -75,6 +79,7 @@
             sheet: None,
             membership: Membership::default(),
             deadlines: BTreeSet::new(),
+            parked: VecDeque::new(),
             is_draining: false,
             is_drained: false,
         }
@@ -131,13 +136,18 @@
             }
             Command::ListPeers(listed) => self.membership.list(cx, listed),
             Command::HearPeer(news) => self.hear_peer(cx, news, out),
-            Command::Drain => {
-                self.mint.close();
-                self.is_draining = true;
+            Command::TakeHandOver { message, waiter } => {
+                self.take_hand_over(cx, &message, waiter, out);
             }
+            Command::HearHeir {
+                owner,
+                number,
+                reply,
+            } => self.hear_heir(cx, owner, number, reply, out),
+            Command::Drain => self.drain(cx, out),
             Command::Tick => self.tick(cx, out),
         }
-        self.report_drained(out);
+        self.report_drained(cx, out);
     }
 
     /// Answers a question without changing anything.
@@ -172,6 +182,11 @@
         self.membership.heard(cx)
     }
 
+    /// Whether every known peer has been heard, or has had the time to be.
+    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
+        self.membership.is_settled(cx)
+    }
+
     /// Number of targets known.
     pub fn targets_known(&self) -> usize {
         self.targets.len()
@@ -182,6 +197,7 @@
         self.targets.resume(cx.now);
         self.expire(cx, out);
         self.start_all(cx, out);
+        self.hand_over(cx, out);
         self.beat(cx, out);
     }
 
@@ -206,8 +222,10 @@
         self.start_all(cx, out);
     }
 
-    fn report_drained(&mut self, out: &mut Vec<Effect>) {
-        if self.is_draining && !self.is_drained && self.jobs.is_empty() && self.running.is_empty() {
+    fn report_drained(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let is_idle = self.jobs.is_empty() && self.running.is_empty();
+        let is_due = self.is_draining && !self.is_drained;
+        if is_due && is_idle && self.is_handed_over(cx) {
             self.is_drained = true;
             out.push(Effect::Drained);
         }
--- a/crates/geraniumrelay-core/src/dispatcher/peers.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/peers.rs
@@ -14,7 +14,13 @@
 use crate::ticket::Ticket;
 
 /// Wait before asking again for a ticket whose owner can't be reached.
-const OWNER_RETRY_AFTER: Duration = Duration::from_secs(2);
+pub(super) const OWNER_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Longest wait for a job of whose deadline nothing is known here.
+const UNKNOWN_DEADLINE: Duration = Duration::from_secs(30);
+
+/// Time beyond a job's deadline for its answer to travel.
+const FORWARD_MARGIN: Duration = Duration::from_secs(1);
 
 /// Wish to learn the answer of a ticket.
 #[derive(Debug, Clone, Copy)]
@@ -34,12 +40,13 @@
             waiter,
             origin,
         } = req;
-        if ticket.incarnation != self.identity.incarnation {
+        if !self.claims.holds(ticket.incarnation) {
             self.forward(cx, PeerCall::Watch { ticket, wait_ms }, waiter, origin, out);
             return;
         }
         match self.claims.look_up(ticket) {
             Decision::Fresh => reject(waiter, Rejection::may_have_run(Reason::UnknownTicket), out),
+            known if known.is_elsewhere() => self.pass_along(cx, &known, req.into(), out),
             known => self.reply_known(ticket, known, waiter, out),
         }
     }
@@ -60,18 +67,50 @@
             reject(waiter, unreachable, out);
             return;
         }
-        match self.membership.owner_of(cx, call.ticket().incarnation) {
-            Owner::At(address) => out.push(Effect::Forward {
-                waiter,
-                address,
-                call,
-            }),
-            Owner::Silent => reject(waiter, unreachable, out),
-            Owner::Unknown => {
-                let gone = Rejection::may_have_run(Reason::OwnerGone);
-                reject(waiter, gone.with_retry_after(OWNER_RETRY_AFTER), out);
+        let owner = self.membership.owner_of(cx, call.ticket().incarnation);
+        self.pass_to(owner, call, waiter, out);
+    }
+
+    /// Passes a request to a process, where that can be reached.
+    pub(super) fn pass_to(
+        &self,
+        owner: Owner,
+        call: PeerCall,
+        waiter: Waiter,
+        out: &mut Vec<Effect>,
+    ) {
+        let reason = match owner {
+            Owner::At(address) => {
+                let timeout = self.longest_wait(&call);
+                out.push(Effect::Forward {
+                    waiter,
+                    address,
+                    call,
+                    timeout,
+                });
+                return;
             }
-        }
+            Owner::Silent => Reason::OwnerUnreachable,
+            Owner::Unknown => Reason::OwnerGone,
+        };
+        let rejection = Rejection::may_have_run(reason);
+        reject(waiter, rejection.with_retry_after(OWNER_RETRY_AFTER), out);
+    }
+
+    /// Longest time within which another process replies, if it still does.
+    fn longest_wait(&self, call: &PeerCall) -> Duration {
+        let wait = match call {
+            PeerCall::Submit { job, .. } => {
+                let service = self.rules.services.get(&job.service);
+                let rule = service.and_then(|service| service.kinds.get(&job.kind));
+                let own = job.deadline_ms.map(Duration::from_millis);
+                let allowed = rule.map(|rule| rule.deadline);
+                [own, allowed].into_iter().flatten().min()
+            }
+            PeerCall::Watch { wait_ms, .. } => Some(Duration::from_millis(*wait_ms)),
+            PeerCall::Cancel { .. } => Some(Duration::ZERO),
+        };
+        wait.unwrap_or(UNKNOWN_DEADLINE) + FORWARD_MARGIN
     }
 
     /// State of this VM, for its peers.
@@ -83,7 +122,7 @@
             incarnation: Some(self.identity.incarnation),
             revision: self.rules.revision,
             is_leaving: self.is_draining,
-            held: Vec::new(),
+            held: self.claims.held(),
         }
     }
 
--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -28,7 +28,7 @@
 
 impl Dispatcher {
     pub(super) fn submit(&mut self, cx: &Context<'_>, req: Submission, out: &mut Vec<Effect>) {
-        if req.ticket.incarnation != self.identity.incarnation {
+        if !self.claims.holds(req.ticket.incarnation) {
             let call = PeerCall::Submit {
                 ticket: req.ticket,
                 job: req.job,
@@ -38,6 +38,7 @@
         }
         match self.claims.decide(req.ticket, req.digest) {
             Decision::Fresh => self.start_fresh(cx, req, out),
+            known if known.is_elsewhere() => self.pass_along(cx, &known, req.into(), out),
             known => self.reply_known(req.ticket, known, req.waiter, out),
         }
     }
@@ -72,6 +73,10 @@
             Decision::Spent(reason) => Rejection::not_run(reason),
             Decision::OtherBody => Rejection::may_have_run(Reason::OtherBody),
             Decision::Expired | Decision::Fresh => Rejection::may_have_run(Reason::TicketExpired),
+            Decision::Elsewhere
+            | Decision::HandingOver
+            | Decision::HandedOver(_)
+            | Decision::AuthorityLost => Rejection::may_have_run(Reason::OwnerGone),
             Decision::Forged => Rejection::may_have_run(Reason::BadTicket),
         };
         reject(waiter, rejection, out);
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -7,12 +7,13 @@
 use derive_more::Display;
 
 use crate::command::{JobSpec, Waiter};
+use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::TaskKey;
 use crate::query::JobProgress;
 use crate::reason::Reason;
-use crate::ticket::Ticket;
+use crate::ticket::{Incarnation, Ticket};
 use crate::verdict::Verdict;
 
 /// Name of a task towards its target: the same for every attempt to start it.
@@ -104,6 +105,8 @@
     Progress(JobProgress),
     /// Refused.
     Rejected(Rejection),
+    /// To a process that hands its claims over.
+    HandOver(HandOverReply),
 }
 
 /// Request passed on to the owner of a ticket.
@@ -141,6 +144,22 @@
     }
 }
 
+/// How far a hand-over is, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+pub enum HandOverStage {
+    /// The heir is named.
+    Begun,
+    /// No other entry VM of the data centre can be the heir.
+    NoHeir,
+    /// The heir has the authority.
+    Acknowledged,
+    /// The heir did not take it; unknown tickets never start.
+    Failed,
+    /// Another process has handed its table over to this one.
+    Taken,
+}
+
 /// One thing for the host to do.
 #[derive(Debug)]
 pub enum Effect {
@@ -179,6 +198,22 @@
         address: SocketAddr,
         /// The request.
         call: PeerCall,
+        /// Longest wait for the reply.
+        timeout: Duration,
+    },
+    /// Send a message of a hand-over to the heir.
+    HandOver {
+        /// Peer address.
+        address: SocketAddr,
+        /// The message.
+        message: Arc<HandOverMessage>,
+    },
+    /// Say that a hand-over has come to a stage.
+    NoteHandOver {
+        /// Incarnation whose table it is.
+        owner: Incarnation,
+        /// The stage.
+        stage: HandOverStage,
     },
     /// Send a heartbeat to another entry VM.
     Beat {
--- a/crates/geraniumrelay-core/src/modules/claims.rs
+++ b/crates/geraniumrelay-core/src/modules/claims.rs
@@ -10,6 +10,7 @@
 
 use crate::context::Context;
 use crate::effect::Answer;
+use crate::modules::handover::Heir;
 use crate::modules::jobs::JobKey;
 use crate::reason::Reason;
 use crate::ticket::{Incarnation, Ticket, TicketKey};
@@ -28,6 +29,12 @@
         /// The job.
         job: JobKey,
     },
+    /// It was in flight, or answered, at the process that handed the table over; only that process
+    /// knows more until it has sent the answer.
+    Elsewhere {
+        /// Hash of the body.
+        digest: u128,
+    },
     /// Its job has ended and the answer is kept.
     Answered {
         /// Hash of the body.
@@ -56,6 +63,14 @@
     Fresh,
     /// It is in flight; wait for its answer.
     Join(JobKey),
+    /// The process that handed the table over knows it.
+    Elsewhere,
+    /// Nothing is known, but the table is being handed over: only the heir may start it.
+    HandingOver,
+    /// Nothing is known, and the heir that has the table decides.
+    HandedOver(Heir),
+    /// Nothing is known here, and nobody else may be asked: it may have run.
+    AuthorityLost,
     /// It has ended; this is its answer.
     Kept(Arc<Answer>),
     /// It has ended with this verdict; the answer is no longer kept.
@@ -70,6 +85,16 @@
     Forged,
 }
 
+impl Decision {
+    /// Whether another process decides or knows more.
+    pub fn is_elsewhere(&self) -> bool {
+        matches!(
+            self,
+            Self::Elsewhere | Self::HandingOver | Self::HandedOver(_)
+        )
+    }
+}
+
 /// How far minting had come at a time.
 #[derive(Debug, Clone, Copy)]
 struct Mark {
@@ -108,6 +133,11 @@
         self.incarnation
     }
 
+    /// Secret of its tickets.
+    pub fn key(&self) -> TicketKey {
+        self.key
+    }
+
     /// Lowest sequence whose absence from the table proves that it was never submitted.
     pub fn floor(&self) -> u64 {
         self.floor
@@ -129,6 +159,7 @@
         let known_digest = match self.claims.get(&ticket.seq) {
             Some(
                 Claim::Active { digest, .. }
+                | Claim::Elsewhere { digest }
                 | Claim::Answered { digest, .. }
                 | Claim::Dropped { digest, .. },
             ) => *digest,
@@ -147,6 +178,7 @@
         }
         match self.claims.get(&ticket.seq) {
             Some(Claim::Active { job, .. }) => Decision::Join(*job),
+            Some(Claim::Elsewhere { .. }) => Decision::Elsewhere,
             Some(Claim::Answered { answer, .. }) => Decision::Kept(Arc::clone(answer)),
             Some(Claim::Dropped { verdict, .. }) => Decision::Dropped(*verdict),
             Some(Claim::Spent { reason }) => Decision::Spent(*reason),
@@ -175,10 +207,34 @@
             digest: *digest,
             answer: Arc::clone(answer),
         };
-        self.claims.insert(ticket.seq, claim);
-        self.answered.push_back(ticket.seq);
-        self.answer_bytes += bytes_of(answer);
-        self.drop_oldest_answers(cx.cfg.claims.max_answer_bytes);
+        self.put(ticket.seq, claim, cx.cfg.claims.max_answer_bytes);
+    }
+
+    /// The claim of a sequence.
+    pub fn claim_at(&self, seq: u64) -> Option<&Claim> {
+        self.claims.get(&seq)
+    }
+
+    /// Claims from a sequence on, in order.
+    pub fn claims_from(&self, seq: u64) -> impl Iterator<Item = (u64, &Claim)> {
+        self.claims.range(seq..).map(|(seq, claim)| (*seq, claim))
+    }
+
+    /// Takes a claim as it stands elsewhere; drops the oldest answers beyond `max_answer_bytes`.
+    pub fn put(&mut self, seq: u64, claim: Claim, max_answer_bytes: usize) {
+        if let Claim::Answered { answer, .. } = &claim {
+            self.answered.push_back(seq);
+            self.answer_bytes += bytes_of(answer);
+        }
+        if let Some(Claim::Answered { answer, .. }) = self.claims.insert(seq, claim) {
+            self.answer_bytes -= bytes_of(&answer);
+        }
+        self.drop_oldest_answers(max_answer_bytes);
+    }
+
+    /// Raises the floor past every ticket: nothing is fresh any more, only active claims are kept.
+    pub fn end(&mut self) {
+        self.raise_floor(u64::MAX);
     }
 
     fn drop_oldest_answers(&mut self, max_bytes: usize) {
@@ -222,7 +278,8 @@
         }
     }
 
-    fn raise_floor(&mut self, floor: u64) {
+    /// Raises the floor and forgets what is below it, but for active claims.
+    pub fn raise_floor(&mut self, floor: u64) {
         if floor <= self.floor {
             return;
         }
@@ -235,13 +292,14 @@
                     self.claims.insert(seq, claim);
                 }
                 Claim::Answered { answer, .. } => self.answer_bytes -= bytes_of(&answer),
-                Claim::Dropped { .. } | Claim::Spent { .. } => {}
+                Claim::Elsewhere { .. } | Claim::Dropped { .. } | Claim::Spent { .. } => {}
             }
         }
     }
 }
 
-fn bytes_of(answer: &Answer) -> usize {
+/// Memory of a kept answer in bytes.
+pub fn bytes_of(answer: &Answer) -> usize {
     answer
         .tasks
         .iter()
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/handover.rs
@@ -0,0 +1,322 @@
+//! Hand-over of a claim table to one heir: its messages, and the sending side.
+//!
+//! The heir is named by its incarnation and never changes. Messages are numbered and sent one at a
+//! time, the same one again until it is acknowledged, so a lost acknowledgement can't make a second
+//! heir. First go all claims, without answers; the last of them grants the authority to start
+//! tickets that are not known. Answers follow, those of jobs in flight as they end.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, FromStr};
+
+use crate::configs::handover::HandOverConfig;
+use crate::effect::Answer;
+use crate::modules::claims::{Claim, ClaimBook, bytes_of};
+use crate::reason::Reason;
+use crate::ticket::{Incarnation, TicketKey};
+use crate::verdict::Verdict;
+
+/// What is handed over of one ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HandedState {
+    /// In flight, or answered, at the sender; its answer follows.
+    Elsewhere {
+        /// Hash of the body.
+        digest: u128,
+    },
+    /// Answered.
+    Answered {
+        /// Hash of the body.
+        digest: u128,
+        /// The answer.
+        answer: Arc<Answer>,
+    },
+    /// Answered; the answer is no longer kept.
+    Dropped {
+        /// Hash of the body.
+        digest: u128,
+        /// Verdict of the dropped answer.
+        verdict: Verdict,
+    },
+    /// Refused or cancelled before anything started.
+    Spent {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// One claim of a table that is handed over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HandedClaim {
+    /// Sequence of its ticket.
+    pub seq: u64,
+    /// What is known of it.
+    pub state: HandedState,
+}
+
+/// One message of a hand-over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HandOverMessage {
+    /// Incarnation that hands over.
+    pub from: Incarnation,
+    /// The only incarnation that may take it.
+    pub heir: Incarnation,
+    /// Incarnation whose tickets these are.
+    pub owner: Incarnation,
+    /// Secret of the owner's tickets.
+    pub key: TicketKey,
+    /// Lowest sequence whose absence proves that it was never submitted.
+    pub floor: u64,
+    /// Time for which the table is still to be kept.
+    pub keep: Duration,
+    /// Position of the message in the hand-over, from 0.
+    pub number: u64,
+    /// Whether the heir may start unknown tickets from now on.
+    pub grants_authority: bool,
+    /// The claims.
+    pub claims: Vec<HandedClaim>,
+}
+
+/// What the heir says to a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, FromStr)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
+pub enum HandOverReply {
+    /// Taken, now or before.
+    Taken,
+    /// Not taken, and never will be: the named heir is stopping itself.
+    Refused,
+    /// Not taken now: another incarnation, no room, or a table that has ended; what became of an
+    /// earlier or later copy is not known.
+    NotTaken,
+}
+
+/// A process, named by its incarnation, and where it was heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heir {
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its peer address.
+    pub address: SocketAddr,
+}
+
+/// Who may start the tickets of a table that is being handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Authority {
+    /// Not known until the heir acknowledges.
+    Handing,
+    /// The heir.
+    Heir(Heir),
+    /// Nobody: the heir refused before it took anything, so nothing unknown ever starts.
+    Ended,
+    /// Nobody here; the named heir may have taken it and gone.
+    Lost,
+}
+
+/// The sending side of one hand-over.
+#[derive(Debug)]
+pub struct HandOver {
+    from: Incarnation,
+    heir: Heir,
+    authority: Authority,
+    next_claim: Option<u64>,
+    answers: VecDeque<u64>,
+    in_flight: Option<Arc<HandOverMessage>>,
+    next_number: u64,
+    sent_at: Instant,
+    first_sent_at: Instant,
+    ends_at: Instant,
+}
+
+impl HandOver {
+    /// Begins to hand a table over; it is to be kept until `ends_at`.
+    pub fn new(from: Incarnation, heir: Heir, now: Instant, ends_at: Instant) -> Self {
+        Self {
+            from,
+            heir,
+            authority: Authority::Handing,
+            next_claim: Some(0),
+            answers: VecDeque::new(),
+            in_flight: None,
+            next_number: 0,
+            sent_at: now,
+            first_sent_at: now,
+            ends_at,
+        }
+    }
+
+    /// The heir.
+    pub fn heir(&self) -> Heir {
+        self.heir
+    }
+
+    /// Who may start unknown tickets.
+    pub fn authority(&self) -> Authority {
+        self.authority
+    }
+
+    /// Notes that a ticket has got its answer here, which the heir needs.
+    pub fn note_answer(&mut self, seq: u64) {
+        if matches!(self.authority, Authority::Handing | Authority::Heir(_)) {
+            self.answers.push_back(seq);
+        }
+    }
+
+    /// Whether nothing more is to be sent, or the heir has been silent for too long.
+    pub fn is_over(&self, now: Instant, cfg: &HandOverConfig) -> bool {
+        if self.in_flight.is_some() {
+            return now >= self.first_sent_at + cfg.give_up;
+        }
+        match self.authority {
+            Authority::Ended | Authority::Lost => true,
+            Authority::Handing => false,
+            Authority::Heir(_) => self.answers.is_empty(),
+        }
+    }
+
+    /// The message to send now: the next, or the last again where its acknowledgement is overdue.
+    pub fn take_due(
+        &mut self,
+        now: Instant,
+        cfg: &HandOverConfig,
+        book: &ClaimBook,
+    ) -> Option<Arc<HandOverMessage>> {
+        if now >= self.ends_at {
+            return None;
+        }
+        if let Some(message) = &self.in_flight {
+            if now < self.sent_at + cfg.repeat_after {
+                return None;
+            }
+            self.sent_at = now;
+            return Some(Arc::clone(message));
+        }
+        let message = Arc::new(self.next_message(now, cfg, book)?);
+        self.in_flight = Some(Arc::clone(&message));
+        (self.sent_at, self.first_sent_at) = (now, now);
+        Some(message)
+    }
+
+    fn next_message(
+        &mut self,
+        now: Instant,
+        cfg: &HandOverConfig,
+        book: &ClaimBook,
+    ) -> Option<HandOverMessage> {
+        let mut message = HandOverMessage {
+            from: self.from,
+            heir: self.heir.incarnation,
+            owner: book.incarnation(),
+            key: book.key(),
+            floor: book.floor(),
+            keep: self.ends_at.saturating_duration_since(now),
+            number: self.next_number,
+            grants_authority: false,
+            claims: Vec::new(),
+        };
+        if let Some(from) = self.next_claim {
+            self.fill_claims(from, cfg, book, &mut message);
+            return Some(message);
+        }
+        if !matches!(self.authority, Authority::Heir(_)) {
+            return None;
+        }
+        message.claims = self.take_answers(cfg, book);
+        (!message.claims.is_empty()).then_some(message)
+    }
+
+    fn fill_claims(
+        &mut self,
+        from: u64,
+        cfg: &HandOverConfig,
+        book: &ClaimBook,
+        message: &mut HandOverMessage,
+    ) {
+        let mut claims = book.claims_from(from);
+        for (seq, claim) in claims.by_ref().take(cfg.max_claims) {
+            if matches!(claim, Claim::Answered { .. }) {
+                self.answers.push_back(seq);
+            }
+            let state = state_without_answer(claim);
+            message.claims.push(HandedClaim { seq, state });
+        }
+        self.next_claim = claims.next().map(|(seq, _)| seq);
+        message.grants_authority = self.next_claim.is_none();
+    }
+
+    fn take_answers(&mut self, cfg: &HandOverConfig, book: &ClaimBook) -> Vec<HandedClaim> {
+        let (mut claims, mut bytes) = (Vec::new(), 0);
+        while bytes < cfg.max_answer_bytes && claims.len() < cfg.max_claims {
+            let Some(seq) = self.answers.pop_front() else {
+                break;
+            };
+            let Some(state) = book.claim_at(seq).and_then(settled_state) else {
+                continue;
+            };
+            if let HandedState::Answered { answer, .. } = &state {
+                bytes += bytes_of(answer);
+            }
+            claims.push(HandedClaim { seq, state });
+        }
+        claims
+    }
+
+    /// Takes the heir's reply to a message; returns whether the authority has changed.
+    pub fn take_reply(&mut self, number: u64, reply: HandOverReply) -> bool {
+        let Some(message) = self.in_flight.take_if(|message| message.number == number) else {
+            return false;
+        };
+        self.next_number = number + 1;
+        let before = self.authority;
+        self.authority = match reply {
+            HandOverReply::Taken if message.grants_authority => Authority::Heir(self.heir),
+            HandOverReply::Refused if before == Authority::Handing => Authority::Ended,
+            HandOverReply::NotTaken if before == Authority::Handing => Authority::Lost,
+            HandOverReply::Taken | HandOverReply::Refused | HandOverReply::NotTaken => before,
+        };
+        if reply != HandOverReply::Taken {
+            self.next_claim = None;
+            self.answers.clear();
+        }
+        before != self.authority
+    }
+}
+
+/// Answers follow later, so that the authority goes over at once.
+fn state_without_answer(claim: &Claim) -> HandedState {
+    match claim {
+        Claim::Active { digest, .. }
+        | Claim::Elsewhere { digest }
+        | Claim::Answered { digest, .. } => HandedState::Elsewhere { digest: *digest },
+        Claim::Dropped { digest, verdict } => HandedState::Dropped {
+            digest: *digest,
+            verdict: *verdict,
+        },
+        Claim::Spent { reason } => HandedState::Spent { reason: *reason },
+    }
+}
+
+fn settled_state(claim: &Claim) -> Option<HandedState> {
+    match claim {
+        Claim::Answered { digest, answer } => Some(HandedState::Answered {
+            digest: *digest,
+            answer: Arc::clone(answer),
+        }),
+        Claim::Active { .. } | Claim::Elsewhere { .. } => None,
+        Claim::Dropped { .. } | Claim::Spent { .. } => Some(state_without_answer(claim)),
+    }
+}
+
+impl From<HandedState> for Claim {
+    fn from(state: HandedState) -> Self {
+        match state {
+            HandedState::Elsewhere { digest } => Self::Elsewhere { digest },
+            HandedState::Answered { digest, answer } => Self::Answered { digest, answer },
+            HandedState::Dropped { digest, verdict } => Self::Dropped { digest, verdict },
+            HandedState::Spent { reason } => Self::Spent { reason },
+        }
+    }
+}
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -1,10 +1,14 @@
 //! Entry VMs known to this one, from the platform's list and from their heartbeats.
 
+use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use rustc_hash::FxBuildHasher;
+
 use crate::collections::Map;
 use crate::context::Context;
+use crate::modules::handover::Heir;
 use crate::names::{DataCentre, VmName};
 use crate::ticket::Incarnation;
 
@@ -30,6 +34,7 @@
 #[derive(Debug, Clone)]
 struct Peer {
     news: PeerNews,
+    known_since: Instant,
     heard_at: Option<Instant>,
     beat_at: Option<Instant>,
 }
@@ -48,17 +53,24 @@
 /// Entry VMs known to this one.
 #[derive(Debug, Default)]
 pub struct Membership {
+    /// Whether any peers can be known yet.
+    has_list: bool,
     peers: Map<VmName, Peer>,
-    owners: Map<Incarnation, VmName>,
+    /// VMs by the incarnation that they run.
+    running: Map<Incarnation, VmName>,
+    /// VMs by the incarnations that they hold by hand-over.
+    holders: Map<Incarnation, VmName>,
 }
 
 impl Membership {
     /// Takes over the platform's list; VMs that are gone from it and silent are forgotten.
     pub fn list(&mut self, cx: &Context<'_>, listed: Vec<PeerNews>) {
+        self.has_list = true;
         let names: Vec<VmName> = listed.iter().map(|news| news.vm).collect();
         for news in listed {
             let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
                 news: news.clone(),
+                known_since: cx.now,
                 heard_at: None,
                 beat_at: None,
             });
@@ -67,6 +79,11 @@
         }
         self.peers
             .retain(|vm, peer| names.contains(vm) || peer.is_heard(cx));
+        let peers = &self.peers;
+        self.running
+            .retain(|incarnation, vm| peers.get(vm).is_some_and(|p| p.runs(*incarnation)));
+        self.holders
+            .retain(|incarnation, vm| peers.get(vm).is_some_and(|p| p.holds(*incarnation)));
     }
 
     /// Notes a heartbeat.
@@ -74,36 +91,66 @@
         let Some(incarnation) = news.incarnation else {
             return;
         };
-        self.owners.insert(incarnation, news.vm);
+        self.has_list = true;
+        self.running.insert(incarnation, news.vm);
         for held in &news.held {
-            self.owners.insert(*held, news.vm);
+            self.holders.insert(*held, news.vm);
         }
-        let beat_at = self.peers.get(&news.vm).and_then(|peer| peer.beat_at);
+        let known = self.peers.get(&news.vm);
         let peer = Peer {
+            known_since: known.map_or(cx.now, |peer| peer.known_since),
             heard_at: Some(cx.now),
-            beat_at,
+            beat_at: known.and_then(|peer| peer.beat_at),
             news,
         };
         self.peers.insert(peer.news.vm, peer);
     }
 
-    /// Where the owner of an incarnation's tickets is.
+    /// Where the tickets of an incarnation are decided: at its heir, else where it runs.
     pub fn owner_of(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
-        let Some(peer) = self
-            .owners
-            .get(&incarnation)
-            .and_then(|vm| self.peers.get(vm))
-        else {
-            return Owner::Unknown;
-        };
-        let answers_for =
-            peer.news.incarnation == Some(incarnation) || peer.news.held.contains(&incarnation);
-        if !answers_for {
-            Owner::Unknown
-        } else if peer.is_heard(cx) {
-            Owner::At(peer.news.address)
-        } else {
-            Owner::Silent
+        let holder = self.holders.get(&incarnation);
+        let holder = holder.and_then(|vm| self.peers.get(vm));
+        let holder = holder.filter(|peer| peer.holds(incarnation));
+        match (where_is(cx, holder), self.process_at(cx, incarnation)) {
+            (Owner::At(address), _) | (_, Owner::At(address)) => Owner::At(address),
+            (Owner::Silent, _) | (_, Owner::Silent) => Owner::Silent,
+            (Owner::Unknown, Owner::Unknown) => Owner::Unknown,
+        }
+    }
+
+    /// Where the process of an incarnation is.
+    pub fn process_at(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
+        let vm = self.running.get(&incarnation);
+        let peer = vm.and_then(|vm| self.peers.get(vm));
+        where_is(cx, peer.filter(|peer| peer.runs(incarnation)))
+    }
+
+    /// The entry VM of a data centre that takes the claims of `leaving` over, if any can.
+    ///
+    /// Rendezvous hashing spreads the tables of VMs that stop together.
+    pub fn heir(
+        &self,
+        cx: &Context<'_>,
+        data_centre: DataCentre,
+        leaving: Incarnation,
+    ) -> Option<Heir> {
+        let peers = self.peers.values().filter(|peer| {
+            peer.is_heard(cx) && !peer.news.is_leaving && peer.news.data_centre == data_centre
+        });
+        let heirs = peers.filter_map(|peer| {
+            let (incarnation, address) = (peer.news.incarnation?, peer.news.address);
+            Some(Heir {
+                incarnation,
+                address,
+            })
+        });
+        heirs.max_by_key(|heir| FxBuildHasher.hash_one((heir.incarnation, leaving)))
+    }
+
+    /// Makes the heartbeats to all peers due at once.
+    pub fn hurry_beats(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.beat_at = None;
         }
     }
 
@@ -120,6 +167,15 @@
         due
     }
 
+    /// Whether every known peer has been heard, or has had the time to be.
+    ///
+    /// Before that, a process that has just started may not know who holds which tickets.
+    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
+        let grace = cx.cfg.membership.silence;
+        let mut peers = self.peers.values();
+        self.has_list && peers.all(|p| p.heard_at.is_some() || cx.now >= p.known_since + grace)
+    }
+
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
         self.peers.values().filter(|peer| peer.is_heard(cx)).count()
@@ -131,7 +187,23 @@
     }
 }
 
+fn where_is(cx: &Context<'_>, peer: Option<&Peer>) -> Owner {
+    match peer {
+        Some(peer) if peer.is_heard(cx) => Owner::At(peer.news.address),
+        Some(_) => Owner::Silent,
+        None => Owner::Unknown,
+    }
+}
+
 impl Peer {
+    fn runs(&self, incarnation: Incarnation) -> bool {
+        self.news.incarnation == Some(incarnation)
+    }
+
+    fn holds(&self, incarnation: Incarnation) -> bool {
+        self.news.held.contains(&incarnation)
+    }
+
     fn is_heard(&self, cx: &Context<'_>) -> bool {
         self.heard_at
             .is_some_and(|at| cx.now < at + cx.cfg.membership.silence)
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -1,6 +1,8 @@
 //! The decisions, one module each; their settings stand in [`crate::configs`].
 
+pub mod books;
 pub mod claims;
+pub mod handover;
 pub mod jobs;
 pub mod membership;
 pub mod queue;
--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -131,11 +131,23 @@
 
     /// Starts one more entry process and lists it.
     pub fn add_entry(&mut self, vm: &str, data_centre: &str) {
+        let plan = self.entry_plan(vm, data_centre);
+        self.entries.push(EntryProcess::start(&plan));
+        self.list();
+    }
+
+    /// Starts an entry process that has ended anew: the same VM, another incarnation.
+    pub fn restart_entry(&mut self, entry: usize) {
+        let old = &self.entries[entry];
+        let plan = self.entry_plan(&old.vm, &old.data_centre);
+        self.entries[entry] = EntryProcess::start_at(&plan, old.address, old.peer_address);
+    }
+
+    fn entry_plan(&self, vm: &str, data_centre: &str) -> EntryPlan {
         let (platform, certs) = (self.platform.url(), self.certs.clone());
         let mut plan = EntryPlan::new(vm, data_centre, platform, certs);
         plan.settings.clone_from(&self.plan.settings);
-        self.entries.push(EntryProcess::start(&plan));
-        self.list();
+        plan
     }
 
     /// Lists the VMs as they are now.
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -298,10 +298,65 @@
     #[prost(string, tag = "2")]
     pub sheet: ::prost::alloc::string::String,
 }
+/// What is handed over of one ticket.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HandedClaim {
+    #[prost(uint64, tag = "1")]
+    pub seq: u64,
+    /// "elsewhere", "answered", "dropped" or "spent".
+    #[prost(string, tag = "2")]
+    pub state: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub digest_high: u64,
+    #[prost(uint64, tag = "4")]
+    pub digest_low: u64,
+    #[prost(string, tag = "5")]
+    pub verdict: ::prost::alloc::string::String,
+    #[prost(string, tag = "6")]
+    pub reason: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "7")]
+    pub tasks: ::prost::alloc::vec::Vec<TaskAnswer>,
+}
+/// One message of the hand-over of a claim table to one heir.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HandOver {
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// The only incarnation that may take it.
+    #[prost(uint64, tag = "2")]
+    pub heir: u64,
+    /// Incarnation whose tickets these are.
+    #[prost(uint64, tag = "3")]
+    pub owner: u64,
+    /// Secret of the owner's tickets, 16 bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub key: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint64, tag = "5")]
+    pub floor: u64,
+    /// Time for which the table is still to be kept.
+    #[prost(uint64, tag = "6")]
+    pub keep_ms: u64,
+    /// Position of the message, from 0.
+    #[prost(uint64, tag = "7")]
+    pub number: u64,
+    /// Whether the heir may start unknown tickets from now on.
+    #[prost(bool, tag = "8")]
+    pub grants_authority: bool,
+    #[prost(message, repeated, tag = "9")]
+    pub claims: ::prost::alloc::vec::Vec<HandedClaim>,
+}
+/// The heir's reply to one message of a hand-over.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct HandOverReply {
+    /// "taken", "refused" or "not-taken".
+    #[prost(string, tag = "1")]
+    pub outcome: ::prost::alloc::string::String,
+}
 /// Request between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerRequest {
-    #[prost(oneof = "peer_request::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "peer_request::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: ::core::option::Option<peer_request::Body>,
 }
 /// Nested message and enum types in `PeerRequest`.
@@ -318,12 +373,14 @@
         Heartbeat(super::Heartbeat),
         #[prost(message, tag = "5")]
         Sheet(super::SheetPush),
+        #[prost(message, tag = "6")]
+        HandOver(super::HandOver),
     }
 }
 /// Reply between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerReply {
-    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5")]
     pub body: ::core::option::Option<peer_reply::Body>,
 }
 /// Nested message and enum types in `PeerReply`.
@@ -338,5 +395,7 @@
         Problem(super::Problem),
         #[prost(message, tag = "4")]
         Heartbeat(super::Heartbeat),
+        #[prost(message, tag = "5")]
+        HandOver(super::HandOverReply),
     }
 }
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -10,12 +10,15 @@
 const STRICT: [&str; 2] = ["TaskRequest", "JobRequest"];
 
 /// Messages that only cross between entry VMs have no JSON form.
-const BINARY_ONLY: [&str; 7] = [
+const BINARY_ONLY: [&str; 10] = [
     "ForwardSubmit",
     "ForwardQuery",
     "ForwardCancel",
     "Heartbeat",
     "SheetPush",
+    "HandedClaim",
+    "HandOver",
+    "HandOverReply",
     "PeerRequest",
     "PeerReply",
 ];
--- a/crates/geraniumrelay/src/convert.rs
+++ b/crates/geraniumrelay/src/convert.rs
@@ -6,8 +6,8 @@
 use geraniumrelay_core::command::TaskSpec;
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{
-    Answer, Incarnation, JobProgress, JobSpec, PeerCall, Rejection, Reply, TaskResult, Ticket,
-    Verdict,
+    Answer, Incarnation, JobProgress, JobSpec, PeerCall, Reason, Rejection, Reply, TaskResult,
+    Ticket,
 };
 use geraniumrelay_wire::{
     ForwardCancel, ForwardQuery, ForwardSubmit, Heartbeat, JobAnswer, JobRequest, JobState,
@@ -16,6 +16,8 @@
 use prost::Message;
 use siphasher::sip128::{Hasher128, SipHasher24};
 
+use crate::handover_wire;
+
 /// Status of an answer of which every task completed.
 const COMPLETE: &str = "complete";
 
@@ -68,11 +70,6 @@
 
 /// Writes an answer, without a next ticket.
 pub fn job_answer(ticket: Ticket, answer: &Answer) -> JobAnswer {
-    let tasks = (0..).zip(&answer.tasks).map(|(index, task)| TaskAnswer {
-        index,
-        verdict: task.verdict.to_string(),
-        output: task.output.clone(),
-    });
     JobAnswer {
         ticket: ticket.to_string(),
         status: if answer.is_complete() {
@@ -82,15 +79,49 @@
         }
         .to_owned(),
         verdict: answer.verdict.to_string(),
-        tasks: tasks.collect(),
-        reason: answer
-            .reason
-            .map(|reason| reason.to_string())
-            .unwrap_or_default(),
+        tasks: task_answers(answer),
+        reason: reason_text(answer.reason),
         next_ticket: String::new(),
     }
 }
 
+/// Writes the results of an answer's tasks.
+pub fn task_answers(answer: &Answer) -> Vec<TaskAnswer> {
+    let tasks = (0..).zip(&answer.tasks).map(|(index, task)| TaskAnswer {
+        index,
+        verdict: task.verdict.to_string(),
+        output: task.output.clone(),
+    });
+    tasks.collect()
+}
+
+/// Writes why a job failed; empty where it did not.
+pub fn reason_text(reason: Option<Reason>) -> String {
+    reason.map(|reason| reason.to_string()).unwrap_or_default()
+}
+
+/// Reads why a job failed; `None` for an empty text.
+///
+/// # Errors
+/// A text that is no reason.
+pub fn read_reason(text: &str) -> Result<Option<Reason>, derive_more::FromStrError> {
+    match text {
+        "" => Ok(None),
+        text => text.parse().map(Some),
+    }
+}
+
+/// Reads the results of an answer's tasks; `None` where one is malformed.
+pub fn read_tasks(tasks: Vec<TaskAnswer>) -> Option<Vec<TaskResult>> {
+    let tasks = tasks.into_iter().map(|task| {
+        Some(TaskResult {
+            verdict: task.verdict.parse().ok()?,
+            output: task.output,
+        })
+    });
+    tasks.collect()
+}
+
 /// Writes how far a submission is.
 pub fn job_state(progress: JobProgress) -> JobState {
     JobState {
@@ -121,6 +152,7 @@
         Reply::Answer { ticket, answer } => peer_reply::Body::Answer(job_answer(ticket, &answer)),
         Reply::Progress(progress) => peer_reply::Body::State(job_state(progress)),
         Reply::Rejected(rejection) => peer_reply::Body::Problem(problem(rejection)),
+        Reply::HandOver(reply) => peer_reply::Body::HandOver(handover_wire::hand_over_reply(reply)),
     };
     PeerReply { body: Some(body) }
 }
@@ -140,7 +172,7 @@
             reason: problem.reason.parse().ok()?,
             retry_after: read_retry_after(problem.retry_after_s),
         })),
-        peer_reply::Body::Heartbeat(_) => None,
+        peer_reply::Body::Heartbeat(_) | peer_reply::Body::HandOver(_) => None,
     }
 }
 
@@ -149,27 +181,14 @@
 }
 
 fn read_answer(answer: JobAnswer) -> Option<Reply> {
-    let ticket = answer.ticket.parse().ok()?;
-    let verdict: Verdict = answer.verdict.parse().ok()?;
-    let reason = match answer.reason.as_str() {
-        "" => None,
-        text => Some(text.parse().ok()?),
-    };
-    let mut tasks = Vec::with_capacity(answer.tasks.len());
-    for task in answer.tasks {
-        tasks.push(TaskResult {
-            verdict: task.verdict.parse().ok()?,
-            output: task.output,
-        });
-    }
-    let answer = Answer {
-        verdict,
-        reason,
-        tasks,
+    let read = Answer {
+        verdict: answer.verdict.parse().ok()?,
+        reason: read_reason(&answer.reason).ok()?,
+        tasks: read_tasks(answer.tasks)?,
     };
     Some(Reply::Answer {
-        ticket,
-        answer: answer.into(),
+        ticket: answer.ticket.parse().ok()?,
+        answer: read.into(),
     })
 }
 
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -83,6 +83,7 @@
                 let cx = Context::new(now, &self.cfg);
                 self.metrics
                     .set_peers_heard(self.dispatcher.peers_heard(&cx));
+                self.metrics.set_settled(self.dispatcher.is_settled(&cx));
                 self.metrics.set_targets(self.dispatcher.targets_known());
             }
         }
@@ -164,14 +165,27 @@
                 waiter,
                 address,
                 call,
+                timeout,
             } => {
                 self.metrics.count_forward();
                 if let Some(tx) = self.take_waiter(waiter) {
-                    self.outlets
-                        .peers
-                        .send(PeerJob::Forward { address, call, tx });
+                    self.outlets.peers.send(PeerJob::Forward {
+                        address,
+                        call,
+                        timeout,
+                        tx,
+                    });
                 }
             }
+            Effect::HandOver { address, message } => {
+                self.outlets
+                    .peers
+                    .send(PeerJob::HandOver { address, message });
+            }
+            Effect::NoteHandOver { owner, stage } => {
+                self.metrics.peers().count_hand_over(stage);
+                info!(owner:%, stage:%; "hand_over");
+            }
             Effect::Beat { address, news } => {
                 self.outlets.peers.send(PeerJob::Beat { address, news });
             }
@@ -229,5 +243,6 @@
             waiter,
             origin,
         },
+        Call::HandOver(message) => Command::TakeHandOver { message, waiter },
     }
 }
--- /dev/null
+++ b/crates/geraniumrelay/src/handover_wire.rs
@@ -0,0 +1,176 @@
+//! Conversions of hand-over messages between the generated types and the dispatcher's own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, FromStr};
+use geraniumrelay_core::modules::handover::{
+    HandOverMessage, HandOverReply, HandedClaim, HandedState,
+};
+use geraniumrelay_core::{Answer, Incarnation, TicketKey};
+use geraniumrelay_wire as wire;
+
+use crate::convert;
+
+/// Name of a claim's state in a message.
+#[derive(Debug, Clone, Copy, Display, FromStr)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
+enum StateName {
+    Elsewhere,
+    Answered,
+    Dropped,
+    Spent,
+}
+
+/// Writes a message of a hand-over.
+pub fn hand_over(message: &HandOverMessage) -> wire::HandOver {
+    wire::HandOver {
+        from: message.from.0,
+        heir: message.heir.0,
+        owner: message.owner.0,
+        key: message.key.0.to_vec(),
+        floor: message.floor,
+        keep_ms: u64::try_from(message.keep.as_millis()).unwrap_or(u64::MAX),
+        number: message.number,
+        grants_authority: message.grants_authority,
+        claims: message.claims.iter().map(handed_claim).collect(),
+    }
+}
+
+/// Reads a message of a hand-over; `None` where it is malformed.
+pub fn read_hand_over(message: wire::HandOver) -> Option<HandOverMessage> {
+    let claims = message.claims.into_iter().map(read_claim);
+    Some(HandOverMessage {
+        from: Incarnation(message.from),
+        heir: Incarnation(message.heir),
+        owner: Incarnation(message.owner),
+        key: TicketKey(message.key.try_into().ok()?),
+        floor: message.floor,
+        keep: Duration::from_millis(message.keep_ms),
+        number: message.number,
+        grants_authority: message.grants_authority,
+        claims: claims.collect::<Option<_>>()?,
+    })
+}
+
+/// Writes the heir's reply.
+pub fn hand_over_reply(reply: HandOverReply) -> wire::HandOverReply {
+    wire::HandOverReply {
+        outcome: reply.to_string(),
+    }
+}
+
+/// Reads the heir's reply; `None` where it is malformed.
+pub fn read_hand_over_reply(reply: &wire::HandOverReply) -> Option<HandOverReply> {
+    reply.outcome.parse().ok()
+}
+
+fn handed_claim(claim: &HandedClaim) -> wire::HandedClaim {
+    let blank = wire::HandedClaim {
+        seq: claim.seq,
+        ..wire::HandedClaim::default()
+    };
+    match &claim.state {
+        HandedState::Elsewhere { digest } => with_digest(blank, StateName::Elsewhere, *digest),
+        HandedState::Answered { digest, answer } => wire::HandedClaim {
+            verdict: answer.verdict.to_string(),
+            reason: convert::reason_text(answer.reason),
+            tasks: convert::task_answers(answer),
+            ..with_digest(blank, StateName::Answered, *digest)
+        },
+        HandedState::Dropped { digest, verdict } => wire::HandedClaim {
+            verdict: verdict.to_string(),
+            ..with_digest(blank, StateName::Dropped, *digest)
+        },
+        HandedState::Spent { reason } => wire::HandedClaim {
+            state: StateName::Spent.to_string(),
+            reason: reason.to_string(),
+            ..blank
+        },
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the digest is split into its two halves"
+)]
+fn with_digest(claim: wire::HandedClaim, state: StateName, digest: u128) -> wire::HandedClaim {
+    wire::HandedClaim {
+        state: state.to_string(),
+        digest_high: (digest >> u64::BITS) as u64,
+        digest_low: digest as u64,
+        ..claim
+    }
+}
+
+fn read_claim(claim: wire::HandedClaim) -> Option<HandedClaim> {
+    let digest = u128::from(claim.digest_high) << u64::BITS | u128::from(claim.digest_low);
+    let state = match claim.state.parse().ok()? {
+        StateName::Elsewhere => HandedState::Elsewhere { digest },
+        StateName::Dropped => HandedState::Dropped {
+            digest,
+            verdict: claim.verdict.parse().ok()?,
+        },
+        StateName::Spent => HandedState::Spent {
+            reason: claim.reason.parse().ok()?,
+        },
+        StateName::Answered => HandedState::Answered {
+            digest,
+            answer: Arc::new(Answer {
+                verdict: claim.verdict.parse().ok()?,
+                reason: convert::read_reason(&claim.reason).ok()?,
+                tasks: convert::read_tasks(claim.tasks)?,
+            }),
+        },
+    };
+    Some(HandedClaim {
+        seq: claim.seq,
+        state,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use geraniumrelay_core::{Reason, TaskResult, Verdict};
+
+    #[test]
+    fn a_message_survives_its_wire_form() {
+        let answer = Arc::new(Answer {
+            verdict: Verdict::Failed,
+            reason: Some(Reason::TaskFailed),
+            tasks: vec![TaskResult {
+                verdict: Verdict::Failed,
+                output: String::new(),
+            }],
+        });
+        let digest = u128::MAX - 5;
+        let states = [
+            HandedState::Elsewhere { digest },
+            HandedState::Answered { digest, answer },
+            HandedState::Dropped {
+                digest,
+                verdict: Verdict::MayHaveRun,
+            },
+            HandedState::Spent {
+                reason: Reason::QueueFull,
+            },
+        ];
+        let message = HandOverMessage {
+            from: Incarnation(1),
+            heir: Incarnation(2),
+            owner: Incarnation(3),
+            key: TicketKey([7; 16]),
+            floor: 9,
+            keep: Duration::from_secs(8),
+            number: 4,
+            grants_authority: true,
+            claims: (9..)
+                .zip(states)
+                .map(|(seq, state)| HandedClaim { seq, state })
+                .collect(),
+        };
+        assert_eq!(read_hand_over(hand_over(&message)), Some(message));
+    }
+}
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -153,6 +153,7 @@
                 self.metrics.count_refusal(&rejection.reason.to_string());
                 problem::of_rejection(rejection, self.mint.mint())
             }
+            Reply::HandOver(_) => overloaded(),
         }
     }
 
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -58,6 +58,9 @@
         if self.metrics.revision() == 0 {
             return Response::text("no sheet in force").with_status_code(503);
         }
+        if !self.metrics.is_settled() {
+            return Response::text("waiting for other entry VMs").with_status_code(503);
+        }
         Response::text("ready")
     }
 
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -1,11 +1,15 @@
 //! Metrics in the form that Prometheus scrapes.
 
+use std::sync::Arc;
+
 use geraniumrelay_core::Verdict;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
+use crate::peer_metrics::PeerMetrics;
+
 /// Upper bounds of the response time buckets, in seconds.
 const RESPONSE_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
 
@@ -21,7 +25,9 @@
     jobs_in_flight: IntGauge,
     revision: IntGauge,
     peers_heard: IntGauge,
+    settled: IntGauge,
     targets: IntGauge,
+    peers: Arc<PeerMetrics>,
 }
 
 impl Metrics {
@@ -67,6 +73,11 @@
             "Entry VMs heard within the silence",
         )?;
         registry.register(Box::new(peers_heard.clone()))?;
+        let settled = IntGauge::new(
+            "geraniumrelay_settled",
+            "1 once every known entry VM was heard or had the time to be",
+        )?;
+        registry.register(Box::new(settled.clone()))?;
         let targets = IntGauge::new("geraniumrelay_targets", "Targets known")?;
         registry.register(Box::new(targets.clone()))?;
         registry.register(Box::new(starts.clone()))?;
@@ -76,6 +87,7 @@
         registry.register(Box::new(response.clone()))?;
         registry.register(Box::new(jobs_in_flight.clone()))?;
         registry.register(Box::new(revision.clone()))?;
+        let peers = Arc::new(PeerMetrics::new(&registry)?);
         Ok(Self {
             registry,
             starts,
@@ -86,10 +98,17 @@
             jobs_in_flight,
             revision,
             peers_heard,
+            settled,
             targets,
+            peers,
         })
     }
 
+    /// Metrics of the peer transport.
+    pub fn peers(&self) -> &Arc<PeerMetrics> {
+        &self.peers
+    }
+
     /// Counts a start sent to a target.
     pub fn count_start(&self) {
         self.starts.inc();
@@ -125,6 +144,16 @@
             .set(i64::try_from(peers).unwrap_or(i64::MAX));
     }
 
+    /// Sets whether every known entry VM was heard or had the time to be.
+    pub fn set_settled(&self, is_settled: bool) {
+        self.settled.set(is_settled.into());
+    }
+
+    /// Whether every known entry VM was heard or had the time to be.
+    pub fn is_settled(&self) -> bool {
+        self.settled.get() != 0
+    }
+
     /// Sets the number of targets known.
     pub fn set_targets(&self, targets: usize) {
         self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
--- /dev/null
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -0,0 +1,166 @@
+//! The serving side of the peer transport.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Receiver;
+use geraniumrelay_core::modules::sheet::parse_sheet;
+use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
+use geraniumrelay_wire::{
+    ForwardQuery, ForwardSubmit, PeerReply, PeerRequest, SheetPush, peer_reply, peer_request,
+};
+use log::warn;
+use prost::Message;
+use quinn::{Endpoint, Incoming, RecvStream, SendStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::convert;
+use crate::handover_wire;
+use crate::peer_metrics::PeerMetrics;
+use crate::peers::{MAX_MESSAGE, hear, unreachable};
+use crate::requests::{Call, DecisionTx};
+
+/// Longest wait of another entry VM's query.
+const MAX_QUERY_WAIT: Duration = Duration::from_secs(30);
+
+/// Wait beyond that of a query for a reply that comes through a third process.
+const QUERY_MARGIN: Duration = Duration::from_millis(500);
+
+/// Serves the requests of other entry processes.
+#[derive(Debug, Clone)]
+pub struct PeerServer {
+    decision: DecisionTx,
+    metrics: Arc<PeerMetrics>,
+}
+
+impl PeerServer {
+    /// Makes the serving side.
+    pub fn new(decision: DecisionTx, metrics: Arc<PeerMetrics>) -> Self {
+        Self { decision, metrics }
+    }
+
+    /// Serves until the endpoint is closed.
+    pub async fn accept(self, endpoint: Endpoint) {
+        while let Some(incoming) = endpoint.accept().await {
+            spawn_local(self.clone().serve_connection(incoming));
+        }
+    }
+
+    async fn serve_connection(self, incoming: Incoming) {
+        let Ok(connection) = incoming.await else {
+            return;
+        };
+        while let Ok((tx, rx)) = connection.accept_bi().await {
+            spawn_local(self.clone().serve_stream(tx, rx));
+        }
+    }
+
+    async fn serve_stream(self, mut tx: SendStream, mut rx: RecvStream) {
+        let Ok(buf) = rx.read_to_end(MAX_MESSAGE).await else {
+            return;
+        };
+        self.metrics.count_received(buf.len());
+        let Ok(req) = PeerRequest::decode(buf.as_slice()) else {
+            warn!("peer_message_unreadable");
+            return;
+        };
+        let Some(reply) = self.answer(req).await else {
+            return;
+        };
+        let buf = reply.encode_to_vec();
+        self.metrics.count_sent(buf.len());
+        if tx.write_all(&buf).await.is_ok() {
+            // The peer may have gone.
+            let _ = tx.finish();
+        }
+    }
+
+    async fn answer(&self, req: PeerRequest) -> Option<PeerReply> {
+        let call = match req.body? {
+            peer_request::Body::Heartbeat(beat) => {
+                hear(&self.decision, &beat).await;
+                return self.own_heartbeat().await;
+            }
+            peer_request::Body::Sheet(push) => {
+                self.take_sheet(&push).await;
+                return self.own_heartbeat().await;
+            }
+            peer_request::Body::Query(query) => return self.watch(&query).await,
+            peer_request::Body::Submit(submit) => submit_call(submit)?,
+            peer_request::Body::Cancel(cancel) => Call::Cancel {
+                ticket: cancel.ticket.parse().ok()?,
+                origin: Origin::Peer,
+            },
+            peer_request::Body::HandOver(message) => {
+                Call::HandOver(handover_wire::read_hand_over(message)?)
+            }
+        };
+        let reply = match self.decision.call(call) {
+            Ok(rx) => rx.recv_async().await.ok()?,
+            Err(_) => unreachable(),
+        };
+        Some(convert::peer_reply(reply))
+    }
+
+    /// Waits for an answer no longer than the asking VM wants, then says how far the job is.
+    async fn watch(&self, query: &ForwardQuery) -> Option<PeerReply> {
+        let ticket: Ticket = query.ticket.parse().ok()?;
+        let wait = Duration::from_millis(query.wait_ms).min(MAX_QUERY_WAIT);
+        let call = Call::Watch {
+            ticket,
+            wait,
+            origin: Origin::Peer,
+        };
+        let reply = match self.decision.call(call) {
+            Ok(rx) => match timeout(wait, rx.recv_async()).await {
+                Ok(reply) => reply.ok()?,
+                Err(_) => self.progress(ticket, &rx).await,
+            },
+            Err(_) => unreachable(),
+        };
+        Some(convert::peer_reply(reply))
+    }
+
+    async fn progress(&self, ticket: Ticket, rx: &Receiver<Reply>) -> Reply {
+        let progress = match self.decision.ask(Query::Job(ticket)) {
+            Ok(rx) => rx.recv_async().await.ok().flatten(),
+            Err(_) => None,
+        };
+        if let Some(progress) = progress {
+            return progress;
+        }
+        let late = timeout(QUERY_MARGIN, rx.recv_async()).await;
+        late.ok().and_then(Result::ok).unwrap_or_else(unreachable)
+    }
+
+    async fn take_sheet(&self, push: &SheetPush) {
+        match parse_sheet(push.revision, &push.sheet) {
+            Ok(sheet) => {
+                let cmd = Command::PutSheet(Arc::new(sheet));
+                self.decision.tell_async(cmd).await;
+            }
+            Err(e) => {
+                let error = e.to_string();
+                warn!(revision = push.revision, error = error.as_str(); "pushed_sheet_unreadable");
+            }
+        }
+    }
+
+    async fn own_heartbeat(&self) -> Option<PeerReply> {
+        let rx = self.decision.ask_news().ok()?;
+        let news = rx.recv_async().await.ok()?;
+        let body = peer_reply::Body::Heartbeat(convert::heartbeat(&news));
+        Some(PeerReply { body: Some(body) })
+    }
+}
+
+fn submit_call(submit: ForwardSubmit) -> Option<Call> {
+    let job = submit.job?;
+    Some(Call::Submit {
+        ticket: submit.ticket.parse().ok()?,
+        digest: convert::digest_of(&job),
+        job: convert::job_spec(job)?,
+        origin: Origin::Peer,
+    })
+}
--- a/crates/geraniumrelay/src/peer_tls.rs
+++ b/crates/geraniumrelay/src/peer_tls.rs
@@ -22,6 +22,9 @@
 /// Silence after which a connection is given up.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time between signs of life on a connection that is otherwise quiet, as while a long job runs.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+
 /// Requests of one peer that may be open at once.
 const MAX_STREAMS: u32 = 16_384;
 
@@ -72,6 +75,7 @@
 fn transport_config() -> anyhow::Result<TransportConfig> {
     let mut cfg = TransportConfig::default();
     cfg.max_idle_timeout(Some(IdleTimeout::try_from(IDLE_TIMEOUT)?));
+    cfg.keep_alive_interval(Some(KEEP_ALIVE));
     cfg.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
     cfg.max_concurrent_uni_streams(VarInt::from_u32(0));
     Ok(cfg)
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -1,4 +1,7 @@
 //! Peer transport: QUIC between entry processes, on one current-thread runtime.
+//!
+//! Every exchange has a time-out, and a connection that has not replied in time is not used again,
+//! so that a peer that has restarted at the same address is reached at once.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -6,27 +9,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
+use anyhow::{Context as _, bail};
 use flume::{Receiver, Sender};
 use geraniumrelay_core::collections::Map;
+use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::modules::sheet::{Sheet, parse_sheet};
-use geraniumrelay_core::{Command, Origin, PeerCall, Reason, Rejection, Reply};
+use geraniumrelay_core::modules::sheet::Sheet;
+use geraniumrelay_core::{Command, PeerCall, Reason, Rejection, Reply};
 use geraniumrelay_wire::{Heartbeat, PeerReply, PeerRequest, SheetPush, peer_reply, peer_request};
 use log::{debug, warn};
 use prost::Message;
-use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::convert;
+use crate::handover_wire;
+use crate::peer_metrics::PeerMetrics;
+use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
-use crate::requests::{Call, DecisionTx};
+use crate::requests::DecisionTx;
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
 
 /// Largest message between entry processes, in bytes.
-const MAX_MESSAGE: usize = 8 << 20;
+pub(crate) const MAX_MESSAGE: usize = 8 << 20;
 
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,9 +53,23 @@
         address: SocketAddr,
         /// The request.
         call: PeerCall,
+        /// Longest wait for the reply.
+        timeout: Duration,
         /// Where the reply goes.
         tx: Sender<Reply>,
     },
+    /// Send a message of a hand-over; the heir's reply goes to the decision thread.
+    HandOver {
+        /// Peer address of the heir.
+        address: SocketAddr,
+        /// The message.
+        message: Arc<HandOverMessage>,
+    },
+    /// Tell all peers that this process ends.
+    Close {
+        /// Told once they have been told.
+        tx: Sender<()>,
+    },
     /// Send a heartbeat and take the peer's in return.
     Beat {
         /// Peer address.
@@ -89,7 +110,8 @@
     }
 }
 
-fn unreachable() -> Reply {
+/// The owner of a ticket could not be asked.
+pub(crate) fn unreachable() -> Reply {
     let rejection = Rejection::may_have_run(Reason::OwnerUnreachable);
     Reply::Rejected(rejection.with_retry_after(RETRY_AFTER))
 }
@@ -103,6 +125,7 @@
     tls: PeerTls,
     rx: &Receiver<PeerJob>,
     decision: &DecisionTx,
+    metrics: Arc<PeerMetrics>,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -111,8 +134,9 @@
         let mut endpoint = Endpoint::server(tls.server, listen)
             .with_context(|| format!("listening for peers on {listen}"))?;
         endpoint.set_default_client_config(tls.client);
-        let transport = Rc::new(Transport::new(endpoint.clone(), decision.clone()));
-        spawn_local(accept(endpoint, decision.clone()));
+        let server = PeerServer::new(decision.clone(), Arc::clone(&metrics));
+        spawn_local(server.accept(endpoint.clone()));
+        let transport = Rc::new(Transport::new(endpoint, decision.clone(), metrics));
         while let Ok(job) = rx.recv_async().await {
             spawn_local(carry_out(Rc::clone(&transport), job));
         }
@@ -125,14 +149,16 @@
 struct Transport {
     endpoint: Endpoint,
     decision: DecisionTx,
+    metrics: Arc<PeerMetrics>,
     connections: RefCell<Map<SocketAddr, Connection>>,
 }
 
 impl Transport {
-    fn new(endpoint: Endpoint, decision: DecisionTx) -> Self {
+    fn new(endpoint: Endpoint, decision: DecisionTx, metrics: Arc<PeerMetrics>) -> Self {
         Self {
             endpoint,
             decision,
+            metrics,
             connections: RefCell::new(Map::default()),
         }
     }
@@ -150,20 +176,52 @@
         Ok(connection)
     }
 
-    async fn exchange(&self, address: SocketAddr, req: &PeerRequest) -> anyhow::Result<PeerReply> {
+    /// Sends a request and waits for the reply, at most for `timeout`.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        req: &PeerRequest,
+        timeout: Duration,
+    ) -> anyhow::Result<PeerReply> {
         let connection = self.connection(address).await?;
-        let (mut tx, mut rx) = connection.open_bi().await?;
-        tx.write_all(&req.encode_to_vec()).await?;
-        tx.finish()?;
-        let buf = rx.read_to_end(MAX_MESSAGE).await?;
-        Ok(PeerReply::decode(buf.as_slice())?)
+        let buf = req.encode_to_vec();
+        self.metrics.count_sent(buf.len());
+        let reply = tokio::time::timeout(timeout, call(&connection, &buf)).await;
+        let Ok(reply) = reply else {
+            self.forget(address, &connection);
+            bail!("no reply within {timeout:?}");
+        };
+        let reply = reply?;
+        self.metrics.count_received(reply.len());
+        Ok(PeerReply::decode(reply.as_slice())?)
+    }
+
+    /// Uses a connection for nothing new; what is open on it may still be answered.
+    fn forget(&self, address: SocketAddr, silent: &Connection) {
+        let mut connections = self.connections.borrow_mut();
+        let kept = connections.get(&address);
+        if kept.is_some_and(|kept| kept.stable_id() == silent.stable_id()) {
+            connections.remove(&address);
+        }
     }
 }
 
+async fn call(connection: &Connection, req: &[u8]) -> anyhow::Result<Vec<u8>> {
+    let (mut tx, mut rx) = connection.open_bi().await?;
+    tx.write_all(req).await?;
+    tx.finish()?;
+    Ok(rx.read_to_end(MAX_MESSAGE).await?)
+}
+
 async fn carry_out(transport: Rc<Transport>, job: PeerJob) {
     match job {
-        PeerJob::Forward { address, call, tx } => {
-            let reply = forward(&transport, address, &call).await;
+        PeerJob::Forward {
+            address,
+            call,
+            timeout,
+            tx,
+        } => {
+            let reply = forward(&transport, address, &call, timeout).await;
             // The caller may have gone.
             let _ = tx.try_send(reply);
         }
@@ -178,14 +236,24 @@
             };
             tell(&transport, address, peer_request::Body::Sheet(push)).await;
         }
+        PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
+        PeerJob::Close { tx } => {
+            transport.endpoint.close(VarInt::from_u32(0), b"stopping");
+            transport.endpoint.wait_idle().await;
+            // The process may already be ending.
+            let _ = tx.try_send(());
+        }
     }
 }
 
-async fn forward(transport: &Transport, address: SocketAddr, call: &PeerCall) -> Reply {
-    match transport
-        .exchange(address, &convert::peer_request(call))
-        .await
-    {
+async fn forward(
+    transport: &Transport,
+    address: SocketAddr,
+    call: &PeerCall,
+    timeout: Duration,
+) -> Reply {
+    let req = convert::peer_request(call);
+    match transport.exchange(address, &req, timeout).await {
         Ok(reply) => convert::reply_of_peer(reply).unwrap_or_else(unreachable),
         Err(e) => {
             let error = e.to_string();
@@ -195,115 +263,51 @@
     }
 }
 
-/// Sends a control message; every reply to one is the peer's own heartbeat.
-async fn tell(transport: &Transport, address: SocketAddr, body: peer_request::Body) {
+/// Sends one message of a hand-over; without a reply the dispatcher has it sent again.
+async fn hand_over(transport: &Transport, address: SocketAddr, message: &HandOverMessage) {
+    let body = peer_request::Body::HandOver(handover_wire::hand_over(message));
     let req = PeerRequest { body: Some(body) };
-    let exchange = tokio::time::timeout(CONTROL_TIMEOUT, transport.exchange(address, &req));
-    let Ok(Ok(reply)) = exchange.await else {
-        debug!(peer:% = address; "peer_silent");
-        return;
-    };
-    if let Some(peer_reply::Body::Heartbeat(beat)) = reply.body {
-        hear(&transport.decision, &beat).await;
-    }
-}
-
-async fn hear(decision: &DecisionTx, beat: &Heartbeat) {
-    if let Some(news) = convert::peer_news(beat) {
-        decision.tell_async(Command::HearPeer(news)).await;
-    }
-}
-
-async fn accept(endpoint: Endpoint, decision: DecisionTx) {
-    while let Some(incoming) = endpoint.accept().await {
-        spawn_local(serve_connection(incoming, decision.clone()));
-    }
-}
-
-async fn serve_connection(incoming: Incoming, decision: DecisionTx) {
-    let Ok(connection) = incoming.await else {
-        return;
-    };
-    while let Ok((tx, rx)) = connection.accept_bi().await {
-        spawn_local(serve_stream(tx, rx, decision.clone()));
-    }
-}
-
-async fn serve_stream(mut tx: SendStream, mut rx: RecvStream, decision: DecisionTx) {
-    let Ok(buf) = rx.read_to_end(MAX_MESSAGE).await else {
-        return;
+    let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
+        Ok(reply) => reply,
+        Err(e) => {
+            let error = e.to_string();
+            warn!(heir:% = message.heir, peer:% = address, error = error.as_str(); "hand_over_unanswered");
+            return;
+        }
     };
-    let Ok(req) = PeerRequest::decode(buf.as_slice()) else {
-        warn!("peer_message_unreadable");
+    let Some(peer_reply::Body::HandOver(reply)) = reply.body else {
         return;
     };
-    let Some(reply) = answer(req, &decision).await else {
+    let Some(reply) = handover_wire::read_hand_over_reply(&reply) else {
         return;
     };
-    if tx.write_all(&reply.encode_to_vec()).await.is_ok() {
-        // The peer may have gone.
-        let _ = tx.finish();
-    }
-}
-
-async fn answer(req: PeerRequest, decision: &DecisionTx) -> Option<PeerReply> {
-    let call = match req.body? {
-        peer_request::Body::Heartbeat(beat) => {
-            hear(decision, &beat).await;
-            return own_heartbeat(decision).await;
-        }
-        peer_request::Body::Sheet(push) => {
-            take_sheet(&push, decision).await;
-            return own_heartbeat(decision).await;
-        }
-        peer_request::Body::Submit(submit) => {
-            let job = submit.job?;
-            let (ticket, digest) = (submit.ticket.parse().ok()?, convert::digest_of(&job));
-            let job = convert::job_spec(job)?;
-            Call::Submit {
-                ticket,
-                digest,
-                job,
-                origin: Origin::Peer,
-            }
-        }
-        peer_request::Body::Query(query) => {
-            let wait = Duration::from_millis(query.wait_ms);
-            Call::Watch {
-                ticket: query.ticket.parse().ok()?,
-                wait,
-                origin: Origin::Peer,
-            }
-        }
-        peer_request::Body::Cancel(cancel) => Call::Cancel {
-            ticket: cancel.ticket.parse().ok()?,
-            origin: Origin::Peer,
-        },
-    };
-    let reply = match decision.call(call) {
-        Ok(rx) => rx.recv_async().await.ok()?,
-        Err(_) => unreachable(),
+    let cmd = Command::HearHeir {
+        owner: message.owner,
+        number: message.number,
+        reply,
     };
-    Some(convert::peer_reply(reply))
+    transport.decision.tell_async(cmd).await;
 }
 
-async fn take_sheet(push: &SheetPush, decision: &DecisionTx) {
-    match parse_sheet(push.revision, &push.sheet) {
-        Ok(sheet) => {
-            decision
-                .tell_async(Command::PutSheet(Arc::new(sheet)))
-                .await;
-        }
+/// Sends a control message; every reply to one is the peer's own heartbeat.
+async fn tell(transport: &Transport, address: SocketAddr, body: peer_request::Body) {
+    let req = PeerRequest { body: Some(body) };
+    let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
+        Ok(reply) => reply,
         Err(e) => {
             let error = e.to_string();
-            warn!(revision = push.revision, error = error.as_str(); "pushed_sheet_unreadable");
+            debug!(peer:% = address, error = error.as_str(); "peer_unanswered");
+            return;
         }
+    };
+    if let Some(peer_reply::Body::Heartbeat(beat)) = reply.body {
+        hear(&transport.decision, &beat).await;
     }
 }
 
-async fn own_heartbeat(decision: &DecisionTx) -> Option<PeerReply> {
-    let rx = decision.ask_news().ok()?;
-    let news = rx.recv_async().await.ok()?;
-    let body = peer_reply::Body::Heartbeat(convert::heartbeat(&news));
-    Some(PeerReply { body: Some(body) })
+/// Passes a heartbeat on to the decision thread.
+pub(crate) async fn hear(decision: &DecisionTx, beat: &Heartbeat) {
+    if let Some(news) = convert::peer_news(beat) {
+        decision.tell_async(Command::HearPeer(news)).await;
+    }
 }
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -21,7 +21,7 @@
 use crate::http::{HttpServer, Intake};
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
-use crate::peers::{self, PeerTx};
+use crate::peers::{self, PeerJob, PeerTx};
 use crate::poller::Poller;
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
@@ -41,7 +41,7 @@
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals")?;
     let signal = signals.forever().next();
     info!(signal:? = signal; "stopping");
-    entry.stop(settings.stop_timeout);
+    entry.stop(settings);
     Ok(())
 }
 
@@ -49,6 +49,7 @@
 #[derive(Debug)]
 struct Entry {
     decision: DecisionTx,
+    peers: PeerTx,
     drained: Receiver<()>,
     http: HttpServer,
     is_stopping: Arc<AtomicBool>,
@@ -70,7 +71,7 @@
         let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
         let outlets = Outlets {
             dispatch,
-            peers,
+            peers: peers.clone(),
             drained: drained_tx,
         };
 
@@ -80,8 +81,9 @@
         spawn("decision", move || thread.run(&decision_rx))?;
 
         let (listen, decision_tx) = (settings.peer_listen, decision.clone());
+        let peer_metrics = Arc::clone(metrics.peers());
         spawn("peers", move || {
-            if let Err(e) = peers::run(listen, tls, &peer_rx, &decision_tx) {
+            if let Err(e) = peers::run(listen, tls, &peer_rx, &decision_tx, peer_metrics) {
                 error!(error = e.to_string().as_str(); "peer_transport_failed");
             }
         })?;
@@ -109,32 +111,45 @@
         );
         Ok(Self {
             decision,
+            peers,
             drained,
             http,
             is_stopping,
         })
     }
 
-    fn stop(&self, timeout: Duration) {
+    fn stop(&self, settings: &Settings) {
         self.is_stopping.store(true, Ordering::SeqCst);
-        let until = SystemClock.now() + timeout;
+        let started = SystemClock.now();
+        let until = started + settings.stop_timeout;
         self.decision.tell(Command::Drain);
         let has_drained = self.drained.recv_deadline(until).is_ok();
+        let linger = started + settings.stop_linger;
+        thread::sleep(linger.saturating_duration_since(SystemClock.now()));
         let is_idle = self.http.wait_idle(&SystemClock, until);
         thread::sleep(LAST_REPLIES);
+        self.close_peers();
         if has_drained && is_idle {
             info!("stopped");
         } else {
             warn!(has_drained, is_idle; "stopped_with_work_in_flight");
         }
     }
+
+    /// Tells the peers, so that they don't wait for replies of a process that has ended.
+    fn close_peers(&self) {
+        let (tx, rx) = flume::bounded(1);
+        self.peers.send(PeerJob::Close { tx });
+        // Peers notice by themselves where this takes too long.
+        let _ = rx.recv_timeout(LAST_REPLIES);
+    }
 }
 
 fn identity(settings: &Settings) -> Identity {
     Identity {
         vm: settings.vm,
         data_centre: settings.data_centre,
-        peer_address: settings.peer_listen,
+        peer_address: settings.peer_advertise.unwrap_or(settings.peer_listen),
         incarnation: Incarnation(rand::random()),
     }
 }
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Ticket};
 
@@ -42,6 +43,8 @@
         /// Who passed it here.
         origin: Origin,
     },
+    /// Take a message of another process that hands its claims over.
+    HandOver(HandOverMessage),
 }
 
 /// One entry of the ring to the decision thread.
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -28,6 +28,10 @@
     #[arg(long, env = "GERANIUMRELAY_PEER_LISTEN")]
     pub peer_listen: SocketAddr,
 
+    /// IP and port that other entry VMs are told; `--peer-listen` where absent.
+    #[arg(long, env = "GERANIUMRELAY_PEER_ADVERTISE")]
+    pub peer_advertise: Option<SocketAddr>,
+
     /// Base URL of the platform.
     #[arg(long, env = "GERANIUMRELAY_PLATFORM")]
     pub platform: String,
@@ -55,6 +59,11 @@
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
+
+    /// Shortest time from readiness off to the end, in which the balancer and the callers that keep
+    /// connections turn to other entry VMs.
+    #[arg(long, env = "GERANIUMRELAY_STOP_LINGER", default_value = "3s", value_parser = humantime::parse_duration)]
+    pub stop_linger: Duration,
 }
 
 impl Settings {
@@ -88,6 +97,9 @@
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
+        if self.stop_linger > self.stop_timeout {
+            faults.push("--stop-linger: must not be longer than --stop-timeout".to_owned());
+        }
         if faults.is_empty() {
             return Ok(());
         }
