--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod balancer;
 pub mod certs;
+pub mod http_server;
 pub mod platform;
 pub mod ports;
 pub mod target;
+pub mod timer;
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
