--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -239,7 +239,8 @@
                 self.tally.control += 2;
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
-            Effect::PushSheet { .. }
+            Effect::Journal(_)
+            | Effect::PushSheet { .. }
             | Effect::SheetInForce { .. }
             | Effect::HandOver { .. }
             | Effect::NoteHandOver { .. }
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -3,12 +3,14 @@
 pub mod admission;
 pub mod claims;
 pub mod handover;
+pub mod journal;
 pub mod membership;
 pub mod retry;
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
 use handover::HandOverConfig;
+use journal::JournalConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
 
@@ -21,6 +23,8 @@
     pub claims: ClaimsConfig,
     /// Settings of the hand-over at a graceful stop.
     pub handover: HandOverConfig,
+    /// Settings of the journal.
+    pub journal: JournalConfig,
     /// Settings of membership.
     pub membership: MembershipConfig,
     /// Settings of retries.
--- a/crates/geraniumrelay-core/src/modules/claims.rs
+++ b/crates/geraniumrelay-core/src/modules/claims.rs
@@ -224,10 +224,10 @@
     pub fn put(&mut self, seq: u64, claim: Claim, max_answer_bytes: usize) {
         if let Claim::Answered { answer, .. } = &claim {
             self.answered.push_back(seq);
-            self.answer_bytes += bytes_of(answer);
+            self.answer_bytes += answer.bytes();
         }
         if let Some(Claim::Answered { answer, .. }) = self.claims.insert(seq, claim) {
-            self.answer_bytes -= bytes_of(&answer);
+            self.answer_bytes -= answer.bytes();
         }
         self.drop_oldest_answers(max_answer_bytes);
     }
@@ -245,7 +245,7 @@
             let Some(Claim::Answered { digest, answer }) = self.claims.get(&seq) else {
                 continue;
             };
-            self.answer_bytes -= bytes_of(answer);
+            self.answer_bytes -= answer.bytes();
             let dropped = Claim::Dropped {
                 digest: *digest,
                 verdict: answer.verdict,
@@ -291,22 +291,13 @@
                 Claim::Active { .. } => {
                     self.claims.insert(seq, claim);
                 }
-                Claim::Answered { answer, .. } => self.answer_bytes -= bytes_of(&answer),
+                Claim::Answered { answer, .. } => self.answer_bytes -= answer.bytes(),
                 Claim::Elsewhere { .. } | Claim::Dropped { .. } | Claim::Spent { .. } => {}
             }
         }
     }
 }
 
-/// Memory of a kept answer in bytes.
-pub fn bytes_of(answer: &Answer) -> usize {
-    answer
-        .tasks
-        .iter()
-        .map(|task| task.output.len() + size_of_val(task))
-        .sum()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/geraniumrelay-core/src/modules/handover.rs
+++ b/crates/geraniumrelay-core/src/modules/handover.rs
@@ -14,7 +14,7 @@
 
 use crate::configs::handover::HandOverConfig;
 use crate::effect::Answer;
-use crate::modules::claims::{Claim, ClaimBook, bytes_of};
+use crate::modules::claims::{Claim, ClaimBook};
 use crate::reason::Reason;
 use crate::ticket::{Incarnation, TicketKey};
 use crate::verdict::Verdict;
@@ -257,7 +257,7 @@
                 continue;
             };
             if let HandedState::Answered { answer, .. } = &state {
-                bytes += bytes_of(answer);
+                bytes += answer.bytes();
             }
             claims.push(HandedClaim { seq, state });
         }
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod handover;
 pub mod jobs;
+pub mod journal;
 pub mod membership;
 pub mod queue;
 pub mod retry;
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -8,6 +8,7 @@
     TextEncoder,
 };
 
+use crate::durable_metrics::DurableMetrics;
 use crate::peer_metrics::PeerMetrics;
 
 /// Upper bounds of the response time buckets, in seconds.
@@ -28,6 +29,8 @@
     settled: IntGauge,
     targets: IntGauge,
     peers: Arc<PeerMetrics>,
+    /// Metrics of what is kept in the platform's table.
+    pub durable: DurableMetrics,
 }
 
 impl Metrics {
@@ -88,6 +91,7 @@
         registry.register(Box::new(jobs_in_flight.clone()))?;
         registry.register(Box::new(revision.clone()))?;
         let peers = Arc::new(PeerMetrics::new(&registry)?);
+        let durable = DurableMetrics::new(&registry)?;
         Ok(Self {
             registry,
             starts,
@@ -101,6 +105,7 @@
             settled,
             targets,
             peers,
+            durable,
         })
     }
 
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -7,7 +7,8 @@
 use geraniumrelay_core::modules::sheet::parse_sheet;
 use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    ForwardQuery, ForwardSubmit, PeerReply, PeerRequest, SheetPush, peer_reply, peer_request,
+    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, SheetPush, peer_reply,
+    peer_request,
 };
 use log::warn;
 use prost::Message;
@@ -92,9 +93,7 @@
                 ticket: cancel.ticket.parse().ok()?,
                 origin: Origin::Peer,
             },
-            peer_request::Body::HandOver(message) => {
-                Call::HandOver(handover_wire::read_hand_over(message)?)
-            }
+            peer_request::Body::HandOver(message) => return self.take_hand_over(message).await,
         };
         let reply = match self.decision.call(call) {
             Ok(rx) => rx.recv_async().await.ok()?,
@@ -134,6 +133,13 @@
         late.ok().and_then(Result::ok).unwrap_or_else(unreachable)
     }
 
+    /// Without a reply the sender repeats its message.
+    async fn take_hand_over(&self, message: HandOver) -> Option<PeerReply> {
+        let message = handover_wire::read_hand_over(message)?;
+        let rx = self.decision.hand_over(message).ok()?;
+        Some(convert::peer_reply(rx.recv_async().await.ok()?))
+    }
+
     async fn take_sheet(&self, push: &SheetPush) {
         match parse_sheet(push.revision, &push.sheet) {
             Ok(sheet) => {
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -18,7 +18,10 @@
 use crate::clock::SystemClock;
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
+use crate::durable::Durable;
 use crate::http::{HttpServer, Intake};
+use crate::journal::JournalTx;
+use crate::limits;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerJob, PeerTx};
@@ -26,8 +29,8 @@
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
 
-/// Time for the last replies to leave their sockets.
-const LAST_REPLIES: Duration = Duration::from_millis(200);
+/// Longest wait until the peers are told of the end.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Runs the process until it is told to stop and everything in flight has ended.
 ///
@@ -37,6 +40,7 @@
 pub fn run(settings: &Settings) -> anyhow::Result<()> {
     crate::logging::init();
     settings.check()?;
+    limits::raise_open_files();
     let entry = Entry::start(settings)?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals")?;
     let signal = signals.forever().next();
@@ -49,6 +53,7 @@
 #[derive(Debug)]
 struct Entry {
     decision: DecisionTx,
+    journal: JournalTx,
     peers: PeerTx,
     drained: Receiver<()>,
     http: HttpServer,
@@ -69,8 +74,10 @@
         let (peers, peer_rx) = PeerTx::ring();
         let (drained_tx, drained) = flume::bounded(1);
         let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
+        let durable = Durable::start(clock, settings, identity, &cfg, &metrics)?;
         let outlets = Outlets {
             dispatch,
+            journal: durable.journal.clone(),
             peers: peers.clone(),
             drained: drained_tx,
         };
@@ -97,11 +104,12 @@
             clock,
             decision: decision.clone(),
             mint,
+            keys: durable.keys,
+            journal: durable.reader,
             ticket_ttl,
             max_body: settings.max_body,
             metrics,
             is_stopping: Arc::clone(&is_stopping),
-            open_requests: Arc::default(),
         };
         let http = HttpServer::start(settings.listen, intake)?;
         info!(
@@ -111,6 +119,7 @@
         );
         Ok(Self {
             decision,
+            journal: durable.journal,
             peers,
             drained,
             http,
@@ -126,13 +135,13 @@
         let has_drained = self.drained.recv_deadline(until).is_ok();
         let linger = started + settings.stop_linger;
         thread::sleep(linger.saturating_duration_since(SystemClock.now()));
-        let is_idle = self.http.wait_idle(&SystemClock, until);
-        thread::sleep(LAST_REPLIES);
+        let is_idle = self.http.close(until);
+        let is_journaled = self.journal.close(until);
         self.close_peers();
-        if has_drained && is_idle {
+        if has_drained && is_idle && is_journaled {
             info!("stopped");
         } else {
-            warn!(has_drained, is_idle; "stopped_with_work_in_flight");
+            warn!(has_drained, is_idle, is_journaled; "stopped_with_work_in_flight");
         }
     }
 
@@ -141,7 +150,7 @@
         let (tx, rx) = flume::bounded(1);
         self.peers.send(PeerJob::Close { tx });
         // Peers notice by themselves where this takes too long.
-        let _ = rx.recv_timeout(LAST_REPLIES);
+        let _ = rx.recv_timeout(CLOSE_TIMEOUT);
     }
 }
 
@@ -154,7 +163,8 @@
     }
 }
 
-fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+/// Starts a named thread.
+pub(crate) fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(f)
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -43,8 +43,25 @@
         /// Who passed it here.
         origin: Origin,
     },
-    /// Take a message of another process that hands its claims over.
-    HandOver(HandOverMessage),
+}
+
+impl Call {
+    /// Name of the submission.
+    pub fn ticket(&self) -> Ticket {
+        match self {
+            Self::Submit { ticket, .. }
+            | Self::Watch { ticket, .. }
+            | Self::Cancel { ticket, .. } => *ticket,
+        }
+    }
+
+    /// Hash of the body, where there is one.
+    pub fn digest(&self) -> Option<u128> {
+        match self {
+            Self::Submit { digest, .. } => Some(*digest),
+            Self::Watch { .. } | Self::Cancel { .. } => None,
+        }
+    }
 }
 
 /// One entry of the ring to the decision thread.
@@ -57,6 +74,13 @@
         /// Where its one reply goes.
         tx: Sender<Reply>,
     },
+    /// A message of another process that hands its claims over.
+    HandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Where the reply goes.
+        tx: Sender<Reply>,
+    },
     /// A command that nobody waits for.
     Tell(Command),
     /// What this VM would say in a heartbeat.
@@ -98,6 +122,16 @@
         Ok(rx)
     }
 
+    /// Sends a message of a hand-over; the reply comes through the receiver.
+    ///
+    /// # Errors
+    /// [`Overloaded`], with the message neither decided nor noted.
+    pub fn hand_over(&self, message: HandOverMessage) -> Result<Receiver<Reply>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::HandOver { message, tx })?;
+        Ok(rx)
+    }
+
     /// Asks a question.
     ///
     /// # Errors
