--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -233,6 +233,7 @@
                 waiter,
                 address,
                 call,
+                ..
             } => self.forward(vm, waiter, index_of(address), call),
             Effect::Beat { address, news } => {
                 self.tally.control += 2;
@@ -241,6 +242,8 @@
             Effect::Journal(_)
             | Effect::FetchSheet { .. }
             | Effect::SheetInForce { .. }
+            | Effect::HandOver { .. }
+            | Effect::NoteHandOver { .. }
             | Effect::Drained => {}
         }
     }
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod claims;
+pub mod handover;
 pub mod journal;
 pub mod membership;
 pub mod retry;
@@ -9,6 +10,7 @@
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
+use handover::HandOverConfig;
 use journal::JournalConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
@@ -21,6 +23,8 @@
     pub admission: AdmissionConfig,
     /// Settings of the claim table.
     pub claims: ClaimsConfig,
+    /// Settings of the hand-over at a graceful stop.
+    pub handover: HandOverConfig,
     /// Settings of the journal.
     pub journal: JournalConfig,
     /// Settings of membership.
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -10,13 +10,16 @@
 const STRICT: [&str; 3] = ["TaskRequest", "JobRequest", "ApplySheet"];
 
 /// Messages that only cross between entry VMs have no JSON form.
-const BINARY_ONLY: [&str; 8] = [
+const BINARY_ONLY: [&str; 11] = [
     "ForwardSubmit",
     "ForwardQuery",
     "ForwardCancel",
     "Heartbeat",
     "FetchSheet",
     "SheetUpdate",
+    "HandedClaim",
+    "HandOver",
+    "HandOverReply",
     "PeerRequest",
     "PeerReply",
 ];
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -83,6 +83,12 @@
         if self.metrics.revision() == 0 {
             return response::text(StatusCode::SERVICE_UNAVAILABLE, "no sheet in force");
         }
+        if !self.metrics.is_settled() {
+            return response::text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "waiting for other entry VMs",
+            );
+        }
         response::text(StatusCode::OK, "ready")
     }
 
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -27,13 +27,16 @@
 use crate::metrics::Metrics;
 use crate::operator::{self, OperatorDesk};
 use crate::peer_tls::PeerTls;
-use crate::peers::{self, PeerTx};
+use crate::peers::{self, PeerJob, PeerTx};
 use crate::platform_contact::PlatformContact;
 use crate::poller::Poller;
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
 use crate::sheet_cache::SheetCache;
 
+/// Longest wait until the peers are told of the end.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Runs the process until it is told to stop and everything in flight has ended.
 ///
 /// # Errors
@@ -47,7 +50,7 @@
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals")?;
     let signal = signals.forever().next();
     info!(signal:? = signal; "stopping");
-    entry.stop(settings.stop_timeout);
+    entry.stop(settings);
     Ok(())
 }
 
@@ -56,6 +59,7 @@
 struct Entry {
     decision: DecisionTx,
     journal: JournalTx,
+    peers: PeerTx,
     drained: Receiver<()>,
     http: HttpServer,
     is_stopping: Arc<AtomicBool>,
@@ -82,7 +86,7 @@
         let outlets = Outlets {
             dispatch,
             journal: durable.journal.clone(),
-            peers,
+            peers: peers.clone(),
             drained: drained_tx,
         };
 
@@ -94,8 +98,17 @@
         let sheets = Arc::new(SheetCache::default());
         let (listen, decision_tx) = (settings.peer_listen, decision.clone());
         let peer_sheets = Arc::clone(&sheets);
+        let peer_metrics = Arc::clone(metrics.peers());
         spawn("peers", move || {
-            if let Err(e) = peers::run(listen, tls, &peer_rx, &decision_tx, &peer_sheets) {
+            let run = peers::run(
+                listen,
+                tls,
+                &peer_rx,
+                &decision_tx,
+                &peer_sheets,
+                peer_metrics,
+            );
+            if let Err(e) = run {
                 error!(error = e.to_string().as_str(); "peer_transport_failed");
             }
         })?;
@@ -150,32 +163,45 @@
         Ok(Self {
             decision,
             journal: durable.journal,
+            peers,
             drained,
             http,
             is_stopping,
         })
     }
 
-    fn stop(&self, timeout: Duration) {
+    fn stop(&self, settings: &Settings) {
         self.is_stopping.store(true, Ordering::SeqCst);
-        let until = SystemClock.now() + timeout;
+        let started = SystemClock.now();
+        let until = started + settings.stop_timeout;
         self.decision.tell(Command::Drain);
         let has_drained = self.drained.recv_deadline(until).is_ok();
+        let linger = started + settings.stop_linger;
+        thread::sleep(linger.saturating_duration_since(SystemClock.now()));
         let is_idle = self.http.close(until);
         let is_journaled = self.journal.close(until);
+        self.close_peers();
         if has_drained && is_idle && is_journaled {
             info!("stopped");
         } else {
             warn!(has_drained, is_idle, is_journaled; "stopped_with_work_in_flight");
         }
     }
+
+    /// Tells the peers, so that they don't wait for replies of a process that has ended.
+    fn close_peers(&self) {
+        let (tx, rx) = flume::bounded(1);
+        self.peers.send(PeerJob::Close { tx });
+        // Peers notice by themselves where this takes too long.
+        let _ = rx.recv_timeout(CLOSE_TIMEOUT);
+    }
 }
 
 fn identity(settings: &Settings) -> Identity {
     Identity {
         vm: settings.vm,
         data_centre: settings.data_centre,
-        peer_address: settings.peer_listen,
+        peer_address: settings.peer_advertise.unwrap_or(settings.peer_listen),
         incarnation: Incarnation(rand::random()),
     }
 }
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
 
@@ -73,6 +74,13 @@
         /// Where its one reply goes.
         tx: Sender<Reply>,
     },
+    /// A message of another process that hands its claims over.
+    HandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Where the reply goes.
+        tx: Sender<Reply>,
+    },
     /// A command that nobody waits for.
     Tell(Command),
     /// What this VM would say in a heartbeat.
@@ -121,6 +129,16 @@
         Ok(rx)
     }
 
+    /// Sends a message of a hand-over; the reply comes through the receiver.
+    ///
+    /// # Errors
+    /// [`Overloaded`], with the message neither decided nor noted.
+    pub fn hand_over(&self, message: HandOverMessage) -> Result<Receiver<Reply>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::HandOver { message, tx })?;
+        Ok(rx)
+    }
+
     /// Asks a question.
     ///
     /// # Errors
