--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -14,6 +14,7 @@
 mod journal;
 mod journal_reader;
 mod key_binder;
+mod limits;
 mod logging;
 mod metrics;
 mod peer_tls;
