feat(entry): bound what callers' requests may hold, with a true verdict for each refusal

- a body that declares too much is refused unread (413); all bodies that are read at once share a bound of memory, beyond which they are refused (503); heads have a bound on bytes and lines;
- 405 names the methods that are allowed;
- one job has at most 1,000 waiters; whoever is turned away learns MayHaveRun and when to come back; waiters whose callers have gone are forgotten within a second, where they stayed until the job's end before;
- a query about another VM's ticket that is not done in time waits for what its owner says, where it was refused as overloaded before.

--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use crate::collections::Set;
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
@@ -115,6 +116,8 @@
         /// Who passed it here.
         origin: Origin,
     },
+    /// These waiters have gone; what they asked for goes on without them.
+    Leave(Set<Waiter>),
     /// A started task has ended.
     EndTask {
         /// The task.
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -123,6 +123,7 @@
             } => {
                 self.cancel(cx, ticket, waiter, origin, out);
             }
+            Command::Leave(gone) => self.jobs.leave(&gone),
             Command::EndTask { task, outcome } => self.end_task(cx, task, outcome, out),
             Command::PutSheet(sheet) => self.put_sheet(cx, sheet, out),
             Command::ListTargets(infos) => {
--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -53,10 +53,11 @@
     ) {
         let rejection = match known {
             Decision::Join(key) => {
-                if let Some(job) = self.jobs.job_mut(key) {
-                    job.waiters.push(waiter);
+                let has_joined = self.jobs.job_mut(key).is_none_or(|job| job.join(waiter));
+                if has_joined {
+                    return;
                 }
-                return;
+                Rejection::may_have_run(Reason::TooManyWaiters).with_retry_after(RETRY_AFTER)
             }
             Decision::Kept(answer) => {
                 out.push(Effect::Reply {
--- a/crates/geraniumrelay-core/src/modules/jobs.rs
+++ b/crates/geraniumrelay-core/src/modules/jobs.rs
@@ -5,6 +5,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use crate::collections::Set;
 use crate::command::Waiter;
 use crate::effect::{Answer, TaskResult};
 use crate::modules::journal::Intent;
@@ -16,6 +17,9 @@
 use crate::ticket::Ticket;
 use crate::verdict::Verdict;
 
+/// Most waiters of one job, so that a storm of resubmissions is bounded.
+pub const MAX_WAITERS: usize = 1_000;
+
 new_key_type! {
     /// Key of a job in its arena.
     pub struct JobKey;
@@ -74,6 +78,17 @@
     pub waiters: Vec<Waiter>,
 }
 
+impl Job {
+    /// Lets a further waiter wait for the answer; returns whether there was room.
+    pub fn join(&mut self, waiter: Waiter) -> bool {
+        let has_room = self.waiters.len() < MAX_WAITERS;
+        if has_room {
+            self.waiters.push(waiter);
+        }
+        has_room
+    }
+}
+
 /// Arenas of jobs and tasks.
 #[derive(Debug, Default)]
 pub struct Jobs {
@@ -140,6 +155,13 @@
         Some(job.open)
     }
 
+    /// Forgets waiters that have gone.
+    pub fn leave(&mut self, gone: &Set<Waiter>) {
+        for job in self.jobs.values_mut() {
+            job.waiters.retain(|waiter| !gone.contains(waiter));
+        }
+    }
+
     /// How far a job is.
     pub fn progress(&self, key: JobKey) -> Option<JobProgress> {
         let job = self.jobs.get(key)?;
@@ -218,3 +240,39 @@
         Verdict::NotRun
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use super::*;
+    use crate::ticket::{Incarnation, TicketKey, TicketMint};
+
+    fn job() -> Job {
+        let dc = "szeged".parse().unwrap();
+        let mint = TicketMint::new(dc, Incarnation(1), TicketKey([1; 16]));
+        Job {
+            ticket: mint.mint().unwrap(),
+            service: "kiallitas-pont".parse().unwrap(),
+            urgency: Urgency::Urgent,
+            intent: None,
+            deadline: Instant::now() + Duration::from_secs(1),
+            tasks: Vec::new(),
+            open: 0,
+            waiters: Vec::new(),
+        }
+    }
+
+    #[test]
+    fn waiters_are_bounded_and_leave_room() {
+        let mut jobs = Jobs::default();
+        let key = jobs.insert(job(), Vec::new());
+        let join = |jobs: &mut Jobs, n| jobs.job_mut(key).unwrap().join(Waiter(n));
+        let all = 0..10_000;
+        let joined = all.filter(|n| join(&mut jobs, *n)).count();
+        assert_eq!(joined, MAX_WAITERS);
+        jobs.leave(&[Waiter(0)].into_iter().collect());
+        assert!(join(&mut jobs, 10_000));
+        assert!(!join(&mut jobs, 10_001));
+    }
+}
--- a/crates/geraniumrelay-core/src/reason.rs
+++ b/crates/geraniumrelay-core/src/reason.rs
@@ -55,6 +55,8 @@
     AnswerDropped,
     /// This VM has more requests than it can take.
     Overloaded,
+    /// Too many requests wait for the answer of this job.
+    TooManyWaiters,
     /// The platform's table, which binds idempotency keys, can't be reached.
     StoreAway,
 }
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use flume::{Receiver, RecvTimeoutError, Sender};
+use geraniumrelay_core::collections::Set;
 use geraniumrelay_core::{Clock, Command, Config, Context, Dispatcher, Effect, Reply, Waiter};
 use log::info;
 use slotmap::{KeyData, SlotMap, new_key_type};
@@ -20,6 +21,9 @@
 /// Inputs decided between two looks at the clock for ticks.
 const MAX_BATCH: usize = 256;
 
+/// Time between two looks for callers that have gone.
+const GONE_INTERVAL: Duration = Duration::from_secs(1);
+
 new_key_type! {
     struct WaiterKey;
 }
@@ -46,6 +50,7 @@
     outlets: Outlets,
     metrics: Arc<Metrics>,
     waiters: SlotMap<WaiterKey, Sender<Reply>>,
+    gone_at: Instant,
     effects: Vec<Effect>,
 }
 
@@ -58,6 +63,7 @@
         outlets: Outlets,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let gone_at = clock.now();
         let (waiters, effects) = (SlotMap::with_key(), Vec::new());
         Self {
             clock,
@@ -66,6 +72,7 @@
             outlets,
             metrics,
             waiters,
+            gone_at,
             effects,
         }
     }
@@ -87,6 +94,7 @@
                 self.metrics
                     .set_peers_heard(self.dispatcher.peers_heard(&cx));
                 self.metrics.set_targets(self.dispatcher.targets_known());
+                self.forget_gone(now);
             }
         }
     }
@@ -195,6 +203,22 @@
         }
     }
 
+    /// Forgets waiters whose callers have gone, so that they hold no place at their jobs.
+    fn forget_gone(&mut self, now: Instant) {
+        if now < self.gone_at + GONE_INTERVAL {
+            return;
+        }
+        self.gone_at = now;
+        let gone = self.waiters.iter().filter(|(_, tx)| tx.is_disconnected());
+        let gone: Set<Waiter> = gone.map(|(key, _)| Waiter(key.0.as_ffi())).collect();
+        if gone.is_empty() {
+            return;
+        }
+        self.waiters
+            .retain(|key, _| !gone.contains(&Waiter(key.0.as_ffi())));
+        self.decide(now, Command::Leave(gone));
+    }
+
     fn take_waiter(&mut self, waiter: Waiter) -> Option<Sender<Reply>> {
         self.waiters
             .remove(WaiterKey::from(KeyData::from_ffi(waiter.0)))
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -9,9 +9,9 @@
 use geraniumrelay_wire::{JobAnswer, JobRequest, Tickets};
 use hyper::body::Incoming;
 use hyper::{StatusCode, Uri};
+use tokio::time::timeout;
 
 use crate::convert;
-use crate::http::body::read_json;
 use crate::http::params::{BadParam, param};
 use crate::http::problem;
 use crate::http::response::{self, Response};
@@ -27,6 +27,9 @@
 /// Longest wait of a query.
 const MAX_QUERY_WAIT: Duration = Duration::from_secs(30);
 
+/// Time beyond a query's wait for the reply of another entry VM.
+const OWNER_MARGIN: Duration = Duration::from_secs(2);
+
 impl<C: Clock> Intake<C> {
     /// `POST /v1/tickets`
     pub(super) fn mint_tickets(&self, uri: &Uri) -> Response {
@@ -71,7 +74,7 @@
     /// Reads a submission with the hash of its content. Nothing is decided where it can't be used,
     /// and an earlier request under the same name may have run.
     pub(super) async fn read_job(&self, body: Incoming) -> Result<(u128, JobSpec), Response> {
-        let job = read_json::<JobRequest>(body, self.max_body).await;
+        let job = self.bodies.read_json::<JobRequest>(body).await;
         let job = job.map_err(problem::of_body)?;
         let digest = convert::digest_of(&job);
         let Some(job) = convert::job_spec(job) else {
@@ -129,14 +132,20 @@
         (is_final || wait.is_zero()).then_some(reply)
     }
 
+    /// Waits for an answer; what is not known here by then is asked of its owner, who also says how
+    /// far the job is.
     async fn wait(&self, ticket: Ticket, rx: &Receiver<Reply>, wait: Duration) -> Response {
-        let reply = match tokio::time::timeout(wait, rx.recv_async()).await {
+        let reply = match timeout(wait, rx.recv_async()).await {
             Ok(reply) => reply.ok(),
-            Err(_) => self.known(ticket, Duration::ZERO).await,
-        };
-        let Some(reply) = reply else {
-            return overloaded();
+            Err(_) => match self.known(ticket, Duration::ZERO).await {
+                Some(reply) => Some(reply),
+                None => timeout(OWNER_MARGIN, rx.recv_async())
+                    .await
+                    .ok()
+                    .and_then(Result::ok),
+            },
         };
+        let reply = reply.unwrap_or_else(unreachable);
         self.respond(self.journal.instead_of(reply, ticket, None).await)
     }
 
@@ -188,6 +197,12 @@
     }
 }
 
+/// The owner did not reply in time, so what became of the submission is not known.
+fn unreachable() -> Reply {
+    let rejection = Rejection::may_have_run(Reason::OwnerUnreachable);
+    Reply::Rejected(rejection.with_retry_after(OVERLOAD_RETRY_AFTER))
+}
+
 fn bad_ticket() -> Response {
     problem::of_rejection(Rejection::may_have_run(Reason::BadTicket), None)
 }
--- a/crates/geraniumrelay/src/http/listener.rs
+++ b/crates/geraniumrelay/src/http/listener.rs
@@ -25,8 +25,11 @@
 /// Connections open at once; further ones wait in the backlog.
 const MAX_CONNECTIONS: u32 = 16_384;
 
-/// Longest time for the head of a request to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest head of a request in bytes, and the buffer of each connection.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Most header lines of a request.
+const MAX_HEADERS: usize = 64;
 
 /// Wait after a connection could not be accepted, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -146,7 +149,9 @@
     let _ = stream.set_nodelay(true);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(intake.head_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service_fn(|req| intake.serve(req)));
     let mut connection = std::pin::pin!(connection);
     // A connection that breaks concerns its caller alone.
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -12,5 +12,6 @@
 mod response;
 mod server;
 
+pub use body::BodyReader;
 pub use listener::HttpServer;
 pub use server::Intake;
--- a/crates/geraniumrelay/src/http/problem.rs
+++ b/crates/geraniumrelay/src/http/problem.rs
@@ -31,6 +31,7 @@
     let (status, detail) = match e {
         BodyError::TooLarge => (413, "the body is too large".to_owned()),
         BodyError::TooSlow => (408, "the body did not come in time".to_owned()),
+        BodyError::Overloaded => (503, "too many bodies are being read".to_owned()),
         BodyError::Broken => (400, "the body broke off".to_owned()),
         BodyError::Malformed(detail) => (400, detail),
     };
@@ -85,6 +86,9 @@
         Reason::OwnerGone | Reason::TicketExpired => {
             "nobody starts this submission again; find out whether it ran before submitting anew"
         }
+        Reason::TooManyWaiters => {
+            "the job is in flight and too many requests wait for it; ask again for its answer"
+        }
         Reason::OwnerUnreachable | Reason::Overloaded => "repeat the same request later",
         _ => "",
     }
@@ -112,6 +116,7 @@
         | Reason::OwnerUnreachable
         | Reason::NoSheet
         | Reason::StoreAway
+        | Reason::TooManyWaiters
         | Reason::Overloaded => 503,
     }
 }
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -7,8 +7,10 @@
 
 use geraniumrelay_core::{Clock, TicketMint, Verdict};
 use hyper::body::Incoming;
+use hyper::header::{ALLOW, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 
+use crate::http::body::BodyReader;
 use crate::http::problem;
 use crate::http::response::{self, Response};
 use crate::journal_reader::JournalReaderTx;
@@ -34,8 +36,10 @@
     pub journal: JournalReaderTx,
     /// Time within which a ticket may be submitted first.
     pub ticket_ttl: Duration,
-    /// Largest body in bytes.
-    pub max_body: usize,
+    /// Reads bodies within their bounds.
+    pub bodies: BodyReader,
+    /// Longest time for the head of a request to arrive, and for a kept connection to be idle.
+    pub head_timeout: Duration,
     /// Metrics.
     pub metrics: Arc<Metrics>,
     /// Set once this VM is stopping.
@@ -51,7 +55,7 @@
                 Method::PUT => self.submit(ticket, body).await,
                 Method::GET => self.query(ticket, &head.uri).await,
                 Method::DELETE => self.cancel(ticket).await,
-                _ => method_not_allowed(Verdict::MayHaveRun),
+                _ => method_not_allowed(Verdict::MayHaveRun, "GET, PUT, DELETE"),
             };
         }
         match (&head.method, path) {
@@ -60,9 +64,8 @@
             (&Method::GET, "/metrics") => self.metrics_text(),
             (&Method::POST, "/v1/tickets") => self.mint_tickets(&head.uri),
             (&Method::POST, "/v1/jobs") => self.submit_by_key(&head.headers, body).await,
-            (_, "/healthz" | "/readyz" | "/metrics" | "/v1/tickets" | "/v1/jobs") => {
-                method_not_allowed(Verdict::NotRun)
-            }
+            (_, "/healthz" | "/readyz" | "/metrics") => method_not_allowed(Verdict::NotRun, "GET"),
+            (_, "/v1/tickets" | "/v1/jobs") => method_not_allowed(Verdict::NotRun, "POST"),
             _ => problem::of_request(404, "no-such-resource", Verdict::NotRun, path),
         }
     }
@@ -91,7 +94,10 @@
 }
 
 /// `verdict` speaks of the submission that the path names, if it names one.
-fn method_not_allowed(verdict: Verdict) -> Response {
-    let detail = "this resource has no such method";
-    problem::of_request(405, "method-not-allowed", verdict, detail)
+fn method_not_allowed(verdict: Verdict, allowed: &'static str) -> Response {
+    let detail = format!("this resource has the methods {allowed}");
+    let mut res = problem::of_request(405, "method-not-allowed", verdict, detail);
+    res.headers_mut()
+        .insert(ALLOW, HeaderValue::from_static(allowed));
+    res
 }
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -19,7 +19,7 @@
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
 use crate::durable::Durable;
-use crate::http::{HttpServer, Intake};
+use crate::http::{BodyReader, HttpServer, Intake};
 use crate::journal::JournalTx;
 use crate::limits;
 use crate::metrics::Metrics;
@@ -102,7 +102,8 @@
             keys: durable.keys,
             journal: durable.reader,
             ticket_ttl,
-            max_body: settings.max_body,
+            bodies: BodyReader::new(settings.max_body, settings.body_timeout),
+            head_timeout: settings.head_timeout,
             metrics,
             is_stopping: Arc::clone(&is_stopping),
         };
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -59,6 +59,14 @@
     #[arg(long, env = "GERANIUMRELAY_MAX_BODY", default_value_t = 1 << 20)]
     pub max_body: usize,
 
+    /// Longest time for the head of a request to arrive, and for a kept connection to be idle.
+    #[arg(long, env = "GERANIUMRELAY_HEAD_TIMEOUT", default_value = "30s", value_parser = humantime::parse_duration)]
+    pub head_timeout: Duration,
+
+    /// Longest time for the body of a request to arrive.
+    #[arg(long, env = "GERANIUMRELAY_BODY_TIMEOUT", default_value = "10s", value_parser = humantime::parse_duration)]
+    pub body_timeout: Duration,
+
     /// Time for which an idempotency key stays bound to its submission.
     #[arg(long, env = "GERANIUMRELAY_KEY_TTL", default_value = "24h", value_parser = humantime::parse_duration)]
     pub key_ttl: Duration,
