--- a/crates/geraniumrelay-testkit/src/operators.rs
+++ b/crates/geraniumrelay-testkit/src/operators.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 
 use clap::Parser;
+use geraniumctl::cli::Session;
+use geraniumctl::client::Client;
 use geraniumctl::{Cli, Exit};
 use sha2::{Digest, Sha256};
 
@@ -57,3 +59,13 @@
     });
     CtlOutcome { exit, text }
 }
+
+/// Client of some entry processes, signed in as an operator.
+pub fn client(entries: &[SocketAddr], who: &str) -> Client {
+    let session = Session {
+        entries: entries.to_vec(),
+        token: token_of(who),
+        json: false,
+    };
+    Client::new(&session).expect("at least one entry process")
+}
--- a/crates/geraniumrelay-testkit/src/platform.rs
+++ b/crates/geraniumrelay-testkit/src/platform.rs
@@ -25,6 +25,8 @@
     pub is_away: bool,
     /// Added to every call.
     pub delay: Duration,
+    /// Added to every write before it takes effect, also where the client has given up by then.
+    pub write_delay: Duration,
     /// Next writes that take effect and whose replies are lost.
     pub lost_replies: u32,
     /// Time by which the VM list lags.
@@ -152,7 +154,8 @@
     let Some(transaction) = read_json::<Transaction>(req) else {
         return Response::empty_400();
     };
-    thread::sleep(WRITE_TIME);
+    let write_delay = lock(state).faults.write_delay;
+    thread::sleep(WRITE_TIME + write_delay);
     let mut state = lock(state);
     state.writes += 1;
     let result = apply(&mut state.rows, &transaction);
