--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -183,6 +183,7 @@
                 response::json(StatusCode::ACCEPTED, &convert::job_state(progress))
             }
             Reply::Rejected(rejection) => self.refuse(rejection),
+            Reply::HandOver(_) => overloaded(),
         }
     }
 
