test(testkit): cut, delay and duplicate what passes between entry processes

Cause: nothing showed what entry processes do while data centres are cut off from each other or from the platform.

Change: a relay for the datagrams between entry processes, each of which advertises its address there; the platform stand-in knows VMs apart by the path of their base URL and can cut some off.

--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -13,7 +13,9 @@
 use crate::caller::Caller;
 use crate::certs::TestCerts;
 use crate::entry_process::{EntryPlan, EntryProcess};
-use crate::platform::PlatformStandIn;
+use crate::peer_relay::{LinkFaults, PeerRelay};
+use crate::platform::{PlatformFaults, PlatformStandIn};
+use crate::ports::free_address;
 use crate::target::TargetStandIn;
 
 /// Longest wait for entry processes to be ready.
@@ -37,6 +39,8 @@
     pub sheet: String,
     /// Further settings of the entry processes, as environment variables.
     pub settings: Vec<(String, String)>,
+    /// Whether the datagrams between entry processes go through a relay.
+    pub has_relay: bool,
 }
 
 impl ClusterPlan {
@@ -49,6 +53,7 @@
             slots: 8,
             sheet: include_str!("../../../samples/kiallitas-pont.csv").to_owned(),
             settings: Vec::new(),
+            has_relay: false,
         }
     }
 
@@ -62,6 +67,13 @@
         self
     }
 
+    /// The same plan with a relay between the entry processes, for faults of their network.
+    #[must_use]
+    pub fn with_relay(mut self) -> Self {
+        self.has_relay = true;
+        self
+    }
+
     /// The same plan with one more setting of the entry processes.
     #[must_use]
     pub fn with_setting(mut self, name: &str, value: &str) -> Self {
@@ -81,6 +93,8 @@
     pub targets: Vec<TargetStandIn>,
     /// Certificates of the entry processes.
     pub certs: TestCerts,
+    /// The network between the entry processes, where the plan has one.
+    pub relay: PeerRelay,
     plan: ClusterPlan,
     target_listings: Vec<Vm>,
     dir: PathBuf,
@@ -97,6 +111,7 @@
             entries: Vec::new(),
             targets: Vec::new(),
             certs,
+            relay: PeerRelay::default(),
             plan,
             target_listings: Vec::new(),
             dir,
@@ -131,20 +146,44 @@
 
     /// Starts one more entry process and lists it.
     pub fn add_entry(&mut self, vm: &str, data_centre: &str) {
-        let plan = self.entry_plan(vm, data_centre);
-        self.entries.push(EntryProcess::start(&plan));
+        let mut plan = self.entry_plan(vm, data_centre);
+        let (address, peer_listen) = (free_address(), free_address());
+        plan.peer_advertise = self.plan.has_relay.then(|| self.relay.add(peer_listen));
+        self.entries
+            .push(EntryProcess::start_at(&plan, address, peer_listen));
         self.list();
     }
 
     /// Starts an entry process that has ended anew: the same VM, another incarnation.
     pub fn restart_entry(&mut self, entry: usize) {
         let old = &self.entries[entry];
-        let plan = self.entry_plan(&old.vm, &old.data_centre);
-        self.entries[entry] = EntryProcess::start_at(&plan, old.address, old.peer_address);
+        let mut plan = self.entry_plan(&old.vm, &old.data_centre);
+        plan.peer_advertise = Some(old.peer_address);
+        self.entries[entry] = EntryProcess::start_at(&plan, old.address, old.peer_listen);
+    }
+
+    /// Sets the faults of the network between two data centres.
+    pub fn set_link(&self, one: &str, other: &str, faults: LinkFaults) {
+        let addresses = |dc: &str| -> Vec<SocketAddr> {
+            let entries = self.entries.iter().filter(|e| e.data_centre == dc);
+            entries.map(|entry| entry.peer_address).collect()
+        };
+        self.relay
+            .set_between(&addresses(one), &addresses(other), faults);
+    }
+
+    /// Cuts the entry processes of some data centres off from the platform, and no others.
+    pub fn cut_from_platform(&self, data_centres: &[&str]) {
+        let cut = self.entries.iter();
+        let cut = cut.filter(|e| data_centres.contains(&e.data_centre.as_str()));
+        self.platform.set_faults(PlatformFaults {
+            cut_vms: cut.map(|entry| entry.vm.clone()).collect(),
+            ..PlatformFaults::default()
+        });
     }
 
     fn entry_plan(&self, vm: &str, data_centre: &str) -> EntryPlan {
-        let (platform, certs) = (self.platform.url(), self.certs.clone());
+        let (platform, certs) = (self.platform.url_of(vm), self.certs.clone());
         let mut plan = EntryPlan::new(vm, data_centre, platform, certs);
         plan.settings.clone_from(&self.plan.settings);
         plan
--- a/crates/geraniumrelay-testkit/src/entry_process.rs
+++ b/crates/geraniumrelay-testkit/src/entry_process.rs
@@ -49,6 +49,8 @@
     pub platform: String,
     /// Certificates.
     pub certs: TestCerts,
+    /// Peer address that the others are told, where it is not the one that it listens on.
+    pub peer_advertise: Option<SocketAddr>,
     /// Further settings, as environment variables.
     pub settings: Vec<(String, String)>,
 }
@@ -61,6 +63,7 @@
             data_centre: data_centre.to_owned(),
             platform,
             certs,
+            peer_advertise: None,
             settings: Vec::new(),
         }
     }
@@ -75,8 +78,10 @@
     pub data_centre: String,
     /// Where it takes callers' requests.
     pub address: SocketAddr,
-    /// Where it takes requests of other entry processes.
+    /// Where other entry processes send their requests.
     pub peer_address: SocketAddr,
+    /// Where it listens for them.
+    pub peer_listen: SocketAddr,
     child: Child,
 }
 
@@ -87,7 +92,8 @@
     }
 
     /// Starts a process on given addresses.
-    pub fn start_at(plan: &EntryPlan, address: SocketAddr, peer_address: SocketAddr) -> Self {
+    pub fn start_at(plan: &EntryPlan, address: SocketAddr, peer_listen: SocketAddr) -> Self {
+        let peer_address = plan.peer_advertise.unwrap_or(peer_listen);
         let program = std::env::current_exe().expect("path of this program");
         let mut command = Command::new(program);
         command.args(TEST_PROGRAM_ARGS);
@@ -95,7 +101,8 @@
         command.env("GERANIUMRELAY_VM", &plan.vm);
         command.env("GERANIUMRELAY_DATA_CENTRE", &plan.data_centre);
         command.env("GERANIUMRELAY_LISTEN", address.to_string());
-        command.env("GERANIUMRELAY_PEER_LISTEN", peer_address.to_string());
+        command.env("GERANIUMRELAY_PEER_LISTEN", peer_listen.to_string());
+        command.env("GERANIUMRELAY_PEER_ADVERTISE", peer_address.to_string());
         command.env("GERANIUMRELAY_PLATFORM", &plan.platform);
         command.env("GERANIUMRELAY_CA", plan.certs.ca());
         command.env("GERANIUMRELAY_CERT", plan.certs.cert());
@@ -109,6 +116,7 @@
             data_centre,
             address,
             peer_address,
+            peer_listen,
             child,
         }
     }
--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balancer;
 pub mod certs;
 pub mod http_server;
+pub mod peer_relay;
 pub mod platform;
 pub mod ports;
 pub mod target;
@@ -13,6 +14,7 @@
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
+pub use peer_relay::{LinkFaults, PeerRelay};
 pub use platform::{PlatformFaults, PlatformStandIn};
 pub use target::{StartRecord, TargetFaults, TargetStandIn};
 pub mod caller;
--- a/crates/geraniumrelay-testkit/src/platform.rs
+++ b/crates/geraniumrelay-testkit/src/platform.rs
@@ -15,6 +15,9 @@
 /// Time of a synced write.
 const WRITE_TIME: Duration = Duration::from_millis(5);
 
+/// Start of the paths that one VM uses.
+const VM_PREFIX: &str = "/vm/";
+
 /// Workers of the stand-in's HTTP server.
 const HTTP_THREADS: usize = 16;
 
@@ -29,6 +32,8 @@
     pub lost_replies: u32,
     /// Time by which the VM list lags.
     pub list_lag: Duration,
+    /// VMs whose calls don't arrive.
+    pub cut_vms: Vec<String>,
 }
 
 #[derive(Debug, Default)]
@@ -70,6 +75,11 @@
         format!("http://{}", self.address)
     }
 
+    /// Base URL for one VM, so that it can be cut off alone.
+    pub fn url_of(&self, vm: &str) -> String {
+        format!("{}{VM_PREFIX}{vm}", self.url())
+    }
+
     /// Changes the fault switches.
     pub fn set_faults(&self, faults: PlatformFaults) {
         self.lock().faults = faults;
@@ -107,7 +117,11 @@
         return Response::text("away").with_status_code(503);
     }
     let path = req.url();
-    match (req.method(), path.as_str()) {
+    let (vm, path) = split_vm(&path);
+    if vm.is_some_and(|vm| faults.cut_vms.iter().any(|cut| cut == vm)) {
+        return Response::text("cut off").with_status_code(503);
+    }
+    match (req.method(), path) {
         ("GET", "/v1/table/row") => read_row(state, req),
         ("GET", "/v1/table/rows") => read_rows(state, req),
         ("POST", "/v1/table/transactions") => commit(state, req),
@@ -118,6 +132,15 @@
     }
 }
 
+/// Splits a path into the VM that uses it, where it names one, and the rest.
+fn split_vm(path: &str) -> (Option<&str>, &str) {
+    let Some(rest) = path.strip_prefix(VM_PREFIX) else {
+        return (None, path);
+    };
+    let end = rest.find('/').unwrap_or(rest.len());
+    (Some(&rest[..end]), &rest[end..])
+}
+
 fn read_row(state: &Mutex<State>, req: &Request) -> Response {
     let key = req.get_param("key").unwrap_or_default();
     let mut state = lock(state);
