--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -240,7 +240,7 @@
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
             Effect::Journal(_)
-            | Effect::PushSheet { .. }
+            | Effect::FetchSheet { .. }
             | Effect::SheetInForce { .. }
             | Effect::HandOver { .. }
             | Effect::NoteHandOver { .. }
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod journal;
 pub mod membership;
 pub mod retry;
+pub mod sheet;
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
@@ -13,6 +14,7 @@
 use journal::JournalConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
+use sheet::SheetConfig;
 
 /// Settings of all modules.
 #[derive(Debug, Clone, Default)]
@@ -29,4 +31,6 @@
     pub membership: MembershipConfig,
     /// Settings of retries.
     pub retry: RetryConfig,
+    /// Settings of how sheets spread.
+    pub sheet: SheetConfig,
 }
--- a/crates/geraniumrelay-testkit/src/entry_process.rs
+++ b/crates/geraniumrelay-testkit/src/entry_process.rs
@@ -10,6 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::certs::TestCerts;
+use crate::operators;
 use crate::ports::free_address;
 
 /// Set in programs that are to run as an entry process.
@@ -82,6 +83,8 @@
     pub peer_address: SocketAddr,
     /// Where it listens for them.
     pub peer_listen: SocketAddr,
+    /// Where it takes operators' requests.
+    pub operator_address: SocketAddr,
     child: Child,
 }
 
@@ -103,6 +106,12 @@
         command.env("GERANIUMRELAY_LISTEN", address.to_string());
         command.env("GERANIUMRELAY_PEER_LISTEN", peer_listen.to_string());
         command.env("GERANIUMRELAY_PEER_ADVERTISE", peer_address.to_string());
+        let operator_address = free_address();
+        command.env(
+            "GERANIUMRELAY_OPERATOR_LISTEN",
+            operator_address.to_string(),
+        );
+        command.env("GERANIUMRELAY_OPERATORS", operators::setting());
         command.env("GERANIUMRELAY_PLATFORM", &plan.platform);
         command.env("GERANIUMRELAY_CA", plan.certs.ca());
         command.env("GERANIUMRELAY_CERT", plan.certs.cert());
@@ -117,6 +126,7 @@
             address,
             peer_address,
             peer_listen,
+            operator_address,
             child,
         }
     }
--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balancer;
 pub mod certs;
 pub mod http_server;
+pub mod operators;
 pub mod peer_relay;
 pub mod platform;
 pub mod ports;
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -11,6 +11,7 @@
 mod problem;
 mod response;
 mod server;
+mod teams;
 
 pub use listener::HttpServer;
 pub use server::Intake;
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -5,10 +5,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use geraniumrelay_core::names::TeamName;
 use geraniumrelay_core::{Clock, TicketMint, Verdict};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 
+use crate::credentials::Credentials;
 use crate::http::problem;
 use crate::http::response::{self, Response};
 use crate::journal_reader::JournalReaderTx;
@@ -26,6 +28,8 @@
     pub clock: C,
     /// Ring to the decision thread.
     pub decision: DecisionTx,
+    /// Callers' teams; where there are none, anybody may call.
+    pub teams: Credentials<TeamName>,
     /// Mint of this incarnation.
     pub mint: TicketMint,
     /// Ring to the thread that binds idempotency keys.
@@ -46,9 +50,14 @@
     async fn route(&self, req: Request<Incoming>) -> Response {
         let (head, body) = req.into_parts();
         let path = head.uri.path();
+        let team = match self.sign_in(&head.headers) {
+            Ok(team) => team,
+            Err(refusal) if path.starts_with("/v1/") => return *refusal,
+            Err(_) => None,
+        };
         if let Some(ticket) = path.strip_prefix("/v1/jobs/") {
             return match head.method {
-                Method::PUT => self.submit(ticket, body).await,
+                Method::PUT => self.submit(ticket, team, body).await,
                 Method::GET => self.query(ticket, &head.uri).await,
                 Method::DELETE => self.cancel(ticket).await,
                 _ => method_not_allowed(Verdict::MayHaveRun),
@@ -59,7 +68,7 @@
             (&Method::GET, "/readyz") => self.readiness(),
             (&Method::GET, "/metrics") => self.metrics_text(),
             (&Method::POST, "/v1/tickets") => self.mint_tickets(&head.uri),
-            (&Method::POST, "/v1/jobs") => self.submit_by_key(&head.headers, body).await,
+            (&Method::POST, "/v1/jobs") => self.submit_by_key(&head.headers, team, body).await,
             (_, "/healthz" | "/readyz" | "/metrics" | "/v1/tickets" | "/v1/jobs") => {
                 method_not_allowed(Verdict::NotRun)
             }
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use flume::Receiver;
-use geraniumrelay_core::modules::sheet::parse_sheet;
-use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
+use geraniumrelay_core::{Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, SheetPush, peer_reply,
-    peer_request,
+    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply, peer_request,
 };
 use log::warn;
 use prost::Message;
@@ -21,6 +19,7 @@
 use crate::peer_metrics::PeerMetrics;
 use crate::peers::{MAX_MESSAGE, hear, unreachable};
 use crate::requests::{Call, DecisionTx};
+use crate::sheet_cache::SheetCache;
 
 /// Longest wait of another entry VM's query.
 const MAX_QUERY_WAIT: Duration = Duration::from_secs(30);
@@ -31,14 +30,22 @@
 /// Serves the requests of other entry processes.
 #[derive(Debug, Clone)]
 pub struct PeerServer {
-    decision: DecisionTx,
-    metrics: Arc<PeerMetrics>,
+    /// Ring to the decision thread.
+    pub decision: DecisionTx,
+    /// Sheets for peers that lack them.
+    pub sheets: Arc<SheetCache>,
+    /// Counters of the traffic.
+    pub metrics: Arc<PeerMetrics>,
 }
 
 impl PeerServer {
     /// Makes the serving side.
-    pub fn new(decision: DecisionTx, metrics: Arc<PeerMetrics>) -> Self {
-        Self { decision, metrics }
+    pub fn new(decision: DecisionTx, sheets: Arc<SheetCache>, metrics: Arc<PeerMetrics>) -> Self {
+        Self {
+            decision,
+            sheets,
+            metrics,
+        }
     }
 
     /// Serves until the endpoint is closed.
@@ -83,9 +90,10 @@
                 hear(&self.decision, &beat).await;
                 return self.own_heartbeat().await;
             }
-            peer_request::Body::Sheet(push) => {
-                self.take_sheet(&push).await;
-                return self.own_heartbeat().await;
+            peer_request::Body::FetchSheet(fetch) => {
+                let update = self.sheets.update_since(fetch.have).unwrap_or_default();
+                let body = Some(peer_reply::Body::Sheet(update));
+                return Some(PeerReply { body });
             }
             peer_request::Body::Query(query) => return self.watch(&query).await,
             peer_request::Body::Submit(submit) => submit_call(submit)?,
@@ -140,19 +148,6 @@
         Some(convert::peer_reply(rx.recv_async().await.ok()?))
     }
 
-    async fn take_sheet(&self, push: &SheetPush) {
-        match parse_sheet(push.revision, &push.sheet) {
-            Ok(sheet) => {
-                let cmd = Command::PutSheet(Arc::new(sheet));
-                self.decision.tell_async(cmd).await;
-            }
-            Err(e) => {
-                let error = e.to_string();
-                warn!(revision = push.revision, error = error.as_str(); "pushed_sheet_unreadable");
-            }
-        }
-    }
-
     async fn own_heartbeat(&self) -> Option<PeerReply> {
         let rx = self.decision.ask_news().ok()?;
         let news = rx.recv_async().await.ok()?;
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -14,9 +14,10 @@
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::modules::sheet::Sheet;
 use geraniumrelay_core::{Command, PeerCall, Reason, Rejection, Reply};
-use geraniumrelay_wire::{Heartbeat, PeerReply, PeerRequest, SheetPush, peer_reply, peer_request};
+use geraniumrelay_wire::{
+    FetchSheet, Heartbeat, PeerReply, PeerRequest, SheetUpdate, peer_reply, peer_request,
+};
 use log::{debug, warn};
 use prost::Message;
 use quinn::{Connection, Endpoint, VarInt};
@@ -28,6 +29,7 @@
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
+use crate::sheet_cache::SheetCache;
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -77,12 +79,10 @@
         /// State of this VM.
         news: PeerNews,
     },
-    /// Push the sheet in force.
-    PushSheet {
+    /// Ask for a newer sheet.
+    FetchSheet {
         /// Peer address.
         address: SocketAddr,
-        /// The sheet.
-        sheet: Arc<Sheet>,
     },
 }
 
@@ -124,8 +124,7 @@
     listen: SocketAddr,
     tls: PeerTls,
     rx: &Receiver<PeerJob>,
-    decision: &DecisionTx,
-    metrics: Arc<PeerMetrics>,
+    server: PeerServer,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -134,9 +133,8 @@
         let mut endpoint = Endpoint::server(tls.server, listen)
             .with_context(|| format!("listening for peers on {listen}"))?;
         endpoint.set_default_client_config(tls.client);
-        let server = PeerServer::new(decision.clone(), Arc::clone(&metrics));
-        spawn_local(server.accept(endpoint.clone()));
-        let transport = Rc::new(Transport::new(endpoint, decision.clone(), metrics));
+        spawn_local(server.clone().accept(endpoint.clone()));
+        let transport = Rc::new(Transport::new(endpoint, server));
         while let Ok(job) = rx.recv_async().await {
             spawn_local(carry_out(Rc::clone(&transport), job));
         }
@@ -150,15 +148,17 @@
     endpoint: Endpoint,
     decision: DecisionTx,
     metrics: Arc<PeerMetrics>,
+    sheets: Arc<SheetCache>,
     connections: RefCell<Map<SocketAddr, Connection>>,
 }
 
 impl Transport {
-    fn new(endpoint: Endpoint, decision: DecisionTx, metrics: Arc<PeerMetrics>) -> Self {
+    fn new(endpoint: Endpoint, server: PeerServer) -> Self {
         Self {
             endpoint,
-            decision,
-            metrics,
+            decision: server.decision,
+            metrics: server.metrics,
+            sheets: server.sheets,
             connections: RefCell::new(Map::default()),
         }
     }
@@ -229,13 +229,7 @@
             let body = peer_request::Body::Heartbeat(convert::heartbeat(&news));
             tell(&transport, address, body).await;
         }
-        PeerJob::PushSheet { address, sheet } => {
-            let push = SheetPush {
-                revision: sheet.revision,
-                sheet: sheet.text.clone(),
-            };
-            tell(&transport, address, peer_request::Body::Sheet(push)).await;
-        }
+        PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
         PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
         PeerJob::Close { tx } => {
             transport.endpoint.close(VarInt::from_u32(0), b"stopping");
@@ -311,3 +305,40 @@
         decision.tell_async(Command::HearPeer(news)).await;
     }
 }
+/// Brings the sheet here to the peer's; the whole one where the differences don't fit.
+async fn fetch_sheet(transport: &Transport, address: SocketAddr) {
+    for have in [transport.sheets.revision(), 0] {
+        let Some(update) = ask_for_sheet(transport, address, have).await else {
+            return;
+        };
+        match transport.sheets.take(update) {
+            Ok(None) => return,
+            Ok(Some(sheet)) => {
+                let cmd = Command::PutPeerSheet {
+                    sheet,
+                    from: address,
+                };
+                transport.decision.tell_async(cmd).await;
+                return;
+            }
+            Err(e) => {
+                let error = e.to_string();
+                debug!(peer:% = address, have, error = error.as_str(); "sheet_update_unusable");
+            }
+        }
+    }
+}
+
+async fn ask_for_sheet(
+    transport: &Transport,
+    address: SocketAddr,
+    have: u64,
+) -> Option<SheetUpdate> {
+    let body = Some(peer_request::Body::FetchSheet(FetchSheet { have }));
+    let req = PeerRequest { body };
+    let reply = transport.exchange(address, &req, CONTROL_TIMEOUT).await;
+    match reply.ok()?.body? {
+        peer_reply::Body::Sheet(update) => Some(update),
+        _ => None,
+    }
+}
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -6,7 +6,9 @@
 
 use anyhow::bail;
 use clap::Parser;
-use geraniumrelay_core::names::{DataCentre, VmName};
+use geraniumrelay_core::names::{DataCentre, OperatorName, TeamName, VmName};
+
+use crate::credentials::Credential;
 
 /// Shortest life of an idempotency key's binding; well beyond the time for which an owner may still
 /// take its ticket for fresh.
@@ -39,6 +41,19 @@
     #[arg(long, env = "GERANIUMRELAY_PEER_ADVERTISE")]
     pub peer_advertise: Option<SocketAddr>,
 
+    /// IP and port for operators; none of the operators' interface without it.
+    #[arg(long, env = "GERANIUMRELAY_OPERATOR_LISTEN")]
+    pub operator_listen: Option<SocketAddr>,
+
+    /// Operators who may sign in: NAME:SHA256-OF-TOKEN, separated by commas.
+    #[arg(long, env = "GERANIUMRELAY_OPERATORS", value_delimiter = ',')]
+    pub operators: Vec<Credential<OperatorName>>,
+
+    /// Callers' teams: NAME:SHA256-OF-TOKEN, separated by commas. Where set, a request without the
+    /// token of one of them is refused.
+    #[arg(long, env = "GERANIUMRELAY_TEAMS", value_delimiter = ',')]
+    pub teams: Vec<Credential<TeamName>>,
+
     /// Base URL of the platform.
     #[arg(long, env = "GERANIUMRELAY_PLATFORM")]
     pub platform: String,
