--- a/crates/geraniumrelay-testkit/src/entry_process.rs
+++ b/crates/geraniumrelay-testkit/src/entry_process.rs
@@ -50,6 +50,8 @@
     pub platform: String,
     /// Certificates.
     pub certs: TestCerts,
+    /// Peer address that the others are told, where it is not the one that it listens on.
+    pub peer_advertise: Option<SocketAddr>,
     /// Further settings, as environment variables.
     pub settings: Vec<(String, String)>,
 }
@@ -62,6 +64,7 @@
             data_centre: data_centre.to_owned(),
             platform,
             certs,
+            peer_advertise: None,
             settings: Vec::new(),
         }
     }
@@ -76,8 +79,10 @@
     pub data_centre: String,
     /// Where it takes callers' requests.
     pub address: SocketAddr,
-    /// Where it takes requests of other entry processes.
+    /// Where other entry processes send their requests.
     pub peer_address: SocketAddr,
+    /// Where it listens for them.
+    pub peer_listen: SocketAddr,
     /// Where it takes operators' requests.
     pub operator_address: SocketAddr,
     child: Child,
@@ -90,7 +95,8 @@
     }
 
     /// Starts a process on given addresses.
-    pub fn start_at(plan: &EntryPlan, address: SocketAddr, peer_address: SocketAddr) -> Self {
+    pub fn start_at(plan: &EntryPlan, address: SocketAddr, peer_listen: SocketAddr) -> Self {
+        let peer_address = plan.peer_advertise.unwrap_or(peer_listen);
         let program = std::env::current_exe().expect("path of this program");
         let mut command = Command::new(program);
         command.args(TEST_PROGRAM_ARGS);
@@ -98,7 +104,8 @@
         command.env("GERANIUMRELAY_VM", &plan.vm);
         command.env("GERANIUMRELAY_DATA_CENTRE", &plan.data_centre);
         command.env("GERANIUMRELAY_LISTEN", address.to_string());
-        command.env("GERANIUMRELAY_PEER_LISTEN", peer_address.to_string());
+        command.env("GERANIUMRELAY_PEER_LISTEN", peer_listen.to_string());
+        command.env("GERANIUMRELAY_PEER_ADVERTISE", peer_address.to_string());
         let operator_address = free_address();
         command.env(
             "GERANIUMRELAY_OPERATOR_LISTEN",
@@ -118,6 +125,7 @@
             data_centre,
             address,
             peer_address,
+            peer_listen,
             operator_address,
             child,
         }
--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod certs;
 pub mod http_server;
 pub mod operators;
+pub mod peer_relay;
 pub mod platform;
 pub mod ports;
 pub mod target;
@@ -14,6 +15,7 @@
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
+pub use peer_relay::{LinkFaults, PeerRelay};
 pub use platform::{PlatformFaults, PlatformStandIn};
 pub use target::{StartRecord, TargetFaults, TargetStandIn};
 pub mod caller;
