feat(testkit): add an open-loop load tool and a tool that measures slopes

Cause: response against the ideal and wasted messages were measured one job at a time. Conclusion: the figures for the capacity page can be measured by commands.

--- /dev/null
+++ b/crates/geraniumrelay-testkit/examples/slopes.rs
@@ -0,0 +1,148 @@
+//! Measures what one entry process spends on each job, task start, heartbeat and claim.
+//!
+//! The slopes that docs/CAPACITY.md is worked out from.
+
+use std::hint::black_box;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use geraniumrelay_core::modules::claims::ClaimBook;
+use geraniumrelay_core::modules::jobs::JobKey;
+use geraniumrelay_core::{Incarnation, Reason, TicketKey, TicketMint};
+use geraniumrelay_testkit::entry_process::run_if_entry;
+use geraniumrelay_testkit::load::{LoadPlan, run};
+use geraniumrelay_testkit::usage::ProcessUsage;
+use geraniumrelay_testkit::{Balancer, Cluster, ClusterPlan};
+use geraniumrelay_wire::{Heartbeat, PeerReply, PeerRequest, peer_reply, peer_request};
+use prost::Message;
+
+/// Time of each measurement under load or at rest.
+const TIME: Duration = Duration::from_secs(10);
+
+/// Mean run time of tasks.
+const MEAN_RUN: Duration = Duration::from_millis(50);
+
+/// Targets, all in this process.
+const TARGETS: usize = 24;
+
+/// Claims whose memory is measured.
+const CLAIMS: u32 = 1_000_000;
+
+/// Pairs of jobs a second and tasks of each job.
+const LOADS: [(f64, usize); 4] = [(50.0, 1), (200.0, 1), (20.0, 10), (60.0, 10)];
+
+fn main() -> anyhow::Result<()> {
+    run_if_entry();
+    claims()?;
+    heartbeat_bytes();
+    for entries in [1, 2, 6] {
+        at_rest(entries)?;
+    }
+    for (rate, tasks) in LOADS {
+        under_load(rate, tasks)?;
+    }
+    Ok(())
+}
+
+/// Memory of a claim of each kind that is kept for long.
+fn claims() -> anyhow::Result<()> {
+    let key = TicketKey([1; 16]);
+    let mint = TicketMint::new("szeged".parse()?, Incarnation(1), key);
+    let before = ProcessUsage::read(std::process::id())?;
+    let started = Instant::now();
+    let mut book = ClaimBook::new(Incarnation(1), key);
+    for n in 0..CLAIMS {
+        let Some(ticket) = mint.mint() else { break };
+        if n % 2 == 0 {
+            book.claim(ticket, u128::from(n), JobKey::default());
+        } else {
+            book.spend(ticket, Reason::QueueFull);
+        }
+    }
+    let time = started.elapsed();
+    let after = ProcessUsage::read(std::process::id())?;
+    println!(
+        "claims {}: {:.0} bytes each, {:.0} ns each to mint and claim",
+        black_box(&book).len(),
+        to_f64(after.resident.saturating_sub(before.resident)) / f64::from(CLAIMS),
+        time.as_secs_f64() * 1e9 / f64::from(CLAIMS),
+    );
+    Ok(())
+}
+
+/// Encoded size of a heartbeat and of its reply, which is the peer's own.
+fn heartbeat_bytes() {
+    let beat = Heartbeat {
+        incarnation: u64::MAX,
+        vm: "a-name-of-sixteen".to_owned(),
+        data_centre: "viti-central-2".to_owned(),
+        revision: 1_000_000,
+        address: "10.100.100.100:10000".to_owned(),
+        ..Heartbeat::default()
+    };
+    let req = PeerRequest {
+        body: Some(peer_request::Body::Heartbeat(beat.clone())),
+    };
+    let reply = PeerReply {
+        body: Some(peer_reply::Body::Heartbeat(beat)),
+    };
+    println!(
+        "heartbeat: {} bytes and {} bytes in reply, encoded",
+        req.encoded_len(),
+        reply.encoded_len(),
+    );
+}
+
+fn at_rest(entries: usize) -> anyhow::Result<()> {
+    let cluster = Cluster::start(ClusterPlan::new(entries, 1));
+    let pid = cluster.entries[0].pid();
+    let before = ProcessUsage::read(pid)?;
+    thread::sleep(TIME);
+    let after = ProcessUsage::read(pid)?;
+    println!(
+        "at rest, {entries} entry processes: cpu {:.2} ms/s, peers thread {:.2} ms/s, decision \
+         thread {:.2} ms/s, resident {:.1} MB",
+        millis_per_s(after.cpu_since(&before)),
+        millis_per_s(after.thread_since(&before, "peers")),
+        millis_per_s(after.thread_since(&before, "decision")),
+        to_f64(after.resident) / 1e6,
+    );
+    Ok(())
+}
+
+fn under_load(rate: f64, tasks: usize) -> anyhow::Result<()> {
+    let cluster = Cluster::start(ClusterPlan::new(1, TARGETS));
+    let balancer = Balancer::new(cluster.addresses(), 1);
+    let pid = cluster.entries[0].pid();
+    let plan = LoadPlan {
+        seed: 1,
+        rate,
+        tasks,
+        time: TIME,
+        mean_run: MEAN_RUN,
+        callers: 64,
+    };
+    let before = ProcessUsage::read(pid)?;
+    let report = run(&plan, &balancer);
+    let after = ProcessUsage::read(pid)?;
+    let starts: u32 = cluster.starts_per_task().values().sum();
+    println!(
+        "jobs {} of {tasks}, starts {starts}, complete {}: cpu {:.0} us a start, decision thread \
+         {:.1} us a start, resident {:.1} MB",
+        report.jobs,
+        report.complete,
+        after.cpu_since(&before).as_secs_f64() * 1e6 / f64::from(starts.max(1)),
+        after.thread_since(&before, "decision").as_secs_f64() * 1e6 / f64::from(starts.max(1)),
+        to_f64(after.resident) / 1e6,
+    );
+    Ok(())
+}
+
+fn millis_per_s(cpu: Duration) -> f64 {
+    cpu.as_secs_f64() * 1_000.0 / TIME.as_secs_f64()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "bytes far below 2^52")]
+fn to_f64(bytes: u64) -> f64 {
+    bytes as f64
+}
--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod platform;
 pub mod ports;
 pub mod target;
+pub mod usage;
+pub mod workload;
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
@@ -17,6 +19,8 @@
 pub mod caller;
 pub mod cluster;
 pub mod entry_process;
+pub mod faults;
+pub mod load;
 
 pub use caller::Caller;
 pub use cluster::{Cluster, ClusterPlan};
