feat(testkit): run seeded fault schedules over real processes and audit them

Cause: only single failures were tested, each by a hand-written test. Change: schedules of kill, pause, store away or slow, lost reply, failing, slow, hanging and leaving targets, cancellation waves and rolling replacement, alone or two at once. Callers resubmit through other entry VMs, send copies at once and late, and cancel. Each round compares the targets' own start records with every answer: second starts, untrue NotRun, partial or foreign answers, requests without a reply, jobs that a planned stop cut off, starts on a leaving target. A job that failed because full targets refused its tasks is load and not a cut: it counts as failed.

--- /dev/null
+++ b/crates/geraniumrelay-testkit/examples/faults.rs
@@ -0,0 +1,73 @@
+//! Longer runs of seeded fault schedules over real entry processes; exits 0 only without a
+//! violation.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use geraniumrelay_testkit::entry_process::run_if_entry;
+use geraniumrelay_testkit::faults::{Audit, Schedule, run_round};
+
+/// Runs rounds of faults, one seed after the other, and audits each.
+#[derive(Debug, Parser)]
+struct Args {
+    /// Seed of the first round.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Minutes in which rounds begin.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(0..=240))]
+    minutes: u64,
+    /// Rounds at most.
+    #[arg(long, default_value_t = u64::MAX)]
+    rounds: u64,
+}
+
+fn main() -> ExitCode {
+    run_if_entry();
+    let args = Args::parse();
+    let until = Instant::now() + Duration::from_mins(args.minutes);
+    let mut total = Audit::default();
+    let mut rounds = 0;
+    while rounds < args.rounds && (rounds == 0 || Instant::now() < until) {
+        let report = run_round(Schedule::new(args.seed + rounds));
+        rounds += 1;
+        let faults: Vec<_> = report
+            .schedule
+            .faults
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        println!(
+            "seed {} {}: {}",
+            report.schedule.seed,
+            faults.join("+"),
+            line(&report.audit)
+        );
+        for violation in &report.audit.violations {
+            println!("  VIOLATION {violation}");
+        }
+        total.add(report.audit);
+    }
+    println!("{rounds} rounds from seed {}: {}", args.seed, line(&total));
+    if total.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn line(audit: &Audit) -> String {
+    format!(
+        "requests {} submissions {} complete {} failed {} not-run {} may-have-run {} lost {} \
+         starts {} violations {}",
+        audit.requests,
+        audit.submissions,
+        audit.complete,
+        audit.failed,
+        audit.not_run,
+        audit.may_have_run,
+        audit.lost,
+        audit.starts,
+        audit.violations.len(),
+    )
+}
--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -138,6 +138,17 @@
         self.list();
     }
 
+    /// Starts the process of an entry VM again, at its old addresses.
+    pub fn restart_entry(&mut self, n: usize) {
+        let old = &mut self.entries[n];
+        old.kill();
+        let (platform, certs) = (self.platform.url(), self.certs.clone());
+        let mut plan = EntryPlan::new(&old.vm, &old.data_centre, platform, certs);
+        plan.settings.clone_from(&self.plan.settings);
+        let (address, peer_address) = (old.address, old.peer_address);
+        self.entries[n] = EntryProcess::start_at(&plan, address, peer_address);
+    }
+
     /// Lists the VMs as they are now.
     pub fn list(&self) {
         let entries = self.entries.iter().map(EntryProcess::listing);
@@ -157,6 +168,12 @@
     /// Has the plan's sheet accepted as `revision`.
     pub fn apply(&self, revision: u64) {
         let client = PlatformClient::new(PlatformConfig::new(self.platform.url()));
+        let (record, audit) = self.records(revision);
+        let outcome = SheetStore::new(&client).accept(revision - 1, &record, &audit);
+        assert_eq!(outcome, Ok(Acceptance::Accepted { revision }));
+    }
+
+    fn records(&self, revision: u64) -> (SheetRecord, AuditEntry) {
         let apply_id = format!("apply-{revision}");
         let record = SheetRecord {
             revision,
@@ -168,8 +185,28 @@
             apply_id,
             ..AuditEntry::default()
         };
-        let outcome = SheetStore::new(&client).accept(revision - 1, &record, &audit);
-        assert_eq!(outcome, Ok(Acceptance::Accepted { revision }));
+        (record, audit)
+    }
+
+    /// Has the plan's sheet accepted again as `revision`, although the reply to the write is lost.
+    pub fn apply_with_lost_reply(&self, revision: u64) {
+        let client = PlatformClient::new(PlatformConfig::new(self.platform.url()));
+        let (record, audit) = self.records(revision);
+        let store = SheetStore::new(&client);
+        let first = store.accept(revision - 1, &record, &audit);
+        assert!(first.is_err(), "the reply is lost: {first:?}");
+        let again = store.accept(revision - 1, &record, &audit);
+        assert_eq!(again, Ok(Acceptance::Accepted { revision }));
+    }
+
+    /// Waits until one entry process answers that it is ready.
+    pub fn wait_serving(&self, n: usize) {
+        let (caller, until) = (Caller::new(), Instant::now() + READY_TIMEOUT);
+        let entry = &self.entries[n];
+        while caller.get(entry.address, "/readyz").0 != 200 {
+            assert!(Instant::now() < until, "{} is not ready in time", entry.vm);
+            std::thread::sleep(READY_STEP);
+        }
     }
 
     /// Waits until every entry process is ready, has heard all others and knows its targets.
