--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use flume::Receiver;
-use geraniumrelay_core::{Clock, Origin, Query, Reason, Rejection, Reply, Ticket};
+use geraniumrelay_core::{
+    Clock, JobSpec, Origin, Query, Reason, Rejection, Reply, Ticket, Verdict,
+};
 use geraniumrelay_wire::{JobAnswer, JobRequest, Tickets};
 use hyper::body::Incoming;
 use hyper::{StatusCode, Uri};
@@ -33,7 +35,7 @@
             Ok(Some(n)) if (1..=MAX_TICKETS).contains(&n) => n,
             Ok(Some(_)) | Err(BadParam) => {
                 let detail = format!("count is a whole number from 1 to {MAX_TICKETS}");
-                return problem::of_request(400, "bad-count", detail);
+                return problem::of_request(400, "bad-count", Verdict::NotRun, detail);
             }
         };
         let tickets: Vec<Ticket> = (0..count).map_while(|_| self.mint.mint()).collect();
@@ -53,14 +55,9 @@
         let Ok(ticket) = ticket.parse() else {
             return bad_ticket();
         };
-        let job = match read_json::<JobRequest>(body, self.max_body).await {
-            Ok(job) => job,
-            Err(e) => return problem::of_body(e),
-        };
-        let digest = convert::digest_of(&job);
-        let Some(job) = convert::job_spec(job) else {
-            let detail = "service, kind and team are names of a-z, 0-9, '-' and '_'";
-            return problem::of_request(422, "bad-name", detail);
+        let (digest, job) = match self.read_job(body).await {
+            Ok(read) => read,
+            Err(res) => return res,
         };
         self.call(Call::Submit {
             ticket,
@@ -71,6 +68,20 @@
         .await
     }
 
+    /// Reads a submission with the hash of its content. Nothing is decided where it can't be used,
+    /// and an earlier request under the same name may have run.
+    pub(super) async fn read_job(&self, body: Incoming) -> Result<(u128, JobSpec), Response> {
+        let job = read_json::<JobRequest>(body, self.max_body).await;
+        let job = job.map_err(problem::of_body)?;
+        let digest = convert::digest_of(&job);
+        let Some(job) = convert::job_spec(job) else {
+            let detail = "service, kind and team are names of a-z, 0-9, '-' and '_'";
+            let verdict = Verdict::MayHaveRun;
+            return Err(problem::of_request(422, "bad-name", verdict, detail));
+        };
+        Ok((digest, job))
+    }
+
     /// `GET /v1/jobs/{ticket}`
     pub(super) async fn query(&self, ticket: &str, uri: &Uri) -> Response {
         let Ok(ticket) = ticket.parse() else {
@@ -80,7 +91,8 @@
             Ok(None) => Duration::ZERO,
             Ok(Some(ms)) => Duration::from_millis(ms).min(MAX_QUERY_WAIT),
             Err(BadParam) => {
-                return problem::of_request(400, "bad-wait", "wait_ms is a number of milliseconds");
+                let detail = "wait_ms is a number of milliseconds";
+                return problem::of_request(400, "bad-wait", Verdict::MayHaveRun, detail);
             }
         };
         if let Some(reply) = self.known(ticket, wait).await {
@@ -122,17 +134,22 @@
             Ok(reply) => reply.ok(),
             Err(_) => self.known(ticket, Duration::ZERO).await,
         };
-        reply.map_or_else(overloaded, |reply| self.respond(reply))
+        let Some(reply) = reply else {
+            return overloaded();
+        };
+        self.respond(self.journal.instead_of(reply, ticket, None).await)
     }
 
-    async fn call(&self, call: Call) -> Response {
+    pub(super) async fn call(&self, call: Call) -> Response {
         let started = self.clock.now();
+        let (ticket, digest) = (call.ticket(), call.digest());
         let Ok(rx) = self.decision.call(call) else {
             return overloaded();
         };
         let Ok(reply) = rx.recv_async().await else {
             return overloaded();
         };
+        let reply = self.journal.instead_of(reply, ticket, digest).await;
         if let Reply::Answer { answer, .. } = &reply {
             let seconds = self.clock.now().duration_since(started).as_secs_f64();
             self.metrics.count_answer(answer.verdict, seconds);
@@ -153,13 +170,16 @@
             Reply::Progress(progress) => {
                 response::json(StatusCode::ACCEPTED, &convert::job_state(progress))
             }
-            Reply::Rejected(rejection) => {
-                self.metrics.count_refusal(&rejection.reason.to_string());
-                problem::of_rejection(rejection, self.mint.mint())
-            }
+            Reply::Rejected(rejection) => self.refuse(rejection),
         }
     }
 
+    /// Refuses with a ticket for the caller's next submission.
+    pub(super) fn refuse(&self, rejection: Rejection) -> Response {
+        self.metrics.count_refusal(&rejection.reason.to_string());
+        problem::of_rejection(rejection, self.mint.mint())
+    }
+
     fn next_ticket(&self) -> String {
         self.mint
             .mint()
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -5,9 +5,12 @@
 
 mod body;
 mod jobs;
+mod keys;
+mod listener;
 mod params;
 mod problem;
 mod response;
 mod server;
 
-pub use server::{HttpServer, Intake};
+pub use listener::HttpServer;
+pub use server::Intake;
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -18,7 +18,10 @@
 use crate::clock::SystemClock;
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
+use crate::durable::Durable;
 use crate::http::{HttpServer, Intake};
+use crate::journal::JournalTx;
+use crate::limits;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerTx};
@@ -26,9 +29,6 @@
 use crate::requests::DecisionTx;
 use crate::settings::Settings;
 
-/// Time for the last replies to leave their sockets.
-const LAST_REPLIES: Duration = Duration::from_millis(200);
-
 /// Runs the process until it is told to stop and everything in flight has ended.
 ///
 /// # Errors
@@ -37,11 +37,12 @@
 pub fn run(settings: &Settings) -> anyhow::Result<()> {
     crate::logging::init();
     settings.check()?;
+    limits::raise_open_files();
     let entry = Entry::start(settings)?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("signals")?;
     let signal = signals.forever().next();
     info!(signal:? = signal; "stopping");
-    entry.stop(settings.stop_timeout);
+    entry.stop(settings.stop_grace, settings.stop_timeout);
     Ok(())
 }
 
@@ -49,6 +50,7 @@
 #[derive(Debug)]
 struct Entry {
     decision: DecisionTx,
+    journal: JournalTx,
     drained: Receiver<()>,
     http: HttpServer,
     is_stopping: Arc<AtomicBool>,
@@ -68,8 +70,10 @@
         let (peers, peer_rx) = PeerTx::ring();
         let (drained_tx, drained) = flume::bounded(1);
         let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
+        let durable = Durable::start(clock, settings, identity, &cfg, &metrics)?;
         let outlets = Outlets {
             dispatch,
+            journal: durable.journal.clone(),
             peers,
             drained: drained_tx,
         };
@@ -95,11 +99,12 @@
             clock,
             decision: decision.clone(),
             mint,
+            keys: durable.keys,
+            journal: durable.reader,
             ticket_ttl,
             max_body: settings.max_body,
             metrics,
             is_stopping: Arc::clone(&is_stopping),
-            open_requests: Arc::default(),
         };
         let http = HttpServer::start(settings.listen, intake)?;
         info!(
@@ -109,23 +114,26 @@
         );
         Ok(Self {
             decision,
+            journal: durable.journal,
             drained,
             http,
             is_stopping,
         })
     }
 
-    fn stop(&self, timeout: Duration) {
+    fn stop(&self, grace: Duration, timeout: Duration) {
         self.is_stopping.store(true, Ordering::SeqCst);
-        let until = SystemClock.now() + timeout;
+        let began = SystemClock.now();
+        let until = began + timeout;
         self.decision.tell(Command::Drain);
         let has_drained = self.drained.recv_deadline(until).is_ok();
-        let is_idle = self.http.wait_idle(&SystemClock, until);
-        thread::sleep(LAST_REPLIES);
-        if has_drained && is_idle {
+        thread::sleep((began + grace).saturating_duration_since(SystemClock.now()));
+        let is_idle = self.http.close(until);
+        let is_journaled = self.journal.close(until);
+        if has_drained && is_idle && is_journaled {
             info!("stopped");
         } else {
-            warn!(has_drained, is_idle; "stopped_with_work_in_flight");
+            warn!(has_drained, is_idle, is_journaled; "stopped_with_work_in_flight");
         }
     }
 }
@@ -139,7 +147,8 @@
     }
 }
 
-fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+/// Starts a named thread.
+pub(crate) fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(f)
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -8,6 +8,13 @@
 use clap::Parser;
 use geraniumrelay_core::names::{DataCentre, VmName};
 
+/// Shortest life of an idempotency key's binding; well beyond the time for which an owner may still
+/// take its ticket for fresh.
+const MIN_KEY_TTL: Duration = Duration::from_hours(1);
+
+/// Shortest time for which the journal keeps a submission.
+const MIN_JOURNAL_TTL: Duration = Duration::from_mins(1);
+
 /// Dispatcher for sub-second tasks: the process of one entry VM.
 #[derive(Debug, Clone, Parser)]
 #[command(version, about)]
@@ -45,13 +52,34 @@
     pub key: PathBuf,
 
     /// Threads that hold connections to targets.
-    #[arg(long, env = "GERANIUMRELAY_DISPATCH_THREADS", default_value_t = 512)]
+    #[arg(long, env = "GERANIUMRELAY_DISPATCH_THREADS", default_value_t = 2)]
     pub dispatch_threads: usize,
 
     /// Largest request body in bytes.
     #[arg(long, env = "GERANIUMRELAY_MAX_BODY", default_value_t = 1 << 20)]
     pub max_body: usize,
 
+    /// Time for which an idempotency key stays bound to its submission.
+    #[arg(long, env = "GERANIUMRELAY_KEY_TTL", default_value = "24h", value_parser = humantime::parse_duration)]
+    pub key_ttl: Duration,
+
+    /// Most group commits of idempotency keys a second.
+    #[arg(long, env = "GERANIUMRELAY_KEY_COMMITS", default_value_t = 40)]
+    pub key_commits: u32,
+
+    /// Time for which the journal keeps a submission.
+    #[arg(long, env = "GERANIUMRELAY_JOURNAL_TTL", default_value = "24h", value_parser = humantime::parse_duration)]
+    pub journal_ttl: Duration,
+
+    /// Most group commits of the journal a second.
+    #[arg(long, env = "GERANIUMRELAY_JOURNAL_COMMITS", default_value_t = 10)]
+    pub journal_commits: u32,
+
+    /// Time from the start of a stop in which idle connections stay open, so that the balancer and
+    /// callers can turn away; each reply closes its connection.
+    #[arg(long, env = "GERANIUMRELAY_STOP_GRACE", default_value = "1s", value_parser = humantime::parse_duration)]
+    pub stop_grace: Duration,
+
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
@@ -79,12 +107,24 @@
                 self.platform
             ));
         }
-        if !(1..=4_096).contains(&self.dispatch_threads) {
-            faults.push("--dispatch-threads: allowed are 1 to 4096".to_owned());
+        if !(1..=64).contains(&self.dispatch_threads) {
+            faults.push("--dispatch-threads: allowed are 1 to 64".to_owned());
         }
         if !(1..=64 << 20).contains(&self.max_body) {
             faults.push("--max-body: allowed are 1 to 67108864 bytes".to_owned());
         }
+        if self.key_ttl < MIN_KEY_TTL {
+            faults.push("--key-ttl: allowed is 1h or more".to_owned());
+        }
+        if !(1..=1_000).contains(&self.key_commits) {
+            faults.push("--key-commits: allowed are 1 to 1000".to_owned());
+        }
+        if self.journal_ttl < MIN_JOURNAL_TTL {
+            faults.push("--journal-ttl: allowed is 1m or more".to_owned());
+        }
+        if !(1..=1_000).contains(&self.journal_commits) {
+            faults.push("--journal-commits: allowed are 1 to 1000".to_owned());
+        }
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
