--- a/crates/geraniumrelay-core/benches/policy/calls.rs
+++ b/crates/geraniumrelay-core/benches/policy/calls.rs
@@ -75,7 +75,7 @@
                 }
                 rejection.verdict
             }
-            Reply::Progress(_) => Verdict::MayHaveRun,
+            Reply::Progress(_) | Reply::HandOver(_) => Verdict::MayHaveRun,
         }
     }
 
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -2,25 +2,29 @@
 
 mod answer;
 mod cancel;
+mod handover;
 mod peers;
+mod report;
 mod run;
+mod sheets;
 mod submit;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Instant;
 
 use crate::collections::Map;
 use crate::command::Command;
 use crate::context::Context;
 use crate::effect::{Effect, Reply};
-use crate::modules::claims::{ClaimBook, Decision};
+use crate::modules::books::Books;
+use crate::modules::claims::Decision;
 use crate::modules::jobs::{JobKey, Jobs};
 use crate::modules::membership::Membership;
 use crate::modules::queue::Queue;
 use crate::modules::retry::RetryBudget;
-use crate::modules::sheet::{Sheet, SheetRules};
+use crate::modules::sheet::SheetRules;
+use crate::modules::sheet_fetch::SheetFetch;
 use crate::modules::targets::{TargetKey, Targets, TaskKey};
 use crate::names::{DataCentre, ServiceName, VmName};
 use crate::query::Query;
@@ -44,7 +48,7 @@
 pub struct Dispatcher {
     identity: Identity,
     mint: TicketMint,
-    claims: ClaimBook,
+    claims: Books,
     jobs: Jobs,
     /// Slots in use, by task; outlives a job that was answered early.
     running: Map<TaskKey, TargetKey>,
@@ -52,9 +56,11 @@
     targets: Targets,
     retries: RetryBudget,
     rules: SheetRules,
-    sheet: Option<Arc<Sheet>>,
+    sheet_fetch: SheetFetch,
     membership: Membership,
     deadlines: BTreeSet<(Instant, JobKey)>,
+    /// Requests that wait until the heir has acknowledged.
+    parked: VecDeque<handover::Parked>,
     is_draining: bool,
     is_drained: bool,
 }
@@ -64,7 +70,7 @@
     pub fn new(cx: &Context<'_>, identity: Identity, mint: TicketMint) -> Self {
         Self {
             identity,
-            claims: ClaimBook::new(identity.incarnation, mint.key()),
+            claims: Books::new(identity.incarnation, mint.key()),
             mint,
             jobs: Jobs::default(),
             running: Map::default(),
@@ -72,9 +78,10 @@
             targets: Targets::default(),
             retries: RetryBudget::new(&cx.cfg.retry),
             rules: SheetRules::default(),
-            sheet: None,
+            sheet_fetch: SheetFetch::default(),
             membership: Membership::default(),
             deadlines: BTreeSet::new(),
+            parked: VecDeque::new(),
             is_draining: false,
             is_drained: false,
         }
@@ -124,20 +131,26 @@
                 self.cancel(cx, ticket, waiter, origin, out);
             }
             Command::EndTask { task, outcome } => self.end_task(cx, task, outcome, out),
-            Command::PutSheet(sheet) => self.put_sheet(cx, sheet, out),
+            Command::PutSheet(sheet) => self.put_sheet(cx, &sheet, out),
+            Command::PutPeerSheet { sheet, from } => self.put_peer_sheet(cx, &sheet, from, out),
             Command::ListTargets(infos) => {
                 self.targets.list(&infos);
                 self.start_all(cx, out);
             }
             Command::ListPeers(listed) => self.membership.list(cx, listed),
             Command::HearPeer(news) => self.hear_peer(cx, news, out),
-            Command::Drain => {
-                self.mint.close();
-                self.is_draining = true;
+            Command::TakeHandOver { message, waiter } => {
+                self.take_hand_over(cx, &message, waiter, out);
             }
+            Command::HearHeir {
+                owner,
+                number,
+                reply,
+            } => self.hear_heir(cx, owner, number, reply, out),
+            Command::Drain => self.drain(cx, out),
             Command::Tick => self.tick(cx, out),
         }
-        self.report_drained(out);
+        self.report_drained(cx, out);
     }
 
     /// Answers a question without changing anything.
@@ -172,6 +185,11 @@
         self.membership.heard(cx)
     }
 
+    /// Whether every known peer has been heard, or has had the time to be.
+    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
+        self.membership.is_settled(cx)
+    }
+
     /// Number of targets known.
     pub fn targets_known(&self) -> usize {
         self.targets.len()
@@ -182,32 +200,15 @@
         self.targets.resume(cx.now);
         self.expire(cx, out);
         self.start_all(cx, out);
+        self.fetch_sheet(cx, out);
+        self.hand_over(cx, out);
         self.beat(cx, out);
     }
 
-    fn put_sheet(&mut self, cx: &Context<'_>, sheet: Arc<Sheet>, out: &mut Vec<Effect>) {
-        if sheet.revision <= self.rules.revision {
-            return;
-        }
-        self.rules = SheetRules::new(&sheet);
-        self.sheet = Some(sheet);
-        for (name, rule) in &self.rules.services {
-            let slots = rule
-                .slots
-                .get(&self.identity.data_centre)
-                .copied()
-                .unwrap_or(0);
-            self.targets.set_slots(*name, slots);
-        }
-        out.push(Effect::SheetInForce {
-            revision: self.rules.revision,
-        });
-        self.push_sheet_to_all(out);
-        self.start_all(cx, out);
-    }
-
-    fn report_drained(&mut self, out: &mut Vec<Effect>) {
-        if self.is_draining && !self.is_drained && self.jobs.is_empty() && self.running.is_empty() {
+    fn report_drained(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let is_idle = self.jobs.is_empty() && self.running.is_empty();
+        let is_due = self.is_draining && !self.is_drained;
+        if is_due && is_idle && self.is_handed_over(cx) {
             self.is_drained = true;
             out.push(Effect::Drained);
         }
--- a/crates/geraniumrelay-core/tests/model/dispatcher.rs
+++ b/crates/geraniumrelay-core/tests/model/dispatcher.rs
@@ -211,7 +211,7 @@
         let (n, body) = self.waiters[&waiter.0];
         let seen = &mut self.seen[n];
         let verdict = match reply {
-            Reply::Progress(_) => return,
+            Reply::Progress(_) | Reply::HandOver(_) => return,
             Reply::Rejected(rejection) => rejection.verdict,
             Reply::Answer { ticket, answer } => {
                 assert_eq!(ticket, seen.ticket, "a foreign answer");
--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use geraniumrelay_platform::{
@@ -131,22 +131,23 @@
 
     /// Starts one more entry process and lists it.
     pub fn add_entry(&mut self, vm: &str, data_centre: &str) {
-        let (platform, certs) = (self.platform.url(), self.certs.clone());
-        let mut plan = EntryPlan::new(vm, data_centre, platform, certs);
-        plan.settings.clone_from(&self.plan.settings);
+        let plan = self.entry_plan(vm, data_centre);
         self.entries.push(EntryProcess::start(&plan));
         self.list();
     }
 
-    /// Starts the process of an entry VM again, at its old addresses.
-    pub fn restart_entry(&mut self, n: usize) {
-        let old = &mut self.entries[n];
-        old.kill();
+    /// Starts an entry process that has ended anew: the same VM, another incarnation.
+    pub fn restart_entry(&mut self, entry: usize) {
+        let old = &self.entries[entry];
+        let plan = self.entry_plan(&old.vm, &old.data_centre);
+        self.entries[entry] = EntryProcess::start_at(&plan, old.address, old.peer_address);
+    }
+
+    fn entry_plan(&self, vm: &str, data_centre: &str) -> EntryPlan {
         let (platform, certs) = (self.platform.url(), self.certs.clone());
-        let mut plan = EntryPlan::new(&old.vm, &old.data_centre, platform, certs);
+        let mut plan = EntryPlan::new(vm, data_centre, platform, certs);
         plan.settings.clone_from(&self.plan.settings);
-        let (address, peer_address) = (old.address, old.peer_address);
-        self.entries[n] = EntryProcess::start_at(&plan, address, peer_address);
+        plan
     }
 
     /// Lists the VMs as they are now.
@@ -228,6 +229,17 @@
         }
     }
 
+    /// Addresses of all entry processes for operators.
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        entries.map(|entry| entry.operator_address).collect()
+    }
+
+    /// Directory for files of a test; removed with the cluster.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
     /// Addresses of all entry processes for callers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.entries.iter().map(|entry| entry.address).collect()
--- a/crates/geraniumrelay-testkit/src/faults/round.rs
+++ b/crates/geraniumrelay-testkit/src/faults/round.rs
@@ -29,6 +29,9 @@
 /// Writes whose replies are lost, those of entry processes among them.
 const LOST_REPLIES: u32 = 3;
 
+/// Time for which a stopping entry process keeps idle connections; longer than the balancer's lag.
+const STOP_LINGER: &str = "1s";
+
 /// Waves of cancellations in a round.
 const CANCEL_WAVES: u64 = 4;
 
@@ -46,7 +49,8 @@
 
 /// Runs one round.
 pub fn run_round(schedule: Schedule) -> RoundReport {
-    let cluster = Cluster::start(ClusterPlan::new(ENTRIES, TARGETS));
+    let plan = ClusterPlan::new(ENTRIES, TARGETS);
+    let cluster = Cluster::start(plan.with_setting("GERANIUMRELAY_STOP_LINGER", STOP_LINGER));
     let desk = Desk::default();
     desk.offer(cluster.addresses());
     let callers = desk.open(schedule.seed);
--- a/crates/geraniumrelay-testkit/tests/caller_connections.rs
+++ b/crates/geraniumrelay-testkit/tests/caller_connections.rs
@@ -80,7 +80,7 @@
 
 #[test]
 fn a_kept_connection_is_answered_while_a_stop_begins() {
-    let plan = ClusterPlan::new(1, 1).with_setting("GERANIUMRELAY_STOP_GRACE", "15s");
+    let plan = ClusterPlan::new(1, 1).with_setting("GERANIUMRELAY_STOP_LINGER", "15s");
     let cluster = Cluster::start(plan);
     let entry = cluster.entries[0].address;
     let caller = Caller::new();
--- a/crates/geraniumrelay-testkit/tests/journal.rs
+++ b/crates/geraniumrelay-testkit/tests/journal.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
-use geraniumctl::commands::jobs::{JobList, JobsArgs, Standing, list_jobs};
+use geraniumctl::commands::journal::{JobList, JournalArgs, Standing, list_jobs};
 use geraniumrelay_platform::{
     CommitOutcome, JournalCommit, JournalStore, PlatformClient, PlatformConfig,
 };
@@ -57,10 +57,10 @@
     let client = client(&cluster.platform);
     let store = JournalStore::new(&client);
     let (rows, writers) = (store.all().unwrap(), store.writers().unwrap());
-    let args = JobsArgs {
+    let args = JournalArgs {
         unresolved,
         service: None,
-        json: false,
+        platform: None,
     };
     list_jobs(&rows, &writers, SystemTime::now() + WRITER_SILENCE, &args)
 }
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -7,15 +7,19 @@
 const REGENERATE: &str = "GERANIUMRELAY_REGENERATE";
 
 /// Messages whose JSON comes from callers or operators: an unknown field is their mistake.
-const STRICT: [&str; 2] = ["TaskRequest", "JobRequest"];
+const STRICT: [&str; 3] = ["TaskRequest", "JobRequest", "ApplySheet"];
 
 /// Messages that only cross between entry VMs have no JSON form.
-const BINARY_ONLY: [&str; 7] = [
+const BINARY_ONLY: [&str; 11] = [
     "ForwardSubmit",
     "ForwardQuery",
     "ForwardCancel",
     "Heartbeat",
-    "SheetPush",
+    "FetchSheet",
+    "SheetUpdate",
+    "HandedClaim",
+    "HandOver",
+    "HandOverReply",
     "PeerRequest",
     "PeerReply",
 ];
@@ -50,6 +54,8 @@
         "TaskRequest.expected_ms",
         "TableWrite.value",
         "JournalRow.answer",
+        "EntryStatus.heard_ms_ago",
+        "StatusReport.platform_ms_ago",
     ] {
         cfg.field_attribute(
             field,
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -2,14 +2,18 @@
 //! [`geraniumrelay_core`].
 //!
 //! One decision thread alone owns the dispatcher. HTTP intake, dispatch, peer transport and the
-//! platform poller are threads of their own, joined to it by bounded rings.
+//! platform poller are threads of their own, joined to it by bounded rings. Operators have an
+//! interface with an address of its own.
 
+mod certificate;
 mod clock;
 mod convert;
+mod credentials;
 mod decision;
 mod dispatch;
 mod durable;
 mod durable_metrics;
+mod handover_wire;
 mod http;
 mod journal;
 mod journal_reader;
@@ -17,12 +21,17 @@
 mod limits;
 mod logging;
 mod metrics;
+mod operator;
+mod peer_metrics;
+mod peer_server;
 mod peer_tls;
 mod peers;
+mod platform_contact;
 mod poller;
 mod process;
 mod requests;
 mod settings;
+mod sheet_cache;
 mod sweeper;
 
 pub use process::run;
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -6,7 +6,9 @@
 
 use anyhow::bail;
 use clap::Parser;
-use geraniumrelay_core::names::{DataCentre, VmName};
+use geraniumrelay_core::names::{DataCentre, OperatorName, TeamName, VmName};
+
+use crate::credentials::Credential;
 
 /// Shortest life of an idempotency key's binding; well beyond the time for which an owner may still
 /// take its ticket for fresh.
@@ -35,6 +37,23 @@
     #[arg(long, env = "GERANIUMRELAY_PEER_LISTEN")]
     pub peer_listen: SocketAddr,
 
+    /// IP and port that other entry VMs are told; `--peer-listen` where absent.
+    #[arg(long, env = "GERANIUMRELAY_PEER_ADVERTISE")]
+    pub peer_advertise: Option<SocketAddr>,
+
+    /// IP and port for operators; none of the operators' interface without it.
+    #[arg(long, env = "GERANIUMRELAY_OPERATOR_LISTEN")]
+    pub operator_listen: Option<SocketAddr>,
+
+    /// Operators who may sign in: NAME:SHA256-OF-TOKEN, separated by commas.
+    #[arg(long, env = "GERANIUMRELAY_OPERATORS", value_delimiter = ',')]
+    pub operators: Vec<Credential<OperatorName>>,
+
+    /// Callers' teams: NAME:SHA256-OF-TOKEN, separated by commas. Where set, a request without the
+    /// token of one of them is refused.
+    #[arg(long, env = "GERANIUMRELAY_TEAMS", value_delimiter = ',')]
+    pub teams: Vec<Credential<TeamName>>,
+
     /// Base URL of the platform.
     #[arg(long, env = "GERANIUMRELAY_PLATFORM")]
     pub platform: String,
@@ -75,14 +94,14 @@
     #[arg(long, env = "GERANIUMRELAY_JOURNAL_COMMITS", default_value_t = 10)]
     pub journal_commits: u32,
 
-    /// Time from the start of a stop in which idle connections stay open, so that the balancer and
-    /// callers can turn away; each reply closes its connection.
-    #[arg(long, env = "GERANIUMRELAY_STOP_GRACE", default_value = "1s", value_parser = humantime::parse_duration)]
-    pub stop_grace: Duration,
-
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
+
+    /// Shortest time from readiness off to the end, in which the balancer and the callers that keep
+    /// connections turn to other entry VMs.
+    #[arg(long, env = "GERANIUMRELAY_STOP_LINGER", default_value = "3s", value_parser = humantime::parse_duration)]
+    pub stop_linger: Duration,
 }
 
 impl Settings {
@@ -128,6 +147,9 @@
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
+        if self.stop_linger > self.stop_timeout {
+            faults.push("--stop-linger: must not be longer than --stop-timeout".to_owned());
+        }
         if faults.is_empty() {
             return Ok(());
         }
