--- a/crates/geraniumrelay-testkit/tests/caller_connections.rs
+++ b/crates/geraniumrelay-testkit/tests/caller_connections.rs
@@ -77,3 +77,17 @@
     let status = cluster.entries[0].wait(PATIENCE).expect("the process ends");
     assert!(status.success(), "{status}");
 }
+
+#[test]
+fn a_kept_connection_is_answered_while_a_stop_begins() {
+    let plan = ClusterPlan::new(1, 1).with_setting("GERANIUMRELAY_STOP_LINGER", "15s");
+    let cluster = Cluster::start(plan);
+    let entry = cluster.entries[0].address;
+    let caller = Caller::new();
+    let ticket = caller.tickets(entry, 1).remove(0);
+    cluster.entries[0].terminate();
+    // Far longer than a process without work needs to drain.
+    thread::sleep(Duration::from_millis(500));
+    let told = caller.submit(entry, &ticket, &job_of("kiallitas-pont", "score", &[20]));
+    assert!(matches!(told.verdict(), "Completed" | "NotRun"), "{told:?}");
+}
