--- a/crates/geraniumctl/src/exit.rs
+++ b/crates/geraniumctl/src/exit.rs
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Whether nobody reads the output any more.
+    pub fn is_broken_pipe(&self) -> bool {
+        let e = self.error.downcast_ref::<std::io::Error>();
+        e.is_some_and(|e| e.kind() == std::io::ErrorKind::BrokenPipe)
+    }
+
     /// Makes a failure of a message.
     pub fn message(exit: Exit, message: impl Into<String>) -> Self {
         Self::new(exit, anyhow::Error::msg(message.into()))
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -17,6 +17,8 @@
 pub fn run(cli: &Cli) -> ExitCode {
     match execute(cli, &mut io::stdout()) {
         Ok(()) => ExitCode::SUCCESS,
+        // Whoever read the output has seen enough, as `head` does.
+        Err(failure) if failure.is_broken_pipe() => ExitCode::SUCCESS,
         Err(failure) => {
             eprintln!("{failure}");
             failure.exit.into()
--- a/crates/geraniumrelay-testkit/examples/playground.rs
+++ b/crates/geraniumrelay-testkit/examples/playground.rs
@@ -1,6 +1,6 @@
 //! A system to try commands on: a platform, entry processes in three data centres and targets,
 //! all on loopback. Prints what to set, takes `platform away` and the like from standard input,
-//! and ends after a bounded time or at the end of its input.
+//! and ends after a bounded time or at Ctrl-C.
 
 use std::io::BufRead;
 use std::process::ExitCode;
@@ -12,6 +12,8 @@
 use geraniumrelay_testkit::entry_process::run_if_entry;
 use geraniumrelay_testkit::operators::token_of;
 use geraniumrelay_testkit::{Cluster, ClusterPlan, PlatformFaults};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 
 /// Targets of each data centre.
 const TARGETS: usize = 2;
@@ -43,8 +45,16 @@
         plan_outage(&cluster, after, args.platform_away_for);
     }
     let until = Instant::now() + Duration::from_mins(args.minutes);
-    let words = read_words();
-    while let Ok(line) = words.recv_timeout(until.saturating_duration_since(Instant::now())) {
+    let words = match read_words() {
+        Ok(words) => words,
+        Err(e) => {
+            eprintln!("signals: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    while let Ok(Word::Line(line)) =
+        words.recv_timeout(until.saturating_duration_since(Instant::now()))
+    {
         obey(&mut cluster, line.trim());
     }
     ExitCode::SUCCESS
@@ -89,19 +99,32 @@
     }
 }
 
-/// Lines of standard input; at its end the receiver waits for the time to run out.
-fn read_words() -> mpsc::Receiver<String> {
+/// What the person at the terminal wants.
+enum Word {
+    /// A line of input.
+    Line(String),
+    /// The end, by a signal.
+    Quit,
+}
+
+/// Lines of standard input until a signal; after the last line the time runs out.
+fn read_words() -> std::io::Result<mpsc::Receiver<Word>> {
     let (tx, rx) = mpsc::channel();
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let quit = tx.clone();
+    thread::spawn(move || {
+        signals.forever().next();
+        // The main thread may have ended by itself.
+        let _ = quit.send(Word::Quit);
+    });
     thread::spawn(move || {
         for line in std::io::stdin().lock().lines().map_while(Result::ok) {
-            if tx.send(line).is_err() {
+            if tx.send(Word::Line(line)).is_err() {
                 return;
             }
         }
-        // Keeps the channel open.
-        thread::park();
     });
-    rx
+    Ok(rx)
 }
 
 fn obey(cluster: &mut Cluster, line: &str) {
--- a/crates/geraniumrelay-testkit/examples/sheet_force.rs
+++ b/crates/geraniumrelay-testkit/examples/sheet_force.rs
@@ -26,6 +26,12 @@
 /// Longest time of one change.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Length of a cut; beyond the silence after which a process counts as gone.
+const CUT: Duration = Duration::from_millis(3_500);
+
 /// Time between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -58,6 +64,10 @@
     #[arg(long, default_value_t = 7)]
     data_centres: usize,
 
+    /// Cut one process off before each change, and measure from the end of the cut.
+    #[arg(long)]
+    cut: bool,
+
     /// Use the large sheet.
     #[arg(long)]
     large: bool,
@@ -79,9 +89,9 @@
     let cluster = Cluster::start(plan);
     let (_, reads_before) = cluster.platform.calls();
     let started = Instant::now();
-    let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+    let mut times = Histogram::<u64>::new_with_max(MAX_MICROS, 3).expect("bounds are allowed");
     for base in 1..=args.changes {
-        let Some(took) = change(&cluster, base, args.large) else {
+        let Some(took) = change(&cluster, base, &args) else {
             println!("change {base} did not come into force everywhere within {PATIENCE:?}");
             return ExitCode::FAILURE;
         };
@@ -90,9 +100,14 @@
     let (_, reads) = cluster.platform.calls();
     let seconds = started.elapsed().as_secs_f64();
     println!(
-        "{} changes, {} processes: accepted to in force everywhere p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+        "{} changes, {} processes: {} to in force everywhere p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
         args.changes,
         args.data_centres,
+        if args.cut {
+            "end of the cut"
+        } else {
+            "accepted"
+        },
         millis(times.value_at_quantile(0.5)),
         millis(times.value_at_quantile(0.99)),
         millis(times.max()),
@@ -103,34 +118,45 @@
 }
 
 /// Makes one change; returns the time until it is in force everywhere.
-fn change(cluster: &Cluster, base: u64, is_large: bool) -> Option<Duration> {
+fn change(cluster: &Cluster, base: u64, args: &Args) -> Option<Duration> {
     let entries = cluster.operator_addresses();
     let entry = entries[usize::try_from(base).ok()? % entries.len()];
     let workers = 100 + usize::try_from(base).ok()?;
     let req = ApplySheet {
         base,
         apply_id: format!("change-{base}"),
-        sheet: if is_large {
+        sheet: if args.large {
             large_sheet(workers)
         } else {
             small_sheet(workers)
         },
     };
+    let cut_off = &cluster.entries[usize::try_from(base + 1).ok()? % entries.len()];
+    if args.cut {
+        cut_off.pause();
+    }
     let outcome: ApplyOutcome = client(&[entry], "anna")
         .post(entry, SHEET_PATH, &req)
         .ok()?;
-    let accepted = Instant::now();
+    if !outcome.accepted {
+        return None;
+    }
+    if args.cut {
+        thread::sleep(CUT);
+        cut_off.resume();
+    }
+    let since = Instant::now();
     let revision = usize::try_from(outcome.revision).ok()?;
     let caller = Caller::new();
     for address in cluster.addresses() {
         while gauge(&caller, address, REVISION) < revision {
-            if accepted.elapsed() > PATIENCE {
+            if since.elapsed() > PATIENCE {
                 return None;
             }
             thread::sleep(LOOK_INTERVAL);
         }
     }
-    Some(accepted.elapsed())
+    Some(since.elapsed())
 }
 
 /// Prints the size of the large sheet and of one change of it.
