--- a/crates/geraniumrelay-core/benches/policy/calls.rs
+++ b/crates/geraniumrelay-core/benches/policy/calls.rs
@@ -17,6 +17,13 @@
     Copy,
     /// For the outcome of a cancellation.
     Cancel,
+    /// For slots.
+    Loan {
+        /// Entry VM that asks for them.
+        borrower: usize,
+        /// Entry VM that is asked.
+        lender: usize,
+    },
 }
 
 /// One waiter.
@@ -75,7 +82,7 @@
                 }
                 rejection.verdict
             }
-            Reply::Progress(_) => Verdict::MayHaveRun,
+            Reply::Progress(_) | Reply::Lent(_) => Verdict::MayHaveRun,
         }
     }
 
--- a/crates/geraniumrelay-core/benches/policy/faults.rs
+++ b/crates/geraniumrelay-core/benches/policy/faults.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::modules::policy::Policy;
 use geraniumrelay_core::modules::targets::TargetInfo;
 use geraniumrelay_core::{Command, Origin, Query, Reply};
 use rand::Rng;
@@ -39,7 +40,7 @@
 /// Time over which they don't hear it: from before its silence shows until 5 s after the death.
 const DEAF: (Duration, Duration) = (Duration::from_secs(7), Duration::from_secs(15));
 
-impl World {
+impl<P: Policy> World<P> {
     pub(super) fn is_cut(&self, from: usize, to: usize) -> bool {
         let (since, until) = DEAF;
         self.scenario.fault == Fault::VmDies
@@ -62,6 +63,7 @@
         let peers = (0..VMS).filter(is_listed).map(|n| PeerNews {
             incarnation: None,
             revision: 0,
+            spare: Vec::new(),
             ..self.vms[n].dispatcher.own_news()
         });
         let peers = peers.collect();
--- a/crates/geraniumrelay-core/benches/policy/main.rs
+++ b/crates/geraniumrelay-core/benches/policy/main.rs
@@ -3,6 +3,7 @@
 //! One small data centre with the real dispatchers and fake targets. The same seed gives the same
 //! table on any machine. With `--check` a missed bound makes it fail.
 
+mod baselines;
 mod calls;
 mod events;
 mod faults;
@@ -16,8 +17,14 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use geraniumrelay_core::modules::policy::{Policy, Standard};
 
-use crate::report::Run;
+use crate::baselines::{Declared, Fifo, RandomChoice, TwoChoices};
+use crate::report::{Miss, Run};
+use crate::scenario::Deployment;
+
+/// Scenario that the others are compared with.
+const REFERENCE: &str = "load70";
 
 /// Runs the scenarios and prints a table.
 #[derive(Debug, Parser)]
@@ -30,6 +37,10 @@
     #[arg(long, default_value = "")]
     only: String,
 
+    /// Run the policies that were not chosen, too.
+    #[arg(long)]
+    all: bool,
+
     /// Fail where a bound is missed.
     #[arg(long)]
     check: bool,
@@ -44,24 +55,12 @@
     report::print_head();
     let mut misses = Vec::new();
     for deployment in scenario::DEPLOYMENTS {
-        let mut reference_p99 = 1.0;
-        for scenario in scenario::scenarios() {
-            if !scenario.name.contains(&args.only) {
-                continue;
-            }
-            let tally = world::run(scenario, deployment, args.seed);
-            let run = Run {
-                deployment: deployment.name,
-                scenario,
-                policy: "today",
-                tally,
-                reference_p99,
-            };
-            if scenario.name == "load70" {
-                reference_p99 = run.tally.other_teams.p99();
-            }
-            report::print(&run);
-            misses.extend(report::misses(&run));
+        misses.extend(run_all::<Standard>(&args, deployment, "homes"));
+        if args.all {
+            run_all::<RandomChoice>(&args, deployment, "random");
+            run_all::<TwoChoices>(&args, deployment, "two");
+            run_all::<Fifo>(&args, deployment, "fifo");
+            run_all::<Declared>(&args, deployment, "declared");
         }
     }
     let is_ok = report::print_misses(&misses);
@@ -70,3 +69,28 @@
     }
     ExitCode::SUCCESS
 }
+
+/// Runs all scenarios with one set of policies; returns the bounds that were missed.
+fn run_all<P: Policy>(args: &Args, deployment: Deployment, policy: &'static str) -> Vec<Miss> {
+    let mut reference_p99 = f64::INFINITY;
+    let mut misses = Vec::new();
+    for scenario in scenario::scenarios() {
+        if !scenario.name.contains(&args.only) {
+            continue;
+        }
+        let tally = world::run::<P>(scenario, deployment, args.seed);
+        let run = Run {
+            deployment: deployment.name,
+            scenario,
+            policy,
+            tally,
+            reference_p99,
+        };
+        if scenario.name == REFERENCE {
+            reference_p99 = run.tally.other_teams.p99();
+        }
+        report::print(&run);
+        misses.extend(report::misses(&run));
+    }
+    misses
+}
--- a/crates/geraniumrelay-core/benches/policy/report.rs
+++ b/crates/geraniumrelay-core/benches/policy/report.rs
@@ -35,7 +35,7 @@
 /// Prints the head of the table.
 pub fn print_head() {
     println!(
-        "{:9} {:9} {:8} {:>6} {:>7} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6}",
+        "{:9} {:9} {:8} {:>6} {:>7} {:>6} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6}",
         "where",
         "scenario",
         "policy",
@@ -46,6 +46,7 @@
         "o.p99",
         "wasted",
         "control",
+        "loans",
         "jobs",
         "refus",
         "failed",
@@ -57,7 +58,7 @@
 pub fn print(run: &Run) {
     let tally = &run.tally;
     println!(
-        "{:9} {:9} {:8} {:>6.3} {:>7.2} {:>6.3} {:>7.2} {:>7.2} {:>7.4} {:>7.4} {:>7} {:>6} {:>6} {:>6}",
+        "{:9} {:9} {:8} {:>6.3} {:>7.2} {:>6.3} {:>7.2} {:>7.2} {:>7.4} {:>7.4} {:>7.4} {:>7} {:>6} {:>6} {:>6}",
         run.deployment,
         run.scenario.name,
         run.policy,
@@ -68,6 +69,7 @@
         tally.other_teams.p99(),
         tally.wasted_per_start(),
         tally.control_per_start(),
+        tally.loans_per_start(),
         tally.jobs,
         tally.refused,
         tally.failed + tally.lost,
--- a/crates/geraniumrelay-core/benches/policy/tally.rs
+++ b/crates/geraniumrelay-core/benches/policy/tally.rs
@@ -81,6 +81,8 @@
     pub wasted: u64,
     /// Heartbeats and their replies.
     pub control: u64,
+    /// Messages by which slots are borrowed and returned.
+    pub loans: u64,
     /// Jobs that were measured.
     pub jobs: u64,
     /// Refused ones among them.
@@ -107,6 +109,7 @@
             starts: HashMap::new(),
             wasted: 0,
             control: 0,
+            loans: 0,
             jobs: 0,
             refused: 0,
             failed: 0,
@@ -165,6 +168,11 @@
         per(self.control, self.starts.len())
     }
 
+    /// Messages about loans for each start.
+    pub fn loans_per_start(&self) -> f64 {
+        per(self.loans, self.starts.len())
+    }
+
     /// Most starts of one task.
     pub fn max_starts(&self) -> u32 {
         self.starts.values().copied().max().unwrap_or(0)
--- a/crates/geraniumrelay-core/benches/policy/workload.rs
+++ b/crates/geraniumrelay-core/benches/policy/workload.rs
@@ -7,8 +7,8 @@
 use geraniumrelay_core::command::TaskSpec;
 use geraniumrelay_core::modules::sheet::{Sheet, Urgency, parse_sheet};
 use geraniumrelay_core::names::{KindName, ServiceName, TeamName};
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 
 /// Service of the bench.
@@ -99,19 +99,22 @@
 }
 
 /// Makes the jobs that arrive before `end`, in the order of their arrival.
-pub fn make_jobs(rng: &mut StdRng, rates: Rates, end: Duration) -> Vec<Job> {
+///
+/// Each team has its own seed, so that one team's rate changes nothing for the others.
+pub fn make_jobs(seed: u64, rates: Rates, end: Duration) -> Vec<Job> {
+    let rng = &mut StdRng::seed_from_u64(seed);
     let urgent_work = mean_work(rng, 0..URGENT_KINDS);
     let other_work = mean_work(rng, URGENT_KINDS..KINDS.len());
     let work = rates.load * slots_f64(rates.slots);
     let mut jobs = arrivals(
-        rng,
+        seed,
         rates,
         end,
         0..URGENT_KINDS,
         work * URGENT_WORK / urgent_work,
     );
     let rest = work * (1.0 - URGENT_WORK) / other_work;
-    jobs.extend(arrivals(rng, rates, end, URGENT_KINDS..KINDS.len(), rest));
+    jobs.extend(arrivals(seed, rates, end, URGENT_KINDS..KINDS.len(), rest));
     jobs.sort_by_key(|job| job.at);
     jobs
 }
@@ -133,7 +136,7 @@
 }
 
 fn arrivals(
-    rng: &mut StdRng,
+    seed: u64,
     rates: Rates,
     end: Duration,
     kinds: std::ops::Range<usize>,
@@ -141,11 +144,13 @@
 ) -> Vec<Job> {
     let mut jobs = Vec::new();
     for team in 0..TEAMS {
+        let stream = u64::try_from(team * KINDS.len() + kinds.start).unwrap_or(0);
+        let rng = &mut StdRng::seed_from_u64(seed ^ (stream + 1) << 32);
         let factor = if team == 0 { rates.first_team } else { 1.0 };
         let mut at = Duration::ZERO;
         loop {
             let per_s = jobs_per_s * factor * burst_factor(rates, at) / slots_f64(TEAMS);
-            let gap = Exp::new(per_s).expect("a positive rate").sample(rng);
+            let gap = Exp::new(per_s).expect("a positive rate").sample(&mut *rng);
             at += micros(gap * 1e6);
             if at >= end {
                 break;
--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use geraniumrelay_core::modules::loans::{BorrowRequest, Grant};
 use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::modules::policy::Policy;
 use geraniumrelay_core::{
     Command, Config, Context, Dispatcher, Effect, Identity, Incarnation, Origin, PeerCall, Reason,
     Rejection, Reply, TaskId, TaskOutcome, TicketKey, TicketMint, Verdict, Waiter,
@@ -59,9 +61,9 @@
 
 /// One entry VM.
 #[derive(Debug)]
-pub struct Vm {
+pub struct Vm<P: Policy> {
     /// Its decisions.
-    pub dispatcher: Dispatcher,
+    pub dispatcher: Dispatcher<P>,
     mint: TicketMint,
     /// Whether it has not died.
     pub is_alive: bool,
@@ -70,7 +72,7 @@
 
 /// State of one run.
 #[derive(Debug)]
-pub struct World {
+pub struct World<P: Policy> {
     pub(super) epoch: Instant,
     pub(super) now: Duration,
     pub(super) cfg: Config,
@@ -78,7 +80,7 @@
     pub(super) scenario: Scenario,
     pub(super) deployment: Deployment,
     pub(super) events: Events<Event>,
-    pub(super) vms: Vec<Vm>,
+    pub(super) vms: Vec<Vm<P>>,
     pub(super) targets: Vec<Target>,
     pub(super) jobs: Vec<Job>,
     pub(super) calls: Vec<Option<Call>>,
@@ -89,8 +91,8 @@
 }
 
 /// Runs one scenario to its end.
-pub fn run(scenario: Scenario, deployment: Deployment, seed: u64) -> Tally {
-    let mut world = World::new(scenario, deployment, seed);
+pub fn run<P: Policy>(scenario: Scenario, deployment: Deployment, seed: u64) -> Tally {
+    let mut world = World::<P>::new(scenario, deployment, seed);
     world.schedule();
     while let Some((at, event)) = world.events.pop() {
         if at > PATIENCE {
@@ -102,10 +104,10 @@
     world.finish()
 }
 
-impl World {
+impl<P: Policy> World<P> {
     fn new(scenario: Scenario, deployment: Deployment, seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let jobs = workload::make_jobs(&mut rng, scenario.rates, END);
+        let rng = StdRng::seed_from_u64(seed);
+        let jobs = workload::make_jobs(seed, scenario.rates, END);
         let (epoch, cfg) = (Instant::now(), Config::default());
         let cx = Context::new(epoch, &cfg);
         let vms = (0..VMS).map(|n| make_vm(&cx, n)).collect();
@@ -238,7 +240,18 @@
                 self.tally.control += 2;
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
-            Effect::Journal(_)
+            Effect::Borrow { address, req } => self.borrow(vm, index_of(address), req),
+            Effect::Return(back) => {
+                let cmd = Command::TakeBack {
+                    loan: back.loan,
+                    slots: back.slots,
+                };
+                self.tally.loans += 1;
+                let lender = index_of(back.lender);
+                self.events.push(at, Event::Command(lender, cmd));
+            }
+            Effect::TargetEjected { .. }
+            | Effect::Journal(_)
             | Effect::FetchSheet { .. }
             | Effect::SheetInForce { .. }
             | Effect::Drained => {}
@@ -320,7 +333,49 @@
             .push(self.now + BETWEEN_VMS, Event::Command(to, cmd));
     }
 
+    fn borrow(&mut self, vm: usize, lender: usize, req: BorrowRequest) {
+        self.tally.loans += 2;
+        if !self.vms[lender].is_alive {
+            self.tally.wasted += 1;
+            let cmd = Command::TakeLoan {
+                service: req.service,
+                lender: vm_address(lender),
+                grant: None,
+            };
+            let at = self.now + CONNECT_TIMEOUT;
+            self.events.push(at, Event::Command(vm, cmd));
+            return;
+        }
+        let purpose = Purpose::Loan {
+            borrower: vm,
+            lender,
+        };
+        let waiter = self.waiter(0, purpose);
+        let at = self.now + BETWEEN_VMS;
+        let cmd = Command::Lend { req, waiter };
+        self.events.push(at, Event::Command(lender, cmd));
+    }
+
+    fn send_grant(&mut self, borrower: usize, lender: usize, grant: Grant) {
+        if grant.slots.is_empty() {
+            // Request and refusal.
+            self.tally.wasted += 2;
+        }
+        let cmd = Command::TakeLoan {
+            service: workload::service(),
+            lender: vm_address(lender),
+            grant: Some(grant),
+        };
+        let at = self.now + BETWEEN_VMS;
+        self.events.push(at, Event::Command(borrower, cmd));
+    }
+
     fn send_reply(&mut self, waiter: Waiter, reply: Reply) {
+        let purpose = self.waiters[index_of_waiter(waiter)].purpose;
+        if let (Purpose::Loan { borrower, lender }, Reply::Lent(grant)) = (purpose, &reply) {
+            self.send_grant(borrower, lender, grant.clone());
+            return;
+        }
         let via = self.waiters[index_of_waiter(waiter)].via;
         let hop = via.map_or(Duration::ZERO, |_| BETWEEN_VMS);
         let at = self.now + hop + self.deployment.to_caller;
@@ -438,7 +493,7 @@
     }
 }
 
-fn make_vm(cx: &Context<'_>, n: usize) -> Vm {
+fn make_vm<P: Policy>(cx: &Context<'_>, n: usize) -> Vm<P> {
     let number = u64::try_from(n).unwrap_or(0);
     let identity = Identity {
         vm: format!("e{n}").parse().expect("a name"),
@@ -449,7 +504,7 @@
     let key = TicketKey([7; 16]);
     let mint = TicketMint::new(identity.data_centre, identity.incarnation, key);
     Vm {
-        dispatcher: Dispatcher::new(cx, identity, mint.clone()),
+        dispatcher: Dispatcher::with_policy(cx, identity, mint.clone()),
         mint,
         is_alive: true,
         tick_at: Duration::ZERO,
--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -5,6 +5,7 @@
 
 use derive_more::Display;
 
+use crate::modules::loans::{BorrowRequest, Grant, LoanId, TargetSlots};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
@@ -138,6 +139,29 @@
     ListPeers(Vec<PeerNews>),
     /// Note a heartbeat of another entry VM.
     HearPeer(PeerNews),
+    /// Lend slots to another entry VM.
+    Lend {
+        /// What it wishes for.
+        req: BorrowRequest,
+        /// Who waits for the grant.
+        waiter: Waiter,
+    },
+    /// Take over the reply to a wish for slots.
+    TakeLoan {
+        /// Service whose slots were wished for.
+        service: ServiceName,
+        /// Peer address of the lender.
+        lender: SocketAddr,
+        /// Its reply, where there was one.
+        grant: Option<Grant>,
+    },
+    /// Take lent slots back.
+    TakeBack {
+        /// The loan.
+        loan: LoanId,
+        /// Slots that come back.
+        slots: Vec<TargetSlots>,
+    },
     /// Start nothing new and let what runs finish.
     Drain,
     /// Let time pass: deadlines, retries, heartbeats.
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -2,16 +2,24 @@
 
 pub mod admission;
 pub mod claims;
+pub mod headroom;
+pub mod health;
 pub mod journal;
+pub mod loans;
 pub mod membership;
 pub mod retry;
+pub mod shares;
 pub mod sheet;
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
+use headroom::HeadroomConfig;
+use health::HealthConfig;
 use journal::JournalConfig;
+use loans::LoansConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
+use shares::SharesConfig;
 use sheet::SheetConfig;
 
 /// Settings of all modules.
@@ -27,6 +35,14 @@
     pub membership: MembershipConfig,
     /// Settings of retries.
     pub retry: RetryConfig,
+    /// Settings of the slots kept free for urgent kinds.
+    pub headroom: HeadroomConfig,
+    /// Settings of target health.
+    pub health: HealthConfig,
+    /// Settings of borrowing.
+    pub loans: LoansConfig,
+    /// Settings of fair shares.
+    pub shares: SharesConfig,
     /// Settings of how sheets spread.
     pub sheet: SheetConfig,
 }
--- a/crates/geraniumrelay-core/src/dispatcher/answer.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/answer.rs
@@ -4,13 +4,14 @@
 
 use crate::context::Context;
 use crate::dispatcher::Dispatcher;
-use crate::effect::{Effect, Reply, TaskId};
-use crate::modules::jobs::{JobKey, TaskState};
+use crate::effect::{Answer, Effect, Reply, TaskId};
+use crate::modules::jobs::{Job, JobKey, TaskState};
 use crate::modules::journal::JournalEntry;
+use crate::modules::policy::Policy;
 use crate::reason::Reason;
 use crate::verdict::Verdict;
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     /// Answers a job and stops what still runs of it; `reason` is set where it failed.
     pub(super) fn finish_job(
         &mut self,
@@ -23,7 +24,10 @@
         let Some((job, answer)) = self.jobs.finish(key, reason) else {
             return;
         };
-        self.deadlines.remove(&(job.deadline, key));
+        self.deadlines.remove(&(job.timer, key));
+        if let Some(queue) = self.queues.get_mut(&job.service) {
+            queue.remove(key);
+        }
         let answer = Arc::new(answer);
         if answer.verdict == Verdict::NotRun {
             self.claims
@@ -35,15 +39,27 @@
             let answer = Some(Arc::clone(&answer));
             out.push(Effect::Journal(JournalEntry { intent, answer }));
         }
+        let reply = self.reply_to(&job, answer, reason);
         for waiter in job.waiters {
-            let reply = Reply::Answer {
-                ticket: job.ticket,
-                answer: Arc::clone(&answer),
-            };
+            let reply = reply.clone();
             out.push(Effect::Reply { waiter, reply });
         }
     }
 
+    /// What the waiters of an ended job get: the answer, or where nothing ran and nobody cancelled,
+    /// a refusal that says when to come back.
+    fn reply_to(&self, job: &Job, answer: Arc<Answer>, reason: Option<Reason>) -> Reply {
+        match reason {
+            Some(reason) if answer.verdict == Verdict::NotRun && reason != Reason::Cancelled => {
+                Reply::Rejected(self.later(job.service, job.urgency, reason))
+            }
+            _ => Reply::Answer {
+                ticket: job.ticket,
+                answer,
+            },
+        }
+    }
+
     fn stop_running(&self, key: JobKey, out: &mut Vec<Effect>) {
         let Some(job) = self.jobs.job(key) else {
             return;
@@ -66,14 +82,24 @@
         }
     }
 
-    /// Answers the jobs whose deadline has passed.
+    /// Answers the jobs whose deadline has passed, and at once those that can no longer meet it.
     pub(super) fn expire(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
-        while let Some(&(deadline, key)) = self.deadlines.first() {
-            if deadline > cx.now {
+        while let Some(&(timer, key)) = self.deadlines.first() {
+            if timer > cx.now {
                 return;
             }
             self.deadlines.pop_first();
-            self.finish_job(cx, key, Some(Reason::DeadlinePassed), out);
+            let Some(job) = self.jobs.job_mut(key) else {
+                continue;
+            };
+            if job.deadline <= cx.now {
+                self.finish_job(cx, key, Some(Reason::DeadlinePassed), out);
+            } else if job.has_started {
+                job.timer = job.deadline;
+                self.deadlines.insert((job.deadline, key));
+            } else {
+                self.finish_job(cx, key, Some(Reason::DeadlineUnreachable), out);
+            }
         }
     }
 }
--- a/crates/geraniumrelay-core/src/dispatcher/cancel.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/cancel.rs
@@ -6,10 +6,11 @@
 use crate::dispatcher::submit::reject;
 use crate::effect::{Effect, PeerCall, Rejection};
 use crate::modules::claims::Decision;
+use crate::modules::policy::Policy;
 use crate::reason::Reason;
 use crate::ticket::Ticket;
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     /// Cancels a job in flight, or spends a ticket that has not been submitted yet.
     pub(super) fn cancel(
         &mut self,
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -1,7 +1,9 @@
 //! The dispatcher: takes commands, decides, and pushes effects.
 
+mod admit;
 mod answer;
 mod cancel;
+mod lending;
 mod peers;
 mod report;
 mod run;
@@ -18,12 +20,17 @@
 use crate::effect::{Effect, Reply};
 use crate::modules::claims::{ClaimBook, Decision};
 use crate::modules::jobs::{JobKey, Jobs};
+use crate::modules::learnt::RunTimes;
+use crate::modules::loans::{Loans, Spare};
 use crate::modules::membership::Membership;
+use crate::modules::policy::{Policy, Standard};
 use crate::modules::queue::Queue;
 use crate::modules::retry::RetryBudget;
+use crate::modules::running::RunningTasks;
+use crate::modules::service_load::ServiceLoad;
 use crate::modules::sheet::SheetRules;
 use crate::modules::sheet_fetch::SheetFetch;
-use crate::modules::targets::{TargetKey, Targets, TaskKey};
+use crate::modules::targets::Targets;
 use crate::names::{DataCentre, ServiceName, VmName};
 use crate::query::Query;
 use crate::ticket::{Incarnation, TicketMint};
@@ -43,20 +50,30 @@
 
 /// Everything that one entry process decides.
 #[derive(Debug)]
-pub struct Dispatcher {
+pub struct Dispatcher<P: Policy = Standard> {
     identity: Identity,
     mint: TicketMint,
     claims: ClaimBook,
     jobs: Jobs,
-    /// Slots in use, by task; outlives a job that was answered early.
-    running: Map<TaskKey, TargetKey>,
-    queues: Map<ServiceName, Queue>,
-    targets: Targets,
+    running: RunningTasks,
+    run_times: RunTimes,
+    queues: Map<ServiceName, Queue<P::Order>>,
+    loads: Map<ServiceName, ServiceLoad>,
+    targets: Targets<P::Slots>,
+    loans: Loans,
+    /// What peers are told of the slots that could be lent.
+    spare: Vec<Spare>,
+    /// Members among which the targets were shared out.
+    home_members: Vec<VmName>,
+    /// Peer addresses of the other members.
+    home_peers: Vec<SocketAddr>,
     retries: RetryBudget,
     rules: SheetRules,
     sheet_fetch: SheetFetch,
     membership: Membership,
     deadlines: BTreeSet<(Instant, JobKey)>,
+    /// Start of the process.
+    epoch: Instant,
     is_draining: bool,
     is_drained: bool,
 }
@@ -64,19 +81,33 @@
 impl Dispatcher {
     /// Makes the dispatcher of a process that has just started.
     pub fn new(cx: &Context<'_>, identity: Identity, mint: TicketMint) -> Self {
+        Self::with_policy(cx, identity, mint)
+    }
+}
+
+impl<P: Policy> Dispatcher<P> {
+    /// Makes the dispatcher of a process that has just started, with other policies.
+    pub fn with_policy(cx: &Context<'_>, identity: Identity, mint: TicketMint) -> Self {
         Self {
             identity,
             claims: ClaimBook::new(identity.incarnation, mint.key()),
             mint,
             jobs: Jobs::default(),
-            running: Map::default(),
+            running: RunningTasks::default(),
+            run_times: RunTimes::default(),
             queues: Map::default(),
+            loads: Map::default(),
             targets: Targets::default(),
+            loans: Loans::default(),
+            spare: Vec::new(),
+            home_members: Vec::new(),
+            home_peers: Vec::new(),
             retries: RetryBudget::new(&cx.cfg.retry),
             rules: SheetRules::default(),
             sheet_fetch: SheetFetch::default(),
             membership: Membership::default(),
             deadlines: BTreeSet::new(),
+            epoch: cx.now,
             is_draining: false,
             is_drained: false,
         }
@@ -130,9 +161,21 @@
             Command::PutPeerSheet { sheet, from } => self.put_peer_sheet(cx, &sheet, from, out),
             Command::ListTargets(infos) => {
                 self.targets.list(&infos);
+                self.settle_homes(cx);
+                self.start_all(cx, out);
+            }
+            Command::ListPeers(listed) => {
+                self.membership.list(cx, listed);
+                self.settle_homes(cx);
                 self.start_all(cx, out);
             }
-            Command::ListPeers(listed) => self.membership.list(cx, listed),
+            Command::Lend { req, waiter } => self.lend(cx, req, waiter, out),
+            Command::TakeLoan {
+                service,
+                lender,
+                grant,
+            } => self.take_loan(cx, service, lender, grant, out),
+            Command::TakeBack { loan, slots } => self.take_back(cx, loan, &slots, out),
             Command::HearPeer(news) => self.hear_peer(cx, news, out),
             Command::Drain => {
                 self.mint.close();
@@ -157,7 +200,8 @@
     pub fn next_wake(&self) -> Option<Instant> {
         let deadline = self.deadlines.first().map(|(at, _)| *at);
         let resume = self.targets.next_resume();
-        [deadline, resume].into_iter().flatten().min()
+        let check = self.running.next_check();
+        [deadline, resume, check].into_iter().flatten().min()
     }
 
     /// Revision of the sheet in force; 0 before the first.
@@ -183,12 +227,34 @@
     fn tick(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         self.claims.advance(cx, self.mint.next_seq());
         self.targets.resume(cx.now);
+        self.check_running(cx, out);
         self.expire(cx, out);
+        self.settle_homes(cx);
+        self.tend_loans(cx, out);
         self.start_all(cx, out);
         self.fetch_sheet(cx, out);
+        self.spare = self.spare_now(cx);
         self.beat(cx, out);
     }
 
+    /// Shares the targets out anew where the members or the targets have changed.
+    fn settle_homes(&mut self, cx: &Context<'_>) {
+        let peers = self.membership.working(cx, self.identity.data_centre);
+        let mut members: Vec<VmName> = peers.iter().map(|(vm, _)| *vm).collect();
+        if !self.is_draining {
+            members.push(self.identity.vm);
+        }
+        members.sort_unstable();
+        members.dedup();
+        let has_changed = self.targets.take_changed();
+        if !has_changed && members == self.home_members {
+            return;
+        }
+        self.targets.assign_homes(self.identity.vm, &members);
+        self.home_members = members;
+        self.home_peers = peers.into_iter().map(|(_, address)| address).collect();
+    }
+
     fn report_drained(&mut self, out: &mut Vec<Effect>) {
         if self.is_draining && !self.is_drained && self.jobs.is_empty() && self.running.is_empty() {
             self.is_drained = true;
--- a/crates/geraniumrelay-core/src/dispatcher/peers.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/peers.rs
@@ -9,6 +9,7 @@
 use crate::effect::{Effect, PeerCall, Rejection};
 use crate::modules::claims::Decision;
 use crate::modules::membership::{Owner, PeerNews};
+use crate::modules::policy::Policy;
 use crate::reason::Reason;
 use crate::ticket::Ticket;
 
@@ -24,7 +25,7 @@
     pub(super) origin: Origin,
 }
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     /// Waits for the answer of a ticket without submitting anything.
     pub(super) fn watch(&mut self, cx: &Context<'_>, req: Watch, out: &mut Vec<Effect>) {
         let Watch {
@@ -83,12 +84,16 @@
             revision: self.rules.revision,
             is_leaving: self.is_draining,
             held: Vec::new(),
+            spare: self.spare.clone(),
         }
     }
 
     pub(super) fn hear_peer(&mut self, cx: &Context<'_>, news: PeerNews, out: &mut Vec<Effect>) {
+        self.loans.hear(news.address, &news.spare);
         self.membership.hear(cx, news);
         self.fetch_sheet(cx, out);
+        self.settle_homes(cx);
+        self.start_all(cx, out);
     }
 
     pub(super) fn beat(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
--- a/crates/geraniumrelay-core/src/dispatcher/report.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/report.rs
@@ -5,15 +5,18 @@
 use crate::context::Context;
 use crate::dispatcher::Dispatcher;
 use crate::modules::membership::PeerReport;
+use crate::modules::policy::Policy;
+use crate::modules::queue::{CLASSES, Queue};
 use crate::modules::sheet::ServiceRule;
+use crate::modules::slots::Tier;
 use crate::modules::targets::Target;
 use crate::names::ServiceName;
 use crate::query::{
-    JobReport, KindReport, Report, ReportQuery, ServiceReport, StatusReport, TargetReport,
+    JobReport, KindReport, Load, Report, ReportQuery, ServiceReport, StatusReport, TargetReport,
     TargetState,
 };
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     /// Answers an operator's question.
     pub fn report(&self, cx: &Context<'_>, query: ReportQuery) -> Report {
         match query {
@@ -24,6 +27,26 @@
         }
     }
 
+    /// Load of this VM, for its metrics.
+    pub fn load(&self) -> Load {
+        let queued = |urgency| {
+            let tasks = self.queues.values().map(|queue| queue.tasks(urgency));
+            (urgency, tasks.sum())
+        };
+        let services = || self.queues.keys().copied();
+        Load {
+            queued: CLASSES.map(queued),
+            running: self.running.len(),
+            own_slots: services().map(|name| self.targets.own_slots(name)).sum(),
+            usable_slots: services().map(|name| self.targets.usable(name)).sum(),
+            free_slots: services()
+                .map(|name| self.targets.free(name, Tier::Healthy))
+                .sum(),
+            ejected: self.targets.ejected(),
+            limited_teams: self.queues.values().map(Queue::limited_teams).sum(),
+        }
+    }
+
     fn status(&self, cx: &Context<'_>) -> StatusReport {
         let own = PeerReport {
             news: self.own_news(),
--- a/crates/geraniumrelay-core/src/dispatcher/sheets.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/sheets.rs
@@ -5,9 +5,10 @@
 use crate::context::Context;
 use crate::dispatcher::Dispatcher;
 use crate::effect::Effect;
+use crate::modules::policy::Policy;
 use crate::modules::sheet::{Sheet, SheetRules};
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     /// Puts a sheet of the platform in force and tells the peers that have an older one.
     pub(super) fn put_sheet(&mut self, cx: &Context<'_>, sheet: &Sheet, out: &mut Vec<Effect>) {
         if self.enforce(cx, sheet, out) {
@@ -56,6 +57,8 @@
             let slots = rule.slots.get(&self.identity.data_centre);
             self.targets
                 .set_slots(*name, slots.copied().unwrap_or_default());
+            let queue = self.queues.entry(*name).or_default();
+            queue.set_shares(cx, &rule.team_shares);
         }
         out.push(Effect::SheetInForce {
             revision: sheet.revision,
--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -1,22 +1,23 @@
 //! Submissions: claim, join, keep or refuse.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::command::{JobSpec, Origin, Waiter};
 use crate::context::Context;
 use crate::dispatcher::Dispatcher;
 use crate::effect::{Effect, PeerCall, Rejection, Reply};
 use crate::modules::claims::Decision;
-use crate::modules::jobs::Job;
+use crate::modules::jobs::{Job, JobKey};
 use crate::modules::journal::{Intent, JournalEntry};
-use crate::modules::queue::Queue;
-use crate::modules::sheet::{KindRule, ServiceState};
+use crate::modules::order::JobFacts;
+use crate::modules::policy::Policy;
+use crate::modules::queue::Waiting;
+use crate::modules::service_load::ServiceLoad;
+use crate::modules::sheet::Urgency;
+use crate::names::ServiceName;
 use crate::reason::Reason;
 use crate::ticket::Ticket;
 
-/// Wait before asking again where waiting may help.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// One submission as it arrives.
 #[derive(Debug)]
 pub(super) struct Submission {
@@ -27,7 +28,7 @@
     pub(super) origin: Origin,
 }
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     pub(super) fn submit(&mut self, cx: &Context<'_>, req: Submission, out: &mut Vec<Effect>) {
         if req.ticket.incarnation != self.identity.incarnation {
             let call = PeerCall::Submit {
@@ -79,8 +80,8 @@
     }
 
     fn start_fresh(&mut self, cx: &Context<'_>, req: Submission, out: &mut Vec<Effect>) {
-        let rule = match self.admit(cx, &req.job) {
-            Ok(rule) => rule,
+        let admitted = match self.admit(cx, &req.job, out) {
+            Ok(admitted) => admitted,
             Err(rejection) => {
                 self.claims.spend(req.ticket, rejection.reason);
                 reject(req.waiter, rejection, out);
@@ -88,8 +89,7 @@
             }
         };
         let service = req.job.service;
-        let deadline = deadline_of(cx, &req.job, rule);
-        let intent = (!rule.is_idempotent).then(|| intent_of(cx, &req));
+        let intent = (!admitted.rule.is_idempotent).then(|| intent_of(cx, &req));
         if let Some(intent) = intent {
             let answer = None;
             out.push(Effect::Journal(JournalEntry { intent, answer }));
@@ -97,63 +97,66 @@
         let job = Job {
             ticket: req.ticket,
             service,
-            urgency: rule.urgency,
+            kind: req.job.kind,
+            team: req.job.team,
+            urgency: admitted.rule.urgency,
             intent,
-            deadline,
+            arrived: cx.now,
+            deadline: admitted.deadline,
+            timer: admitted.last_start,
+            declared: admitted.declared,
+            expected: admitted.expected,
+            has_started: false,
             tasks: Vec::new(),
+            waiting: Vec::new(),
             open: 0,
             waiters: vec![req.waiter],
         };
-        let payloads = req.job.tasks.into_iter().map(|task| task.payload).collect();
+        let payloads: Vec<_> = req.job.tasks.into_iter().map(|task| task.payload).collect();
+        let tasks = u32::try_from(payloads.len()).unwrap_or(u32::MAX);
         let key = self.jobs.insert(job, payloads);
         self.claims.claim(req.ticket, req.digest, key);
-        self.deadlines.insert((deadline, key));
-        let Some(job) = self.jobs.job(key) else {
-            return;
-        };
-        let queue = self.queues.entry(service).or_default();
-        for task in &job.tasks {
-            queue.push(rule.urgency, *task);
+        self.deadlines.insert((admitted.last_start, key));
+        let load = self.load_mut(cx, service);
+        if admitted.rule.urgency == Urgency::Urgent {
+            load.headroom.arrive(cx.now, admitted.expected * tasks);
         }
+        self.requeue(key);
         self.start_service(cx, service, out);
     }
 
-    /// Refuses what is not to be started; every refusal is final.
-    fn admit(&self, cx: &Context<'_>, job: &JobSpec) -> Result<KindRule, Rejection> {
-        let refuse = |reason| Err(Rejection::not_run(reason));
-        let cfg = &cx.cfg.admission;
-        if self.is_draining {
-            return Err(Rejection::not_run(Reason::VmLeaving).with_retry_after(RETRY_AFTER));
-        }
-        if self.rules.revision == 0 {
-            return Err(Rejection::not_run(Reason::NoSheet).with_retry_after(RETRY_AFTER));
-        }
-        let Some(service) = self.rules.services.get(&job.service) else {
-            return refuse(Reason::UnknownService);
+    fn load_mut(&mut self, cx: &Context<'_>, service: ServiceName) -> &mut ServiceLoad {
+        self.loads
+            .entry(service)
+            .or_insert_with(|| ServiceLoad::new(cx.now, cx.cfg))
+    }
+
+    /// Puts a job where its waiting tasks belong in the queue of its service.
+    pub(super) fn requeue(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.job(key) else {
+            return;
         };
-        let Some(rule) = service.kinds.get(&job.kind) else {
-            return refuse(Reason::UnknownKind);
+        let arrived = job.arrived.saturating_duration_since(self.epoch);
+        let facts = JobFacts {
+            arrived_ms: millis(arrived),
+            tasks: u32::try_from(job.waiting.len()).unwrap_or(u32::MAX),
+            declared_ms: millis(job.declared.unwrap_or(job.expected)),
+            learnt_ms: millis(job.expected),
         };
-        if service.states.get(&self.identity.data_centre) != Some(&ServiceState::Active) {
-            return refuse(Reason::ServiceLeaving);
-        }
-        if job.tasks.is_empty() {
-            return refuse(Reason::NoTasks);
-        }
-        if job.tasks.len() > cfg.max_tasks_per_job {
-            return refuse(Reason::TooManyTasks);
-        }
-        if !self.targets.has_capacity(job.service) {
-            return Err(Rejection::not_run(Reason::NoCapacity).with_retry_after(RETRY_AFTER));
-        }
-        let queued = self.queues.get(&job.service).map_or(0, Queue::len);
-        if queued + job.tasks.len() > cfg.max_queued_tasks {
-            return Err(Rejection::not_run(Reason::QueueFull).with_retry_after(RETRY_AFTER));
-        }
-        Ok(*rule)
+        let waiting = Waiting {
+            urgency: job.urgency,
+            team: job.team,
+            facts,
+        };
+        let queue = self.queues.entry(job.service).or_default();
+        queue.put(key, waiting);
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn intent_of(cx: &Context<'_>, req: &Submission) -> Intent {
     Intent {
         ticket: req.ticket,
@@ -166,11 +169,6 @@
     }
 }
 
-fn deadline_of(cx: &Context<'_>, job: &JobSpec, rule: KindRule) -> Instant {
-    let own = job.deadline_ms.map(Duration::from_millis);
-    cx.now + own.map_or(rule.deadline, |own| own.min(rule.deadline))
-}
-
 /// Pushes the refusal of one waiter.
 pub(super) fn reject(waiter: Waiter, rejection: Rejection, out: &mut Vec<Effect>) {
     out.push(Effect::Reply {
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -8,8 +8,10 @@
 
 use crate::command::{JobSpec, Waiter};
 use crate::modules::journal::JournalEntry;
+use crate::modules::loans::{BorrowRequest, Grant, SlotReturn};
 use crate::modules::membership::PeerNews;
 use crate::modules::targets::TaskKey;
+use crate::names::VmName;
 use crate::query::JobProgress;
 use crate::reason::Reason;
 use crate::ticket::Ticket;
@@ -112,6 +114,8 @@
     Progress(JobProgress),
     /// Refused.
     Rejected(Rejection),
+    /// Slots lent to another entry VM.
+    Lent(Grant),
 }
 
 /// Request passed on to the owner of a ticket.
@@ -202,6 +206,20 @@
         /// Peer address.
         address: SocketAddr,
     },
+    /// Ask another entry VM for slots; the reply comes as [`crate::Command::TakeLoan`].
+    Borrow {
+        /// Peer address.
+        address: SocketAddr,
+        /// The wish.
+        req: BorrowRequest,
+    },
+    /// Return slots to their lender.
+    Return(SlotReturn),
+    /// A target gets trials only, as it fails more than its peers.
+    TargetEjected {
+        /// Its VM.
+        vm: VmName,
+    },
     /// A sheet came into force here.
     SheetInForce {
         /// Its revision.
--- a/crates/geraniumrelay-core/src/modules/jobs.rs
+++ b/crates/geraniumrelay-core/src/modules/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs and tasks in flight at their owner.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::{SlotMap, new_key_type};
 
@@ -10,7 +10,7 @@
 use crate::modules::journal::Intent;
 use crate::modules::sheet::Urgency;
 use crate::modules::targets::{TargetKey, TaskKey};
-use crate::names::ServiceName;
+use crate::names::{KindName, ServiceName, TeamName};
 use crate::query::JobProgress;
 use crate::reason::Reason;
 use crate::ticket::Ticket;
@@ -60,14 +60,30 @@
     pub ticket: Ticket,
     /// Service that runs it.
     pub service: ServiceName,
+    /// Its request kind.
+    pub kind: KindName,
+    /// Team whose share it uses.
+    pub team: Option<TeamName>,
     /// Urgency class of its request kind.
     pub urgency: Urgency,
     /// What the journal notes of it; `None` where running it twice does no harm.
     pub intent: Option<Intent>,
+    /// When it arrived.
+    pub arrived: Instant,
     /// Time by which the answer is due.
     pub deadline: Instant,
+    /// Time at which it is looked at again: its deadline, or the last time at which a start helps.
+    pub timer: Instant,
+    /// Mean declared run time of its tasks.
+    pub declared: Option<Duration>,
+    /// Run time expected of each task when it was taken in.
+    pub expected: Duration,
+    /// Whether any of its tasks was sent to a target.
+    pub has_started: bool,
     /// Its tasks, in order.
     pub tasks: Vec<TaskKey>,
+    /// Tasks that wait for a slot, the next one last.
+    pub waiting: Vec<TaskKey>,
     /// Tasks without a result.
     pub open: u32,
     /// Who waits for the answer.
@@ -97,7 +113,9 @@
             };
             tasks.push(self.tasks.insert(task));
         }
-        self.jobs[key].tasks = tasks;
+        let job = &mut self.jobs[key];
+        job.waiting = tasks.iter().rev().copied().collect();
+        job.tasks = tasks;
         key
     }
 
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/learnt.rs
@@ -0,0 +1,77 @@
+//! Run times learnt from completed tasks, by request kind.
+
+use std::time::Duration;
+
+use crate::collections::Map;
+use crate::names::{KindName, ServiceName};
+
+/// Samples over which the mean moves.
+const WINDOW: f64 = 64.0;
+
+/// Run time of a kind of which nothing is known.
+const UNKNOWN: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Clone, Copy)]
+struct Mean {
+    samples: f64,
+    seconds: f64,
+}
+
+/// Mean run times of all kinds.
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    kinds: Map<(ServiceName, KindName), Mean>,
+}
+
+impl RunTimes {
+    /// Notes the run time of a completed task.
+    pub fn learn(&mut self, service: ServiceName, kind: KindName, run: Duration) {
+        let seconds = run.as_secs_f64();
+        let mean = self.kinds.entry((service, kind)).or_insert(Mean {
+            samples: 0.0,
+            seconds,
+        });
+        mean.samples = (mean.samples + 1.0).min(WINDOW);
+        mean.seconds += (seconds - mean.seconds) / mean.samples;
+    }
+
+    /// Mean run time of a kind; `declared` stands in for what has not been learnt.
+    pub fn expect(
+        &self,
+        service: ServiceName,
+        kind: KindName,
+        declared: Option<Duration>,
+    ) -> Duration {
+        match self.kinds.get(&(service, kind)) {
+            Some(mean) => Duration::from_secs_f64(mean.seconds),
+            None => declared.unwrap_or(UNKNOWN),
+        }
+    }
+
+    /// Whether anything was learnt of a kind.
+    pub fn knows(&self, service: ServiceName, kind: KindName) -> bool {
+        self.kinds.contains_key(&(service, kind))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_learnt_goes_before_what_was_declared() {
+        let (service, kind) = ("till".parse().unwrap(), "hold".parse().unwrap());
+        let mut times = RunTimes::default();
+        let declared = Some(Duration::from_secs(9));
+        assert_eq!(
+            times.expect(service, kind, declared),
+            Duration::from_secs(9)
+        );
+        times.learn(service, kind, Duration::from_millis(100));
+        times.learn(service, kind, Duration::from_millis(300));
+        assert_eq!(
+            times.expect(service, kind, declared),
+            Duration::from_millis(200)
+        );
+    }
+}
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -5,6 +5,7 @@
 
 use crate::collections::Map;
 use crate::context::Context;
+use crate::modules::loans::Spare;
 use crate::names::{DataCentre, VmName};
 use crate::ticket::Incarnation;
 
@@ -25,6 +26,8 @@
     pub is_leaving: bool,
     /// Incarnations whose tickets it holds by hand-over.
     pub held: Vec<Incarnation>,
+    /// Slots that it could lend.
+    pub spare: Vec<Spare>,
 }
 
 #[derive(Debug, Clone)]
@@ -131,6 +134,22 @@
         due
     }
 
+    /// Entry VMs of a data centre that take new work; one that was never heard yet counts, as the
+    /// platform's list names it.
+    pub fn working(&self, cx: &Context<'_>, data_centre: DataCentre) -> Vec<(VmName, SocketAddr)> {
+        let is_working = |peer: &&Peer| {
+            peer.news.data_centre == data_centre
+                && !peer.news.is_leaving
+                && (peer.heard_at.is_none() || peer.is_heard(cx))
+        };
+        let peers = self.peers.values().filter(is_working);
+        let mut working: Vec<_> = peers
+            .map(|peer| (peer.news.vm, peer.news.address))
+            .collect();
+        working.sort_unstable();
+        working
+    }
+
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
         self.peers.values().filter(|peer| peer.is_heard(cx)).count()
@@ -180,6 +199,7 @@
             revision: 0,
             is_leaving: false,
             held: Vec::new(),
+            spare: Vec::new(),
         }
     }
 
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -1,11 +1,23 @@
 //! The decisions, one module each; their settings stand in [`crate::configs`].
 
 pub mod claims;
+pub mod decayed;
+pub mod headroom;
+pub mod health;
+pub mod homes;
 pub mod jobs;
 pub mod journal;
+pub mod learnt;
+pub mod loans;
 pub mod membership;
+pub mod order;
+pub mod policy;
 pub mod queue;
 pub mod retry;
+pub mod running;
+pub mod service_load;
+pub mod shares;
 pub mod sheet;
 pub mod sheet_fetch;
+pub mod slots;
 pub mod targets;
--- a/crates/geraniumrelay-core/src/modules/queue.rs
+++ b/crates/geraniumrelay-core/src/modules/queue.rs
@@ -1,39 +1,351 @@
-//! Order in which waiting tasks get slots.
+//! Waiting jobs of one service: urgency class, then fair shares of teams, then the policy's order.
 
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
+use std::marker::PhantomData;
+use std::time::{Duration, Instant};
 
+use slotmap::SecondaryMap;
+
+use crate::collections::Map;
+use crate::context::Context;
+use crate::modules::jobs::JobKey;
+use crate::modules::order::{JobFacts, Order};
+use crate::modules::shares::Shares;
 use crate::modules::sheet::Urgency;
-use crate::modules::targets::TaskKey;
+use crate::names::TeamName;
+
+/// Time between two looks at which teams are kept to their share.
+const SHARES_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Jobs that are looked at for one that may give way.
+const MAX_LOOKS: usize = 16;
+
+/// Classes in the order in which they are served.
+pub const CLASSES: [Urgency; Urgency::COUNT] = [Urgency::Urgent, Urgency::Normal, Urgency::Bulk];
+
+/// A job that begins to wait.
+#[derive(Debug, Clone, Copy)]
+pub struct Waiting {
+    /// Its urgency class.
+    pub urgency: Urgency,
+    /// Its team.
+    pub team: Option<TeamName>,
+    /// What its rank depends on.
+    pub facts: JobFacts,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    waiting: Waiting,
+    rank: u64,
+}
+
+impl Entry {
+    fn work_ms(&self) -> u64 {
+        self.waiting.facts.learnt_ms * u64::from(self.waiting.facts.tasks)
+    }
+}
+
+/// The job that is next in its class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Next {
+    /// The job.
+    pub job: JobKey,
+    /// Whether its team is over its share.
+    pub is_over_share: bool,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct TeamSum {
+    tasks: usize,
+    work_ms: u64,
+}
+
+type TeamJobs = Map<Option<TeamName>, BTreeSet<(u64, JobKey)>>;
+
+/// First job of each team that waits in a class.
+type Heads = BTreeSet<(bool, u64, JobKey)>;
 
-/// Tasks of one service that wait for a slot, urgent ones first.
-#[derive(Debug, Default)]
-pub struct Queue {
-    classes: [VecDeque<TaskKey>; Urgency::COUNT],
+/// Waiting jobs of one service.
+#[derive(Debug)]
+pub struct Queue<O> {
+    entries: SecondaryMap<JobKey, Entry>,
+    teams: [TeamJobs; Urgency::COUNT],
+    heads: [Heads; Urgency::COUNT],
+    tasks: [usize; Urgency::COUNT],
+    work_ms: [u64; Urgency::COUNT],
+    team_sums: [Map<Option<TeamName>, TeamSum>; Urgency::COUNT],
+    shares: Shares,
+    shares_at: Option<Instant>,
+    order: PhantomData<O>,
 }
 
-impl Queue {
-    /// Adds a task behind those of its class.
-    pub fn push(&mut self, urgency: Urgency, task: TaskKey) {
-        self.classes[urgency as usize].push_back(task);
+impl<O: Order> Default for Queue<O> {
+    fn default() -> Self {
+        Self {
+            entries: SecondaryMap::new(),
+            teams: Default::default(),
+            heads: Default::default(),
+            tasks: [0; Urgency::COUNT],
+            work_ms: [0; Urgency::COUNT],
+            team_sums: Default::default(),
+            shares: Shares::default(),
+            shares_at: None,
+            order: PhantomData,
+        }
+    }
+}
+
+impl<O: Order> Queue<O> {
+    /// Adds a job, or changes how many of its tasks wait.
+    pub fn put(&mut self, job: JobKey, waiting: Waiting) {
+        self.remove(job);
+        if waiting.facts.tasks == 0 {
+            return;
+        }
+        let class = waiting.urgency as usize;
+        let entry = Entry {
+            waiting,
+            rank: O::rank(&waiting.facts),
+        };
+        self.tasks[class] += waiting.facts.tasks as usize;
+        self.work_ms[class] += entry.work_ms();
+        let sum = self.team_sums[class].entry(waiting.team).or_default();
+        sum.tasks += waiting.facts.tasks as usize;
+        sum.work_ms += entry.work_ms();
+        self.unhead(waiting.urgency, waiting.team);
+        let jobs = self.teams[class].entry(waiting.team).or_default();
+        jobs.insert((entry.rank, job));
+        self.entries.insert(job, entry);
+        self.head(waiting.urgency, waiting.team);
+    }
+
+    /// Takes a job out, whatever the number of its tasks.
+    pub fn remove(&mut self, job: JobKey) {
+        let Some(entry) = self.entries.remove(job) else {
+            return;
+        };
+        let Waiting {
+            urgency,
+            team,
+            facts,
+        } = entry.waiting;
+        let class = urgency as usize;
+        self.unhead(urgency, team);
+        if let Some(jobs) = self.teams[class].get_mut(&team) {
+            jobs.remove(&(entry.rank, job));
+            if jobs.is_empty() {
+                self.teams[class].remove(&team);
+            }
+        }
+        self.head(urgency, team);
+        self.tasks[class] -= facts.tasks as usize;
+        self.work_ms[class] -= entry.work_ms();
+        if let Some(sum) = self.team_sums[class].get_mut(&team) {
+            sum.tasks -= facts.tasks as usize;
+            sum.work_ms -= entry.work_ms();
+        }
+    }
+
+    fn first_of(&self, urgency: Urgency, team: Option<TeamName>) -> Option<(bool, u64, JobKey)> {
+        let jobs = self.teams[urgency as usize].get(&team)?;
+        let (rank, job) = *jobs.first()?;
+        Some((self.shares.goes_last(team), rank, job))
+    }
+
+    fn head(&mut self, urgency: Urgency, team: Option<TeamName>) {
+        if let Some(first) = self.first_of(urgency, team) {
+            self.heads[urgency as usize].insert(first);
+        }
+    }
+
+    fn unhead(&mut self, urgency: Urgency, team: Option<TeamName>) {
+        if let Some(first) = self.first_of(urgency, team) {
+            self.heads[urgency as usize].remove(&first);
+        }
+    }
+
+    /// Sets the teams' shares.
+    pub fn set_shares(&mut self, cx: &Context<'_>, shares: &Map<TeamName, u32>) {
+        self.shares.set(cx.now, &cx.cfg.shares, shares);
+        self.shares_at = None;
+    }
+
+    /// Notes slot time that a team asks for.
+    pub fn offer(&mut self, cx: &Context<'_>, team: Option<TeamName>, run_s: f64) {
+        self.shares.offer(cx.now, &cx.cfg.shares, team, run_s);
+    }
+
+    /// Notes a slot that a team begins to use.
+    pub fn start(&mut self, team: Option<TeamName>) {
+        self.change_team(team, |shares| shares.start(team));
+    }
+
+    /// Notes a slot that a team uses no longer.
+    pub fn end(&mut self, team: Option<TeamName>) {
+        self.change_team(team, |shares| shares.end(team));
+    }
+
+    fn change_team(&mut self, team: Option<TeamName>, f: impl FnOnce(&mut Shares)) {
+        for urgency in CLASSES {
+            self.unhead(urgency, team);
+        }
+        f(&mut self.shares);
+        for urgency in CLASSES {
+            self.head(urgency, team);
+        }
+    }
+
+    /// Looks from time to time at which teams are kept to their share of `slots`.
+    pub fn refresh_shares(&mut self, cx: &Context<'_>, slots: u32) {
+        if self
+            .shares_at
+            .is_some_and(|at| cx.now < at + SHARES_INTERVAL)
+        {
+            return;
+        }
+        self.shares_at = Some(cx.now);
+        self.shares.refresh(cx.now, &cx.cfg.shares, slots);
+        for urgency in CLASSES {
+            self.heads[urgency as usize].clear();
+            let teams: Vec<_> = self.teams[urgency as usize].keys().copied().collect();
+            for team in teams {
+                self.head(urgency, team);
+            }
+        }
+    }
+
+    /// The job that is next in a class.
+    pub fn next(&self, urgency: Urgency) -> Option<Next> {
+        let (_, _, job) = *self.heads[urgency as usize].first()?;
+        let team = self.entries.get(job)?.waiting.team;
+        Some(Next {
+            job,
+            is_over_share: self.shares.is_over(team),
+        })
+    }
+
+    /// Whether a team is over its share.
+    pub fn is_over_share(&self, team: Option<TeamName>) -> bool {
+        self.shares.is_over(team)
+    }
+
+    /// Slots of a team's share, while it is kept to them.
+    pub fn quota(&self, team: Option<TeamName>) -> Option<u32> {
+        self.shares.quota(team)
+    }
+
+    /// Number of teams that are kept to their share.
+    pub fn limited_teams(&self) -> usize {
+        self.shares.limited().count()
+    }
+
+    /// A waiting bulk job that is among the last and that `may_go` allows to give way.
+    pub fn last_bulk(&self, may_go: impl Fn(JobKey) -> bool) -> Option<JobKey> {
+        let head = self.heads[Urgency::Bulk as usize].last()?;
+        let team = self.entries.get(head.2)?.waiting.team;
+        let jobs = self.teams[Urgency::Bulk as usize].get(&team)?;
+        let mut last = jobs.iter().rev().take(MAX_LOOKS).map(|(_, job)| *job);
+        last.find(|job| may_go(*job))
     }
 
-    /// Puts a task that did not start back before those of its class.
-    pub fn push_front(&mut self, urgency: Urgency, task: TaskKey) {
-        self.classes[urgency as usize].push_front(task);
+    /// Tasks that wait in a class.
+    pub fn tasks(&self, urgency: Urgency) -> usize {
+        self.tasks[urgency as usize]
     }
 
-    /// Takes the task that is next.
-    pub fn pop(&mut self) -> Option<TaskKey> {
-        self.classes.iter_mut().find_map(VecDeque::pop_front)
+    /// Tasks that wait in a class, but for those of teams that are kept to their share.
+    pub fn fair_tasks(&self, urgency: Urgency) -> usize {
+        let sums = &self.team_sums[urgency as usize];
+        let limited = self.shares.limited().filter_map(|team| sums.get(&team));
+        let limited: usize = limited.map(|sum| sum.tasks).sum();
+        self.tasks(urgency) - limited
     }
 
-    /// Number of entries, those of ended tasks among them.
+    /// Learnt work that goes before a new job of a class, in milliseconds of one slot.
+    pub fn work_before_ms(&self, urgency: Urgency) -> u64 {
+        self.work_ms[..=urgency as usize].iter().sum()
+    }
+
+    /// Learnt work of a team that goes before a new job of a class, in milliseconds of one slot.
+    pub fn team_work_before_ms(&self, urgency: Urgency, team: Option<TeamName>) -> u64 {
+        let classes = self.team_sums[..=urgency as usize].iter();
+        let sums = classes.filter_map(|sums| sums.get(&team));
+        sums.map(|sum| sum.work_ms).sum()
+    }
+
+    /// Number of tasks that wait.
     pub fn len(&self) -> usize {
-        self.classes.iter().map(VecDeque::len).sum()
+        self.tasks.iter().sum()
     }
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.classes.iter().all(VecDeque::is_empty)
+        self.entries.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use slotmap::SlotMap;
+
+    use super::*;
+    use crate::modules::order::LearntSize;
+
+    struct Builder {
+        keys: SlotMap<JobKey, ()>,
+        queue: Queue<LearntSize>,
+    }
+
+    impl Builder {
+        fn new() -> Self {
+            Self {
+                keys: SlotMap::with_key(),
+                queue: Queue::default(),
+            }
+        }
+
+        fn with(&mut self, urgency: Urgency, tasks: u32, arrived_ms: u64) -> JobKey {
+            let job = self.keys.insert(());
+            let facts = JobFacts {
+                arrived_ms,
+                tasks,
+                declared_ms: 0,
+                learnt_ms: 100,
+            };
+            let waiting = Waiting {
+                urgency,
+                team: None,
+                facts,
+            };
+            self.queue.put(job, waiting);
+            job
+        }
+    }
+
+    #[test]
+    fn the_shortest_job_is_next_unless_another_waited_long() {
+        let mut builder = Builder::new();
+        let long = builder.with(Urgency::Bulk, 50, 0);
+        let short = builder.with(Urgency::Bulk, 2, 0);
+        builder.with(Urgency::Bulk, 1, 10_000);
+        let next = |queue: &Queue<LearntSize>| queue.next(Urgency::Bulk).map(|next| next.job);
+        assert_eq!(next(&builder.queue), Some(short));
+        builder.queue.remove(short);
+        assert_eq!(next(&builder.queue), Some(long));
+    }
+
+    #[test]
+    fn sums_follow_what_waits() {
+        let mut builder = Builder::new();
+        let urgent = builder.with(Urgency::Urgent, 3, 0);
+        let bulk = builder.with(Urgency::Bulk, 5, 0);
+        assert_eq!(builder.queue.work_before_ms(Urgency::Urgent), 300);
+        assert_eq!(builder.queue.work_before_ms(Urgency::Bulk), 800);
+        assert_eq!(builder.queue.last_bulk(|_| true), Some(bulk));
+        builder.queue.remove(urgent);
+        builder.queue.remove(bulk);
+        assert!(builder.queue.is_empty());
+        assert_eq!(builder.queue.len(), 0);
     }
 }
--- a/crates/geraniumrelay-core/src/modules/targets.rs
+++ b/crates/geraniumrelay-core/src/modules/targets.rs
@@ -1,4 +1,4 @@
-//! Targets of this data centre and the slots in use on them.
+//! Targets of this data centre, and the slots that this VM may use on them.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -7,6 +7,10 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::collections::Map;
+use crate::configs::health::HealthConfig;
+use crate::modules::health::{Health, Peers, Sample};
+use crate::modules::homes::targets_at_home;
+use crate::modules::slots::{SlotPool, Tier};
 use crate::names::{ServiceName, VmName};
 
 new_key_type! {
@@ -40,32 +44,57 @@
     pub paused_until: Option<Instant>,
     /// Whether it is still in the platform's list.
     pub is_listed: bool,
+    /// Whether this VM is its home.
+    pub is_home: bool,
+    /// Slots borrowed from its home.
+    pub borrowed: u32,
+    /// Slots lent to other VMs.
+    pub lent: u32,
+    /// How it does.
+    pub health: Health,
+    /// Refusals in a row.
+    refusals: u32,
+    counted: Counted,
 }
 
-/// Position of a target among the open ones of its service: least used first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    in_use: u32,
-    key: TargetKey,
+impl Target {
+    /// Slots that this VM may use there and that no task of it uses, of `slots` in all.
+    pub fn idle_slots(&self, slots: u32) -> u32 {
+        let own = if self.is_home { slots } else { 0 };
+        (own + self.borrowed).saturating_sub(self.lent + self.in_use)
+    }
+}
+
+/// What a target adds to the sums of its service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Counted {
+    is_live: bool,
+    own: u32,
+    usable: u32,
 }
 
 /// Targets of one service.
 #[derive(Debug, Default)]
-struct Pool {
-    open: BTreeSet<Rank>,
+struct Pool<S> {
+    free: S,
     slots: u32,
+    live: u32,
+    own: u32,
+    usable: u32,
+    peers: Peers,
 }
 
 /// All known targets.
 #[derive(Debug, Default)]
-pub struct Targets {
+pub struct Targets<S> {
     arena: SlotMap<TargetKey, Target>,
     by_vm: Map<VmName, TargetKey>,
-    pools: Map<ServiceName, Pool>,
+    pools: Map<ServiceName, Pool<S>>,
     paused: BTreeSet<(Instant, TargetKey)>,
+    has_changed: bool,
 }
 
-impl Targets {
+impl<S: SlotPool> Targets<S> {
     /// Takes over the platform's list.
     ///
     /// A target that is gone from it gets nothing new; it is forgotten once nothing runs there.
@@ -76,10 +105,7 @@
         for info in infos {
             self.upsert(*info);
         }
-        let keys: Vec<_> = self.arena.keys().collect();
-        for key in keys {
-            self.refresh(key);
-        }
+        self.refresh_all();
     }
 
     fn upsert(&mut self, info: TargetInfo) {
@@ -98,25 +124,72 @@
             in_use: 0,
             paused_until: None,
             is_listed: true,
+            is_home: !S::HAS_HOMES,
+            borrowed: 0,
+            lent: 0,
+            health: Health::default(),
+            refusals: 0,
+            counted: Counted::default(),
         };
         let key = self.arena.insert(target);
         self.by_vm.insert(info.vm, key);
+        let pool = self.pools.entry(info.service).or_default();
+        pool.peers.add(&Health::default());
+        self.has_changed = true;
     }
 
-    /// Sets how many slots each target of a service has.
-    pub fn set_slots(&mut self, service: ServiceName, slots: u32) {
-        self.pools.entry(service).or_default().slots = slots;
+    fn refresh_all(&mut self) {
         let keys: Vec<_> = self.arena.keys().collect();
         for key in keys {
             self.refresh(key);
         }
     }
 
+    /// Whether targets came, went or began to leave since the last time it was asked.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed)
+    }
+
+    /// Settles which targets have their home here, for a membership that `own` is part of.
+    pub fn assign_homes(&mut self, own: VmName, members: &[VmName]) {
+        if !S::HAS_HOMES {
+            return;
+        }
+        let mut services: Map<ServiceName, Vec<(VmName, TargetKey)>> = Map::default();
+        for (key, target) in &mut self.arena {
+            target.is_home = false;
+            if target.is_listed && !target.info.is_leaving {
+                let targets = services.entry(target.info.service).or_default();
+                targets.push((target.info.vm, key));
+            }
+        }
+        for targets in services.values_mut() {
+            targets.sort_unstable();
+            let names: Vec<VmName> = targets.iter().map(|(vm, _)| *vm).collect();
+            let homes = targets_at_home(own, members, &names);
+            for ((_, key), is_home) in targets.iter().zip(homes) {
+                self.arena[*key].is_home = is_home;
+            }
+        }
+        self.refresh_all();
+    }
+
+    /// Sets how many slots each target of a service has.
+    pub fn set_slots(&mut self, service: ServiceName, slots: u32) {
+        self.pools.entry(service).or_default().slots = slots;
+        self.refresh_all();
+    }
+
     /// The target, while it is known.
     pub fn get(&self, key: TargetKey) -> Option<&Target> {
         self.arena.get(key)
     }
 
+    /// Key of a VM's target.
+    pub fn key_of(&self, vm: VmName) -> Option<TargetKey> {
+        self.by_vm.get(&vm).copied()
+    }
+
     /// All targets known.
     pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.arena.values()
@@ -132,43 +205,136 @@
         self.arena.is_empty()
     }
 
+    /// Number of targets that get trials only, over all services.
+    pub fn ejected(&self) -> usize {
+        self.pools.values().map(|pool| pool.peers.ejected()).sum()
+    }
+
     /// Whether any target of the service takes new work, now or after a pause.
     pub fn has_capacity(&self, service: ServiceName) -> bool {
-        self.arena.values().any(|target| {
-            target.info.service == service && target.is_listed && !target.info.is_leaving
-        })
+        self.pools
+            .get(&service)
+            .is_some_and(|pool| pool.live > 0 && pool.slots > 0)
+    }
+
+    /// Services of which some target takes new work.
+    pub fn services_with_capacity(&self) -> impl Iterator<Item = ServiceName> {
+        let pools = self.pools.iter();
+        pools
+            .filter(|(_, pool)| pool.live > 0 && pool.slots > 0)
+            .map(|(service, _)| *service)
+    }
+
+    /// Slots that this VM may use on healthy targets of a service, busy ones among them.
+    pub fn usable(&self, service: ServiceName) -> u32 {
+        self.pools.get(&service).map_or(0, |pool| pool.usable)
     }
 
-    /// Takes a slot on the least used open target of a service.
-    pub fn take_slot(&mut self, service: ServiceName) -> Option<TargetKey> {
-        let rank = *self.pools.get(&service)?.open.first()?;
-        self.change_use(rank.key, 1);
-        Some(rank.key)
+    /// Slots of a service that have their home here.
+    pub fn own_slots(&self, service: ServiceName) -> u32 {
+        self.pools.get(&service).map_or(0, |pool| pool.own)
+    }
+
+    /// Slots of each target of a service.
+    pub fn slots(&self, service: ServiceName) -> u32 {
+        self.pools.get(&service).map_or(0, |pool| pool.slots)
+    }
+
+    /// Free slots of a tier.
+    pub fn free(&self, service: ServiceName, tier: Tier) -> u32 {
+        self.pools
+            .get(&service)
+            .map_or(0, |pool| pool.free.free(tier))
+    }
+
+    /// Takes a free slot of a tier.
+    pub fn take_slot(&mut self, service: ServiceName, tier: Tier) -> Option<TargetKey> {
+        let key = self.choose(service, tier)?;
+        self.change(key, |target| target.in_use += 1);
+        Some(key)
     }
 
     /// Gives a slot back.
     pub fn release_slot(&mut self, key: TargetKey) {
-        self.change_use(key, -1);
+        self.change(key, |target| {
+            target.in_use = target.in_use.saturating_sub(1);
+        });
+    }
+
+    /// Lends a free healthy slot that has its home here.
+    pub fn lend_slot(&mut self, service: ServiceName) -> Option<TargetKey> {
+        let key = self.choose(service, Tier::Healthy)?;
+        let is_home = self.arena.get(key).is_some_and(|target| target.is_home);
+        self.change(key, |target| target.lent += u32::from(is_home));
+        is_home.then_some(key)
+    }
+
+    /// Takes lent slots back.
+    pub fn take_back(&mut self, key: TargetKey, slots: u32) {
+        self.change(key, |target| {
+            target.lent = target.lent.saturating_sub(slots);
+        });
+    }
+
+    /// Adds borrowed slots.
+    pub fn borrow_slots(&mut self, key: TargetKey, slots: u32) {
+        self.change(key, |target| target.borrowed += slots);
+    }
+
+    /// Gives up borrowed slots.
+    pub fn give_up(&mut self, key: TargetKey, slots: u32) {
+        self.change(key, |target| {
+            target.borrowed = target.borrowed.saturating_sub(slots);
+        });
     }
 
-    /// Keeps a target that refused from being tried again before a time.
-    pub fn pause(&mut self, key: TargetKey, until: Instant) {
-        self.unrank(key);
+    fn choose(&mut self, service: ServiceName, tier: Tier) -> Option<TargetKey> {
+        self.pools.get_mut(&service)?.free.choose(tier)
+    }
+
+    /// Takes in what an ended task says of its target.
+    pub fn note(&mut self, now: Instant, cfg: &HealthConfig, key: TargetKey, sample: Sample) {
         let Some(target) = self.arena.get_mut(key) else {
             return;
         };
-        target.paused_until = Some(until);
-        self.paused.insert((until, key));
+        let Some(pool) = self.pools.get_mut(&target.info.service) else {
+            return;
+        };
+        target.refusals = 0;
+        pool.peers.remove(&target.health);
+        let mut others = pool.peers;
+        others.add(&target.health);
+        let until = target.health.note(now, cfg, &others, sample);
+        pool.peers.add(&target.health);
+        if let Some(until) = until {
+            target.paused_until = Some(until);
+            self.paused.insert((until, key));
+        }
+        self.refresh(key);
     }
 
-    /// Marks a target that said itself that it is leaving.
-    pub fn mark_leaving(&mut self, key: TargetKey) {
-        if let Some(target) = self.arena.get_mut(key) {
-            target.info.is_leaving = true;
+    /// Keeps a target that refused or could not be reached from being tried again for a while.
+    pub fn pause(&mut self, now: Instant, cfg: &HealthConfig, key: TargetKey) {
+        let Some(target) = self.arena.get_mut(key) else {
+            return;
+        };
+        let factor = 1_u32 << target.refusals.min(16);
+        let until = now + (cfg.first_pause * factor).min(cfg.max_pause);
+        let is_paused = target.paused_until.is_some();
+        if target.paused_until.is_none_or(|old| old < until) {
+            target.paused_until = Some(until);
+            self.paused.insert((until, key));
         }
+        // Refusals of starts that were sent together count once.
+        target.refusals += u32::from(!is_paused);
         self.refresh(key);
     }
 
+    /// Marks a target that said itself that it is leaving.
+    pub fn mark_leaving(&mut self, key: TargetKey) {
+        self.change(key, |target| target.info.is_leaving = true);
+    }
+
     /// Ends the pauses that are over.
     pub fn resume(&mut self, now: Instant) {
         while let Some(&(until, key)) = self.paused.first() {
@@ -189,52 +355,57 @@
         self.paused.first().map(|(until, _)| *until)
     }
 
-    fn change_use(&mut self, key: TargetKey, by: i32) {
-        self.unrank(key);
+    fn change(&mut self, key: TargetKey, f: impl FnOnce(&mut Target)) {
         if let Some(target) = self.arena.get_mut(key) {
-            target.in_use = target.in_use.saturating_add_signed(by);
+            f(target);
         }
         self.refresh(key);
     }
 
-    fn unrank(&mut self, key: TargetKey) {
-        let Some(target) = self.arena.get(key) else {
+    /// Counts a target anew after a change; forgets it where it is gone and idle.
+    fn refresh(&mut self, key: TargetKey) {
+        let Some(target) = self.arena.get_mut(key) else {
             return;
         };
-        if let Some(pool) = self.pools.get_mut(&target.info.service) {
-            pool.open.remove(&Rank {
-                in_use: target.in_use,
-                key,
-            });
+        let Some(pool) = self.pools.get_mut(&target.info.service) else {
+            return;
+        };
+        let is_live = target.is_listed && !target.info.is_leaving;
+        let tier = target.health.tier();
+        let own = if target.is_home { pool.slots } else { 0 };
+        let allowed = (own + target.borrowed).saturating_sub(target.lent);
+        let open = if is_live && target.paused_until.is_none() {
+            target.health.usable(allowed)
+        } else {
+            0
+        };
+        let counted = Counted {
+            is_live,
+            own: if is_live { own } else { 0 },
+            usable: if tier == Tier::Healthy { open } else { 0 },
+        };
+        let old = std::mem::replace(&mut target.counted, counted);
+        pool.live = pool.live + u32::from(is_live) - u32::from(old.is_live);
+        pool.own = pool.own + counted.own - old.own;
+        pool.usable = pool.usable + counted.usable - old.usable;
+        pool.free
+            .set_free(key, tier, open.saturating_sub(target.in_use));
+        self.has_changed |= old.is_live != is_live;
+        if !target.is_listed && target.in_use == 0 && target.lent == 0 && target.borrowed == 0 {
+            self.forget(key);
         }
     }
 
-    /// Ranks a target anew after a change; forgets it where it is gone and idle.
-    fn refresh(&mut self, key: TargetKey) {
-        self.unrank(key);
-        let Some(target) = self.arena.get(key) else {
+    fn forget(&mut self, key: TargetKey) {
+        let Some(target) = self.arena.remove(key) else {
             return;
         };
-        if !target.is_listed && target.in_use == 0 {
-            let vm = target.info.vm;
-            self.arena.remove(key);
-            if self.by_vm.get(&vm) == Some(&key) {
-                self.by_vm.remove(&vm);
-            }
-            return;
+        if let Some(pool) = self.pools.get_mut(&target.info.service) {
+            pool.peers.remove(&target.health);
+            pool.free.forget(key);
         }
-        let Some(pool) = self.pools.get_mut(&target.info.service) else {
-            return;
-        };
-        let is_open = target.is_listed
-            && !target.info.is_leaving
-            && target.paused_until.is_none()
-            && target.in_use < pool.slots;
-        if is_open {
-            pool.open.insert(Rank {
-                in_use: target.in_use,
-                key,
-            });
+        if self.by_vm.get(&target.info.vm) == Some(&key) {
+            self.by_vm.remove(&target.info.vm);
         }
     }
 }
@@ -242,6 +413,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::modules::slots::FreeSlots;
 
     fn info(n: u16) -> TargetInfo {
         TargetInfo {
@@ -252,10 +424,12 @@
         }
     }
 
-    fn targets(count: u16, slots: u32) -> Targets {
+    fn targets(count: u16, slots: u32) -> Targets<FreeSlots> {
         let mut targets = Targets::default();
         targets.list(&(0..count).map(info).collect::<Vec<_>>());
         targets.set_slots("till".parse().unwrap(), slots);
+        let own = "e1".parse().unwrap();
+        targets.assign_homes(own, &[own]);
         targets
     }
 
@@ -263,14 +437,15 @@
     fn slots_are_spread_and_bounded() {
         let service = "till".parse().unwrap();
         let mut targets = targets(2, 2);
-        let first = targets.take_slot(service).unwrap();
-        let second = targets.take_slot(service).unwrap();
-        assert_ne!(first, second);
-        assert!(targets.take_slot(service).is_some());
-        assert!(targets.take_slot(service).is_some());
-        assert_eq!(targets.take_slot(service), None);
+        let taken: Vec<_> = (0..4)
+            .map(|_| targets.take_slot(service, Tier::Healthy).unwrap())
+            .collect();
+        let first = taken[0];
+        assert_ne!(first, taken[1]);
+        assert_eq!([taken[2], taken[3]], [first, taken[1]]);
+        assert_eq!(targets.take_slot(service, Tier::Healthy), None);
         targets.release_slot(first);
-        assert_eq!(targets.take_slot(service), Some(first));
+        assert_eq!(targets.take_slot(service, Tier::Healthy), Some(first));
     }
 
     #[test]
@@ -281,25 +456,32 @@
             is_leaving: true,
             ..info(0)
         }]);
-        assert_eq!(targets.take_slot(service), None);
+        assert_eq!(targets.take_slot(service, Tier::Healthy), None);
         targets.list(&[info(0)]);
-        assert_eq!(
-            targets.take_slot(service),
-            None,
-            "a lagging list does not bring it back"
-        );
+        let taken = targets.take_slot(service, Tier::Healthy);
+        assert_eq!(taken, None, "a lagging list does not bring it back");
     }
 
     #[test]
     fn a_paused_target_comes_back() {
-        let service = "till".parse().unwrap();
+        let (service, cfg) = ("till".parse().unwrap(), HealthConfig::default());
         let mut targets = targets(1, 1);
-        let key = targets.take_slot(service).unwrap();
-        let until = Instant::now();
-        targets.pause(key, until);
+        let key = targets.take_slot(service, Tier::Healthy).unwrap();
+        let now = Instant::now();
+        targets.pause(now, &cfg, key);
         targets.release_slot(key);
-        assert_eq!(targets.take_slot(service), None);
-        targets.resume(until);
-        assert_eq!(targets.take_slot(service), Some(key));
+        assert_eq!(targets.take_slot(service, Tier::Healthy), None);
+        targets.resume(now + cfg.first_pause);
+        assert_eq!(targets.take_slot(service, Tier::Healthy), Some(key));
+    }
+
+    #[test]
+    fn a_lent_slot_is_not_used_here() {
+        let service = "till".parse().unwrap();
+        let mut targets = targets(1, 2);
+        let key = targets.lend_slot(service).unwrap();
+        assert_eq!(targets.free(service, Tier::Healthy), 1);
+        targets.take_back(key, 1);
+        assert_eq!(targets.free(service, Tier::Healthy), 2);
     }
 }
--- a/crates/geraniumrelay-core/src/query.rs
+++ b/crates/geraniumrelay-core/src/query.rs
@@ -139,3 +139,22 @@
     /// Time until its answer is due.
     pub due_in: Duration,
 }
+
+/// Load of one entry VM, for its metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Load {
+    /// Waiting tasks of each class.
+    pub queued: [(Urgency, usize); Urgency::COUNT],
+    /// Tasks that were sent to targets.
+    pub running: usize,
+    /// Slots of targets whose home is here.
+    pub own_slots: u32,
+    /// Slots that may be used now, busy ones among them.
+    pub usable_slots: u32,
+    /// Free slots on healthy targets.
+    pub free_slots: u32,
+    /// Targets that get trials only.
+    pub ejected: usize,
+    /// Teams that are kept to their share.
+    pub limited_teams: usize,
+}
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -591,7 +591,7 @@
     pub ticket: ::prost::alloc::string::String,
 }
 /// Says who is alive and what it has in force.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
     #[prost(uint64, tag = "1")]
     pub incarnation: u64,
@@ -609,6 +609,64 @@
     /// Peer address of the sender, IP and port.
     #[prost(string, tag = "7")]
     pub address: ::prost::alloc::string::String,
+    /// Slots that the sender could lend.
+    #[prost(message, repeated, tag = "20")]
+    pub spare: ::prost::alloc::vec::Vec<SpareSlots>,
+}
+/// Slots of a service that an entry VM could lend.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SpareSlots {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+}
+/// Asks a peer for slots whose home it is.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BorrowSlots {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+    #[prost(bool, tag = "3")]
+    pub urgent: bool,
+}
+/// A number of slots of one target.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TargetSlots {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+}
+/// Slots lent; none where the lender has none to spare.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SlotGrant {
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub slots: ::prost::alloc::vec::Vec<TargetSlots>,
+    /// Slots that the lender could still lend.
+    #[prost(uint32, tag = "3")]
+    pub left: u32,
+}
+/// Returns slots of a loan.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ReturnSlots {
+    #[prost(uint64, tag = "1")]
+    pub loan: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub slots: ::prost::alloc::vec::Vec<TargetSlots>,
 }
 /// Asks a peer for what was accepted after a revision.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -631,7 +689,7 @@
 /// Request between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerRequest {
-    #[prost(oneof = "peer_request::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "peer_request::Body", tags = "1, 2, 3, 4, 5, 20, 21")]
     pub body: ::core::option::Option<peer_request::Body>,
 }
 /// Nested message and enum types in `PeerRequest`.
@@ -648,12 +706,16 @@
         Heartbeat(super::Heartbeat),
         #[prost(message, tag = "5")]
         FetchSheet(super::FetchSheet),
+        #[prost(message, tag = "20")]
+        Borrow(super::BorrowSlots),
+        #[prost(message, tag = "21")]
+        ReturnSlots(super::ReturnSlots),
     }
 }
 /// Reply between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerReply {
-    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5, 20")]
     pub body: ::core::option::Option<peer_reply::Body>,
 }
 /// Nested message and enum types in `PeerReply`.
@@ -670,5 +732,7 @@
         Heartbeat(super::Heartbeat),
         #[prost(message, tag = "5")]
         Sheet(super::SheetUpdate),
+        #[prost(message, tag = "20")]
+        Grant(super::SlotGrant),
     }
 }
--- a/crates/geraniumrelay/src/convert.rs
+++ b/crates/geraniumrelay/src/convert.rs
@@ -16,6 +16,8 @@
 use prost::Message;
 use siphasher::sip128::{Hasher128, SipHasher24};
 
+use crate::convert_loans;
+
 /// Status of an answer of which every task completed.
 const COMPLETE: &str = "complete";
 
@@ -126,6 +128,7 @@
         Reply::Answer { ticket, answer } => peer_reply::Body::Answer(job_answer(ticket, &answer)),
         Reply::Progress(progress) => peer_reply::Body::State(job_state(progress)),
         Reply::Rejected(rejection) => peer_reply::Body::Problem(problem(rejection)),
+        Reply::Lent(grant) => peer_reply::Body::Grant(convert_loans::slot_grant(&grant)),
     };
     PeerReply { body: Some(body) }
 }
@@ -145,7 +148,9 @@
             reason: problem.reason.parse().ok()?,
             retry_after: read_retry_after(problem.retry_after_s),
         })),
-        peer_reply::Body::Heartbeat(_) | peer_reply::Body::Sheet(_) => None,
+        peer_reply::Body::Grant(_)
+        | peer_reply::Body::Heartbeat(_)
+        | peer_reply::Body::Sheet(_) => None,
     }
 }
 
@@ -206,6 +211,7 @@
         leaving: news.is_leaving,
         held: news.held.iter().map(|held| held.0).collect(),
         address: news.address.to_string(),
+        spare: convert_loans::spare_slots(&news.spare),
     }
 }
 
@@ -220,5 +226,6 @@
         revision: beat.revision,
         is_leaving: beat.leaving,
         held: beat.held.iter().copied().map(Incarnation).collect(),
+        spare: convert_loans::spare(&beat.spare),
     })
 }
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -5,7 +5,7 @@
 
 use flume::{Receiver, RecvTimeoutError, Sender};
 use geraniumrelay_core::{Clock, Command, Config, Context, Dispatcher, Effect, Reply, Waiter};
-use log::info;
+use log::{info, warn};
 use slotmap::{KeyData, SlotMap, new_key_type};
 
 use crate::dispatch::{DispatchTx, TaskJob};
@@ -87,6 +87,7 @@
                 self.metrics
                     .set_peers_heard(self.dispatcher.peers_heard(&cx));
                 self.metrics.set_targets(self.dispatcher.targets_known());
+                self.metrics.load.set(&self.dispatcher.load());
             }
         }
     }
@@ -111,6 +112,10 @@
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, command_of(call, waiter));
             }
+            Input::Lend { req, tx } => {
+                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
+                self.decide(now, Command::Lend { req, waiter });
+            }
             Input::Tell(cmd) => self.decide(now, cmd),
             Input::AskNews { tx } => {
                 // Whoever asked may have given up.
@@ -187,6 +192,15 @@
             Effect::FetchSheet { address } => {
                 self.outlets.peers.send(PeerJob::FetchSheet { address });
             }
+            Effect::Borrow { address, req } => {
+                self.metrics.load.count_borrow();
+                self.outlets.peers.send(PeerJob::Borrow { address, req });
+            }
+            Effect::Return(back) => self.outlets.peers.send(PeerJob::Return(back)),
+            Effect::TargetEjected { vm } => {
+                self.metrics.load.count_ejection();
+                warn!(target:% = vm; "target_ejected");
+            }
             Effect::SheetInForce { revision } => {
                 self.metrics.set_revision(revision);
                 info!(revision; "sheet_in_force");
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -183,6 +183,8 @@
                 response::json(StatusCode::ACCEPTED, &convert::job_state(progress))
             }
             Reply::Rejected(rejection) => self.refuse(rejection),
+            // Only an entry VM that asked for slots gets them.
+            Reply::Lent(_) => overloaded(),
         }
     }
 
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -8,6 +8,7 @@
 mod certificate;
 mod clock;
 mod convert;
+mod convert_loans;
 mod credentials;
 mod decision;
 mod dispatch;
@@ -18,6 +19,7 @@
 mod journal_reader;
 mod key_binder;
 mod limits;
+mod load_metrics;
 mod logging;
 mod metrics;
 mod operator;
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::durable_metrics::DurableMetrics;
+use crate::load_metrics::LoadMetrics;
 
 /// Upper bounds of the response time buckets, in seconds.
 const RESPONSE_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -16,6 +17,8 @@
 /// Metrics of one entry process.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Decisions under load and faults.
+    pub load: LoadMetrics,
     registry: Registry,
     starts: IntCounter,
     forwards: IntCounter,
@@ -90,6 +93,7 @@
         registry.register(Box::new(revision.clone()))?;
         let durable = DurableMetrics::new(&registry)?;
         Ok(Self {
+            load: LoadMetrics::new(&registry)?,
             registry,
             starts,
             forwards,
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -9,6 +9,7 @@
 use anyhow::Context as _;
 use flume::{Receiver, Sender};
 use geraniumrelay_core::collections::Map;
+use geraniumrelay_core::modules::loans::{BorrowRequest, LoanId, SlotReturn};
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, Origin, PeerCall, Reason, Rejection, Reply};
 use geraniumrelay_wire::{
@@ -19,10 +20,10 @@
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::convert;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::{Call, DecisionTx};
 use crate::sheet_cache::SheetCache;
+use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -51,6 +52,15 @@
         /// Where the reply goes.
         tx: Sender<Reply>,
     },
+    /// Ask for slots; the reply goes to the decision thread.
+    Borrow {
+        /// Peer address.
+        address: SocketAddr,
+        /// The wish.
+        req: BorrowRequest,
+    },
+    /// Return slots to their lender.
+    Return(SlotReturn),
     /// Send a heartbeat and take the peer's in return.
     Beat {
         /// Peer address.
@@ -175,6 +185,11 @@
             // The caller may have gone.
             let _ = tx.try_send(reply);
         }
+        PeerJob::Borrow { address, req } => borrow(&transport, address, req).await,
+        PeerJob::Return(back) => {
+            let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(&back));
+            tell(&transport, back.lender, body).await;
+        }
         PeerJob::Beat { address, news } => {
             let body = peer_request::Body::Heartbeat(convert::heartbeat(&news));
             tell(&transport, address, body).await;
@@ -210,6 +225,25 @@
     }
 }
 
+/// Asks for slots and hands the reply over; also that there was none.
+async fn borrow(transport: &Transport, address: SocketAddr, req: BorrowRequest) {
+    let body = peer_request::Body::Borrow(convert_loans::borrow_slots(req));
+    let msg = PeerRequest { body: Some(body) };
+    let exchange = tokio::time::timeout(CONTROL_TIMEOUT, transport.exchange(address, &msg));
+    let grant = match exchange.await {
+        Ok(Ok(PeerReply {
+            body: Some(peer_reply::Body::Grant(grant)),
+        })) => Some(convert_loans::grant(&grant)),
+        _ => None,
+    };
+    let cmd = Command::TakeLoan {
+        service: req.service,
+        lender: address,
+        grant,
+    };
+    transport.decision.tell_async(cmd).await;
+}
+
 async fn hear(decision: &DecisionTx, beat: &Heartbeat) {
     if let Some(news) = convert::peer_news(beat) {
         decision.tell_async(Command::HearPeer(news)).await;
@@ -261,6 +295,18 @@
             hear(decision, &beat).await;
             return own_heartbeat(decision).await;
         }
+        peer_request::Body::ReturnSlots(back) => {
+            let cmd = Command::TakeBack {
+                loan: LoanId(back.loan),
+                slots: convert_loans::target_slots(&back.slots),
+            };
+            decision.tell_async(cmd).await;
+            return own_heartbeat(decision).await;
+        }
+        peer_request::Body::Borrow(req) => {
+            let rx = decision.lend(convert_loans::borrow_request(&req)?).ok()?;
+            return Some(convert::peer_reply(rx.recv_async().await.ok()?));
+        }
         peer_request::Body::FetchSheet(fetch) => {
             let update = sheets.update_since(fetch.have).unwrap_or_default();
             let body = Some(peer_reply::Body::Sheet(update));
--- a/crates/geraniumrelay/src/poller.rs
+++ b/crates/geraniumrelay/src/poller.rs
@@ -142,6 +142,7 @@
         revision: 0,
         is_leaving: vm.leaving,
         held: Vec::new(),
+        spare: Vec::new(),
     })
 }
 
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use geraniumrelay_core::modules::loans::BorrowRequest;
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
 
@@ -73,6 +74,13 @@
         /// Where its one reply goes.
         tx: Sender<Reply>,
     },
+    /// Another entry VM's wish for slots.
+    Lend {
+        /// The wish.
+        req: BorrowRequest,
+        /// Where the grant goes.
+        tx: Sender<Reply>,
+    },
     /// A command that nobody waits for.
     Tell(Command),
     /// What this VM would say in a heartbeat.
@@ -121,6 +129,16 @@
         Ok(rx)
     }
 
+    /// Passes another entry VM's wish for slots on; the grant comes through the receiver.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn lend(&self, req: BorrowRequest) -> Result<Receiver<Reply>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::Lend { req, tx })?;
+        Ok(rx)
+    }
+
     /// Asks a question.
     ///
     /// # Errors
