--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -192,7 +192,8 @@
                 response::json(StatusCode::ACCEPTED, &convert::job_state(progress))
             }
             Reply::Rejected(rejection) => self.refuse(rejection),
-            Reply::HandOver(_) => overloaded(),
+            // Only entry VMs get these.
+            Reply::HandOver(_) | Reply::Lent(_) => overloaded(),
         }
     }
 
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use flume::Receiver;
-use geraniumrelay_core::{Origin, Query, Reply, Ticket};
+use geraniumrelay_core::modules::loans::LoanId;
+use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
     ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply, peer_request,
 };
@@ -15,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::convert;
+use crate::convert_loans;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peers::{MAX_MESSAGE, hear, unreachable};
@@ -90,6 +92,19 @@
                 hear(&self.decision, &beat).await;
                 return self.own_heartbeat().await;
             }
+            peer_request::Body::ReturnSlots(back) => {
+                let cmd = Command::TakeBack {
+                    loan: LoanId(back.loan),
+                    slots: convert_loans::target_slots(&back.slots),
+                };
+                self.decision.tell_async(cmd).await;
+                return self.own_heartbeat().await;
+            }
+            peer_request::Body::Borrow(req) => {
+                let req = convert_loans::borrow_request(&req)?;
+                let rx = self.decision.lend(req).ok()?;
+                return Some(convert::peer_reply(rx.recv_async().await.ok()?));
+            }
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
                 let body = Some(peer_reply::Body::Sheet(update));
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -13,6 +13,7 @@
 use flume::{Receiver, Sender};
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::modules::handover::HandOverMessage;
+use geraniumrelay_core::modules::loans::{BorrowRequest, SlotReturn};
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, PeerCall, Reason, Rejection, Reply};
 use geraniumrelay_wire::{
@@ -23,13 +24,13 @@
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::convert;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
+use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -72,6 +73,15 @@
         /// Told once they have been told.
         tx: Sender<()>,
     },
+    /// Ask for slots; the reply goes to the decision thread.
+    Borrow {
+        /// Peer address.
+        address: SocketAddr,
+        /// The wish.
+        req: BorrowRequest,
+    },
+    /// Return slots to their lender.
+    Return(SlotReturn),
     /// Send a heartbeat and take the peer's in return.
     Beat {
         /// Peer address.
@@ -225,6 +235,11 @@
             // The caller may have gone.
             let _ = tx.try_send(reply);
         }
+        PeerJob::Borrow { address, req } => borrow(&transport, address, req).await,
+        PeerJob::Return(back) => {
+            let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(&back));
+            tell(&transport, back.lender, body).await;
+        }
         PeerJob::Beat { address, news } => {
             let body = peer_request::Body::Heartbeat(convert::heartbeat(&news));
             tell(&transport, address, body).await;
@@ -299,6 +314,24 @@
     }
 }
 
+/// Asks for slots and hands the reply over; also that there was none.
+async fn borrow(transport: &Transport, address: SocketAddr, req: BorrowRequest) {
+    let body = peer_request::Body::Borrow(convert_loans::borrow_slots(req));
+    let msg = PeerRequest { body: Some(body) };
+    let grant = match transport.exchange(address, &msg, CONTROL_TIMEOUT).await {
+        Ok(PeerReply {
+            body: Some(peer_reply::Body::Grant(grant)),
+        }) => Some(convert_loans::grant(&grant)),
+        _ => None,
+    };
+    let cmd = Command::TakeLoan {
+        service: req.service,
+        lender: address,
+        grant,
+    };
+    transport.decision.tell_async(cmd).await;
+}
+
 /// Passes a heartbeat on to the decision thread.
 pub(crate) async fn hear(decision: &DecisionTx, beat: &Heartbeat) {
     if let Some(news) = convert::peer_news(beat) {
