--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -5,6 +5,8 @@
 //! platform poller are threads of their own, joined to it by bounded rings. Operators have an
 //! interface with an address of its own.
 
+#[cfg(test)]
+mod border_tests;
 mod certificate;
 mod clock;
 mod convert;
