--- a/crates/geraniumrelay-testkit/examples/faults.rs
+++ b/crates/geraniumrelay-testkit/examples/faults.rs
@@ -48,6 +48,9 @@
         }
         total.add(report.audit);
     }
+    let reasons = total.reasons.iter();
+    let reasons: Vec<_> = reasons.map(|(reason, n)| format!("{reason} {n}")).collect();
+    println!("reasons: {}", reasons.join(", "));
     println!("{rounds} rounds from seed {}: {}", args.seed, line(&total));
     if total.violations.is_empty() {
         ExitCode::SUCCESS
--- a/crates/geraniumrelay-testkit/examples/load/main.rs
+++ b/crates/geraniumrelay-testkit/examples/load/main.rs
@@ -126,11 +126,12 @@
         .copied()
         .map(u64::from)
         .sum();
-    let (mut refusals, mut stops) = (0, 0);
+    let (mut refusals, mut stops, mut wasted_stops) = (0, 0, 0);
     for target in &cluster.targets {
         let (refused, stopped) = target.refusals_and_stops();
         refusals += refused;
         stops += stopped;
+        wasted_stops += target.wasted_stops();
     }
     let caller = Caller::new();
     let addresses = cluster.addresses().into_iter();
@@ -138,9 +139,10 @@
         .map(|entry| gauge(&caller, entry, "geraniumrelay_forwards_total"))
         .sum();
     println!(
-        "starts {starts} refused-starts {refusals} stops {stops} forwards {forwards} \
+        "starts {starts} refused-starts {refusals} stops {stops} wasted-stops {wasted_stops} \
+         forwards {forwards} \
          wasted-per-start {:.4}",
-        to_f64(refusals + stops) / to_f64(starts.max(1)),
+        to_f64(refusals + wasted_stops) / to_f64(starts.max(1)),
     );
 }
 
--- a/crates/geraniumrelay-testkit/examples/slopes.rs
+++ b/crates/geraniumrelay-testkit/examples/slopes.rs
@@ -3,17 +3,22 @@
 //! The slopes that docs/CAPACITY.md is worked out from.
 
 use std::hint::black_box;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::modules::claims::ClaimBook;
 use geraniumrelay_core::modules::jobs::JobKey;
-use geraniumrelay_core::{Incarnation, Reason, TicketKey, TicketMint};
+use geraniumrelay_core::modules::sheet::parse_sheet;
+use geraniumrelay_core::modules::targets::TargetInfo;
+use geraniumrelay_core::{
+    Command, Config, Context, Dispatcher, Identity, Incarnation, Reason, TicketKey, TicketMint,
+};
 use geraniumrelay_testkit::entry_process::run_if_entry;
 use geraniumrelay_testkit::load::{LoadPlan, run};
 use geraniumrelay_testkit::usage::ProcessUsage;
 use geraniumrelay_testkit::{Balancer, Cluster, ClusterPlan};
-use geraniumrelay_wire::{Heartbeat, PeerReply, PeerRequest, peer_reply, peer_request};
+use geraniumrelay_wire::{Heartbeat, PeerReply, PeerRequest, Vm, VmList, peer_reply, peer_request};
 use prost::Message;
 
 /// Time of each measurement under load or at rest.
@@ -23,18 +28,21 @@
 const MEAN_RUN: Duration = Duration::from_millis(50);
 
 /// Targets, all in this process.
-const TARGETS: usize = 24;
+const TARGETS: usize = 96;
 
 /// Claims whose memory is measured.
 const CLAIMS: u32 = 1_000_000;
 
 /// Pairs of jobs a second and tasks of each job.
-const LOADS: [(f64, usize); 4] = [(50.0, 1), (200.0, 1), (20.0, 10), (60.0, 10)];
+const LOADS: [(f64, usize); 5] = [(200.0, 1), (800.0, 1), (60.0, 10), (300.0, 10), (40.0, 100)];
 
 fn main() -> anyhow::Result<()> {
     run_if_entry();
     claims()?;
     heartbeat_bytes();
+    for rows in [1_700, 22_000] {
+        target_list(rows)?;
+    }
     for entries in [1, 2, 6] {
         at_rest(entries)?;
     }
@@ -93,6 +101,64 @@
     );
 }
 
+/// Size of the platform's list, and the time to read it and to take it over.
+fn target_list(rows: u32) -> anyhow::Result<()> {
+    let vms = (0..rows).map(|n| Vm {
+        name: format!("szeged-t{n}"),
+        role: "target".to_owned(),
+        data_centre: "szeged".to_owned(),
+        service: "kiallitas-pont".to_owned(),
+        address: format!("10.1.{}.{}:8000", n / 250, n % 250),
+        ..Vm::default()
+    });
+    let text = serde_json::to_string(&VmList { vms: vms.collect() })?;
+    let started = Instant::now();
+    let list: VmList = serde_json::from_str(&text)?;
+    let read = started.elapsed();
+    let infos = list.vms.iter().map(target_info);
+    let infos = infos.collect::<anyhow::Result<Vec<_>>>()?;
+    let taken = take_over(infos)?;
+    println!(
+        "list of {rows} targets: {} bytes, {:.2} ms to read, {:.2} ms of the decision thread to \
+         take over unchanged",
+        text.len(),
+        read.as_secs_f64() * 1e3,
+        taken.as_secs_f64() * 1e3,
+    );
+    Ok(())
+}
+
+fn target_info(vm: &Vm) -> anyhow::Result<TargetInfo> {
+    Ok(TargetInfo {
+        vm: vm.name.parse()?,
+        service: vm.service.parse()?,
+        address: vm.address.parse()?,
+        is_leaving: vm.leaving,
+    })
+}
+
+/// Time to take over a list that is already known.
+fn take_over(infos: Vec<TargetInfo>) -> anyhow::Result<Duration> {
+    let cfg = Config::default();
+    let cx = Context::new(Instant::now(), &cfg);
+    let identity = Identity {
+        vm: "szeged-e0".parse()?,
+        data_centre: "szeged".parse()?,
+        peer_address: "127.0.0.1:1".parse()?,
+        incarnation: Incarnation(1),
+    };
+    let key = TicketKey([1; 16]);
+    let mint = TicketMint::new(identity.data_centre, identity.incarnation, key);
+    let mut dispatcher = Dispatcher::new(&cx, identity, mint);
+    let mut out = Vec::new();
+    let sheet = parse_sheet(1, include_str!("../../../samples/kiallitas-pont.csv"))?;
+    dispatcher.handle(&cx, Command::PutSheet(Arc::new(sheet)), &mut out);
+    dispatcher.handle(&cx, Command::ListTargets(infos.clone()), &mut out);
+    let started = Instant::now();
+    dispatcher.handle(&cx, Command::ListTargets(infos), &mut out);
+    Ok(started.elapsed())
+}
+
 fn at_rest(entries: usize) -> anyhow::Result<()> {
     let cluster = Cluster::start(ClusterPlan::new(entries, 1));
     let pid = cluster.entries[0].pid();
@@ -120,7 +186,7 @@
         tasks,
         time: TIME,
         mean_run: MEAN_RUN,
-        callers: 64,
+        callers: 512,
     };
     let before = ProcessUsage::read(pid)?;
     let report = run(&plan, &balancer);
--- a/crates/geraniumrelay-testkit/src/faults/audit.rs
+++ b/crates/geraniumrelay-testkit/src/faults/audit.rs
@@ -1,6 +1,6 @@
 //! Audit of a round: the targets' own start records against what callers were told.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use derive_more::Display;
 use geraniumrelay_wire::JobAnswer;
@@ -94,6 +94,8 @@
     pub lost: usize,
     /// Tasks that started.
     pub starts: usize,
+    /// Refusals and failed answers by reason.
+    pub reasons: BTreeMap<String, usize>,
     /// What must never be.
     pub violations: Vec<Violation>,
 }
@@ -131,10 +133,16 @@
         self.may_have_run += other.may_have_run;
         self.lost += other.lost;
         self.starts += other.starts;
+        for (reason, count) in other.reasons {
+            *self.reasons.entry(reason).or_default() += count;
+        }
         self.violations.extend(other.violations);
     }
 
     fn count(&mut self, attempt: &Attempt) {
+        if let Some(reason) = reason_of(&attempt.told) {
+            *self.reasons.entry(reason.to_owned()).or_default() += 1;
+        }
         match &attempt.told {
             told if told.is_complete() => self.complete += 1,
             Told::Answer(_) => self.failed += 1,
@@ -198,6 +206,14 @@
     }
 }
 
+fn reason_of(told: &Told) -> Option<&str> {
+    match told {
+        Told::Answer(answer) if answer.status != "complete" => Some(&answer.reason),
+        Told::Problem(problem) => Some(&problem.reason),
+        Told::Answer(_) | Told::InFlight | Told::Lost(_) => None,
+    }
+}
+
 /// A job whose tasks full targets refused was not cut off: that is load, and counts as failed.
 fn was_cut_off(answer: &JobAnswer) -> bool {
     answer.status != "complete" && answer.reason != REFUSED_BY_TARGETS
--- a/crates/geraniumrelay-testkit/src/faults/round.rs
+++ b/crates/geraniumrelay-testkit/src/faults/round.rs
@@ -32,6 +32,10 @@
 /// Time for which a stopping entry process keeps idle connections; longer than the balancer's lag.
 const STOP_LINGER: &str = "1s";
 
+/// Longest wait of a stopping entry process, as for its journal while the store is away; longer
+/// than any deadline.
+const STOP_TIMEOUT: &str = "8s";
+
 /// Waves of cancellations in a round.
 const CANCEL_WAVES: u64 = 4;
 
@@ -49,8 +53,10 @@
 
 /// Runs one round.
 pub fn run_round(schedule: Schedule) -> RoundReport {
-    let plan = ClusterPlan::new(ENTRIES, TARGETS);
-    let cluster = Cluster::start(plan.with_setting("GERANIUMRELAY_STOP_LINGER", STOP_LINGER));
+    let plan = ClusterPlan::new(ENTRIES, TARGETS)
+        .with_setting("GERANIUMRELAY_STOP_LINGER", STOP_LINGER)
+        .with_setting("GERANIUMRELAY_STOP_TIMEOUT", STOP_TIMEOUT);
+    let cluster = Cluster::start(plan);
     let desk = Desk::default();
     desk.offer(cluster.addresses());
     let callers = desk.open(schedule.seed);
@@ -182,6 +188,7 @@
                 .is_some_and(|status| status.success());
             if !has_ended {
                 let vm = entry.vm.clone();
+                entry.kill();
                 self.violations.push(Violation::UncleanStop { vm });
             }
             self.cluster.restart_entry(n);
