test(core): check hand-over between real dispatchers over a faulty network

Cause: the specification covers hand-over, but the code of it was checked by examples only. Change: proptest-state-machine drives three real dispatchers, with a network that loses, repeats and delays, graceful stops, deaths and restarts at the same address; second starts, untrue NotRun and foreign or partial answers end a run.

--- a/crates/geraniumrelay-core/tests/model/main.rs
+++ b/crates/geraniumrelay-core/tests/model/main.rs
@@ -3,6 +3,9 @@
 
 mod dispatcher;
 mod explore;
+mod hand_over;
+mod hand_over_seen;
+mod hand_over_world;
 mod keys;
 mod sheets;
 mod tickets;
