--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -235,6 +235,7 @@
                 waiter,
                 address,
                 call,
+                ..
             } => self.forward(vm, waiter, index_of(address), call),
             Effect::Beat { address, news } => {
                 self.tally.control += 2;
@@ -254,6 +255,8 @@
             | Effect::Journal(_)
             | Effect::FetchSheet { .. }
             | Effect::SheetInForce { .. }
+            | Effect::HandOver { .. }
+            | Effect::NoteHandOver { .. }
             | Effect::Drained => {}
         }
     }
--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -5,12 +5,14 @@
 
 use derive_more::Display;
 
+use crate::collections::Set;
+use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::loans::{BorrowRequest, Grant, LoanId, TargetSlots};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
 use crate::names::{KindName, ServiceName, TeamName};
-use crate::ticket::Ticket;
+use crate::ticket::{Incarnation, Ticket};
 
 /// Name of one waiting caller, given by the host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
@@ -117,6 +119,8 @@
         /// Who passed it here.
         origin: Origin,
     },
+    /// These waiters have gone; what they asked for goes on without them.
+    Leave(Set<Waiter>),
     /// A started task has ended.
     EndTask {
         /// The task.
@@ -162,7 +166,23 @@
         /// Slots that come back.
         slots: Vec<TargetSlots>,
     },
-    /// Start nothing new and let what runs finish.
+    /// Take a message of another process that hands its claims over.
+    TakeHandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Who waits for the reply.
+        waiter: Waiter,
+    },
+    /// The heir has replied to a message of the hand-over from here.
+    HearHeir {
+        /// Incarnation whose table it is.
+        owner: Incarnation,
+        /// Position of the message.
+        number: u64,
+        /// What the heir said.
+        reply: HandOverReply,
+    },
+    /// Start nothing new, hand the claims over and let what runs finish.
     Drain,
     /// Let time pass: deadlines, retries, heartbeats.
     Tick,
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod claims;
+pub mod handover;
 pub mod headroom;
 pub mod health;
 pub mod journal;
@@ -13,6 +14,7 @@
 
 use admission::AdmissionConfig;
 use claims::ClaimsConfig;
+use handover::HandOverConfig;
 use headroom::HeadroomConfig;
 use health::HealthConfig;
 use journal::JournalConfig;
@@ -29,6 +31,8 @@
     pub admission: AdmissionConfig,
     /// Settings of the claim table.
     pub claims: ClaimsConfig,
+    /// Settings of the hand-over at a graceful stop.
+    pub handover: HandOverConfig,
     /// Settings of the journal.
     pub journal: JournalConfig,
     /// Settings of membership.
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod answer;
 mod cancel;
+mod handover;
 mod lending;
 mod peers;
 mod report;
@@ -10,7 +11,7 @@
 mod sheets;
 mod submit;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -18,7 +19,8 @@
 use crate::command::Command;
 use crate::context::Context;
 use crate::effect::{Effect, Reply};
-use crate::modules::claims::{ClaimBook, Decision};
+use crate::modules::books::Books;
+use crate::modules::claims::Decision;
 use crate::modules::jobs::{JobKey, Jobs};
 use crate::modules::learnt::RunTimes;
 use crate::modules::loans::{Loans, Spare};
@@ -53,7 +55,7 @@
 pub struct Dispatcher<P: Policy = Standard> {
     identity: Identity,
     mint: TicketMint,
-    claims: ClaimBook,
+    claims: Books,
     jobs: Jobs,
     running: RunningTasks,
     run_times: RunTimes,
@@ -72,6 +74,8 @@
     sheet_fetch: SheetFetch,
     membership: Membership,
     deadlines: BTreeSet<(Instant, JobKey)>,
+    /// Requests that wait until the heir has acknowledged.
+    parked: VecDeque<handover::Parked>,
     /// Start of the process.
     epoch: Instant,
     is_draining: bool,
@@ -90,7 +94,7 @@
     pub fn with_policy(cx: &Context<'_>, identity: Identity, mint: TicketMint) -> Self {
         Self {
             identity,
-            claims: ClaimBook::new(identity.incarnation, mint.key()),
+            claims: Books::new(identity.incarnation, mint.key()),
             mint,
             jobs: Jobs::default(),
             running: RunningTasks::default(),
@@ -107,6 +111,7 @@
             sheet_fetch: SheetFetch::default(),
             membership: Membership::default(),
             deadlines: BTreeSet::new(),
+            parked: VecDeque::new(),
             epoch: cx.now,
             is_draining: false,
             is_drained: false,
@@ -156,6 +161,7 @@
             } => {
                 self.cancel(cx, ticket, waiter, origin, out);
             }
+            Command::Leave(gone) => self.jobs.leave(&gone),
             Command::EndTask { task, outcome } => self.end_task(cx, task, outcome, out),
             Command::PutSheet(sheet) => self.put_sheet(cx, &sheet, out),
             Command::PutPeerSheet { sheet, from } => self.put_peer_sheet(cx, &sheet, from, out),
@@ -177,13 +183,18 @@
             } => self.take_loan(cx, service, lender, grant, out),
             Command::TakeBack { loan, slots } => self.take_back(cx, loan, &slots, out),
             Command::HearPeer(news) => self.hear_peer(cx, news, out),
-            Command::Drain => {
-                self.mint.close();
-                self.is_draining = true;
+            Command::TakeHandOver { message, waiter } => {
+                self.take_hand_over(cx, &message, waiter, out);
             }
+            Command::HearHeir {
+                owner,
+                number,
+                reply,
+            } => self.hear_heir(cx, owner, number, reply, out),
+            Command::Drain => self.drain(cx, out),
             Command::Tick => self.tick(cx, out),
         }
-        self.report_drained(out);
+        self.report_drained(cx, out);
     }
 
     /// Answers a question without changing anything.
@@ -219,6 +230,11 @@
         self.membership.heard(cx)
     }
 
+    /// Whether every known peer has been heard, or has had the time to be.
+    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
+        self.membership.is_settled(cx)
+    }
+
     /// Number of targets known.
     pub fn targets_known(&self) -> usize {
         self.targets.len()
@@ -234,6 +250,7 @@
         self.start_all(cx, out);
         self.fetch_sheet(cx, out);
         self.spare = self.spare_now(cx);
+        self.hand_over(cx, out);
         self.beat(cx, out);
     }
 
@@ -241,9 +258,7 @@
     fn settle_homes(&mut self, cx: &Context<'_>) {
         let peers = self.membership.working(cx, self.identity.data_centre);
         let mut members: Vec<VmName> = peers.iter().map(|(vm, _)| *vm).collect();
-        if !self.is_draining {
-            members.push(self.identity.vm);
-        }
+        members.push(self.identity.vm);
         members.sort_unstable();
         members.dedup();
         let has_changed = self.targets.take_changed();
@@ -255,8 +270,10 @@
         self.home_peers = peers.into_iter().map(|(_, address)| address).collect();
     }
 
-    fn report_drained(&mut self, out: &mut Vec<Effect>) {
-        if self.is_draining && !self.is_drained && self.jobs.is_empty() && self.running.is_empty() {
+    fn report_drained(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let is_idle = self.jobs.is_empty() && self.running.is_empty();
+        let is_due = self.is_draining && !self.is_drained;
+        if is_due && is_idle && self.is_handed_over(cx) {
             self.is_drained = true;
             out.push(Effect::Drained);
         }
--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -18,6 +18,9 @@
 use crate::reason::Reason;
 use crate::ticket::Ticket;
 
+/// Wait before asking again for the answer of a job with too many waiters.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// One submission as it arrives.
 #[derive(Debug)]
 pub(super) struct Submission {
@@ -30,7 +33,7 @@
 
 impl<P: Policy> Dispatcher<P> {
     pub(super) fn submit(&mut self, cx: &Context<'_>, req: Submission, out: &mut Vec<Effect>) {
-        if req.ticket.incarnation != self.identity.incarnation {
+        if !self.claims.holds(req.ticket.incarnation) {
             let call = PeerCall::Submit {
                 ticket: req.ticket,
                 job: req.job,
@@ -40,6 +43,7 @@
         }
         match self.claims.decide(req.ticket, req.digest) {
             Decision::Fresh => self.start_fresh(cx, req, out),
+            known if known.is_elsewhere() => self.pass_along(cx, &known, req.into(), out),
             known => self.reply_known(req.ticket, known, req.waiter, out),
         }
     }
@@ -54,10 +58,11 @@
     ) {
         let rejection = match known {
             Decision::Join(key) => {
-                if let Some(job) = self.jobs.job_mut(key) {
-                    job.waiters.push(waiter);
+                let has_joined = self.jobs.job_mut(key).is_none_or(|job| job.join(waiter));
+                if has_joined {
+                    return;
                 }
-                return;
+                Rejection::may_have_run(Reason::TooManyWaiters).with_retry_after(RETRY_AFTER)
             }
             Decision::Kept(answer) => {
                 out.push(Effect::Reply {
@@ -74,6 +79,10 @@
             Decision::Spent(reason) => Rejection::not_run(reason),
             Decision::OtherBody => Rejection::may_have_run(Reason::OtherBody),
             Decision::Expired | Decision::Fresh => Rejection::may_have_run(Reason::TicketExpired),
+            Decision::Elsewhere
+            | Decision::HandingOver
+            | Decision::HandedOver(_)
+            | Decision::AuthorityLost => Rejection::may_have_run(Reason::OwnerGone),
             Decision::Forged => Rejection::may_have_run(Reason::BadTicket),
         };
         reject(waiter, rejection, out);
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -1,7 +1,9 @@
 //! The decisions, one module each; their settings stand in [`crate::configs`].
 
+pub mod books;
 pub mod claims;
 pub mod decayed;
+pub mod handover;
 pub mod headroom;
 pub mod health;
 pub mod homes;
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -37,6 +37,10 @@
     #[arg(long, env = "GERANIUMRELAY_PEER_LISTEN")]
     pub peer_listen: SocketAddr,
 
+    /// IP and port that other entry VMs are told; `--peer-listen` where absent.
+    #[arg(long, env = "GERANIUMRELAY_PEER_ADVERTISE")]
+    pub peer_advertise: Option<SocketAddr>,
+
     /// IP and port for operators; none of the operators' interface without it.
     #[arg(long, env = "GERANIUMRELAY_OPERATOR_LISTEN")]
     pub operator_listen: Option<SocketAddr>,
@@ -74,6 +78,14 @@
     #[arg(long, env = "GERANIUMRELAY_MAX_BODY", default_value_t = 1 << 20)]
     pub max_body: usize,
 
+    /// Longest time for the head of a request to arrive, and for a kept connection to be idle.
+    #[arg(long, env = "GERANIUMRELAY_HEAD_TIMEOUT", default_value = "30s", value_parser = humantime::parse_duration)]
+    pub head_timeout: Duration,
+
+    /// Longest time for the body of a request to arrive.
+    #[arg(long, env = "GERANIUMRELAY_BODY_TIMEOUT", default_value = "10s", value_parser = humantime::parse_duration)]
+    pub body_timeout: Duration,
+
     /// Time for which an idempotency key stays bound to its submission.
     #[arg(long, env = "GERANIUMRELAY_KEY_TTL", default_value = "24h", value_parser = humantime::parse_duration)]
     pub key_ttl: Duration,
@@ -93,6 +105,11 @@
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
+
+    /// Shortest time from readiness off to the end, in which the balancer and the callers that keep
+    /// connections turn to other entry VMs.
+    #[arg(long, env = "GERANIUMRELAY_STOP_LINGER", default_value = "3s", value_parser = humantime::parse_duration)]
+    pub stop_linger: Duration,
 }
 
 impl Settings {
@@ -138,6 +155,9 @@
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
+        if self.stop_linger > self.stop_timeout {
+            faults.push("--stop-linger: must not be longer than --stop-timeout".to_owned());
+        }
         if faults.is_empty() {
             return Ok(());
         }
