--- a/crates/geraniumrelay-core/src/dispatcher/lending.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/lending.rs
@@ -61,10 +61,10 @@
 
     /// Slots that this VM can do without now.
     fn spare_slots(&self, cx: &Context<'_>, service: ServiceName, is_urgent: bool) -> u32 {
-        if self.is_draining || (self.has_fair_work(service) && !is_urgent) {
+        if self.has_fair_work(service) && !is_urgent {
             return 0;
         }
-        let keep = (self.targets.usable(service) * cx.cfg.loans.keep_percent).div_ceil(100);
+        let keep = self.targets.usable(service) * cx.cfg.loans.keep_percent / 100;
         let headroom = if is_urgent {
             0
         } else {
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -258,9 +258,7 @@
     fn settle_homes(&mut self, cx: &Context<'_>) {
         let peers = self.membership.working(cx, self.identity.data_centre);
         let mut members: Vec<VmName> = peers.iter().map(|(vm, _)| *vm).collect();
-        if !self.is_draining {
-            members.push(self.identity.vm);
-        }
+        members.push(self.identity.vm);
         members.sort_unstable();
         members.dedup();
         let has_changed = self.targets.take_changed();
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -181,22 +181,13 @@
         due
     }
 
-    /// Whether every known peer has been heard, or has had the time to be.
+    /// Other entry VMs of a data centre that may use targets, in the order of their names.
     ///
-    /// Before that, a process that has just started may not know who holds which tickets.
-    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
-        let grace = cx.cfg.membership.silence;
-        let mut peers = self.peers.values();
-        self.has_list && peers.all(|p| p.heard_at.is_some() || cx.now >= p.known_since + grace)
-    }
-
-    /// Entry VMs of a data centre that take new work; one that was never heard yet counts, as the
-    /// platform's list names it.
+    /// One that was never heard yet counts, as the platform's list names it. One that is leaving
+    /// counts until it is gone, as its last jobs still need their slots.
     pub fn working(&self, cx: &Context<'_>, data_centre: DataCentre) -> Vec<(VmName, SocketAddr)> {
         let is_working = |peer: &&Peer| {
-            peer.news.data_centre == data_centre
-                && !peer.news.is_leaving
-                && (peer.heard_at.is_none() || peer.is_heard(cx))
+            peer.news.data_centre == data_centre && (peer.heard_at.is_none() || peer.is_heard(cx))
         };
         let peers = self.peers.values().filter(is_working);
         let mut working: Vec<_> = peers
@@ -206,6 +197,15 @@
         working
     }
 
+    /// Whether every known peer has been heard, or has had the time to be.
+    ///
+    /// Before that, a process that has just started may not know who holds which tickets.
+    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
+        let grace = cx.cfg.membership.silence;
+        let mut peers = self.peers.values();
+        self.has_list && peers.all(|p| p.heard_at.is_some() || cx.now >= p.known_since + grace)
+    }
+
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
         self.peers.values().filter(|peer| peer.is_heard(cx)).count()
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -75,13 +75,6 @@
         /// Where its one reply goes.
         tx: Sender<Reply>,
     },
-    /// A message of another process that hands its claims over.
-    HandOver {
-        /// The message.
-        message: HandOverMessage,
-        /// Where the reply goes.
-        tx: Sender<Reply>,
-    },
     /// Another entry VM's wish for slots.
     Lend {
         /// The wish.
@@ -89,6 +82,13 @@
         /// Where the grant goes.
         tx: Sender<Reply>,
     },
+    /// A message of another process that hands its claims over.
+    HandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Where the reply goes.
+        tx: Sender<Reply>,
+    },
     /// A command that nobody waits for.
     Tell(Command),
     /// What this VM would say in a heartbeat.
@@ -137,23 +137,23 @@
         Ok(rx)
     }
 
-    /// Sends a message of a hand-over; the reply comes through the receiver.
+    /// Passes another entry VM's wish for slots on; the grant comes through the receiver.
     ///
     /// # Errors
-    /// [`Overloaded`], with the message neither decided nor noted.
-    pub fn hand_over(&self, message: HandOverMessage) -> Result<Receiver<Reply>, Overloaded> {
+    /// [`Overloaded`].
+    pub fn lend(&self, req: BorrowRequest) -> Result<Receiver<Reply>, Overloaded> {
         let (tx, rx) = flume::bounded(1);
-        self.try_send(Input::HandOver { message, tx })?;
+        self.try_send(Input::Lend { req, tx })?;
         Ok(rx)
     }
 
-    /// Passes another entry VM's wish for slots on; the grant comes through the receiver.
+    /// Sends a message of a hand-over; the reply comes through the receiver.
     ///
     /// # Errors
-    /// [`Overloaded`].
-    pub fn lend(&self, req: BorrowRequest) -> Result<Receiver<Reply>, Overloaded> {
+    /// [`Overloaded`], with the message neither decided nor noted.
+    pub fn hand_over(&self, message: HandOverMessage) -> Result<Receiver<Reply>, Overloaded> {
         let (tx, rx) = flume::bounded(1);
-        self.try_send(Input::Lend { req, tx })?;
+        self.try_send(Input::HandOver { message, tx })?;
         Ok(rx)
     }
 
