--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -93,19 +93,6 @@
                 hear(&self.decision, &beat).await;
                 return self.own_heartbeat().await;
             }
-            peer_request::Body::ReturnSlots(back) => {
-                let cmd = Command::TakeBack {
-                    loan: LoanId(back.loan),
-                    slots: convert_loans::target_slots(&back.slots),
-                };
-                self.decision.tell_async(cmd).await;
-                return self.own_heartbeat().await;
-            }
-            peer_request::Body::Borrow(req) => {
-                let req = convert_loans::borrow_request(&req)?;
-                let rx = self.decision.lend(req).ok()?;
-                return Some(convert::peer_reply(rx.recv_async().await.ok()?));
-            }
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
                 let body = Some(peer_reply::Body::Sheet(update));
