--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -13,5 +13,6 @@
 mod server;
 mod teams;
 
+pub use body::BodyReader;
 pub use listener::HttpServer;
 pub use server::Intake;
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -124,7 +124,9 @@
     listen: SocketAddr,
     tls: PeerTls,
     rx: &Receiver<PeerJob>,
-    server: PeerServer,
+    decision: &DecisionTx,
+    sheets: &Arc<SheetCache>,
+    metrics: Arc<PeerMetrics>,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -133,8 +135,10 @@
         let mut endpoint = Endpoint::server(tls.server, listen)
             .with_context(|| format!("listening for peers on {listen}"))?;
         endpoint.set_default_client_config(tls.client);
-        spawn_local(server.clone().accept(endpoint.clone()));
-        let transport = Rc::new(Transport::new(endpoint, server));
+        let server = PeerServer::new(decision.clone(), Arc::clone(sheets), Arc::clone(&metrics));
+        spawn_local(server.accept(endpoint.clone()));
+        let transport = Transport::new(endpoint, decision.clone(), Arc::clone(sheets), metrics);
+        let transport = Rc::new(transport);
         while let Ok(job) = rx.recv_async().await {
             spawn_local(carry_out(Rc::clone(&transport), job));
         }
@@ -147,18 +151,23 @@
 struct Transport {
     endpoint: Endpoint,
     decision: DecisionTx,
-    metrics: Arc<PeerMetrics>,
     sheets: Arc<SheetCache>,
+    metrics: Arc<PeerMetrics>,
     connections: RefCell<Map<SocketAddr, Connection>>,
 }
 
 impl Transport {
-    fn new(endpoint: Endpoint, server: PeerServer) -> Self {
+    fn new(
+        endpoint: Endpoint,
+        decision: DecisionTx,
+        sheets: Arc<SheetCache>,
+        metrics: Arc<PeerMetrics>,
+    ) -> Self {
         Self {
             endpoint,
-            decision: server.decision,
-            metrics: server.metrics,
-            sheets: server.sheets,
+            decision,
+            sheets,
+            metrics,
             connections: RefCell::new(Map::default()),
         }
     }
@@ -305,6 +314,7 @@
         decision.tell_async(Command::HearPeer(news)).await;
     }
 }
+
 /// Brings the sheet here to the peer's; the whole one where the differences don't fit.
 async fn fetch_sheet(transport: &Transport, address: SocketAddr) {
     for have in [transport.sheets.revision(), 0] {
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -21,12 +21,11 @@
 use crate::decision::{DecisionThread, Outlets};
 use crate::dispatch::DispatchTx;
 use crate::durable::Durable;
-use crate::http::{HttpServer, Intake};
+use crate::http::{BodyReader, HttpServer, Intake};
 use crate::journal::JournalTx;
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::operator::{self, OperatorDesk};
-use crate::peer_server::PeerServer;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerJob, PeerTx};
 use crate::platform_contact::PlatformContact;
@@ -98,10 +97,18 @@
 
         let sheets = Arc::new(SheetCache::default());
         let (listen, decision_tx) = (settings.peer_listen, decision.clone());
-        let (peer_sheets, peer_metrics) = (Arc::clone(&sheets), Arc::clone(metrics.peers()));
+        let peer_sheets = Arc::clone(&sheets);
+        let peer_metrics = Arc::clone(metrics.peers());
         spawn("peers", move || {
-            let server = PeerServer::new(decision_tx, peer_sheets, peer_metrics);
-            if let Err(e) = peers::run(listen, tls, &peer_rx, server) {
+            let run = peers::run(
+                listen,
+                tls,
+                &peer_rx,
+                &decision_tx,
+                &peer_sheets,
+                peer_metrics,
+            );
+            if let Err(e) = run {
                 error!(error = e.to_string().as_str(); "peer_transport_failed");
             }
         })?;
@@ -143,7 +150,8 @@
             keys: durable.keys,
             journal: durable.reader,
             ticket_ttl,
-            max_body: settings.max_body,
+            bodies: BodyReader::new(settings.max_body, settings.body_timeout),
+            head_timeout: settings.head_timeout,
             metrics,
             is_stopping: Arc::clone(&is_stopping),
         };
