feat(membership): heartbeats inside a data centre, one contact for each other one

Cause: every entry process sent a heartbeat to every other one twice a second. Idle, each peer cost 0.56 KB/s sent and as much received, 0.05% of a core and 2.7 MB; 13 data centres of 16 entry VMs would need 230 KB/s and 560 MB a node. The memory is quinn's state for 16,384 streams of each connection.

Change: heartbeats go to the peers of the own data centre, and not to one that has just sent its own; of each other data centre to one contact, which replies with a digest of the entry VMs that it hears there, or with the digest's hash alone where nothing has changed, and with the lowest revision in force. A contact that does not reply is replaced by the next; heartbeats to a dead peer become rarer. 2,048 streams for each connection. Peers that are heard or fall silent are logged.

--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -235,7 +235,7 @@
                 call,
                 ..
             } => self.forward(vm, waiter, index_of(address), call),
-            Effect::Beat { address, news } => {
+            Effect::Beat { address, news, .. } => {
                 self.tally.control += 2;
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
@@ -244,6 +244,7 @@
             | Effect::SheetInForce { .. }
             | Effect::HandOver { .. }
             | Effect::NoteHandOver { .. }
+            | Effect::NotePeer(_)
             | Effect::Drained => {}
         }
     }
--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -6,11 +6,12 @@
 use derive_more::Display;
 
 use crate::collections::Set;
+use crate::modules::digest::Digest;
 use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
-use crate::names::{KindName, ServiceName, TeamName};
+use crate::names::{DataCentre, KindName, ServiceName, TeamName};
 use crate::ticket::{Incarnation, Ticket};
 
 /// Name of one waiting caller, given by the host.
@@ -142,6 +143,13 @@
     ListPeers(Vec<PeerNews>),
     /// Note a heartbeat of another entry VM.
     HearPeer(PeerNews),
+    /// Note what a contact in another data centre says of the entry VMs there.
+    HearDigest {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Its entry VMs.
+        digest: Digest,
+    },
     /// Take a message of another process that hands its claims over.
     TakeHandOver {
         /// The message.
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -79,7 +79,7 @@
             retries: RetryBudget::new(&cx.cfg.retry),
             rules: SheetRules::default(),
             sheet_fetch: SheetFetch::default(),
-            membership: Membership::default(),
+            membership: Membership::new(identity.data_centre, identity.incarnation),
             deadlines: BTreeSet::new(),
             parked: VecDeque::new(),
             is_draining: false,
@@ -140,6 +140,10 @@
             }
             Command::ListPeers(listed) => self.membership.list(cx, listed),
             Command::HearPeer(news) => self.hear_peer(cx, news, out),
+            Command::HearDigest {
+                data_centre,
+                digest,
+            } => self.membership.hear_digest(cx, data_centre, digest),
             Command::TakeHandOver { message, waiter } => {
                 self.take_hand_over(cx, &message, waiter, out);
             }
@@ -204,6 +208,7 @@
         self.fetch_sheet(cx, out);
         self.hand_over(cx, out);
         self.beat(cx, out);
+        self.note_peers(cx, out);
     }
 
     fn report_drained(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
--- a/crates/geraniumrelay-core/src/dispatcher/peers.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/peers.rs
@@ -8,7 +8,9 @@
 use crate::dispatcher::submit::reject;
 use crate::effect::{Effect, PeerCall, Rejection};
 use crate::modules::claims::Decision;
+use crate::modules::digest::Digest;
 use crate::modules::membership::{Owner, PeerNews};
+use crate::names::DataCentre;
 use crate::reason::Reason;
 use crate::ticket::Ticket;
 
@@ -125,16 +127,33 @@
         }
     }
 
+    /// What this VM says of its data centre to a VM of another one, where it asks from there.
+    pub fn digest_for(
+        &self,
+        cx: &Context<'_>,
+        asker: DataCentre,
+        known_digest: u64,
+    ) -> Option<Digest> {
+        let is_remote = asker != self.identity.data_centre;
+        is_remote.then(|| self.membership.digest(cx, self.own_news(), known_digest))
+    }
+
     pub(super) fn hear_peer(&mut self, cx: &Context<'_>, news: PeerNews, out: &mut Vec<Effect>) {
         self.membership.hear(cx, news);
         self.fetch_sheet(cx, out);
     }
 
+    pub(super) fn note_peers(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let changes = self.membership.take_changes(cx);
+        out.extend(changes.into_iter().map(Effect::NotePeer));
+    }
+
     pub(super) fn beat(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
-        for address in self.membership.take_due_beats(cx) {
+        for to in self.membership.take_due_beats(cx) {
             out.push(Effect::Beat {
-                address,
+                address: to.address,
                 news: self.own_news(),
+                known_digest: to.known_digest,
             });
         }
     }
--- a/crates/geraniumrelay-core/src/dispatcher/sheets.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/sheets.rs
@@ -11,7 +11,7 @@
     /// Puts a sheet of the platform in force and tells the peers that have an older one.
     pub(super) fn put_sheet(&mut self, cx: &Context<'_>, sheet: &Sheet, out: &mut Vec<Effect>) {
         if self.enforce(cx, sheet, out) {
-            let peers = self.membership.peers();
+            let peers = self.membership.recipients();
             let older = peers.filter(|news| news.revision < sheet.revision);
             let addresses: Vec<_> = older.map(|news| news.address).collect();
             out.extend(addresses.into_iter().map(|address| self.beat_to(address)));
@@ -68,6 +68,7 @@
         Effect::Beat {
             address,
             news: self.own_news(),
+            known_digest: self.membership.known_digest_at(address),
         }
     }
 }
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -9,7 +9,7 @@
 use crate::command::{JobSpec, Waiter};
 use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::journal::JournalEntry;
-use crate::modules::membership::PeerNews;
+use crate::modules::membership::{PeerChange, PeerNews};
 use crate::modules::targets::TaskKey;
 use crate::query::JobProgress;
 use crate::reason::Reason;
@@ -225,12 +225,16 @@
         /// The stage.
         stage: HandOverStage,
     },
+    /// Say that a peer has come or gone.
+    NotePeer(PeerChange),
     /// Send a heartbeat to another entry VM.
     Beat {
         /// Peer address.
         address: SocketAddr,
         /// State of this VM.
         news: PeerNews,
+        /// Hash of the digest of the peer's data centre that is known here; 0 for none.
+        known_digest: u64,
     },
     /// Ask another entry VM for its sheet, which is newer than the one in force here.
     FetchSheet {
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -1,4 +1,5 @@
-//! Entry VMs known to this one, from the platform's list and from their heartbeats.
+//! Entry VMs known to this one, from the platform's list, from their heartbeats, and from the
+//! digests that contacts give of other data centres.
 
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
@@ -6,8 +7,10 @@
 
 use rustc_hash::FxBuildHasher;
 
-use crate::collections::Map;
+use crate::collections::{Map, Set};
 use crate::context::Context;
+use crate::modules::beats::Beats;
+use crate::modules::digest::Digest;
 use crate::modules::handover::Heir;
 use crate::names::{DataCentre, VmName};
 use crate::ticket::Incarnation;
@@ -35,8 +38,17 @@
 struct Peer {
     news: PeerNews,
     known_since: Instant,
+    /// Whether it was noted as reached, and with which incarnation.
+    noted: Option<Incarnation>,
     heard_at: Option<Instant>,
-    beat_at: Option<Instant>,
+}
+
+/// What is known of another data centre through its contacts.
+#[derive(Debug, Clone)]
+struct View {
+    hash: u64,
+    heard_at: Instant,
+    vms: Set<VmName>,
 }
 
 /// What is known of a peer, for operators.
@@ -50,6 +62,26 @@
     pub is_reached: bool,
 }
 
+/// A peer that has come or gone, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerChange {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its last incarnation.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it is heard now.
+    pub is_reached: bool,
+}
+
+/// Where a heartbeat goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recipient {
+    /// Peer address.
+    pub address: SocketAddr,
+    /// Hash of the last digest of its data centre; 0 before the first.
+    pub known_digest: u64,
+}
+
 /// Where the owner of a ticket is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Owner {
@@ -62,11 +94,16 @@
 }
 
 /// Entry VMs known to this one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Membership {
+    own: DataCentre,
+    /// Makes each VM prefer other contacts.
+    seed: u64,
     /// Whether any peers can be known yet.
     has_list: bool,
     peers: Map<VmName, Peer>,
+    beats: Beats,
+    views: Map<DataCentre, View>,
     /// VMs by the incarnation that they run.
     running: Map<Incarnation, VmName>,
     /// VMs by the incarnations that they hold by hand-over.
@@ -74,6 +111,20 @@
 }
 
 impl Membership {
+    /// Makes the membership of a process that knows nobody yet.
+    pub fn new(own: DataCentre, incarnation: Incarnation) -> Self {
+        Self {
+            own,
+            seed: incarnation.0,
+            has_list: false,
+            peers: Map::default(),
+            beats: Beats::default(),
+            views: Map::default(),
+            running: Map::default(),
+            holders: Map::default(),
+        }
+    }
+
     /// Takes over the platform's list; VMs that are gone from it and silent are forgotten.
     pub fn list(&mut self, cx: &Context<'_>, listed: Vec<PeerNews>) {
         self.has_list = true;
@@ -82,15 +133,20 @@
             let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
                 news: news.clone(),
                 known_since: cx.now,
+                noted: None,
                 heard_at: None,
-                beat_at: None,
             });
             peer.news.address = news.address;
             peer.news.is_leaving |= news.is_leaving;
         }
+        let silence = cx.cfg.membership.remote_silence;
+        self.views
+            .retain(|_, view| cx.now < view.heard_at + silence);
+        let views = &self.views;
         self.peers
-            .retain(|vm, peer| names.contains(vm) || peer.is_heard(cx));
+            .retain(|vm, peer| names.contains(vm) || peer.is_heard(cx, views));
         let peers = &self.peers;
+        self.beats.retain(|vm| peers.contains_key(vm));
         self.running
             .retain(|incarnation, vm| peers.get(vm).is_some_and(|p| p.runs(*incarnation)));
         self.holders
@@ -99,22 +155,93 @@
 
     /// Notes a heartbeat.
     pub fn hear(&mut self, cx: &Context<'_>, news: PeerNews) {
-        let Some(incarnation) = news.incarnation else {
+        let vm = news.vm;
+        if self.learn(cx, news) {
+            self.beats.note_heard(cx, vm);
+            if let Some(peer) = self.peers.get_mut(&vm) {
+                peer.heard_at = Some(cx.now);
+            }
+        }
+    }
+
+    /// Notes what a contact says of its data centre.
+    pub fn hear_digest(&mut self, cx: &Context<'_>, data_centre: DataCentre, digest: Digest) {
+        let Digest {
+            hash,
+            lowest_revision,
+            peers,
+        } = digest;
+        if let Some(view) = self.views.get_mut(&data_centre)
+            && view.hash == hash
+        {
+            view.heard_at = cx.now;
+            for vm in &view.vms {
+                if let Some(peer) = self.peers.get_mut(vm) {
+                    peer.news.revision = peer.news.revision.max(lowest_revision);
+                }
+            }
             return;
+        }
+        let peers = peers.into_iter();
+        let peers = peers.filter(|n| n.data_centre == data_centre && data_centre != self.own);
+        let peers: Vec<PeerNews> = peers.collect();
+        if peers.is_empty() {
+            return;
+        }
+        let vms = peers.iter().map(|news| news.vm).collect();
+        for news in peers {
+            self.learn(cx, news);
+        }
+        let heard_at = cx.now;
+        let view = View {
+            hash,
+            heard_at,
+            vms,
+        };
+        self.views.insert(data_centre, view);
+    }
+
+    /// Hash of the last digest of another data centre; 0 before the first.
+    pub fn known_digest(&self, data_centre: DataCentre) -> u64 {
+        self.views.get(&data_centre).map_or(0, |view| view.hash)
+    }
+
+    /// The same for the data centre of a peer.
+    pub fn known_digest_at(&self, address: SocketAddr) -> u64 {
+        let mut peers = self.peers();
+        let peer = peers.find(|news| news.address == address);
+        peer.map_or(0, |news| self.known_digest(news.data_centre))
+    }
+
+    /// The entry VMs of the own data centre that are heard here, for other data centres.
+    pub fn digest(&self, cx: &Context<'_>, own: PeerNews, known_hash: u64) -> Digest {
+        let near = self
+            .peers
+            .values()
+            .filter(|peer| peer.news.data_centre == self.own && peer.is_heard_directly(cx));
+        let mut peers: Vec<PeerNews> = near.map(|peer| peer.news.clone()).collect();
+        peers.push(own);
+        Digest::new(peers, known_hash)
+    }
+
+    /// Takes news over; returns whether they name an incarnation.
+    fn learn(&mut self, cx: &Context<'_>, news: PeerNews) -> bool {
+        let Some(incarnation) = news.incarnation else {
+            return false;
         };
         self.has_list = true;
         self.running.insert(incarnation, news.vm);
         for held in &news.held {
             self.holders.insert(*held, news.vm);
         }
-        let known = self.peers.get(&news.vm);
-        let peer = Peer {
-            known_since: known.map_or(cx.now, |peer| peer.known_since),
-            heard_at: Some(cx.now),
-            beat_at: known.and_then(|peer| peer.beat_at),
-            news,
-        };
-        self.peers.insert(peer.news.vm, peer);
+        let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
+            news: news.clone(),
+            known_since: cx.now,
+            noted: None,
+            heard_at: None,
+        });
+        peer.news = news;
+        true
     }
 
     /// Where the tickets of an incarnation are decided: at its heir, else where it runs.
@@ -122,7 +249,7 @@
         let holder = self.holders.get(&incarnation);
         let holder = holder.and_then(|vm| self.peers.get(vm));
         let holder = holder.filter(|peer| peer.holds(incarnation));
-        match (where_is(cx, holder), self.process_at(cx, incarnation)) {
+        match (self.where_is(cx, holder), self.process_at(cx, incarnation)) {
             (Owner::At(address), _) | (_, Owner::At(address)) => Owner::At(address),
             (Owner::Silent, _) | (_, Owner::Silent) => Owner::Silent,
             (Owner::Unknown, Owner::Unknown) => Owner::Unknown,
@@ -133,7 +260,7 @@
     pub fn process_at(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
         let vm = self.running.get(&incarnation);
         let peer = vm.and_then(|vm| self.peers.get(vm));
-        where_is(cx, peer.filter(|peer| peer.runs(incarnation)))
+        self.where_is(cx, peer.filter(|peer| peer.runs(incarnation)))
     }
 
     /// The entry VM of a data centre that takes the claims of `leaving` over, if any can.
@@ -146,7 +273,9 @@
         leaving: Incarnation,
     ) -> Option<Heir> {
         let peers = self.peers.values().filter(|peer| {
-            peer.is_heard(cx) && !peer.news.is_leaving && peer.news.data_centre == data_centre
+            peer.is_heard(cx, &self.views)
+                && !peer.news.is_leaving
+                && peer.news.data_centre == data_centre
         });
         let heirs = peers.filter_map(|peer| {
             let (incarnation, address) = (peer.news.incarnation?, peer.news.address);
@@ -160,41 +289,78 @@
 
     /// Makes the heartbeats to all peers due at once.
     pub fn hurry_beats(&mut self) {
-        for peer in self.peers.values_mut() {
-            peer.beat_at = None;
-        }
+        self.beats.hurry();
+    }
+
+    /// Peers that heartbeats go to.
+    pub fn recipients(&self) -> impl Iterator<Item = &PeerNews> {
+        let vms = self.beats.recipients(self.own, self.seed, self.peers());
+        vms.into_iter()
+            .filter_map(|vm| self.peers.get(&vm).map(|peer| &peer.news))
     }
 
     /// Peers whose heartbeat is due, which counts as sent.
-    pub fn take_due_beats(&mut self, cx: &Context<'_>) -> Vec<SocketAddr> {
-        let interval = cx.cfg.membership.heartbeat_interval;
+    pub fn take_due_beats(&mut self, cx: &Context<'_>) -> Vec<Recipient> {
+        let news = self.peers.values().map(|peer| &peer.news);
         let mut due = Vec::new();
-        for peer in self.peers.values_mut() {
-            if peer.beat_at.is_none_or(|at| cx.now >= at + interval) {
-                peer.beat_at = Some(cx.now);
-                due.push(peer.news.address);
+        for vm in self.beats.recipients(self.own, self.seed, news) {
+            let Some(news) = self.peers.get(&vm).map(|peer| &peer.news) else {
+                continue;
+            };
+            if self.beats.take_due(cx, news, news.data_centre == self.own) {
+                due.push(Recipient {
+                    address: news.address,
+                    known_digest: self.known_digest(news.data_centre),
+                });
             }
         }
         due
     }
 
-    /// Whether every known peer has been heard, or has had the time to be.
+    /// Whether every known peer is heard, or has had the time to be.
     ///
     /// Before that, a process that has just started may not know who holds which tickets.
     pub fn is_settled(&self, cx: &Context<'_>) -> bool {
         let grace = cx.cfg.membership.silence;
         let mut peers = self.peers.values();
-        self.has_list && peers.all(|p| p.heard_at.is_some() || cx.now >= p.known_since + grace)
+        self.has_list
+            && peers.all(|p| p.is_heard(cx, &self.views) || cx.now >= p.known_since + grace)
+    }
+
+    /// Peers that were heard first, anew in another incarnation, or no more since the last call.
+    pub fn take_changes(&mut self, cx: &Context<'_>) -> Vec<PeerChange> {
+        let views = &self.views;
+        let mut changes = Vec::new();
+        for peer in self.peers.values_mut() {
+            let is_reached = peer.is_heard(cx, views);
+            let now = peer.news.incarnation.filter(|_| is_reached);
+            if peer.noted == now {
+                continue;
+            }
+            peer.noted = now;
+            changes.push(PeerChange {
+                vm: peer.news.vm,
+                incarnation: peer.news.incarnation,
+                is_reached,
+            });
+        }
+        changes
     }
 
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
-        self.peers.values().filter(|peer| peer.is_heard(cx)).count()
+        self.peers
+            .values()
+            .filter(|peer| peer.is_heard(cx, &self.views))
+            .count()
     }
 
     /// The reachable peer with the newest sheet.
     pub fn newest_sheet(&self, cx: &Context<'_>) -> Option<&PeerNews> {
-        let heard = self.peers.values().filter(|peer| peer.is_heard(cx));
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(cx, &self.views));
         heard
             .map(|peer| &peer.news)
             .max_by_key(|news| news.revision)
@@ -205,24 +371,24 @@
         self.peers.values().map(|peer| PeerReport {
             news: peer.news.clone(),
             heard_ago: peer.heard_at.map(|at| cx.now.saturating_duration_since(at)),
-            is_reached: peer.is_heard(cx),
+            is_reached: peer.is_heard(cx, &self.views),
         })
     }
 
+    fn where_is(&self, cx: &Context<'_>, peer: Option<&Peer>) -> Owner {
+        match peer {
+            Some(peer) if peer.is_heard(cx, &self.views) => Owner::At(peer.news.address),
+            Some(_) => Owner::Silent,
+            None => Owner::Unknown,
+        }
+    }
+
     /// News of all peers.
     pub fn peers(&self) -> impl Iterator<Item = &PeerNews> {
         self.peers.values().map(|peer| &peer.news)
     }
 }
 
-fn where_is(cx: &Context<'_>, peer: Option<&Peer>) -> Owner {
-    match peer {
-        Some(peer) if peer.is_heard(cx) => Owner::At(peer.news.address),
-        Some(_) => Owner::Silent,
-        None => Owner::Unknown,
-    }
-}
-
 impl Peer {
     fn runs(&self, incarnation: Incarnation) -> bool {
         self.news.incarnation == Some(incarnation)
@@ -232,9 +398,19 @@
         self.news.held.contains(&incarnation)
     }
 
-    fn is_heard(&self, cx: &Context<'_>) -> bool {
-        self.heard_at
-            .is_some_and(|at| cx.now < at + cx.cfg.membership.silence)
+    /// Whether it was heard here or by a contact in its data centre.
+    fn is_heard(&self, cx: &Context<'_>, views: &Map<DataCentre, View>) -> bool {
+        let cfg = &cx.cfg.membership;
+        let data_centre = &self.news.data_centre;
+        let view = views.get(data_centre);
+        let view = view.filter(|view| view.vms.contains(&self.news.vm));
+        view.is_some_and(|view| cx.now < view.heard_at + cfg.remote_silence)
+            || self.heard_at.is_some_and(|at| cx.now < at + cfg.silence)
+    }
+
+    fn is_heard_directly(&self, cx: &Context<'_>) -> bool {
+        let silence = cx.cfg.membership.silence;
+        self.heard_at.is_some_and(|at| cx.now < at + silence)
     }
 }
 
@@ -260,7 +436,7 @@
         let cfg = Config::default();
         let start = Instant::now();
         let cx = Context::new(start, &cfg);
-        let mut membership = Membership::default();
+        let mut membership = Membership::new("szeged".parse().unwrap(), Incarnation(0));
         assert_eq!(membership.owner_of(&cx, Incarnation(1)), Owner::Unknown);
         membership.hear(&cx, news(1));
         assert_eq!(
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -1,7 +1,9 @@
 //! The decisions, one module each; their settings stand in [`crate::configs`].
 
+pub mod beats;
 pub mod books;
 pub mod claims;
+pub mod digest;
 pub mod handover;
 pub mod jobs;
 pub mod journal;
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -591,7 +591,7 @@
     pub ticket: ::prost::alloc::string::String,
 }
 /// Says who is alive and what it has in force.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
     #[prost(uint64, tag = "1")]
     pub incarnation: u64,
@@ -609,6 +609,18 @@
     /// Peer address of the sender, IP and port.
     #[prost(string, tag = "7")]
     pub address: ::prost::alloc::string::String,
+    /// In a request to another data centre: hash of the digest of it that the sender has.
+    #[prost(uint64, tag = "8")]
+    pub known_digest: u64,
+    /// In a reply to another data centre: hash of the digest, and the entry VMs of the replying data
+    /// centre unless the asking VM has this content already.
+    #[prost(uint64, tag = "9")]
+    pub digest: u64,
+    #[prost(message, repeated, tag = "10")]
+    pub peers: ::prost::alloc::vec::Vec<Heartbeat>,
+    /// Lowest revision that any entry VM of the replying data centre has in force.
+    #[prost(uint64, tag = "11")]
+    pub lowest_revision: u64,
 }
 /// Asks a peer for what was accepted after a revision.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/geraniumrelay/src/convert.rs
+++ b/crates/geraniumrelay/src/convert.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumrelay_core::command::TaskSpec;
+use geraniumrelay_core::modules::digest::Digest;
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{
     Answer, Incarnation, JobProgress, JobSpec, PeerCall, Reason, Rejection, Reply, TaskResult,
@@ -227,9 +228,35 @@
         leaving: news.is_leaving,
         held: news.held.iter().map(|held| held.0).collect(),
         address: news.address.to_string(),
+        ..Heartbeat::default()
     }
 }
 
+/// Writes the reply to a heartbeat, with the digest that another data centre gets.
+pub fn heartbeat_reply(news: &PeerNews, digest: Option<&Digest>) -> Heartbeat {
+    let beat = heartbeat(news);
+    let Some(digest) = digest else {
+        return beat;
+    };
+    Heartbeat {
+        digest: digest.hash,
+        lowest_revision: digest.lowest_revision,
+        peers: digest.peers.iter().map(heartbeat).collect(),
+        ..beat
+    }
+}
+
+/// Reads the digest of a reply; `None` where there is none or it is malformed.
+pub fn read_digest(beat: &Heartbeat) -> Option<Digest> {
+    let peers = beat.peers.iter().map(peer_news).collect::<Option<_>>()?;
+    let hash = beat.digest;
+    (hash != 0).then_some(Digest {
+        hash,
+        lowest_revision: beat.lowest_revision,
+        peers,
+    })
+}
+
 /// Reads a heartbeat; `None` where it is malformed.
 pub fn peer_news(beat: &Heartbeat) -> Option<PeerNews> {
     let address: SocketAddr = beat.address.parse().ok()?;
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -5,15 +5,16 @@
 
 use flume::{Receiver, RecvTimeoutError, Sender};
 use geraniumrelay_core::collections::Set;
+use geraniumrelay_core::modules::membership::PeerChange;
 use geraniumrelay_core::{Clock, Command, Config, Context, Dispatcher, Effect, Reply, Waiter};
-use log::info;
+use log::{info, warn};
 use slotmap::{KeyData, SlotMap, new_key_type};
 
 use crate::dispatch::{DispatchTx, TaskJob};
 use crate::journal::JournalTx;
 use crate::metrics::Metrics;
 use crate::peers::{PeerJob, PeerTx};
-use crate::requests::{Call, Input};
+use crate::requests::{Asker, Call, Input, OwnNews};
 
 /// Longest time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -125,9 +126,9 @@
                 self.decide(now, Command::TakeHandOver { message, waiter });
             }
             Input::Tell(cmd) => self.decide(now, cmd),
-            Input::AskNews { tx } => {
+            Input::AskNews { asker, tx } => {
                 // Whoever asked may have given up.
-                let _ = tx.send(self.dispatcher.own_news());
+                let _ = tx.send(self.own_news(now, asker));
             }
             Input::AskReport { query, tx } => {
                 let cx = Context::new(now, &self.cfg);
@@ -207,9 +208,16 @@
                 self.metrics.peers().count_hand_over(stage);
                 info!(owner:%, stage:%; "hand_over");
             }
-            Effect::Beat { address, news } => {
-                self.outlets.peers.send(PeerJob::Beat { address, news });
-            }
+            Effect::Beat {
+                address,
+                news,
+                known_digest,
+            } => self.outlets.peers.send(PeerJob::Beat {
+                address,
+                news,
+                known_digest,
+            }),
+            Effect::NotePeer(change) => log_peer(&change),
             Effect::FetchSheet { address } => {
                 self.outlets.peers.send(PeerJob::FetchSheet { address });
             }
@@ -240,12 +248,35 @@
         self.decide(now, Command::Leave(gone));
     }
 
+    fn own_news(&self, now: Instant, asker: Asker) -> OwnNews {
+        let cx = Context::new(now, &self.cfg);
+        let Asker {
+            data_centre,
+            known_digest,
+        } = asker;
+        OwnNews {
+            news: self.dispatcher.own_news(),
+            digest: self.dispatcher.digest_for(&cx, data_centre, known_digest),
+        }
+    }
+
     fn take_waiter(&mut self, waiter: Waiter) -> Option<Sender<Reply>> {
         self.waiters
             .remove(WaiterKey::from(KeyData::from_ffi(waiter.0)))
     }
 }
 
+fn log_peer(change: &PeerChange) {
+    let incarnation = change.incarnation.map(|i| i.to_string());
+    let incarnation = incarnation.unwrap_or_default();
+    let incarnation = incarnation.as_str();
+    if change.is_reached {
+        info!(vm:% = change.vm, incarnation; "peer_heard");
+    } else {
+        warn!(vm:% = change.vm, incarnation; "peer_silent");
+    }
+}
+
 fn command_of(call: Call, waiter: Waiter) -> Command {
     match call {
         Call::Submit {
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -6,7 +6,8 @@
 use flume::Receiver;
 use geraniumrelay_core::{Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply, peer_request,
+    ForwardQuery, ForwardSubmit, HandOver, Heartbeat, PeerReply, PeerRequest, peer_reply,
+    peer_request,
 };
 use log::warn;
 use prost::Message;
@@ -18,7 +19,7 @@
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peers::{MAX_MESSAGE, hear, unreachable};
-use crate::requests::{Call, DecisionTx};
+use crate::requests::{Asker, Call, DecisionTx, OwnNews};
 use crate::sheet_cache::SheetCache;
 
 /// Longest wait of another entry VM's query.
@@ -85,7 +86,7 @@
         let call = match req.body? {
             peer_request::Body::Heartbeat(beat) => {
                 hear(&self.decision, &beat).await;
-                return self.own_heartbeat().await;
+                return self.own_heartbeat(&beat).await;
             }
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
@@ -145,10 +146,15 @@
         Some(convert::peer_reply(rx.recv_async().await.ok()?))
     }
 
-    async fn own_heartbeat(&self) -> Option<PeerReply> {
-        let rx = self.decision.ask_news().ok()?;
-        let news = rx.recv_async().await.ok()?;
-        let body = peer_reply::Body::Heartbeat(convert::heartbeat(&news));
+    async fn own_heartbeat(&self, beat: &Heartbeat) -> Option<PeerReply> {
+        let asker = Asker {
+            data_centre: beat.data_centre.parse().ok()?,
+            known_digest: beat.known_digest,
+        };
+        let rx = self.decision.ask_news(asker).ok()?;
+        let OwnNews { news, digest } = rx.recv_async().await.ok()?;
+        let reply = convert::heartbeat_reply(&news, digest.as_ref());
+        let body = peer_reply::Body::Heartbeat(reply);
         Some(PeerReply { body: Some(body) })
     }
 }
--- a/crates/geraniumrelay/src/peer_tls.rs
+++ b/crates/geraniumrelay/src/peer_tls.rs
@@ -25,8 +25,8 @@
 /// Time between signs of life on a connection that is otherwise quiet, as while a long job runs.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
-/// Requests of one peer that may be open at once.
-const MAX_STREAMS: u32 = 16_384;
+/// Requests of one peer that may be open at once; each connection holds memory for all of them.
+const MAX_STREAMS: u32 = 2_048;
 
 /// Both sides' settings of the peer transport.
 #[derive(Debug)]
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -78,6 +78,8 @@
         address: SocketAddr,
         /// State of this VM.
         news: PeerNews,
+        /// Hash of the digest that is known of the peer's data centre; 0 for none.
+        known_digest: u64,
     },
     /// Ask for a newer sheet.
     FetchSheet {
@@ -234,9 +236,16 @@
             // The caller may have gone.
             let _ = tx.try_send(reply);
         }
-        PeerJob::Beat { address, news } => {
-            let body = peer_request::Body::Heartbeat(convert::heartbeat(&news));
-            tell(&transport, address, body).await;
+        PeerJob::Beat {
+            address,
+            news,
+            known_digest,
+        } => {
+            let beat = Heartbeat {
+                known_digest,
+                ..convert::heartbeat(&news)
+            };
+            send_beat(&transport, address, beat).await;
         }
         PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
         PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
@@ -292,9 +301,10 @@
     transport.decision.tell_async(cmd).await;
 }
 
-/// Sends a control message; every reply to one is the peer's own heartbeat.
-async fn tell(transport: &Transport, address: SocketAddr, body: peer_request::Body) {
-    let req = PeerRequest { body: Some(body) };
+/// Sends a heartbeat; the reply is the peer's own.
+async fn send_beat(transport: &Transport, address: SocketAddr, beat: Heartbeat) {
+    let body = Some(peer_request::Body::Heartbeat(beat));
+    let req = PeerRequest { body };
     let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
         Ok(reply) => reply,
         Err(e) => {
@@ -303,8 +313,17 @@
             return;
         }
     };
-    if let Some(peer_reply::Body::Heartbeat(beat)) = reply.body {
-        hear(&transport.decision, &beat).await;
+    let Some(peer_reply::Body::Heartbeat(beat)) = reply.body else {
+        return;
+    };
+    hear(&transport.decision, &beat).await;
+    let data_centre = beat.data_centre.parse().ok();
+    if let Some((data_centre, digest)) = data_centre.zip(convert::read_digest(&beat)) {
+        let cmd = Command::HearDigest {
+            data_centre,
+            digest,
+        };
+        transport.decision.tell_async(cmd).await;
     }
 }
 
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use geraniumrelay_core::modules::digest::Digest;
 use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::names::DataCentre;
 use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
 
 /// Most entries of the ring to the decision thread.
@@ -64,6 +66,24 @@
     }
 }
 
+/// Who sent a heartbeat, as far as the reply depends on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asker {
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Hash of the digest that it has of the data centre here; 0 for none.
+    pub known_digest: u64,
+}
+
+/// Reply to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnNews {
+    /// State of this VM.
+    pub news: PeerNews,
+    /// What is said of this data centre to another one.
+    pub digest: Option<Digest>,
+}
+
 /// One entry of the ring to the decision thread.
 #[derive(Debug)]
 pub enum Input {
@@ -83,10 +103,12 @@
     },
     /// A command that nobody waits for.
     Tell(Command),
-    /// What this VM would say in a heartbeat.
+    /// What this VM would reply to a heartbeat.
     AskNews {
+        /// Who asks.
+        asker: Asker,
         /// Where the answer goes.
-        tx: Sender<PeerNews>,
+        tx: Sender<OwnNews>,
     },
     /// An operator's question.
     AskReport {
@@ -159,13 +181,13 @@
         Ok(rx)
     }
 
-    /// Asks for what this VM would say in a heartbeat.
+    /// Asks for what this VM would reply to a heartbeat.
     ///
     /// # Errors
     /// [`Overloaded`].
-    pub fn ask_news(&self) -> Result<Receiver<PeerNews>, Overloaded> {
+    pub fn ask_news(&self, asker: Asker) -> Result<Receiver<OwnNews>, Overloaded> {
         let (tx, rx) = flume::bounded(1);
-        self.try_send(Input::AskNews { tx })?;
+        self.try_send(Input::AskNews { asker, tx })?;
         Ok(rx)
     }
 
