--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -208,6 +208,12 @@
     /// Has the plan's sheet accepted as `revision`.
     pub fn apply(&self, revision: u64) {
         let client = PlatformClient::new(PlatformConfig::new(self.platform.url()));
+        let (record, audit) = self.records(revision);
+        let outcome = SheetStore::new(&client).accept(revision - 1, &record, &audit);
+        assert_eq!(outcome, Ok(Acceptance::Accepted { revision }));
+    }
+
+    fn records(&self, revision: u64) -> (SheetRecord, AuditEntry) {
         let apply_id = format!("apply-{revision}");
         let record = SheetRecord {
             revision,
@@ -219,8 +225,30 @@
             apply_id,
             ..AuditEntry::default()
         };
-        let outcome = SheetStore::new(&client).accept(revision - 1, &record, &audit);
-        assert_eq!(outcome, Ok(Acceptance::Accepted { revision }));
+        (record, audit)
+    }
+
+    /// Has the plan's sheet accepted again as `revision`, where the reply to the write may be lost,
+    /// and repeats it with the same apply id.
+    pub fn apply_with_lost_reply(&self, revision: u64) {
+        let client = PlatformClient::new(PlatformConfig::new(self.platform.url()));
+        let (record, audit) = self.records(revision);
+        let store = SheetStore::new(&client);
+        let first = store.accept(revision - 1, &record, &audit);
+        let accepted = Ok(Acceptance::Accepted { revision });
+        assert!(first.is_err() || first == accepted, "{first:?}");
+        let again = store.accept(revision - 1, &record, &audit);
+        assert_eq!(again, accepted);
+    }
+
+    /// Waits until one entry process answers that it is ready.
+    pub fn wait_serving(&self, n: usize) {
+        let (caller, until) = (Caller::new(), Instant::now() + READY_TIMEOUT);
+        let entry = &self.entries[n];
+        while caller.get(entry.address, "/readyz").0 != 200 {
+            assert!(Instant::now() < until, "{} is not ready in time", entry.vm);
+            std::thread::sleep(READY_STEP);
+        }
     }
 
     /// Waits until every entry process is ready, has heard all others and knows its targets.
--- a/crates/geraniumrelay-testkit/src/lib.rs
+++ b/crates/geraniumrelay-testkit/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod ports;
 pub mod target;
 pub mod timer;
+pub mod usage;
+pub mod workload;
 
 pub use balancer::Balancer;
 pub use certs::TestCerts;
@@ -21,6 +23,8 @@
 pub mod caller;
 pub mod cluster;
 pub mod entry_process;
+pub mod faults;
+pub mod load;
 
 pub use caller::Caller;
 pub use cluster::{Cluster, ClusterPlan};
