--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -1,8 +1,10 @@
 //! The decisions, one module each; their settings stand in [`crate::configs`].
 
+pub mod beats;
 pub mod books;
 pub mod claims;
 pub mod decayed;
+pub mod digest;
 pub mod handover;
 pub mod headroom;
 pub mod health;
