--- a/crates/geraniumrelay-testkit/src/certs.rs
+++ b/crates/geraniumrelay-testkit/src/certs.rs
@@ -33,6 +33,13 @@
         }
     }
 
+    /// Takes the files that are below `dir` already.
+    pub fn at(dir: &Path) -> Self {
+        Self {
+            dir: dir.to_owned(),
+        }
+    }
+
     /// CA certificate file.
     pub fn ca(&self) -> PathBuf {
         self.dir.join("ca.pem")
--- a/crates/geraniumrelay-testkit/src/operators.rs
+++ b/crates/geraniumrelay-testkit/src/operators.rs
@@ -47,7 +47,10 @@
 pub fn ctl(entries: &[SocketAddr], who: &str, args: &[&str]) -> CtlOutcome {
     let entries: Vec<_> = entries.iter().map(ToString::to_string).collect();
     let (entries, token) = (entries.join(","), token_of(who));
-    let session = ["--entries", &entries, "--token", &token];
+    let mut session = vec!["--token", &token];
+    if !entries.is_empty() {
+        session.extend(["--entries", &entries]);
+    }
     let args = ["geraniumctl"].iter().chain(args).chain(&session);
     let cli = Cli::try_parse_from(args).expect("arguments of geraniumctl");
     let mut out = Vec::new();
