--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -8,7 +8,7 @@
 use geraniumrelay_core::names::TeamName;
 use geraniumrelay_core::{Clock, TicketMint, Verdict};
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, HeaderValue};
+use hyper::header::{ALLOW, CONNECTION, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 
 use crate::credentials::Credentials;
@@ -104,7 +104,12 @@
 
     /// Serves one request.
     pub(super) async fn serve(&self, req: Request<Incoming>) -> Result<Response, Infallible> {
-        Ok(self.route(req).await)
+        let mut res = self.route(req).await;
+        if self.is_stopping.load(Ordering::SeqCst) {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(CONNECTION, close);
+        }
+        Ok(res)
     }
 }
 
