test(sheet): measure changes over the relayed network, with real cuts and bytes

Cause: a paused process is not a cut, and bytes of a change were worked out, not counted. Change: sheet_force relays the datagrams between entry processes, cuts one data centre off from the platform and the others, and counts what each process sends at rest and for a change.

--- a/crates/geraniumrelay-testkit/examples/sheet_force.rs
+++ b/crates/geraniumrelay-testkit/examples/sheet_force.rs
@@ -13,6 +13,7 @@
 use geraniumrelay_testkit::cluster::gauge;
 use geraniumrelay_testkit::entry_process::run_if_entry;
 use geraniumrelay_testkit::operators::client;
+use geraniumrelay_testkit::peer_relay::LinkFaults;
 use geraniumrelay_testkit::{Cluster, ClusterPlan};
 use geraniumrelay_wire::{ApplyOutcome, ApplySheet};
 use hdrhistogram::Histogram;
@@ -29,8 +30,8 @@
 /// Longest time that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
-/// Length of a cut; beyond the silence after which a process counts as gone.
-const CUT: Duration = Duration::from_millis(3_500);
+/// Time for which the traffic at rest is measured.
+const REST: Duration = Duration::from_secs(5);
 
 /// Time between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
@@ -64,9 +65,10 @@
     #[arg(long, default_value_t = 7)]
     data_centres: usize,
 
-    /// Cut one process off before each change, and measure from the end of the cut.
+    /// Cut one data centre off from the platform and all others for so many seconds during each
+    /// change, and measure from the end of the cut.
     #[arg(long)]
-    cut: bool,
+    cut: Option<u64>,
 
     /// Use the large sheet.
     #[arg(long)]
@@ -84,11 +86,14 @@
     };
     let names: Vec<_> = (0..args.data_centres).map(|n| format!("dc{n}")).collect();
     let places: Vec<_> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    let mut plan = ClusterPlan::new(0, 0).with_data_centres(&places);
+    let mut plan = ClusterPlan::new(0, 0)
+        .with_data_centres(&places)
+        .with_relay();
     plan.sheet = sheet;
     let cluster = Cluster::start(plan);
+    let at_rest = bytes_at_rest(&cluster);
     let (_, reads_before) = cluster.platform.calls();
-    let started = Instant::now();
+    let (started, sent_before) = (Instant::now(), bytes_sent(&cluster));
     let mut times = Histogram::<u64>::new_with_max(MAX_MICROS, 3).expect("bounds are allowed");
     for base in 1..=args.changes {
         let Some(took) = change(&cluster, base, &args) else {
@@ -103,7 +108,7 @@
         "{} changes, {} processes: {} to in force everywhere p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
         args.changes,
         args.data_centres,
-        if args.cut {
+        if args.cut.is_some() {
             "end of the cut"
         } else {
             "accepted"
@@ -112,11 +117,52 @@
         millis(times.value_at_quantile(0.99)),
         millis(times.max()),
     );
-    let reads = f64::from(u32::try_from(reads - reads_before).unwrap_or(u32::MAX));
+    let reads = f64_of(reads - reads_before);
+    let sent = f64_of(bytes_sent(&cluster) - sent_before);
+    let processes = f64_of(args.data_centres as u64);
+    println!(
+        "between entry processes, sent by each: {:.2} KB/s at rest, {:.2} KB more a change",
+        at_rest / processes / 1_000.0,
+        (sent - at_rest * seconds) / processes / f64_of(args.changes) / 1_000.0,
+    );
     println!("reads of table and list: {:.1} a second", reads / seconds);
     ExitCode::SUCCESS
 }
 
+/// Bytes that all processes have sent to each other.
+fn bytes_sent(cluster: &Cluster) -> u64 {
+    let entries = cluster.entries.iter();
+    let sent = entries.map(|entry| cluster.relay.sent_by(entry.peer_address).bytes);
+    sent.sum()
+}
+
+/// Bytes a second that all processes send to each other while nothing happens.
+fn bytes_at_rest(cluster: &Cluster) -> f64 {
+    let before = bytes_sent(cluster);
+    thread::sleep(REST);
+    f64_of(bytes_sent(cluster) - before) / REST.as_secs_f64()
+}
+
+/// Cuts a data centre off from everything, or ends the cut.
+fn set_cut(cluster: &Cluster, entry: usize, is_cut: bool) {
+    let name = cluster.entries[entry].data_centre.as_str();
+    let cut_from_platform: Vec<&str> = is_cut.then_some(name).into_iter().collect();
+    cluster.cut_from_platform(&cut_from_platform);
+    for other in &cluster.entries {
+        if other.data_centre != name {
+            let faults = LinkFaults {
+                is_cut,
+                ..LinkFaults::default()
+            };
+            cluster.set_link(name, &other.data_centre, faults);
+        }
+    }
+}
+
+fn f64_of(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
 /// Makes one change; returns the time until it is in force everywhere.
 fn change(cluster: &Cluster, base: u64, args: &Args) -> Option<Duration> {
     let entries = cluster.operator_addresses();
@@ -131,9 +177,9 @@
             small_sheet(workers)
         },
     };
-    let cut_off = &cluster.entries[usize::try_from(base + 1).ok()? % entries.len()];
-    if args.cut {
-        cut_off.pause();
+    let cut_off = usize::try_from(base + 1).ok()? % entries.len();
+    if args.cut.is_some() {
+        set_cut(cluster, cut_off, true);
     }
     let outcome: ApplyOutcome = client(&[entry], "anna")
         .post(entry, SHEET_PATH, &req)
@@ -141,9 +187,9 @@
     if !outcome.accepted {
         return None;
     }
-    if args.cut {
-        thread::sleep(CUT);
-        cut_off.resume();
+    if let Some(seconds) = args.cut {
+        thread::sleep(Duration::from_secs(seconds));
+        set_cut(cluster, cut_off, false);
     }
     let since = Instant::now();
     let revision = usize::try_from(outcome.revision).ok()?;
