--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -7,6 +7,7 @@
 
 use crate::collections::Set;
 use crate::modules::handover::{HandOverMessage, HandOverReply};
+use crate::modules::loans::{BorrowRequest, Grant, LoanId, TargetSlots};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
@@ -158,6 +159,29 @@
         /// What the heir said.
         reply: HandOverReply,
     },
+    /// Lend slots to another entry VM.
+    Lend {
+        /// What it wishes for.
+        req: BorrowRequest,
+        /// Who waits for the grant.
+        waiter: Waiter,
+    },
+    /// Take over the reply to a wish for slots.
+    TakeLoan {
+        /// Service whose slots were wished for.
+        service: ServiceName,
+        /// Peer address of the lender.
+        lender: SocketAddr,
+        /// Its reply, where there was one.
+        grant: Option<Grant>,
+    },
+    /// Take lent slots back.
+    TakeBack {
+        /// The loan.
+        loan: LoanId,
+        /// Slots that come back.
+        slots: Vec<TargetSlots>,
+    },
     /// Start nothing new, hand the claims over and let what runs finish.
     Drain,
     /// Let time pass: deadlines, retries, heartbeats.
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -5,9 +5,12 @@
 //! platform poller are threads of their own, joined to it by bounded rings. Operators have an
 //! interface with an address of its own.
 
+#[cfg(test)]
+mod border_tests;
 mod certificate;
 mod clock;
 mod convert;
+mod convert_loans;
 mod credentials;
 mod decision;
 mod dispatch;
@@ -19,6 +22,7 @@
 mod journal_reader;
 mod key_binder;
 mod limits;
+mod load_metrics;
 mod logging;
 mod metrics;
 mod operator;
