refactor(sheet): one job a function in plan, apply and sheet_force

Cause: plan.rs and the accept held two jobs each, and a base beyond the digits of row keys would have overflowed. Change: the outline of a sheet has a file of its own; reading, auditing and committing are apart; a base beyond the largest revision is refused; the operators' address must differ from the others. Conclusion: no change in what is decided; the new bound has a test.

--- a/crates/geraniumrelay-core/src/modules/sheet/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/sheet/mod.rs
@@ -5,6 +5,7 @@
 mod consistency;
 mod delta;
 mod fault;
+mod outline;
 mod parse;
 mod plan;
 mod row;
--- /dev/null
+++ b/crates/geraniumrelay-core/src/modules/sheet/outline.rs
@@ -0,0 +1,68 @@
+//! A sheet arranged for comparison with another.
+
+use std::collections::BTreeMap;
+
+use crate::modules::sheet::change::Capacity;
+use crate::modules::sheet::row::{ServiceState, SheetRow};
+use crate::modules::sheet::rules::KindRule;
+use crate::names::{DataCentre, KindName, ServiceName, TeamName};
+
+/// A sheet in the order in which people read differences.
+#[derive(Debug, Default)]
+pub(super) struct Outline {
+    pub(super) services: BTreeMap<ServiceName, ServiceOutline>,
+}
+
+/// One service of a sheet.
+#[derive(Debug, Default)]
+pub(super) struct ServiceOutline {
+    pub(super) places: BTreeMap<DataCentre, Place>,
+    pub(super) kinds: BTreeMap<KindName, KindRule>,
+    pub(super) shares: BTreeMap<TeamName, u32>,
+}
+
+/// One service in one data centre.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Place {
+    pub(super) state: ServiceState,
+    pub(super) capacity: Capacity,
+}
+
+impl Outline {
+    pub(super) fn new(rows: &[SheetRow]) -> Self {
+        let mut outline = Self::default();
+        for row in rows {
+            outline.services.entry(row.service).or_default().add(row);
+        }
+        outline
+    }
+}
+
+impl ServiceOutline {
+    fn add(&mut self, row: &SheetRow) {
+        let capacity = Capacity {
+            workers: row.workers,
+            slots: row.slots,
+            connections: row.connections,
+        };
+        let place = Place {
+            state: row.state,
+            capacity,
+        };
+        self.places.insert(row.data_centre, place);
+        let kind = KindRule {
+            urgency: row.urgency,
+            is_idempotent: row.is_idempotent,
+            deadline: row.deadline,
+        };
+        self.kinds.insert(row.kind, kind);
+        if let (Some(team), Some(share)) = (row.team, row.team_share) {
+            self.shares.insert(team, share);
+        }
+    }
+
+    pub(super) fn takes_work(&self) -> bool {
+        let mut places = self.places.values();
+        places.any(|place| place.state == ServiceState::Active)
+    }
+}
--- a/crates/geraniumrelay-core/src/modules/sheet/plan.rs
+++ b/crates/geraniumrelay-core/src/modules/sheet/plan.rs
@@ -1,15 +1,15 @@
 //! The difference that a sheet makes, and what it may not do in one step.
 
-use std::collections::BTreeMap;
 use std::fmt;
 
 use derive_more::{Display, Error};
 
 use crate::modules::sheet::Sheet;
-use crate::modules::sheet::change::{Capacity, Change};
-use crate::modules::sheet::row::{ServiceState, SheetRow};
+use crate::modules::sheet::change::Change;
+use crate::modules::sheet::outline::{Outline, Place, ServiceOutline};
+use crate::modules::sheet::row::ServiceState;
 use crate::modules::sheet::rules::KindRule;
-use crate::names::{DataCentre, KindName, ServiceName, TeamName};
+use crate::names::{DataCentre, KindName, ServiceName};
 
 /// A change that a sheet may not make.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -94,64 +94,6 @@
     }
 }
 
-/// A sheet in the order in which people read differences.
-#[derive(Debug, Default)]
-struct Outline {
-    services: BTreeMap<ServiceName, ServiceOutline>,
-}
-
-#[derive(Debug, Default)]
-struct ServiceOutline {
-    places: BTreeMap<DataCentre, Place>,
-    kinds: BTreeMap<KindName, KindRule>,
-    shares: BTreeMap<TeamName, u32>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Place {
-    state: ServiceState,
-    capacity: Capacity,
-}
-
-impl Outline {
-    fn new(rows: &[SheetRow]) -> Self {
-        let mut outline = Self::default();
-        for row in rows {
-            outline.services.entry(row.service).or_default().add(row);
-        }
-        outline
-    }
-}
-
-impl ServiceOutline {
-    fn add(&mut self, row: &SheetRow) {
-        let capacity = Capacity {
-            workers: row.workers,
-            slots: row.slots,
-            connections: row.connections,
-        };
-        let place = Place {
-            state: row.state,
-            capacity,
-        };
-        self.places.insert(row.data_centre, place);
-        let kind = KindRule {
-            urgency: row.urgency,
-            is_idempotent: row.is_idempotent,
-            deadline: row.deadline,
-        };
-        self.kinds.insert(row.kind, kind);
-        if let (Some(team), Some(share)) = (row.team, row.team_share) {
-            self.shares.insert(team, share);
-        }
-    }
-
-    fn takes_work(&self) -> bool {
-        let mut places = self.places.values();
-        places.any(|place| place.state == ServiceState::Active)
-    }
-}
-
 #[derive(Debug, Default)]
 struct Draft {
     changes: Vec<Change>,
--- a/crates/geraniumrelay-testkit/examples/sheet_force.rs
+++ b/crates/geraniumrelay-testkit/examples/sheet_force.rs
@@ -79,18 +79,7 @@
     run_if_entry();
     let args = Args::parse();
     print_sizes();
-    let sheet = if args.large {
-        large_sheet(1)
-    } else {
-        small_sheet(16)
-    };
-    let names: Vec<_> = (0..args.data_centres).map(|n| format!("dc{n}")).collect();
-    let places: Vec<_> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    let mut plan = ClusterPlan::new(0, 0)
-        .with_data_centres(&places)
-        .with_relay();
-    plan.sheet = sheet;
-    let cluster = Cluster::start(plan);
+    let cluster = start_cluster(&args);
     let at_rest = bytes_at_rest(&cluster);
     let (_, reads_before) = cluster.platform.calls();
     let (started, sent_before) = (Instant::now(), bytes_sent(&cluster));
@@ -104,19 +93,7 @@
     }
     let (_, reads) = cluster.platform.calls();
     let seconds = started.elapsed().as_secs_f64();
-    println!(
-        "{} changes, {} processes: {} to in force everywhere p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
-        args.changes,
-        args.data_centres,
-        if args.cut.is_some() {
-            "end of the cut"
-        } else {
-            "accepted"
-        },
-        millis(times.value_at_quantile(0.5)),
-        millis(times.value_at_quantile(0.99)),
-        millis(times.max()),
-    );
+    print_times(&args, &times);
     let reads = f64_of(reads - reads_before);
     let sent = f64_of(bytes_sent(&cluster) - sent_before);
     let processes = f64_of(args.data_centres as u64);
@@ -129,6 +106,32 @@
     ExitCode::SUCCESS
 }
 
+fn start_cluster(args: &Args) -> Cluster {
+    let names: Vec<_> = (0..args.data_centres).map(|n| format!("dc{n}")).collect();
+    let places: Vec<_> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let mut plan = ClusterPlan::new(0, 0)
+        .with_data_centres(&places)
+        .with_relay();
+    plan.sheet = sheet(args, 16);
+    Cluster::start(plan)
+}
+
+fn print_times(args: &Args, times: &Histogram<u64>) {
+    let since = if args.cut.is_some() {
+        "end of the cut"
+    } else {
+        "accepted"
+    };
+    println!(
+        "{} changes, {} processes: {since} to in force everywhere p50 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+        args.changes,
+        args.data_centres,
+        millis(times.value_at_quantile(0.5)),
+        millis(times.value_at_quantile(0.99)),
+        millis(times.max()),
+    );
+}
+
 /// Bytes that all processes have sent to each other.
 fn bytes_sent(cluster: &Cluster) -> u64 {
     let entries = cluster.entries.iter();
@@ -171,11 +174,7 @@
     let req = ApplySheet {
         base,
         apply_id: format!("change-{base}"),
-        sheet: if args.large {
-            large_sheet(workers)
-        } else {
-            small_sheet(workers)
-        },
+        sheet: sheet(args, workers),
     };
     let cut_off = usize::try_from(base + 1).ok()? % entries.len();
     if args.cut.is_some() {
@@ -227,6 +226,14 @@
     );
 }
 
+fn sheet(args: &Args, workers: usize) -> String {
+    if args.large {
+        large_sheet(workers)
+    } else {
+        small_sheet(workers)
+    }
+}
+
 fn small_sheet(workers: usize) -> String {
     let sample = include_str!("../../../samples/kiallitas-pont.csv");
     sample.replace("gyor,16", &format!("gyor,{workers}"))
--- a/crates/geraniumrelay-testkit/tests/sheet_faults.rs
+++ b/crates/geraniumrelay-testkit/tests/sheet_faults.rs
@@ -110,6 +110,23 @@
     }
 }
 
+#[test]
+fn a_base_beyond_all_revisions_is_refused() {
+    let cluster = Cluster::start(ClusterPlan::new(1, 1));
+    let entry = cluster.entries[0].operator_address;
+    for (base, is_possible) in [(u64::MAX, false), (7, true)] {
+        let told = post(entry, "anna", &request(base, "anna", 20));
+        let is_refused = matches!(told, Err(RequestError::Refused { .. }));
+        let is_overtaken = matches!(&told, Ok(outcome) if !outcome.accepted);
+        assert_eq!(
+            (is_refused, is_overtaken),
+            (!is_possible, is_possible),
+            "{told:?}"
+        );
+    }
+    assert_eq!(audit(&cluster).len(), 1);
+}
+
 #[test]
 fn a_lost_reply_does_not_accept_twice() {
     let cluster = Cluster::start(ClusterPlan::new(2, 1));
--- a/crates/geraniumrelay/src/operator/apply.rs
+++ b/crates/geraniumrelay/src/operator/apply.rs
@@ -22,6 +22,9 @@
 /// Longest apply id in bytes.
 const MAX_APPLY_ID: usize = 64;
 
+/// Largest base; row keys have twelve digits.
+const MAX_REVISION: u64 = 999_999_999_998;
+
 /// Most changes that came first to name.
 const MAX_NAMED: u32 = 100;
 
@@ -36,30 +39,21 @@
         req: &Request,
     ) -> Result<Response, OperatorProblem> {
         let apply = read_apply(req)?;
-        let next = parse_sheet(apply.base + 1, &apply.sheet)
-            .map_err(|e| OperatorProblem::new(422, "sheet-faults", e.to_string()))?;
         let client = PlatformClient::new(self.platform.clone());
         let store = SheetStore::new(&client);
+        let next = read_next(&apply)?;
         let base = store.current()?;
         if base.revision != apply.base {
             return settle(&store, &apply);
         }
-        let old = read_base(&base)?;
-        let changes = plan(old.as_ref(), &next)
+        let changes = plan(read_base(&base)?.as_ref(), &next)
             .map_err(|e| OperatorProblem::new(422, "plan-refused", e.to_string()))?;
         let record = SheetRecord {
             revision: next.revision,
             apply_id: apply.apply_id.clone(),
             sheet: canonical_text(&next.rows),
         };
-        let audit = AuditEntry {
-            revision: next.revision,
-            apply_id: apply.apply_id.clone(),
-            who: who.to_string(),
-            at: humantime::format_rfc3339_millis(self.clock.wall()).to_string(),
-            changes: in_words(&changes),
-            base: base.revision,
-        };
+        let audit = self.audit_entry(who, &apply, in_words(&changes));
         let delta = SheetDelta::between(next.revision, &base.sheet, &record.sheet);
         let delta = delta.as_ref().map(write_delta);
         let acceptance = store.accept_with_delta(base.revision, &record, &audit, delta.as_ref())?;
@@ -72,6 +66,22 @@
         Ok(accepted(audit))
     }
 
+    fn audit_entry(
+        &self,
+        who: OperatorName,
+        apply: &ApplySheet,
+        changes: Vec<String>,
+    ) -> AuditEntry {
+        AuditEntry {
+            revision: apply.base + 1,
+            apply_id: apply.apply_id.clone(),
+            who: who.to_string(),
+            at: humantime::format_rfc3339_millis(self.clock.wall()).to_string(),
+            changes,
+            base: apply.base,
+        }
+    }
+
     /// Saves the wait for the next poll.
     fn put_in_force(&self, record: SheetRecord) {
         let update = SheetUpdate {
@@ -137,9 +147,17 @@
     if !(1..=MAX_APPLY_ID).contains(&apply.apply_id.len()) {
         return Err(unusable(format!("apply_id has 1 to {MAX_APPLY_ID} bytes")));
     }
+    if apply.base > MAX_REVISION {
+        return Err(unusable(format!("base is at most {MAX_REVISION}")));
+    }
     Ok(apply)
 }
 
+fn read_next(apply: &ApplySheet) -> Result<Sheet, OperatorProblem> {
+    parse_sheet(apply.base + 1, &apply.sheet)
+        .map_err(|e| OperatorProblem::new(422, "sheet-faults", e.to_string()))
+}
+
 fn read_base(base: &SheetRecord) -> Result<Option<Sheet>, OperatorProblem> {
     if base.revision == 0 {
         return Ok(None);
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -158,6 +158,10 @@
         if self.stop_linger > self.stop_timeout {
             faults.push("--stop-linger: must not be longer than --stop-timeout".to_owned());
         }
+        let operator_listen = self.operator_listen;
+        if operator_listen.is_some_and(|own| own == self.listen || own == self.peer_listen) {
+            faults.push("--operator-listen: must differ from the other addresses".to_owned());
+        }
         if faults.is_empty() {
             return Ok(());
         }
