--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -233,14 +233,17 @@
                 waiter,
                 address,
                 call,
+                ..
             } => self.forward(vm, waiter, index_of(address), call),
             Effect::Beat { address, news } => {
                 self.tally.control += 2;
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
             Effect::Journal(_)
-            | Effect::PushSheet { .. }
+            | Effect::FetchSheet { .. }
             | Effect::SheetInForce { .. }
+            | Effect::HandOver { .. }
+            | Effect::NoteHandOver { .. }
             | Effect::Drained => {}
         }
     }
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -93,6 +93,7 @@
                 let cx = Context::new(now, &self.cfg);
                 self.metrics
                     .set_peers_heard(self.dispatcher.peers_heard(&cx));
+                self.metrics.set_settled(self.dispatcher.is_settled(&cx));
                 self.metrics.set_targets(self.dispatcher.targets_known());
                 self.forget_gone(now);
             }
@@ -119,11 +120,20 @@
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, command_of(call, waiter));
             }
+            Input::HandOver { message, tx } => {
+                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
+                self.decide(now, Command::TakeHandOver { message, waiter });
+            }
             Input::Tell(cmd) => self.decide(now, cmd),
             Input::AskNews { tx } => {
                 // Whoever asked may have given up.
                 let _ = tx.send(self.dispatcher.own_news());
             }
+            Input::AskReport { query, tx } => {
+                let cx = Context::new(now, &self.cfg);
+                // Whoever asked may have given up.
+                let _ = tx.send(self.dispatcher.report(&cx, query));
+            }
             Input::Ask { query, tx } => {
                 // Whoever asked may have given up.
                 let _ = tx.send(self.dispatcher.query(query));
@@ -176,21 +186,32 @@
                 waiter,
                 address,
                 call,
+                timeout,
             } => {
                 self.metrics.count_forward();
                 if let Some(tx) = self.take_waiter(waiter) {
-                    self.outlets
-                        .peers
-                        .send(PeerJob::Forward { address, call, tx });
+                    self.outlets.peers.send(PeerJob::Forward {
+                        address,
+                        call,
+                        timeout,
+                        tx,
+                    });
                 }
             }
+            Effect::HandOver { address, message } => {
+                self.outlets
+                    .peers
+                    .send(PeerJob::HandOver { address, message });
+            }
+            Effect::NoteHandOver { owner, stage } => {
+                self.metrics.peers().count_hand_over(stage);
+                info!(owner:%, stage:%; "hand_over");
+            }
             Effect::Beat { address, news } => {
                 self.outlets.peers.send(PeerJob::Beat { address, news });
             }
-            Effect::PushSheet { address, sheet } => {
-                self.outlets
-                    .peers
-                    .send(PeerJob::PushSheet { address, sheet });
+            Effect::FetchSheet { address } => {
+                self.outlets.peers.send(PeerJob::FetchSheet { address });
             }
             Effect::SheetInForce { revision } => {
                 self.metrics.set_revision(revision);
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flume::Receiver;
+use geraniumrelay_core::names::TeamName;
 use geraniumrelay_core::{
     Clock, JobSpec, Origin, Query, Reason, Rejection, Reply, Ticket, Verdict,
 };
@@ -16,6 +17,7 @@
 use crate::http::problem;
 use crate::http::response::{self, Response};
 use crate::http::server::Intake;
+use crate::http::teams::bind_team;
 use crate::requests::{Call, Overloaded};
 
 /// Most tickets in one batch.
@@ -54,11 +56,16 @@
     }
 
     /// `PUT /v1/jobs/{ticket}`
-    pub(super) async fn submit(&self, ticket: &str, body: Incoming) -> Response {
+    pub(super) async fn submit(
+        &self,
+        ticket: &str,
+        team: Option<TeamName>,
+        body: Incoming,
+    ) -> Response {
         let Ok(ticket) = ticket.parse() else {
             return bad_ticket();
         };
-        let (digest, job) = match self.read_job(body).await {
+        let (digest, job) = match self.read_job(team, body).await {
             Ok(read) => read,
             Err(res) => return res,
         };
@@ -73,9 +80,14 @@
 
     /// Reads a submission with the hash of its content. Nothing is decided where it can't be used,
     /// and an earlier request under the same name may have run.
-    pub(super) async fn read_job(&self, body: Incoming) -> Result<(u128, JobSpec), Response> {
+    pub(super) async fn read_job(
+        &self,
+        team: Option<TeamName>,
+        body: Incoming,
+    ) -> Result<(u128, JobSpec), Response> {
         let job = self.bodies.read_json::<JobRequest>(body).await;
-        let job = job.map_err(problem::of_body)?;
+        let mut job = job.map_err(problem::of_body)?;
+        bind_team(&mut job, team).map_err(|refusal| *refusal)?;
         let digest = convert::digest_of(&job);
         let Some(job) = convert::job_spec(job) else {
             let detail = "service, kind and team are names of a-z, 0-9, '-' and '_'";
@@ -180,6 +192,7 @@
                 response::json(StatusCode::ACCEPTED, &convert::job_state(progress))
             }
             Reply::Rejected(rejection) => self.refuse(rejection),
+            Reply::HandOver(_) => overloaded(),
         }
     }
 
--- a/crates/geraniumrelay/src/http/keys.rs
+++ b/crates/geraniumrelay/src/http/keys.rs
@@ -26,11 +26,16 @@
 
 impl<C: Clock> Intake<C> {
     /// `POST /v1/jobs`
-    pub(super) async fn submit_by_key(&self, headers: &HeaderMap, body: Incoming) -> Response {
+    pub(super) async fn submit_by_key(
+        &self,
+        headers: &HeaderMap,
+        team: Option<TeamName>,
+        body: Incoming,
+    ) -> Response {
         let Some(key) = key_of(headers) else {
             return bad_key();
         };
-        let (digest, job) = match self.read_job(body).await {
+        let (digest, job) = match self.read_job(team, body).await {
             Ok(read) => read,
             Err(res) => return res,
         };
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -5,11 +5,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use geraniumrelay_core::names::TeamName;
 use geraniumrelay_core::{Clock, TicketMint, Verdict};
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 
+use crate::credentials::Credentials;
 use crate::http::body::BodyReader;
 use crate::http::problem;
 use crate::http::response::{self, Response};
@@ -28,6 +30,8 @@
     pub clock: C,
     /// Ring to the decision thread.
     pub decision: DecisionTx,
+    /// Callers' teams; where there are none, anybody may call.
+    pub teams: Credentials<TeamName>,
     /// Mint of this incarnation.
     pub mint: TicketMint,
     /// Ring to the thread that binds idempotency keys.
@@ -50,9 +54,14 @@
     async fn route(&self, req: Request<Incoming>) -> Response {
         let (head, body) = req.into_parts();
         let path = head.uri.path();
+        let team = match self.sign_in(&head.headers) {
+            Ok(team) => team,
+            Err(refusal) if path.starts_with("/v1/") => return *refusal,
+            Err(_) => None,
+        };
         if let Some(ticket) = path.strip_prefix("/v1/jobs/") {
             return match head.method {
-                Method::PUT => self.submit(ticket, body).await,
+                Method::PUT => self.submit(ticket, team, body).await,
                 Method::GET => self.query(ticket, &head.uri).await,
                 Method::DELETE => self.cancel(ticket).await,
                 _ => method_not_allowed(Verdict::MayHaveRun, "GET, PUT, DELETE"),
@@ -63,7 +72,7 @@
             (&Method::GET, "/readyz") => self.readiness(),
             (&Method::GET, "/metrics") => self.metrics_text(),
             (&Method::POST, "/v1/tickets") => self.mint_tickets(&head.uri),
-            (&Method::POST, "/v1/jobs") => self.submit_by_key(&head.headers, body).await,
+            (&Method::POST, "/v1/jobs") => self.submit_by_key(&head.headers, team, body).await,
             (_, "/healthz" | "/readyz" | "/metrics") => method_not_allowed(Verdict::NotRun, "GET"),
             (_, "/v1/tickets" | "/v1/jobs") => method_not_allowed(Verdict::NotRun, "POST"),
             _ => problem::of_request(404, "no-such-resource", Verdict::NotRun, path),
@@ -77,6 +86,12 @@
         if self.metrics.revision() == 0 {
             return response::text(StatusCode::SERVICE_UNAVAILABLE, "no sheet in force");
         }
+        if !self.metrics.is_settled() {
+            return response::text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "waiting for other entry VMs",
+            );
+        }
         response::text(StatusCode::OK, "ready")
     }
 
--- a/crates/geraniumrelay/src/journal.rs
+++ b/crates/geraniumrelay/src/journal.rs
@@ -146,6 +146,7 @@
             } else {
                 RETRY_PAUSE
             };
+            metrics.durable.set_journal(&self.book, self.dropped());
             next_commit = now + pause;
         }
     }
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics in the form that Prometheus scrapes.
 
+use std::sync::Arc;
+use std::time::SystemTime;
+
 use geraniumrelay_core::Verdict;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -7,6 +10,7 @@
 };
 
 use crate::durable_metrics::DurableMetrics;
+use crate::peer_metrics::PeerMetrics;
 
 /// Upper bounds of the response time buckets, in seconds.
 const RESPONSE_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -23,9 +27,12 @@
     jobs_in_flight: IntGauge,
     revision: IntGauge,
     peers_heard: IntGauge,
+    settled: IntGauge,
     targets: IntGauge,
+    peers: Arc<PeerMetrics>,
     /// Metrics of what is kept in the platform's table.
     pub durable: DurableMetrics,
+    certificate_expiry: IntGauge,
 }
 
 impl Metrics {
@@ -71,8 +78,18 @@
             "Entry VMs heard within the silence",
         )?;
         registry.register(Box::new(peers_heard.clone()))?;
+        let settled = IntGauge::new(
+            "geraniumrelay_settled",
+            "1 once every known entry VM was heard or had the time to be",
+        )?;
+        registry.register(Box::new(settled.clone()))?;
         let targets = IntGauge::new("geraniumrelay_targets", "Targets known")?;
         registry.register(Box::new(targets.clone()))?;
+        let certificate_expiry = IntGauge::new(
+            "geraniumrelay_certificate_expiry_seconds",
+            "Unix time at which the certificate of this process expires",
+        )?;
+        registry.register(Box::new(certificate_expiry.clone()))?;
         registry.register(Box::new(starts.clone()))?;
         registry.register(Box::new(forwards.clone()))?;
         registry.register(Box::new(replies.clone()))?;
@@ -80,6 +97,7 @@
         registry.register(Box::new(response.clone()))?;
         registry.register(Box::new(jobs_in_flight.clone()))?;
         registry.register(Box::new(revision.clone()))?;
+        let peers = Arc::new(PeerMetrics::new(&registry)?);
         let durable = DurableMetrics::new(&registry)?;
         Ok(Self {
             registry,
@@ -91,11 +109,19 @@
             jobs_in_flight,
             revision,
             peers_heard,
+            settled,
             targets,
+            peers,
             durable,
+            certificate_expiry,
         })
     }
 
+    /// Metrics of the peer transport.
+    pub fn peers(&self) -> &Arc<PeerMetrics> {
+        &self.peers
+    }
+
     /// Counts a start sent to a target.
     pub fn count_start(&self) {
         self.starts.inc();
@@ -131,11 +157,29 @@
             .set(i64::try_from(peers).unwrap_or(i64::MAX));
     }
 
+    /// Sets whether every known entry VM was heard or had the time to be.
+    pub fn set_settled(&self, is_settled: bool) {
+        self.settled.set(is_settled.into());
+    }
+
+    /// Whether every known entry VM was heard or had the time to be.
+    pub fn is_settled(&self) -> bool {
+        self.settled.get() != 0
+    }
+
     /// Sets the number of targets known.
     pub fn set_targets(&self, targets: usize) {
         self.targets.set(i64::try_from(targets).unwrap_or(i64::MAX));
     }
 
+    /// Sets when the certificate of this process expires.
+    pub fn set_certificate_expiry(&self, at: SystemTime) {
+        let at = at.duration_since(SystemTime::UNIX_EPOCH);
+        let seconds = at.map_or(0, |at| at.as_secs());
+        self.certificate_expiry
+            .set(i64::try_from(seconds).unwrap_or(i64::MAX));
+    }
+
     /// Sets the revision in force.
     pub fn set_revision(&self, revision: u64) {
         self.revision
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Ticket};
+use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
 
 /// Most entries of the ring to the decision thread.
 const RING_ENTRIES: usize = 16_384;
@@ -73,6 +74,13 @@
         /// Where its one reply goes.
         tx: Sender<Reply>,
     },
+    /// A message of another process that hands its claims over.
+    HandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Where the reply goes.
+        tx: Sender<Reply>,
+    },
     /// A command that nobody waits for.
     Tell(Command),
     /// What this VM would say in a heartbeat.
@@ -80,6 +88,13 @@
         /// Where the answer goes.
         tx: Sender<PeerNews>,
     },
+    /// An operator's question.
+    AskReport {
+        /// The question.
+        query: ReportQuery,
+        /// Where the answer goes.
+        tx: Sender<Report>,
+    },
     /// A question.
     Ask {
         /// The question.
@@ -114,6 +129,16 @@
         Ok(rx)
     }
 
+    /// Sends a message of a hand-over; the reply comes through the receiver.
+    ///
+    /// # Errors
+    /// [`Overloaded`], with the message neither decided nor noted.
+    pub fn hand_over(&self, message: HandOverMessage) -> Result<Receiver<Reply>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::HandOver { message, tx })?;
+        Ok(rx)
+    }
+
     /// Asks a question.
     ///
     /// # Errors
@@ -124,6 +149,16 @@
         Ok(rx)
     }
 
+    /// Asks an operator's question.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn ask_report(&self, query: ReportQuery) -> Result<Receiver<Report>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::AskReport { query, tx })?;
+        Ok(rx)
+    }
+
     /// Asks for what this VM would say in a heartbeat.
     ///
     /// # Errors
