--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -35,6 +35,9 @@
     pub output: String,
 }
 
+/// Memory that an allocation takes beyond its content, in bytes.
+const ALLOCATION_BYTES: usize = 16;
+
 /// Whole answer to one submission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -52,12 +55,11 @@
         self.verdict == Verdict::Completed
     }
 
-    /// Memory of the results and their outputs, in bytes.
+    /// Memory of a kept answer in bytes, with what the allocator adds to each of its parts.
     pub fn bytes(&self) -> usize {
-        self.tasks
-            .iter()
-            .map(|task| task.output.len() + size_of_val(task))
-            .sum()
+        let of_task = |task: &TaskResult| task.output.len() + size_of_val(task) + ALLOCATION_BYTES;
+        let tasks: usize = self.tasks.iter().map(of_task).sum();
+        size_of_val(self) + 2 * ALLOCATION_BYTES + tasks
     }
 }
 
--- a/crates/geraniumrelay-core/src/modules/claims.rs
+++ b/crates/geraniumrelay-core/src/modules/claims.rs
@@ -412,7 +412,7 @@
 
     #[test]
     fn a_dropped_answer_is_remembered_as_run() {
-        let (mut book, mint, cfg) = BookBuilder::new().with_max_answer_bytes(100).build();
+        let (mut book, mint, cfg) = BookBuilder::new().with_max_answer_bytes(300).build();
         let cx = Context::new(Instant::now(), &cfg);
         let (first, second) = (mint.mint().unwrap(), mint.mint().unwrap());
         for ticket in [first, second] {
--- a/crates/geraniumrelay-core/src/modules/journal.rs
+++ b/crates/geraniumrelay-core/src/modules/journal.rs
@@ -14,6 +14,9 @@
 use crate::ticket::Ticket;
 use crate::verdict::Verdict;
 
+/// Places of a waiting entry's ticket: the order, and a hash table that may be half empty.
+const TICKET_COPIES: usize = 3;
+
 /// Share of the bound to which shedding goes down, in quarters.
 const SHED_TO_QUARTERS: usize = 3;
 
@@ -85,7 +88,7 @@
 impl PendingEntry {
     fn bytes(&self) -> usize {
         size_of::<Self>()
-            + size_of::<Ticket>() * 2
+            + size_of::<Ticket>() * TICKET_COPIES
             + self.outcome.as_ref().map_or(0, Outcome::bytes)
     }
 }
@@ -94,7 +97,7 @@
 #[derive(Debug, Default)]
 pub struct JournalBook {
     order: VecDeque<Ticket>,
-    entries: Map<Ticket, PendingEntry>,
+    entries: Map<Ticket, Box<PendingEntry>>,
     bytes: usize,
     dropped: u64,
 }
@@ -118,7 +121,7 @@
                 is_new: outcome.is_none(),
             };
             self.bytes += pending.bytes();
-            pending
+            Box::new(pending)
         });
         if outcome.is_some() {
             self.bytes += outcome.as_ref().map_or(0, Outcome::bytes);
@@ -173,7 +176,7 @@
         let ticket = self.order.pop_front()?;
         let entry = self.entries.remove(&ticket)?;
         self.bytes -= entry.bytes();
-        Some(entry)
+        Some(*entry)
     }
 
     /// Gives up what is missed least first: outputs, then submissions that have come and gone
