--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -30,9 +30,12 @@
 /// Serves the requests of other entry processes.
 #[derive(Debug, Clone)]
 pub struct PeerServer {
-    decision: DecisionTx,
-    sheets: Arc<SheetCache>,
-    metrics: Arc<PeerMetrics>,
+    /// Ring to the decision thread.
+    pub decision: DecisionTx,
+    /// Sheets for peers that lack them.
+    pub sheets: Arc<SheetCache>,
+    /// Counters of the traffic.
+    pub metrics: Arc<PeerMetrics>,
 }
 
 impl PeerServer {
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -26,6 +26,7 @@
 use crate::limits;
 use crate::metrics::Metrics;
 use crate::operator::{self, OperatorDesk};
+use crate::peer_server::PeerServer;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerJob, PeerTx};
 use crate::platform_contact::PlatformContact;
@@ -97,18 +98,10 @@
 
         let sheets = Arc::new(SheetCache::default());
         let (listen, decision_tx) = (settings.peer_listen, decision.clone());
-        let peer_sheets = Arc::clone(&sheets);
-        let peer_metrics = Arc::clone(metrics.peers());
+        let (peer_sheets, peer_metrics) = (Arc::clone(&sheets), Arc::clone(metrics.peers()));
         spawn("peers", move || {
-            let run = peers::run(
-                listen,
-                tls,
-                &peer_rx,
-                &decision_tx,
-                &peer_sheets,
-                peer_metrics,
-            );
-            if let Err(e) = run {
+            let server = PeerServer::new(decision_tx, peer_sheets, peer_metrics);
+            if let Err(e) = peers::run(listen, tls, &peer_rx, server) {
                 error!(error = e.to_string().as_str(); "peer_transport_failed");
             }
         })?;
