--- a/crates/geraniumctl/src/commands/journal.rs
+++ b/crates/geraniumctl/src/commands/journal.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, SystemTime};
 
 use clap::Args;
+use geraniumrelay_core::Verdict;
 use geraniumrelay_core::collections::Map;
-use geraniumrelay_core::{Ticket, Verdict};
 use geraniumrelay_platform::{JournalStore, PlatformClient, PlatformConfig};
 use geraniumrelay_wire::{JournalRow, JournalWriter};
 use serde::Serialize;
@@ -170,12 +170,7 @@
         Ok(Verdict::MayHaveRun) => return Standing::Unresolved,
         Err(_) => {}
     }
-    let owner = row
-        .ticket
-        .parse::<Ticket>()
-        .map(|ticket| ticket.incarnation);
-    let is_owner_live = owner.is_ok_and(|owner| live.get(&owner.0) == Some(&true));
-    if is_owner_live {
+    if live.get(&row.writer) == Some(&true) {
         Standing::InFlight
     } else {
         Standing::Unresolved
@@ -234,7 +229,7 @@
 
     fn row(incarnation: u64, verdict: &str) -> JournalRow {
         JournalRow {
-            ticket: format!("szeged.{incarnation:016x}.1.00000000000000000000000000000000"),
+            writer: incarnation,
             verdict: verdict.to_owned(),
             ..JournalRow::default()
         }
--- a/crates/geraniumrelay-platform/src/client.rs
+++ b/crates/geraniumrelay-platform/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the platform.
 
+use std::io;
 use std::time::Duration;
 
 use attohttpc::{ErrorKind, RequestBuilder, Session};
@@ -130,7 +131,7 @@
     req: RequestBuilder<B>,
 ) -> Result<attohttpc::Response, PlatformError> {
     let res = req.send().map_err(|e| {
-        if matches!(e.kind(), ErrorKind::ConnectError { .. }) {
+        if was_not_connected(&e) {
             unreachable_error(&e)
         } else {
             unknown_error(&e)
@@ -149,6 +150,20 @@
     res.json().map_err(|e| unknown_error(&e))
 }
 
+/// Whether no connection was made, so that nothing was sent.
+fn was_not_connected(e: &attohttpc::Error) -> bool {
+    match e.kind() {
+        ErrorKind::ConnectError { .. } => true,
+        ErrorKind::Io(e) => matches!(
+            e.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    }
+}
+
 fn unreachable_error(e: &attohttpc::Error) -> PlatformError {
     PlatformError::Unreachable {
         detail: e.to_string(),
@@ -160,3 +175,24 @@
         detail: e.to_string(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::TcpListener;
+
+    use assert_matches::assert_matches;
+
+    use super::*;
+
+    #[test]
+    fn a_refused_connection_wrote_nothing() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let client = PlatformClient::new(PlatformConfig::new(format!("http://{address}")));
+        assert_matches!(
+            client.commit(&Transaction::default()),
+            Err(PlatformError::Unreachable { .. })
+        );
+    }
+}
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -262,6 +262,9 @@
     #[prost(message, optional, tag = "9")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer: ::core::option::Option<JobAnswer>,
+    /// Incarnation that runs it: the owner in the ticket, or its heir.
+    #[prost(uint64, tag = "10")]
+    pub writer: u64,
 }
 /// Row of one incarnation that writes the journal.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/geraniumrelay/src/http/keys.rs
+++ b/crates/geraniumrelay/src/http/keys.rs
@@ -21,7 +21,7 @@
 /// Longest key in bytes.
 const MAX_KEY_BYTES: usize = 128;
 
-/// Wait before asking again while the platform's table is away.
+/// Wait before asking again for what needs the platform's table or another entry VM.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 impl<C: Clock> Intake<C> {
@@ -57,7 +57,7 @@
     /// No refusal here says `NotRun`: an earlier request with the key may have bound it.
     async fn ticket_of(&self, key: &str, digest: u128, job: &JobSpec) -> Result<Ticket, Rejection> {
         let Some(ticket) = self.mint.mint() else {
-            return Err(Rejection::may_have_run(Reason::VmLeaving));
+            return Err(may_have_run(Reason::VmLeaving));
         };
         let team = job.team.as_ref().map(TeamName::as_str);
         let digest = convert::digest_text(digest);
--- a/crates/geraniumrelay/src/journal.rs
+++ b/crates/geraniumrelay/src/journal.rs
@@ -254,11 +254,35 @@
         JournalCommit {
             writer,
             writer_version: self.writer_version,
-            rows: batch.iter().map(|entry| row_of(entry, wall, now)).collect(),
+            rows: batch
+                .iter()
+                .map(|entry| self.row_of(entry, wall, now))
+                .collect(),
             expires: wall + self.settings.ttl,
         }
     }
 
+    fn row_of(&self, entry: &PendingEntry, wall: SystemTime, now: Instant) -> JournalRow {
+        let intent = &entry.intent;
+        let verdict = entry.outcome.as_ref().map(Outcome::verdict);
+        let answer = match &entry.outcome {
+            Some(Outcome::Answer(answer)) => Some(convert::job_answer(intent.ticket, answer)),
+            Some(Outcome::Verdict(_)) | None => None,
+        };
+        JournalRow {
+            ticket: intent.ticket.to_string(),
+            service: intent.service.to_string(),
+            kind: intent.kind.to_string(),
+            team: intent.team.map(|team| team.to_string()).unwrap_or_default(),
+            tasks: intent.tasks,
+            digest: convert::digest_text(intent.digest),
+            taken_in: wall_time(wall, now, intent.taken_in),
+            verdict: verdict.map(|v| v.to_string()).unwrap_or_default(),
+            answer,
+            writer: self.identity.incarnation.0,
+        }
+    }
+
     fn report(&self, metrics: &Metrics) {
         let unsettled = self
             .unsettled
@@ -275,26 +299,6 @@
     }
 }
 
-fn row_of(entry: &PendingEntry, wall: SystemTime, now: Instant) -> JournalRow {
-    let intent = &entry.intent;
-    let verdict = entry.outcome.as_ref().map(Outcome::verdict);
-    let answer = match &entry.outcome {
-        Some(Outcome::Answer(answer)) => Some(convert::job_answer(intent.ticket, answer)),
-        Some(Outcome::Verdict(_)) | None => None,
-    };
-    JournalRow {
-        ticket: intent.ticket.to_string(),
-        service: intent.service.to_string(),
-        kind: intent.kind.to_string(),
-        team: intent.team.map(|team| team.to_string()).unwrap_or_default(),
-        tasks: intent.tasks,
-        digest: convert::digest_text(intent.digest),
-        taken_in: wall_time(wall, now, intent.taken_in),
-        verdict: verdict.map(|v| v.to_string()).unwrap_or_default(),
-        answer,
-    }
-}
-
 /// Calendar time of an instant, given one pair of both.
 fn wall_time(wall: SystemTime, now: Instant, at: Instant) -> String {
     let at = wall - now.saturating_duration_since(at);
