--- a/crates/geraniumrelay-core/src/dispatcher/handover.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/handover.rs
@@ -11,6 +11,7 @@
 use crate::modules::claims::Decision;
 use crate::modules::handover::{Authority, HandOverMessage, HandOverReply};
 use crate::modules::membership::Owner;
+use crate::modules::policy::Policy;
 use crate::reason::Reason;
 use crate::ticket::Incarnation;
 
@@ -21,7 +22,7 @@
     cmd: Command,
 }
 
-impl Dispatcher {
+impl<P: Policy> Dispatcher<P> {
     /// Ceases to claim and begins to hand every table over to one heir.
     pub(super) fn drain(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         if self.is_draining {
--- a/crates/geraniumrelay-core/tests/hand_over.rs
+++ b/crates/geraniumrelay-core/tests/hand_over.rs
@@ -22,6 +22,12 @@
 /// Hash of the body of every submission here.
 const DIGEST: u128 = 1;
 
+/// Targets: enough for each process to be the home of some, as none lends here.
+const TARGETS: usize = 12;
+
+/// Position of the first target's address.
+const FIRST_TARGET: usize = 900;
+
 fn address(n: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1_000 + u16::try_from(n).unwrap()))
 }
@@ -98,13 +104,13 @@
         let at = self.processes.len() - 1;
         let sheet = parse_sheet(1, SHEET).unwrap();
         self.tell(at, Command::PutSheet(Arc::new(sheet)));
-        let target = TargetInfo {
-            vm: "t0".parse().unwrap(),
+        let targets = (0..TARGETS).map(|target| TargetInfo {
+            vm: format!("t{target}").parse().unwrap(),
             service: "till".parse().unwrap(),
-            address: address(900),
+            address: address(FIRST_TARGET + target),
             is_leaving: false,
-        };
-        self.tell(at, Command::ListTargets(vec![target]));
+        });
+        self.tell(at, Command::ListTargets(targets.collect()));
     }
 
     fn gossip(&mut self) {
