--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -19,6 +19,7 @@
 pub mod queue;
 pub mod retry;
 pub mod running;
+pub mod seq_map;
 pub mod service_load;
 pub mod shares;
 pub mod sheet;
--- a/crates/geraniumrelay/src/journal.rs
+++ b/crates/geraniumrelay/src/journal.rs
@@ -131,8 +131,8 @@
         let mut next_commit = self.clock.now();
         let mut writer_due = next_commit;
         loop {
-            let closed = self.take_until(rx, next_commit.max(self.wake_at(writer_due)));
-            metrics.durable.set_journal(&self.book, self.dropped());
+            let closed = self.take_in(rx, next_commit, writer_due);
+            self.report(metrics);
             if let Some(tx) = closed {
                 self.write_rest(metrics);
                 // Whoever asked may have given up.
@@ -146,32 +146,53 @@
             } else {
                 RETRY_PAUSE
             };
+            self.report(metrics);
             next_commit = now + pause;
         }
     }
 
-    /// Something to write is due at once, the writer row alone after a while.
-    fn wake_at(&self, writer_due: Instant) -> Instant {
-        if self.book.is_empty() && self.unsettled.is_none() {
-            writer_due
-        } else {
-            self.clock.now()
+    /// Takes entries in until a commit is due: at `next_commit` where there is something to write,
+    /// at `writer_due` where there is not. Returns early with whoever wants the journal closed.
+    fn take_in(
+        &mut self,
+        rx: &Receiver<JournalInput>,
+        next_commit: Instant,
+        writer_due: Instant,
+    ) -> Option<Sender<()>> {
+        // What waits is taken in also after a commit that took long, so that the ring has room.
+        for input in rx.try_iter().take(RING_ENTRIES) {
+            if let Some(closed) = self.take(input) {
+                return Some(closed);
+            }
         }
-    }
-
-    /// Takes entries in; returns at `until`, with the first entries after an idle time, or with
-    /// whoever wants the journal closed.
-    fn take_until(&mut self, rx: &Receiver<JournalInput>, until: Instant) -> Option<Sender<()>> {
-        let was_idle = self.book.is_empty();
         loop {
+            let has_work = !self.book.is_empty() || self.unsettled.is_some();
+            let until = if has_work {
+                next_commit
+            } else {
+                writer_due.max(next_commit)
+            };
+            if has_work && self.clock.now() >= until {
+                return None;
+            }
             match rx.recv_deadline(until) {
-                Ok(JournalInput::Entry(entry)) => self.book.note(&self.settings.cfg, *entry),
-                Ok(JournalInput::Close(tx)) => return Some(tx),
+                Ok(input) => {
+                    if let Some(closed) = self.take(input) {
+                        return Some(closed);
+                    }
+                }
                 Err(_) => return None,
             }
-            if was_idle && rx.is_empty() {
-                return None;
+        }
+    }
+
+    fn take(&mut self, input: JournalInput) -> Option<Sender<()>> {
+        match input {
+            JournalInput::Entry(entry) => {
+                self.book.note(&self.settings.cfg, *entry);
+                None
             }
+            JournalInput::Close(tx) => Some(tx),
         }
     }
 
@@ -233,33 +254,48 @@
         JournalCommit {
             writer,
             writer_version: self.writer_version,
-            rows: batch.iter().map(|entry| row_of(entry, wall, now)).collect(),
+            rows: batch
+                .iter()
+                .map(|entry| self.row_of(entry, wall, now))
+                .collect(),
             expires: wall + self.settings.ttl,
         }
     }
 
-    fn dropped(&self) -> u64 {
-        self.book.dropped() + self.tx.lost()
+    fn row_of(&self, entry: &PendingEntry, wall: SystemTime, now: Instant) -> JournalRow {
+        let intent = &entry.intent;
+        let verdict = entry.outcome.as_ref().map(Outcome::verdict);
+        let answer = match &entry.outcome {
+            Some(Outcome::Answer(answer)) => Some(convert::job_answer(intent.ticket, answer)),
+            Some(Outcome::Verdict(_)) | None => None,
+        };
+        JournalRow {
+            ticket: intent.ticket.to_string(),
+            service: intent.service.to_string(),
+            kind: intent.kind.to_string(),
+            team: intent.team.map(|team| team.to_string()).unwrap_or_default(),
+            tasks: intent.tasks,
+            digest: convert::digest_text(intent.digest),
+            taken_in: wall_time(wall, now, intent.taken_in),
+            verdict: verdict.map(|v| v.to_string()).unwrap_or_default(),
+            answer,
+            writer: self.identity.incarnation.0,
+        }
+    }
+
+    fn report(&self, metrics: &Metrics) {
+        let unsettled = self
+            .unsettled
+            .as_ref()
+            .map_or(0, |commit| commit.rows.len());
+        let entries = self.book.len() + unsettled;
+        metrics
+            .durable
+            .set_journal(entries, self.book.bytes(), self.dropped());
     }
-}
 
-fn row_of(entry: &PendingEntry, wall: SystemTime, now: Instant) -> JournalRow {
-    let intent = &entry.intent;
-    let verdict = entry.outcome.as_ref().map(Outcome::verdict);
-    let answer = match &entry.outcome {
-        Some(Outcome::Answer(answer)) => Some(convert::job_answer(intent.ticket, answer)),
-        Some(Outcome::Verdict(_)) | None => None,
-    };
-    JournalRow {
-        ticket: intent.ticket.to_string(),
-        service: intent.service.to_string(),
-        kind: intent.kind.to_string(),
-        team: intent.team.map(|team| team.to_string()).unwrap_or_default(),
-        tasks: intent.tasks,
-        digest: convert::digest_text(intent.digest),
-        taken_in: wall_time(wall, now, intent.taken_in),
-        verdict: verdict.map(|v| v.to_string()).unwrap_or_default(),
-        answer,
+    fn dropped(&self) -> u64 {
+        self.book.dropped() + self.tx.lost()
     }
 }
 
