--- a/crates/geraniumrelay-core/src/modules/health.rs
+++ b/crates/geraniumrelay-core/src/modules/health.rs
@@ -56,7 +56,7 @@
     }
 
     fn may_eject(&self, cfg: &HealthConfig) -> bool {
-        (self.ejected + 1) * 100 <= self.targets * cfg.max_ejected_percent
+        (self.ejected + 1) * 100 <= (self.targets + 1) * cfg.max_ejected_percent
     }
 }
 
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Takes in a sample; returns until when the target gets nothing, where that is so.
+    /// Takes in a sample, where `peers` are the other targets; returns until when the target gets nothing, where that is so.
     pub fn note(
         &mut self,
         now: Instant,
@@ -229,7 +229,7 @@
         let now = Instant::now();
         let mut health = Health::default();
         for _ in 0..20 {
-            health.note(now, &cfg, &peers(3), Sample::Failed);
+            health.note(now, &cfg, &peers(2), Sample::Failed);
         }
         assert!(!health.is_ejected());
     }
--- a/crates/geraniumrelay-core/src/modules/targets.rs
+++ b/crates/geraniumrelay-core/src/modules/targets.rs
@@ -302,9 +302,7 @@
         };
         target.refusals = 0;
         pool.peers.remove(&target.health);
-        let mut others = pool.peers;
-        others.add(&target.health);
-        let until = target.health.note(now, cfg, &others, sample);
+        let until = target.health.note(now, cfg, &pool.peers, sample);
         pool.peers.add(&target.health);
         if let Some(until) = until {
             target.paused_until = Some(until);
