--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -181,6 +181,15 @@
         due
     }
 
+    /// Whether every known peer has been heard, or has had the time to be.
+    ///
+    /// Before that, a process that has just started may not know who holds which tickets.
+    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
+        let grace = cx.cfg.membership.silence;
+        let mut peers = self.peers.values();
+        self.has_list && peers.all(|p| p.heard_at.is_some() || cx.now >= p.known_since + grace)
+    }
+
     /// Other entry VMs of a data centre that may use targets, in the order of their names.
     ///
     /// One that was never heard yet counts, as the platform's list names it. One that is leaving
@@ -197,15 +206,6 @@
         working
     }
 
-    /// Whether every known peer has been heard, or has had the time to be.
-    ///
-    /// Before that, a process that has just started may not know who holds which tickets.
-    pub fn is_settled(&self, cx: &Context<'_>) -> bool {
-        let grace = cx.cfg.membership.silence;
-        let mut peers = self.peers.values();
-        self.has_list && peers.all(|p| p.heard_at.is_some() || cx.now >= p.known_since + grace)
-    }
-
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
         self.peers.values().filter(|peer| peer.is_heard(cx)).count()
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -121,14 +121,14 @@
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, command_of(call, waiter));
             }
-            Input::Lend { req, tx } => {
-                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
-                self.decide(now, Command::Lend { req, waiter });
-            }
             Input::HandOver { message, tx } => {
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, Command::TakeHandOver { message, waiter });
             }
+            Input::Lend { req, tx } => {
+                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
+                self.decide(now, Command::Lend { req, waiter });
+            }
             Input::Tell(cmd) => self.decide(now, cmd),
             Input::AskNews { tx } => {
                 // Whoever asked may have given up.
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -7,8 +7,7 @@
 use geraniumrelay_core::modules::loans::LoanId;
 use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    BorrowSlots, ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply,
-    peer_request,
+    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply, peer_request,
 };
 use log::warn;
 use prost::Message;
@@ -93,6 +92,19 @@
                 hear(&self.decision, &beat).await;
                 return self.own_heartbeat().await;
             }
+            peer_request::Body::ReturnSlots(back) => {
+                let cmd = Command::TakeBack {
+                    loan: LoanId(back.loan),
+                    slots: convert_loans::target_slots(&back.slots),
+                };
+                self.decision.tell_async(cmd).await;
+                return self.own_heartbeat().await;
+            }
+            peer_request::Body::Borrow(req) => {
+                let req = convert_loans::borrow_request(&req)?;
+                let rx = self.decision.lend(req).ok()?;
+                return Some(convert::peer_reply(rx.recv_async().await.ok()?));
+            }
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
                 let body = Some(peer_reply::Body::Sheet(update));
@@ -104,15 +116,6 @@
                 ticket: cancel.ticket.parse().ok()?,
                 origin: Origin::Peer,
             },
-            peer_request::Body::Borrow(req) => return self.lend(&req).await,
-            peer_request::Body::ReturnSlots(back) => {
-                let cmd = Command::TakeBack {
-                    loan: LoanId(back.loan),
-                    slots: convert_loans::target_slots(&back.slots),
-                };
-                self.decision.tell_async(cmd).await;
-                return self.own_heartbeat().await;
-            }
             peer_request::Body::HandOver(message) => return self.take_hand_over(message).await,
         };
         let reply = match self.decision.call(call) {
@@ -153,15 +156,6 @@
         late.ok().and_then(Result::ok).unwrap_or_else(unreachable)
     }
 
-    /// Without a reply the borrower forgets its wish.
-    async fn lend(&self, req: &BorrowSlots) -> Option<PeerReply> {
-        let rx = self
-            .decision
-            .lend(convert_loans::borrow_request(req)?)
-            .ok()?;
-        Some(convert::peer_reply(rx.recv_async().await.ok()?))
-    }
-
     /// Without a reply the sender repeats its message.
     async fn take_hand_over(&self, message: HandOver) -> Option<PeerReply> {
         let message = handover_wire::read_hand_over(message)?;
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -24,14 +24,13 @@
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::convert;
-use crate::convert_loans;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
+use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
