--- a/crates/geraniumrelay-core/benches/policy/main.rs
+++ b/crates/geraniumrelay-core/benches/policy/main.rs
@@ -4,6 +4,7 @@
 //! table on any machine. With `--check` a missed bound makes it fail.
 
 mod baselines;
+mod borrowing;
 mod calls;
 mod events;
 mod faults;
--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use geraniumrelay_core::modules::loans::{BorrowRequest, Grant};
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::modules::policy::Policy;
 use geraniumrelay_core::{
@@ -35,7 +34,7 @@
 const MIN_TICK: Duration = Duration::from_micros(100);
 
 /// Wait for a connection to a VM that is gone.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Share of the calls that reach another VM than the owner of their ticket.
 const FOREIGN_CALLS: f64 = 0.1;
@@ -336,43 +335,6 @@
             .push(self.now + BETWEEN_VMS, Event::Command(to, cmd));
     }
 
-    fn borrow(&mut self, vm: usize, lender: usize, req: BorrowRequest) {
-        self.tally.loans += 2;
-        if !self.vms[lender].is_alive {
-            self.tally.wasted += 1;
-            let cmd = Command::TakeLoan {
-                service: req.service,
-                lender: vm_address(lender),
-                grant: None,
-            };
-            let at = self.now + CONNECT_TIMEOUT;
-            self.events.push(at, Event::Command(vm, cmd));
-            return;
-        }
-        let purpose = Purpose::Loan {
-            borrower: vm,
-            lender,
-        };
-        let waiter = self.waiter(0, purpose);
-        let at = self.now + BETWEEN_VMS;
-        let cmd = Command::Lend { req, waiter };
-        self.events.push(at, Event::Command(lender, cmd));
-    }
-
-    fn send_grant(&mut self, borrower: usize, lender: usize, grant: Grant) {
-        if grant.slots.is_empty() {
-            // Request and refusal.
-            self.tally.wasted += 2;
-        }
-        let cmd = Command::TakeLoan {
-            service: workload::service(),
-            lender: vm_address(lender),
-            grant: Some(grant),
-        };
-        let at = self.now + BETWEEN_VMS;
-        self.events.push(at, Event::Command(borrower, cmd));
-    }
-
     fn send_reply(&mut self, waiter: Waiter, reply: Reply) {
         let purpose = self.waiters[index_of_waiter(waiter)].purpose;
         if let (Purpose::Loan { borrower, lender }, Reply::Lent(grant)) = (purpose, &reply) {
@@ -514,7 +476,8 @@
     }
 }
 
-fn vm_address(n: usize) -> SocketAddr {
+/// Peer address of an entry VM.
+pub fn vm_address(n: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], u16::try_from(n).unwrap_or(0)))
 }
 
--- a/crates/geraniumrelay-core/src/configs/retry.rs
+++ b/crates/geraniumrelay-core/src/configs/retry.rs
@@ -1,7 +1,5 @@
 //! Settings of retries.
 
-use std::time::Duration;
-
 /// Budget for starting a task again that did not start.
 #[derive(Debug, Clone)]
 pub struct RetryConfig {
@@ -11,8 +9,6 @@
     pub max_saved_tenths: u32,
     /// Most attempts for one task.
     pub max_attempts: u32,
-    /// Wait before a target that refused is tried again.
-    pub target_pause: Duration,
 }
 
 impl Default for RetryConfig {
@@ -21,7 +17,6 @@
             earned_tenths: 1,
             max_saved_tenths: 1_000,
             max_attempts: 8,
-            target_pause: Duration::from_millis(20),
         }
     }
 }
