--- a/crates/geraniumrelay-core/src/dispatcher/admit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/admit.rs
@@ -12,7 +12,7 @@
 use crate::reason::Reason;
 
 /// Shortest wait before asking again.
-const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Longest wait before asking again.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -5,6 +5,7 @@
 use crate::command::{JobSpec, Origin, Waiter};
 use crate::context::Context;
 use crate::dispatcher::Dispatcher;
+use crate::dispatcher::admit::MIN_RETRY_AFTER;
 use crate::effect::{Effect, PeerCall, Rejection, Reply};
 use crate::modules::claims::Decision;
 use crate::modules::jobs::{Job, JobKey};
@@ -59,7 +60,7 @@
                 if has_joined {
                     return;
                 }
-                Rejection::may_have_run(Reason::TooManyWaiters).with_retry_after(RETRY_AFTER)
+                Rejection::may_have_run(Reason::TooManyWaiters).with_retry_after(MIN_RETRY_AFTER)
             }
             Decision::Kept(answer) => {
                 out.push(Effect::Reply {
--- a/crates/geraniumrelay-core/src/modules/health.rs
+++ b/crates/geraniumrelay-core/src/modules/health.rs
@@ -120,7 +120,8 @@
         }
     }
 
-    /// Takes in a sample, where `peers` are the other targets; returns until when the target gets nothing, where that is so.
+    /// Takes in a sample, where `peers` are the other targets; returns until when the target gets
+    /// nothing, where that is so.
     pub fn note(
         &mut self,
         now: Instant,
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -153,6 +153,15 @@
         late.ok().and_then(Result::ok).unwrap_or_else(unreachable)
     }
 
+    /// Without a reply the borrower forgets its wish.
+    async fn lend(&self, req: &BorrowSlots) -> Option<PeerReply> {
+        let rx = self
+            .decision
+            .lend(convert_loans::borrow_request(req)?)
+            .ok()?;
+        Some(convert::peer_reply(rx.recv_async().await.ok()?))
+    }
+
     /// Without a reply the sender repeats its message.
     async fn take_hand_over(&self, message: HandOver) -> Option<PeerReply> {
         let message = handover_wire::read_hand_over(message)?;
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -32,7 +32,6 @@
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
-use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
