--- a/crates/geraniumrelay-core/src/configs/handover.rs
+++ b/crates/geraniumrelay-core/src/configs/handover.rs
@@ -9,6 +9,8 @@
     pub max_claims: usize,
     /// Bytes of answers after which a message is full.
     pub max_answer_bytes: usize,
+    /// Largest answer in bytes; of a larger one only the verdict is handed over.
+    pub max_single_answer_bytes: usize,
     /// Bytes of answers kept in all tables taken over; the oldest answers are dropped beyond it.
     pub max_held_answer_bytes: usize,
     /// Most requests that wait for the heir's acknowledgement.
@@ -28,6 +30,7 @@
         Self {
             max_claims: 4_096,
             max_answer_bytes: 256 << 10,
+            max_single_answer_bytes: 4 << 20,
             max_held_answer_bytes: 4 << 20,
             max_parked: 4_096,
             max_held: 64,
--- a/crates/geraniumrelay-core/src/modules/handover.rs
+++ b/crates/geraniumrelay-core/src/modules/handover.rs
@@ -256,6 +256,7 @@
             let Some(state) = book.claim_at(seq).and_then(settled_state) else {
                 continue;
             };
+            let state = within(cfg.max_single_answer_bytes, state);
             if let HandedState::Answered { answer, .. } = &state {
                 bytes += answer.bytes();
             }
@@ -310,6 +311,19 @@
     }
 }
 
+/// Leaves only the verdict of an answer that no message would hold.
+fn within(max_bytes: usize, state: HandedState) -> HandedState {
+    match state {
+        HandedState::Answered { digest, answer } if answer.bytes() > max_bytes => {
+            HandedState::Dropped {
+                digest,
+                verdict: answer.verdict,
+            }
+        }
+        state => state,
+    }
+}
+
 impl From<HandedState> for Claim {
     fn from(state: HandedState) -> Self {
         match state {
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -12,6 +12,7 @@
 use crate::modules::beats::Beats;
 use crate::modules::digest::Digest;
 use crate::modules::handover::Heir;
+use crate::modules::loans::Spare;
 use crate::names::{DataCentre, VmName};
 use crate::ticket::Incarnation;
 
@@ -32,6 +33,8 @@
     pub is_leaving: bool,
     /// Incarnations whose tickets it holds by hand-over.
     pub held: Vec<Incarnation>,
+    /// Slots that it could lend.
+    pub spare: Vec<Spare>,
 }
 
 #[derive(Debug, Clone)]
@@ -40,6 +43,8 @@
     known_since: Instant,
     /// Whether it was noted as reached, and with which incarnation.
     noted: Option<Incarnation>,
+    /// Whether the platform's list says that it is leaving; its own heartbeats may not know yet.
+    is_listed_leaving: bool,
     heard_at: Option<Instant>,
 }
 
@@ -134,10 +139,11 @@
                 news: news.clone(),
                 known_since: cx.now,
                 noted: None,
+                is_listed_leaving: false,
                 heard_at: None,
             });
             peer.news.address = news.address;
-            peer.news.is_leaving |= news.is_leaving;
+            peer.is_listed_leaving = news.is_leaving;
         }
         let silence = cx.cfg.membership.remote_silence;
         self.views
@@ -221,6 +227,10 @@
             .filter(|peer| peer.news.data_centre == self.own && peer.is_heard_directly(cx));
         let mut peers: Vec<PeerNews> = near.map(|peer| peer.news.clone()).collect();
         peers.push(own);
+        for news in &mut peers {
+            // Slots are lent within a data centre only.
+            news.spare.clear();
+        }
         Digest::new(peers, known_hash)
     }
 
@@ -238,6 +248,7 @@
             news: news.clone(),
             known_since: cx.now,
             noted: None,
+            is_listed_leaving: false,
             heard_at: None,
         });
         peer.news = news;
@@ -274,7 +285,7 @@
     ) -> Option<Heir> {
         let peers = self.peers.values().filter(|peer| {
             peer.is_heard(cx, &self.views)
-                && !peer.news.is_leaving
+                && !peer.is_leaving()
                 && peer.news.data_centre == data_centre
         });
         let heirs = peers.filter_map(|peer| {
@@ -347,6 +358,22 @@
         changes
     }
 
+    /// Entry VMs of a data centre that take new work; one that was never heard yet counts, as the
+    /// platform's list names it.
+    pub fn working(&self, cx: &Context<'_>, data_centre: DataCentre) -> Vec<(VmName, SocketAddr)> {
+        let is_working = |peer: &&Peer| {
+            peer.news.data_centre == data_centre
+                && !peer.is_leaving()
+                && (peer.heard_at.is_none() || peer.is_heard_directly(cx))
+        };
+        let peers = self.peers.values().filter(is_working);
+        let mut working: Vec<_> = peers
+            .map(|peer| (peer.news.vm, peer.news.address))
+            .collect();
+        working.sort_unstable();
+        working
+    }
+
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
         self.peers
@@ -390,6 +417,10 @@
 }
 
 impl Peer {
+    fn is_leaving(&self) -> bool {
+        self.news.is_leaving || self.is_listed_leaving
+    }
+
     fn runs(&self, incarnation: Incarnation) -> bool {
         self.news.incarnation == Some(incarnation)
     }
@@ -428,6 +459,7 @@
             revision: 0,
             is_leaving: false,
             held: Vec::new(),
+            spare: Vec::new(),
         }
     }
 
--- a/crates/geraniumrelay-core/tests/membership.rs
+++ b/crates/geraniumrelay-core/tests/membership.rs
@@ -23,6 +23,7 @@
         revision: 1,
         is_leaving: false,
         held: Vec::new(),
+        spare: Vec::new(),
     }
 }
 
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -97,6 +97,7 @@
                 self.metrics.set_settled(self.dispatcher.is_settled(&cx));
                 self.metrics.set_targets(self.dispatcher.targets_known());
                 self.forget_gone(now);
+                self.metrics.load.set(&self.dispatcher.load());
             }
         }
     }
@@ -125,6 +126,10 @@
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, Command::TakeHandOver { message, waiter });
             }
+            Input::Lend { req, tx } => {
+                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
+                self.decide(now, Command::Lend { req, waiter });
+            }
             Input::Tell(cmd) => self.decide(now, cmd),
             Input::AskNews { asker, tx } => {
                 // Whoever asked may have given up.
@@ -221,6 +226,15 @@
             Effect::FetchSheet { address } => {
                 self.outlets.peers.send(PeerJob::FetchSheet { address });
             }
+            Effect::Borrow { address, req } => {
+                self.metrics.load.count_borrow();
+                self.outlets.peers.send(PeerJob::Borrow { address, req });
+            }
+            Effect::Return(back) => self.outlets.peers.send(PeerJob::Return(back)),
+            Effect::TargetEjected { vm } => {
+                self.metrics.load.count_ejection();
+                warn!(target:% = vm; "target_ejected");
+            }
             Effect::SheetInForce { revision } => {
                 self.metrics.set_revision(revision);
                 info!(revision; "sheet_in_force");
@@ -248,15 +262,15 @@
         self.decide(now, Command::Leave(gone));
     }
 
-    fn own_news(&self, now: Instant, asker: Asker) -> OwnNews {
+    fn own_news(&self, now: Instant, asker: Option<Asker>) -> OwnNews {
         let cx = Context::new(now, &self.cfg);
-        let Asker {
-            data_centre,
-            known_digest,
-        } = asker;
+        let digest = asker.and_then(|asker| {
+            let known = asker.known_digest;
+            self.dispatcher.digest_for(&cx, asker.data_centre, known)
+        });
         OwnNews {
             news: self.dispatcher.own_news(),
-            digest: self.dispatcher.digest_for(&cx, data_centre, known_digest),
+            digest,
         }
     }
 
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::durable_metrics::DurableMetrics;
+use crate::load_metrics::LoadMetrics;
 use crate::peer_metrics::PeerMetrics;
 
 /// Upper bounds of the response time buckets, in seconds.
@@ -18,6 +19,8 @@
 /// Metrics of one entry process.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Decisions under load and faults.
+    pub load: LoadMetrics,
     registry: Registry,
     starts: IntCounter,
     forwards: IntCounter,
@@ -100,6 +103,7 @@
         let peers = Arc::new(PeerMetrics::new(&registry)?);
         let durable = DurableMetrics::new(&registry)?;
         Ok(Self {
+            load: LoadMetrics::new(&registry)?,
             registry,
             starts,
             forwards,
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use flume::Receiver;
-use geraniumrelay_core::{Origin, Query, Reply, Ticket};
+use geraniumrelay_core::modules::loans::LoanId;
+use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    ForwardQuery, ForwardSubmit, HandOver, Heartbeat, PeerReply, PeerRequest, peer_reply,
-    peer_request,
+    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply, peer_request,
 };
 use log::warn;
 use prost::Message;
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::convert;
+use crate::convert_loans;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peers::{MAX_MESSAGE, hear, unreachable};
@@ -89,7 +90,24 @@
         let call = match req.body? {
             peer_request::Body::Heartbeat(beat) => {
                 hear(&self.decision, &beat).await;
-                return self.own_heartbeat(&beat).await;
+                let asker = Asker {
+                    data_centre: beat.data_centre.parse().ok()?,
+                    known_digest: beat.known_digest,
+                };
+                return self.own_heartbeat(Some(asker)).await;
+            }
+            peer_request::Body::ReturnSlots(back) => {
+                let cmd = Command::TakeBack {
+                    loan: LoanId(back.loan),
+                    slots: convert_loans::target_slots(&back.slots),
+                };
+                self.decision.tell_async(cmd).await;
+                return self.own_heartbeat(None).await;
+            }
+            peer_request::Body::Borrow(req) => {
+                let req = convert_loans::borrow_request(&req)?;
+                let rx = self.decision.lend(req).ok()?;
+                return Some(convert::peer_reply(rx.recv_async().await.ok()?));
             }
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
@@ -149,11 +167,7 @@
         Some(convert::peer_reply(rx.recv_async().await.ok()?))
     }
 
-    async fn own_heartbeat(&self, beat: &Heartbeat) -> Option<PeerReply> {
-        let asker = Asker {
-            data_centre: beat.data_centre.parse().ok()?,
-            known_digest: beat.known_digest,
-        };
+    async fn own_heartbeat(&self, asker: Option<Asker>) -> Option<PeerReply> {
         let rx = self.decision.ask_news(asker).ok()?;
         let OwnNews { news, digest } = rx.recv_async().await.ok()?;
         let reply = convert::heartbeat_reply(&news, digest.as_ref());
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -13,6 +13,7 @@
 use flume::{Receiver, Sender};
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::modules::handover::HandOverMessage;
+use geraniumrelay_core::modules::loans::{BorrowRequest, SlotReturn};
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, PeerCall, Reason, Rejection, Reply};
 use geraniumrelay_wire::{
@@ -23,13 +24,13 @@
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::convert;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
+use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -72,6 +73,15 @@
         /// Told once they have been told.
         tx: Sender<()>,
     },
+    /// Ask for slots; the reply goes to the decision thread.
+    Borrow {
+        /// Peer address.
+        address: SocketAddr,
+        /// The wish.
+        req: BorrowRequest,
+    },
+    /// Return slots to their lender.
+    Return(SlotReturn),
     /// Send a heartbeat and take the peer's in return.
     Beat {
         /// Peer address.
@@ -227,6 +237,11 @@
             // The caller may have gone.
             let _ = tx.try_send(reply);
         }
+        PeerJob::Borrow { address, req } => borrow(&transport, address, req).await,
+        PeerJob::Return(back) => {
+            let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(&back));
+            send_control(&transport, back.lender, body).await;
+        }
         PeerJob::Beat {
             address,
             news,
@@ -236,7 +251,8 @@
                 known_digest,
                 ..convert::heartbeat(&news)
             };
-            send_beat(&transport, address, beat).await;
+            let body = peer_request::Body::Heartbeat(beat);
+            send_control(&transport, address, body).await;
         }
         PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
         PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
@@ -292,10 +308,9 @@
     transport.decision.tell_async(cmd).await;
 }
 
-/// Sends a heartbeat; the reply is the peer's own.
-async fn send_beat(transport: &Transport, address: SocketAddr, beat: Heartbeat) {
-    let body = Some(peer_request::Body::Heartbeat(beat));
-    let req = PeerRequest { body };
+/// Sends a control message; every reply to one is the peer's own heartbeat.
+async fn send_control(transport: &Transport, address: SocketAddr, body: peer_request::Body) {
+    let req = PeerRequest { body: Some(body) };
     let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
         Ok(reply) => reply,
         Err(e) => {
@@ -318,6 +333,24 @@
     }
 }
 
+/// Asks for slots and hands the reply over; also that there was none.
+async fn borrow(transport: &Transport, address: SocketAddr, req: BorrowRequest) {
+    let body = peer_request::Body::Borrow(convert_loans::borrow_slots(req));
+    let msg = PeerRequest { body: Some(body) };
+    let grant = match transport.exchange(address, &msg, CONTROL_TIMEOUT).await {
+        Ok(PeerReply {
+            body: Some(peer_reply::Body::Grant(grant)),
+        }) => Some(convert_loans::grant(&grant)),
+        _ => None,
+    };
+    let cmd = Command::TakeLoan {
+        service: req.service,
+        lender: address,
+        grant,
+    };
+    transport.decision.tell_async(cmd).await;
+}
+
 /// Passes a heartbeat on to the decision thread.
 pub(crate) async fn hear(decision: &DecisionTx, beat: &Heartbeat) {
     if let Some(news) = convert::peer_news(beat) {
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -5,6 +5,7 @@
 use flume::{Receiver, Sender};
 use geraniumrelay_core::modules::digest::Digest;
 use geraniumrelay_core::modules::handover::HandOverMessage;
+use geraniumrelay_core::modules::loans::BorrowRequest;
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::names::DataCentre;
 use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
@@ -101,12 +102,19 @@
         /// Where the reply goes.
         tx: Sender<Reply>,
     },
+    /// Another entry VM's wish for slots.
+    Lend {
+        /// The wish.
+        req: BorrowRequest,
+        /// Where the grant goes.
+        tx: Sender<Reply>,
+    },
     /// A command that nobody waits for.
     Tell(Command),
     /// What this VM would reply to a heartbeat.
     AskNews {
-        /// Who asks.
-        asker: Asker,
+        /// Who asks, where a digest may be wanted.
+        asker: Option<Asker>,
         /// Where the answer goes.
         tx: Sender<OwnNews>,
     },
@@ -161,6 +169,16 @@
         Ok(rx)
     }
 
+    /// Passes another entry VM's wish for slots on; the grant comes through the receiver.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn lend(&self, req: BorrowRequest) -> Result<Receiver<Reply>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::Lend { req, tx })?;
+        Ok(rx)
+    }
+
     /// Asks a question.
     ///
     /// # Errors
@@ -185,7 +203,7 @@
     ///
     /// # Errors
     /// [`Overloaded`].
-    pub fn ask_news(&self, asker: Asker) -> Result<Receiver<OwnNews>, Overloaded> {
+    pub fn ask_news(&self, asker: Option<Asker>) -> Result<Receiver<OwnNews>, Overloaded> {
         let (tx, rx) = flume::bounded(1);
         self.try_send(Input::AskNews { asker, tx })?;
         Ok(rx)
