--- a/crates/geraniumrelay-testkit/tests/rolling_replacement.rs
+++ b/crates/geraniumrelay-testkit/tests/rolling_replacement.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumrelay_testkit::caller::{Caller, Told, job_of};
+use geraniumrelay_testkit::cluster::gauge;
 use geraniumrelay_testkit::entry_process::run_if_entry;
 use geraniumrelay_testkit::{Balancer, Cluster, ClusterPlan};
 
@@ -128,3 +129,47 @@
     assert_eq!(starts.len(), complete * RUN_MS.len());
     println!("{complete} jobs complete while {ENTRIES} entry VMs were replaced");
 }
+
+#[test]
+fn a_killed_drain_leaves_what_ran_there_unknown_and_the_rest_to_the_heir() {
+    let mut cluster = Cluster::start(ClusterPlan::new(2, 2));
+    let caller = Caller::new();
+    let [owner, heir] = [cluster.entries[0].address, cluster.entries[1].address];
+    let tickets = caller.tickets(owner, 2);
+    let (running, fresh) = (tickets[0].clone(), tickets[1].clone());
+    // An idempotent kind has no journal, so only the killed process would know the answer.
+    let long = job_of("kiallitas-pont", "eligibility", &[5_000]);
+    let first = thread::spawn({
+        let (caller, ticket, job) = (caller.clone(), running.clone(), long.clone());
+        move || caller.submit(owner, &ticket, &job)
+    });
+    wait_until("the task starts", || cluster.starts_per_task().len() == 1);
+    cluster.entries[0].terminate();
+    wait_until("the heir takes over", || {
+        gauge(
+            &caller,
+            heir,
+            "geraniumrelay_hand_overs_total{stage=\"taken\"}",
+        ) == 1
+    });
+    cluster.entries[0].kill();
+    assert!(matches!(first.join().unwrap(), Told::Lost(_)));
+    let told = caller.submit(heir, &running, &long);
+    assert!(
+        matches!(&told, Told::Problem(p) if p.verdict == "MayHaveRun" && p.retry_after_s > 0),
+        "{told:?}"
+    );
+    let job = job_of("kiallitas-pont", "eligibility", &[30]);
+    assert!(caller.submit(heir, &fresh, &job).is_complete());
+    let starts = cluster.starts_per_task();
+    assert_eq!(starts.len(), 2);
+    assert!(starts.values().all(|n| *n == 1), "{starts:?}");
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
