--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -43,6 +43,8 @@
     known_since: Instant,
     /// Whether it was noted as reached, and with which incarnation.
     noted: Option<Incarnation>,
+    /// Whether the platform's list says that it is leaving; its own heartbeats may not know yet.
+    is_listed_leaving: bool,
     heard_at: Option<Instant>,
 }
 
@@ -137,10 +139,11 @@
                 news: news.clone(),
                 known_since: cx.now,
                 noted: None,
+                is_listed_leaving: false,
                 heard_at: None,
             });
             peer.news.address = news.address;
-            peer.news.is_leaving |= news.is_leaving;
+            peer.is_listed_leaving = news.is_leaving;
         }
         let silence = cx.cfg.membership.remote_silence;
         self.views
@@ -224,6 +227,10 @@
             .filter(|peer| peer.news.data_centre == self.own && peer.is_heard_directly(cx));
         let mut peers: Vec<PeerNews> = near.map(|peer| peer.news.clone()).collect();
         peers.push(own);
+        for news in &mut peers {
+            // Slots are lent within a data centre only.
+            news.spare.clear();
+        }
         Digest::new(peers, known_hash)
     }
 
@@ -241,6 +248,7 @@
             news: news.clone(),
             known_since: cx.now,
             noted: None,
+            is_listed_leaving: false,
             heard_at: None,
         });
         peer.news = news;
@@ -277,7 +285,7 @@
     ) -> Option<Heir> {
         let peers = self.peers.values().filter(|peer| {
             peer.is_heard(cx, &self.views)
-                && !peer.news.is_leaving
+                && !peer.is_leaving()
                 && peer.news.data_centre == data_centre
         });
         let heirs = peers.filter_map(|peer| {
@@ -412,6 +420,10 @@
 }
 
 impl Peer {
+    fn is_leaving(&self) -> bool {
+        self.news.is_leaving || self.is_listed_leaving
+    }
+
     fn runs(&self, incarnation: Incarnation) -> bool {
         self.news.incarnation == Some(incarnation)
     }
