fix(testkit): count a mark of leaving from when the platform's list can be read

Nobody could read the mark, and the target did not say so itself, so the check was wrong. Change: where a schedule takes the platform away or slows it, the 3 s begin when it is back, and callers go on beyond them, so that the limit is checked as strictly as without that fault.

--- a/crates/geraniumrelay-testkit/src/faults/round.rs
+++ b/crates/geraniumrelay-testkit/src/faults/round.rs
@@ -133,8 +133,14 @@
         match fault {
             Fault::Kill(n) => self.cluster.restart_entry(n),
             Fault::Pause(n) => self.cluster.entries[n].resume(),
-            Fault::StoreAway => self.change_platform(|faults| faults.is_away = false),
-            Fault::StoreSlow => self.change_platform(|faults| faults.delay = Duration::ZERO),
+            Fault::StoreAway => {
+                self.change_platform(|faults| faults.is_away = false);
+                self.await_leaving_mark();
+            }
+            Fault::StoreSlow => {
+                self.change_platform(|faults| faults.delay = Duration::ZERO);
+                self.await_leaving_mark();
+            }
             Fault::FailsAll(n) | Fault::Straggler(n) | Fault::Hanging(n) => {
                 self.cluster.targets[n].set_faults(TargetFaults::default());
             }
@@ -143,6 +149,17 @@
         }
     }
 
+    /// A mark in a list that can't be read counts from when it can; callers go on beyond the limit.
+    fn await_leaving_mark(&mut self) {
+        let now = Instant::now();
+        for (_, at) in &mut self.left {
+            *at = now;
+        }
+        if !self.left.is_empty() {
+            thread::sleep(LEAVING_LIMIT + CALM);
+        }
+    }
+
     fn change_platform(&mut self, change: impl FnOnce(&mut PlatformFaults)) {
         change(&mut self.platform);
         self.cluster.platform.set_faults(self.platform.clone());
