--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -144,29 +144,6 @@
     ListPeers(Vec<PeerNews>),
     /// Note a heartbeat of another entry VM.
     HearPeer(PeerNews),
-    /// Note what a contact in another data centre says of the entry VMs there.
-    HearDigest {
-        /// The data centre.
-        data_centre: DataCentre,
-        /// Its entry VMs.
-        digest: Digest,
-    },
-    /// Take a message of another process that hands its claims over.
-    TakeHandOver {
-        /// The message.
-        message: HandOverMessage,
-        /// Who waits for the reply.
-        waiter: Waiter,
-    },
-    /// The heir has replied to a message of the hand-over from here.
-    HearHeir {
-        /// Incarnation whose table it is.
-        owner: Incarnation,
-        /// Position of the message.
-        number: u64,
-        /// What the heir said.
-        reply: HandOverReply,
-    },
     /// Lend slots to another entry VM.
     Lend {
         /// What it wishes for.
@@ -190,6 +167,29 @@
         /// Slots that come back.
         slots: Vec<TargetSlots>,
     },
+    /// Note what a contact in another data centre says of the entry VMs there.
+    HearDigest {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Its entry VMs.
+        digest: Digest,
+    },
+    /// Take a message of another process that hands its claims over.
+    TakeHandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Who waits for the reply.
+        waiter: Waiter,
+    },
+    /// The heir has replied to a message of the hand-over from here.
+    HearHeir {
+        /// Incarnation whose table it is.
+        owner: Incarnation,
+        /// Position of the message.
+        number: u64,
+        /// What the heir said.
+        reply: HandOverReply,
+    },
     /// Start nothing new, hand the claims over and let what runs finish.
     Drain,
     /// Let time pass: deadlines, retries, heartbeats.
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -328,6 +328,25 @@
         due
     }
 
+    /// Other entry VMs of a data centre that may use targets, in the order of their names.
+    ///
+    /// One that was never heard counts for as long as a silent one would, as the platform's list names
+    /// it. One that is leaving counts until it is gone, as its last jobs still need their slots.
+    pub fn working(&self, cx: &Context<'_>, data_centre: DataCentre) -> Vec<(VmName, SocketAddr)> {
+        let silence = cx.cfg.membership.silence;
+        let is_new = |peer: &Peer| peer.heard_at.is_none() && cx.now < peer.known_since + silence;
+        let is_working = |peer: &&Peer| {
+            let is_alive = is_new(peer) || peer.is_heard_directly(cx);
+            peer.news.data_centre == data_centre && is_alive
+        };
+        let peers = self.peers.values().filter(is_working);
+        let mut working: Vec<_> = peers
+            .map(|peer| (peer.news.vm, peer.news.address))
+            .collect();
+        working.sort_unstable();
+        working
+    }
+
     /// Whether every known peer is heard, or has had the time to be.
     ///
     /// Before that, a process that has just started may not know who holds which tickets.
@@ -358,22 +377,6 @@
         changes
     }
 
-    /// Entry VMs of a data centre that take new work; one that was never heard yet counts, as the
-    /// platform's list names it.
-    pub fn working(&self, cx: &Context<'_>, data_centre: DataCentre) -> Vec<(VmName, SocketAddr)> {
-        let is_working = |peer: &&Peer| {
-            peer.news.data_centre == data_centre
-                && !peer.is_leaving()
-                && (peer.heard_at.is_none() || peer.is_heard_directly(cx))
-        };
-        let peers = self.peers.values().filter(is_working);
-        let mut working: Vec<_> = peers
-            .map(|peer| (peer.news.vm, peer.news.address))
-            .collect();
-        working.sort_unstable();
-        working
-    }
-
     /// Number of peers heard within the silence.
     pub fn heard(&self, cx: &Context<'_>) -> usize {
         self.peers
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -262,6 +262,9 @@
     #[prost(message, optional, tag = "9")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer: ::core::option::Option<JobAnswer>,
+    /// Incarnation that runs it: the owner in the ticket, or its heir.
+    #[prost(uint64, tag = "10")]
+    pub writer: u64,
 }
 /// Row of one incarnation that writes the journal.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -609,6 +612,9 @@
     /// Peer address of the sender, IP and port.
     #[prost(string, tag = "7")]
     pub address: ::prost::alloc::string::String,
+    /// Slots that the sender could lend.
+    #[prost(message, repeated, tag = "20")]
+    pub spare: ::prost::alloc::vec::Vec<SpareSlots>,
     /// In a request to another data centre: hash of the digest of it that the sender has.
     #[prost(uint64, tag = "8")]
     pub known_digest: u64,
@@ -621,9 +627,6 @@
     /// Lowest revision that any entry VM of the replying data centre has in force.
     #[prost(uint64, tag = "11")]
     pub lowest_revision: u64,
-    /// Slots that the sender could lend.
-    #[prost(message, repeated, tag = "20")]
-    pub spare: ::prost::alloc::vec::Vec<SpareSlots>,
 }
 /// Slots of a service that an entry VM could lend.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -122,14 +122,14 @@
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, command_of(call, waiter));
             }
-            Input::HandOver { message, tx } => {
-                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
-                self.decide(now, Command::TakeHandOver { message, waiter });
-            }
             Input::Lend { req, tx } => {
                 let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
                 self.decide(now, Command::Lend { req, waiter });
             }
+            Input::HandOver { message, tx } => {
+                let waiter = Waiter(self.waiters.insert(tx).0.as_ffi());
+                self.decide(now, Command::TakeHandOver { message, waiter });
+            }
             Input::Tell(cmd) => self.decide(now, cmd),
             Input::AskNews { asker, tx } => {
                 // Whoever asked may have given up.
@@ -262,15 +262,15 @@
         self.decide(now, Command::Leave(gone));
     }
 
-    fn own_news(&self, now: Instant, asker: Option<Asker>) -> OwnNews {
+    fn own_news(&self, now: Instant, asker: Asker) -> OwnNews {
         let cx = Context::new(now, &self.cfg);
-        let digest = asker.and_then(|asker| {
-            let known = asker.known_digest;
-            self.dispatcher.digest_for(&cx, asker.data_centre, known)
-        });
+        let Asker {
+            data_centre,
+            known_digest,
+        } = asker;
         OwnNews {
             news: self.dispatcher.own_news(),
-            digest,
+            digest: self.dispatcher.digest_for(&cx, data_centre, known_digest),
         }
     }
 
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -24,13 +24,14 @@
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::convert;
+use crate::convert_loans;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
-use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -239,8 +240,7 @@
         }
         PeerJob::Borrow { address, req } => borrow(&transport, address, req).await,
         PeerJob::Return(back) => {
-            let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(&back));
-            send_control(&transport, back.lender, body).await;
+            return_slots(&transport, &back).await;
         }
         PeerJob::Beat {
             address,
@@ -251,8 +251,7 @@
                 known_digest,
                 ..convert::heartbeat(&news)
             };
-            let body = peer_request::Body::Heartbeat(beat);
-            send_control(&transport, address, body).await;
+            send_beat(&transport, address, beat).await;
         }
         PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
         PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
@@ -308,9 +307,10 @@
     transport.decision.tell_async(cmd).await;
 }
 
-/// Sends a control message; every reply to one is the peer's own heartbeat.
-async fn send_control(transport: &Transport, address: SocketAddr, body: peer_request::Body) {
-    let req = PeerRequest { body: Some(body) };
+/// Sends a heartbeat; the reply is the peer's own.
+async fn send_beat(transport: &Transport, address: SocketAddr, beat: Heartbeat) {
+    let body = Some(peer_request::Body::Heartbeat(beat));
+    let req = PeerRequest { body };
     let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
         Ok(reply) => reply,
         Err(e) => {
@@ -333,6 +333,16 @@
     }
 }
 
+/// Returns slots; where that is lost, the loan's end at the lender brings them back.
+async fn return_slots(transport: &Transport, back: &SlotReturn) {
+    let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(back));
+    let req = PeerRequest { body: Some(body) };
+    if let Err(e) = transport.exchange(back.lender, &req, CONTROL_TIMEOUT).await {
+        let error = e.to_string();
+        debug!(peer:% = back.lender, error = error.as_str(); "return_unanswered");
+    }
+}
+
 /// Asks for slots and hands the reply over; also that there was none.
 async fn borrow(transport: &Transport, address: SocketAddr, req: BorrowRequest) {
     let body = peer_request::Body::Borrow(convert_loans::borrow_slots(req));
