fix(core): ask the last known holder of a table until the next one is heard

A VM that had just started heard the old holder's heartbeat, which no longer names a table that was handed on, before the new holder's, which does; in between it knew nobody. Ruled out: the grace of a start (it had heard all peers) and the stopped process (it still passes requests along).

Change: a holder stays known while its process runs, until another one names the table. The old holder passes requests along to the new one.

Measured: a unit test of that order of heartbeats fails before and passes after.

Conclusion: a chain of stops leaves no moment in which nobody is known.

--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -111,8 +111,18 @@
     views: Map<DataCentre, View>,
     /// VMs by the incarnation that they run.
     running: Map<Incarnation, VmName>,
-    /// VMs by the incarnations that they hold by hand-over.
-    holders: Map<Incarnation, VmName>,
+    /// Last known holders of the incarnations that were handed over.
+    holders: Map<Incarnation, Holder>,
+}
+
+/// A process that holds, or has handed on, the table of another incarnation.
+///
+/// One that has handed it on passes requests along for as long as it runs, so it stays the holder
+/// until the next one is heard.
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    vm: VmName,
+    incarnation: Incarnation,
 }
 
 impl Membership {
@@ -155,8 +165,11 @@
         self.beats.retain(|vm| peers.contains_key(vm));
         self.running
             .retain(|incarnation, vm| peers.get(vm).is_some_and(|p| p.runs(*incarnation)));
-        self.holders
-            .retain(|incarnation, vm| peers.get(vm).is_some_and(|p| p.holds(*incarnation)));
+        self.holders.retain(|_, holder| {
+            peers
+                .get(&holder.vm)
+                .is_some_and(|p| p.runs(holder.incarnation))
+        });
     }
 
     /// Notes a heartbeat.
@@ -242,7 +255,8 @@
         self.has_list = true;
         self.running.insert(incarnation, news.vm);
         for held in &news.held {
-            self.holders.insert(*held, news.vm);
+            let vm = news.vm;
+            self.holders.insert(*held, Holder { vm, incarnation });
         }
         let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
             news: news.clone(),
@@ -258,9 +272,8 @@
     /// Where the tickets of an incarnation are decided: at its heir, else where it runs.
     pub fn owner_of(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
         let holder = self.holders.get(&incarnation);
-        let holder = holder.and_then(|vm| self.peers.get(vm));
-        let holder = holder.filter(|peer| peer.holds(incarnation));
-        match (self.where_is(cx, holder), self.process_at(cx, incarnation)) {
+        let holder = holder.map_or(Owner::Unknown, |h| self.process_at(cx, h.incarnation));
+        match (holder, self.process_at(cx, incarnation)) {
             (Owner::At(address), _) | (_, Owner::At(address)) => Owner::At(address),
             (Owner::Silent, _) | (_, Owner::Silent) => Owner::Silent,
             (Owner::Unknown, Owner::Unknown) => Owner::Unknown,
@@ -428,10 +441,6 @@
         self.news.incarnation == Some(incarnation)
     }
 
-    fn holds(&self, incarnation: Incarnation) -> bool {
-        self.news.held.contains(&incarnation)
-    }
-
     /// Whether it was heard here or by a contact in its data centre.
     fn is_heard(&self, cx: &Context<'_>, views: &Map<DataCentre, View>) -> bool {
         let cfg = &cx.cfg.membership;
@@ -466,6 +475,49 @@
         }
     }
 
+    #[test]
+    fn a_holder_is_asked_until_the_next_one_is_heard() {
+        let cfg = Config::default();
+        let cx = Context::new(Instant::now(), &cfg);
+        let mut membership = Membership::new("szeged".parse().unwrap(), Incarnation(0));
+        let held = vec![Incarnation(9)];
+        membership.hear(
+            &cx,
+            PeerNews {
+                held: held.clone(),
+                ..news(1)
+            },
+        );
+        // It has handed the table on, and the next holder has not been heard.
+        membership.hear(&cx, news(1));
+        assert_eq!(
+            membership.owner_of(&cx, Incarnation(9)),
+            Owner::At(news(1).address)
+        );
+        let next = PeerNews {
+            vm: "e2".parse().unwrap(),
+            address: SocketAddr::from(([127, 0, 0, 1], 2)),
+            held,
+            ..news(2)
+        };
+        membership.hear(&cx, next.clone());
+        assert_eq!(
+            membership.owner_of(&cx, Incarnation(9)),
+            Owner::At(next.address)
+        );
+        membership.hear(
+            &cx,
+            PeerNews {
+                held: Vec::new(),
+                ..news(3)
+            },
+        );
+        assert_eq!(
+            membership.owner_of(&cx, Incarnation(9)),
+            Owner::At(next.address)
+        );
+    }
+
     #[test]
     fn an_owner_is_found_until_it_is_silent_or_replaced() {
         let cfg = Config::default();
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -262,15 +262,15 @@
         self.decide(now, Command::Leave(gone));
     }
 
-    fn own_news(&self, now: Instant, asker: Option<Asker>) -> OwnNews {
+    fn own_news(&self, now: Instant, asker: Asker) -> OwnNews {
         let cx = Context::new(now, &self.cfg);
-        let digest = asker.and_then(|asker| {
-            let known = asker.known_digest;
-            self.dispatcher.digest_for(&cx, asker.data_centre, known)
-        });
+        let Asker {
+            data_centre,
+            known_digest,
+        } = asker;
         OwnNews {
             news: self.dispatcher.own_news(),
-            digest,
+            digest: self.dispatcher.digest_for(&cx, data_centre, known_digest),
         }
     }
 
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -113,8 +113,8 @@
     Tell(Command),
     /// What this VM would reply to a heartbeat.
     AskNews {
-        /// Who asks, where a digest may be wanted.
-        asker: Option<Asker>,
+        /// Who asks.
+        asker: Asker,
         /// Where the answer goes.
         tx: Sender<OwnNews>,
     },
@@ -203,7 +203,7 @@
     ///
     /// # Errors
     /// [`Overloaded`].
-    pub fn ask_news(&self, asker: Option<Asker>) -> Result<Receiver<OwnNews>, Overloaded> {
+    pub fn ask_news(&self, asker: Asker) -> Result<Receiver<OwnNews>, Overloaded> {
         let (tx, rx) = flume::bounded(1);
         self.try_send(Input::AskNews { asker, tx })?;
         Ok(rx)
