--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -6,12 +6,13 @@
 use derive_more::Display;
 
 use crate::collections::Set;
+use crate::modules::digest::Digest;
 use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::loans::{BorrowRequest, Grant, LoanId, TargetSlots};
 use crate::modules::membership::PeerNews;
 use crate::modules::sheet::Sheet;
 use crate::modules::targets::{TargetInfo, TaskKey};
-use crate::names::{KindName, ServiceName, TeamName};
+use crate::names::{DataCentre, KindName, ServiceName, TeamName};
 use crate::ticket::{Incarnation, Ticket};
 
 /// Name of one waiting caller, given by the host.
@@ -143,22 +144,6 @@
     ListPeers(Vec<PeerNews>),
     /// Note a heartbeat of another entry VM.
     HearPeer(PeerNews),
-    /// Take a message of another process that hands its claims over.
-    TakeHandOver {
-        /// The message.
-        message: HandOverMessage,
-        /// Who waits for the reply.
-        waiter: Waiter,
-    },
-    /// The heir has replied to a message of the hand-over from here.
-    HearHeir {
-        /// Incarnation whose table it is.
-        owner: Incarnation,
-        /// Position of the message.
-        number: u64,
-        /// What the heir said.
-        reply: HandOverReply,
-    },
     /// Lend slots to another entry VM.
     Lend {
         /// What it wishes for.
@@ -182,6 +167,29 @@
         /// Slots that come back.
         slots: Vec<TargetSlots>,
     },
+    /// Note what a contact in another data centre says of the entry VMs there.
+    HearDigest {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Its entry VMs.
+        digest: Digest,
+    },
+    /// Take a message of another process that hands its claims over.
+    TakeHandOver {
+        /// The message.
+        message: HandOverMessage,
+        /// Who waits for the reply.
+        waiter: Waiter,
+    },
+    /// The heir has replied to a message of the hand-over from here.
+    HearHeir {
+        /// Incarnation whose table it is.
+        owner: Incarnation,
+        /// Position of the message.
+        number: u64,
+        /// What the heir said.
+        reply: HandOverReply,
+    },
     /// Start nothing new, hand the claims over and let what runs finish.
     Drain,
     /// Let time pass: deadlines, retries, heartbeats.
--- a/crates/geraniumrelay-core/src/configs/handover.rs
+++ b/crates/geraniumrelay-core/src/configs/handover.rs
@@ -9,7 +9,7 @@
     pub max_claims: usize,
     /// Bytes of answers after which a message is full.
     pub max_answer_bytes: usize,
-    /// Bytes of answers kept in each table taken over; the oldest answers are dropped beyond it.
+    /// Bytes of answers kept in all tables taken over; the oldest answers are dropped beyond it.
     pub max_held_answer_bytes: usize,
     /// Most requests that wait for the heir's acknowledgement.
     pub max_parked: usize,
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -109,7 +109,7 @@
             retries: RetryBudget::new(&cx.cfg.retry),
             rules: SheetRules::default(),
             sheet_fetch: SheetFetch::default(),
-            membership: Membership::default(),
+            membership: Membership::new(identity.data_centre, identity.incarnation),
             deadlines: BTreeSet::new(),
             parked: VecDeque::new(),
             epoch: cx.now,
@@ -183,6 +183,10 @@
             } => self.take_loan(cx, service, lender, grant, out),
             Command::TakeBack { loan, slots } => self.take_back(cx, loan, &slots, out),
             Command::HearPeer(news) => self.hear_peer(cx, news, out),
+            Command::HearDigest {
+                data_centre,
+                digest,
+            } => self.membership.hear_digest(cx, data_centre, digest),
             Command::TakeHandOver { message, waiter } => {
                 self.take_hand_over(cx, &message, waiter, out);
             }
@@ -252,15 +256,14 @@
         self.spare = self.spare_now(cx);
         self.hand_over(cx, out);
         self.beat(cx, out);
+        self.note_peers(cx, out);
     }
 
     /// Shares the targets out anew where the members or the targets have changed.
     fn settle_homes(&mut self, cx: &Context<'_>) {
         let peers = self.membership.working(cx, self.identity.data_centre);
         let mut members: Vec<VmName> = peers.iter().map(|(vm, _)| *vm).collect();
-        if !self.is_draining {
-            members.push(self.identity.vm);
-        }
+        members.push(self.identity.vm);
         members.sort_unstable();
         members.dedup();
         let has_changed = self.targets.take_changed();
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -10,7 +10,7 @@
 use crate::modules::handover::{HandOverMessage, HandOverReply};
 use crate::modules::journal::JournalEntry;
 use crate::modules::loans::{BorrowRequest, Grant, SlotReturn};
-use crate::modules::membership::PeerNews;
+use crate::modules::membership::{PeerChange, PeerNews};
 use crate::modules::targets::TaskKey;
 use crate::names::VmName;
 use crate::query::JobProgress;
@@ -37,6 +37,9 @@
     pub output: String,
 }
 
+/// Memory that an allocation takes beyond its content, in bytes.
+const ALLOCATION_BYTES: usize = 16;
+
 /// Whole answer to one submission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -54,12 +57,11 @@
         self.verdict == Verdict::Completed
     }
 
-    /// Memory of the results and their outputs, in bytes.
+    /// Memory of a kept answer in bytes, with what the allocator adds to each of its parts.
     pub fn bytes(&self) -> usize {
-        self.tasks
-            .iter()
-            .map(|task| task.output.len() + size_of_val(task))
-            .sum()
+        let of_task = |task: &TaskResult| task.output.len() + size_of_val(task) + ALLOCATION_BYTES;
+        let tasks: usize = self.tasks.iter().map(of_task).sum();
+        size_of_val(self) + 2 * ALLOCATION_BYTES + tasks
     }
 }
 
@@ -229,12 +231,16 @@
         /// The stage.
         stage: HandOverStage,
     },
+    /// Say that a peer has come or gone.
+    NotePeer(PeerChange),
     /// Send a heartbeat to another entry VM.
     Beat {
         /// Peer address.
         address: SocketAddr,
         /// State of this VM.
         news: PeerNews,
+        /// Hash of the digest of the peer's data centre that is known here; 0 for none.
+        known_digest: u64,
     },
     /// Ask another entry VM for its sheet, which is newer than the one in force here.
     FetchSheet {
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -1,8 +1,10 @@
 //! The decisions, one module each; their settings stand in [`crate::configs`].
 
+pub mod beats;
 pub mod books;
 pub mod claims;
 pub mod decayed;
+pub mod digest;
 pub mod handover;
 pub mod headroom;
 pub mod health;
@@ -17,6 +19,7 @@
 pub mod queue;
 pub mod retry;
 pub mod running;
+pub mod seq_map;
 pub mod service_load;
 pub mod shares;
 pub mod sheet;
