fix(platform): tell a refused connection from a lost reply

Cause: attohttpc reports a refused connection as an error of input and output, and only that of a proxy as a connect error, so every call to a host where nothing listens counted as one that may have taken effect. Change: refused connections and unreachable hosts and networks count as unreachable, in the client of the platform and in geraniumctl; a time-out still may have taken effect. Conclusion: apply ends with "nothing changed" in place of "not known" where no entry VM listens; the test failed before the change.

--- a/crates/geraniumctl/src/client.rs
+++ b/crates/geraniumctl/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the operators' interface.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -160,7 +161,7 @@
     ) -> Result<T, RequestError> {
         let res = req.bearer_auth(&self.token).send().map_err(|e| {
             let detail = e.to_string();
-            if matches!(e.kind(), ErrorKind::ConnectError { .. }) {
+            if is_unconnected(e.kind()) {
                 RequestError::Unreachable { entry, detail }
             } else {
                 RequestError::Unknown { entry, detail }
@@ -176,6 +177,20 @@
     }
 }
 
+/// Whether no connection was made. A time-out may have come before or after it.
+fn is_unconnected(kind: &ErrorKind) -> bool {
+    match kind {
+        ErrorKind::ConnectError { .. } => true,
+        ErrorKind::Io(e) => matches!(
+            e.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    }
+}
+
 fn refusal(entry: SocketAddr, res: Response) -> RequestError {
     let status = res.status();
     let problem: Problem = res.json().unwrap_or_default();
--- a/crates/geraniumrelay-platform/src/client.rs
+++ b/crates/geraniumrelay-platform/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the platform.
 
+use std::io;
 use std::time::Duration;
 
 use attohttpc::header::{ETAG, IF_NONE_MATCH};
@@ -172,7 +173,7 @@
     req: RequestBuilder<B>,
 ) -> Result<attohttpc::Response, PlatformError> {
     let res = req.send().map_err(|e| {
-        if matches!(e.kind(), ErrorKind::ConnectError { .. }) {
+        if is_unconnected(e.kind()) {
             unreachable_error(&e)
         } else {
             unknown_error(&e)
@@ -187,6 +188,20 @@
     }
 }
 
+/// Whether no connection was made. A time-out may have come before or after it.
+fn is_unconnected(kind: &ErrorKind) -> bool {
+    match kind {
+        ErrorKind::ConnectError { .. } => true,
+        ErrorKind::Io(e) => matches!(
+            e.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    }
+}
+
 fn read_json<T: DeserializeOwned>(res: attohttpc::Response) -> Result<T, PlatformError> {
     res.json().map_err(|e| unknown_error(&e))
 }
--- a/crates/geraniumrelay-testkit/tests/sheet_faults.rs
+++ b/crates/geraniumrelay-testkit/tests/sheet_faults.rs
@@ -10,14 +10,16 @@
 use geraniumctl::client::RequestError;
 use geraniumrelay_core::modules::sheet::parse_sheet;
 use geraniumrelay_platform::{
-    Acceptance, AuditEntry, PlatformClient, PlatformConfig, SheetRecord, SheetStore, audit_key,
+    Acceptance, AuditEntry, PlatformClient, PlatformConfig, PlatformError, SheetRecord, SheetStore,
+    audit_key,
 };
 use geraniumrelay_testkit::caller::{Caller, job_of};
 use geraniumrelay_testkit::cluster::gauge;
 use geraniumrelay_testkit::entry_process::{EntryPlan, EntryProcess, run_if_entry};
 use geraniumrelay_testkit::operators::{OPERATORS, client, ctl};
+use geraniumrelay_testkit::ports::free_address;
 use geraniumrelay_testkit::{Cluster, ClusterPlan, PlatformFaults};
-use geraniumrelay_wire::{ApplyOutcome, ApplySheet};
+use geraniumrelay_wire::{ApplyOutcome, ApplySheet, Transaction};
 
 /// Longest wait for something that is bound to happen.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -113,6 +115,22 @@
     }
 }
 
+#[test]
+fn a_refused_connection_changed_nothing() {
+    let nobody = free_address();
+    let told = post(nobody, "anna", &request(1, "anna", 20));
+    assert!(
+        matches!(told, Err(RequestError::Unreachable { .. })),
+        "{told:?}"
+    );
+    let client = PlatformClient::new(PlatformConfig::new(format!("http://{nobody}")));
+    let told = client.commit(&Transaction::default());
+    assert!(
+        matches!(told, Err(PlatformError::Unreachable { .. })),
+        "{told:?}"
+    );
+}
+
 #[test]
 fn a_base_beyond_all_revisions_is_refused() {
     let cluster = Cluster::start(ClusterPlan::new(1, 1));
