--- a/crates/geraniumrelay-core/benches/policy/calls.rs
+++ b/crates/geraniumrelay-core/benches/policy/calls.rs
@@ -82,7 +82,7 @@
                 }
                 rejection.verdict
             }
-            Reply::Progress(_) | Reply::HandOver(_) | Reply::Lent(_) => Verdict::MayHaveRun,
+            Reply::Progress(_) | Reply::Lent(_) | Reply::HandOver(_) => Verdict::MayHaveRun,
         }
     }
 
--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -237,7 +237,7 @@
                 call,
                 ..
             } => self.forward(vm, waiter, index_of(address), call),
-            Effect::Beat { address, news } => {
+            Effect::Beat { address, news, .. } => {
                 self.tally.control += 2;
                 self.events.push(at, Event::Beat(index_of(address), news));
             }
@@ -257,6 +257,7 @@
             | Effect::SheetInForce { .. }
             | Effect::HandOver { .. }
             | Effect::NoteHandOver { .. }
+            | Effect::NotePeer(_)
             | Effect::Drained => {}
         }
     }
--- a/crates/geraniumrelay-core/src/modules/homes.rs
+++ b/crates/geraniumrelay-core/src/modules/homes.rs
@@ -11,7 +11,13 @@
 use crate::names::VmName;
 
 /// Picks out the targets whose home is `own`; `targets` must be in the same order everywhere.
+///
+/// Where there are fewer targets than members, every member uses all of them, so that none is left
+/// without; the targets' refusals keep them apart.
 pub fn targets_at_home(own: VmName, members: &[VmName], targets: &[VmName]) -> Vec<bool> {
+    if targets.len() < members.len() {
+        return vec![true; targets.len()];
+    }
     let most = targets.len().div_ceil(members.len().max(1));
     let mut counts = vec![0; members.len()];
     let mut is_home = Vec::with_capacity(targets.len());
@@ -63,6 +69,12 @@
         assert!(owned.iter().all(|count| *count <= 9), "{owned:?}");
     }
 
+    #[test]
+    fn few_targets_are_used_by_all() {
+        let (members, targets) = (names("e", 3), names("t", 2));
+        assert_eq!(owned(&members, &targets), [2, 2, 2]);
+    }
+
     #[test]
     fn a_lost_member_moves_few_targets() {
         let (members, targets) = (names("e", 6), names("t", 48));
--- a/crates/geraniumrelay-testkit/src/platform.rs
+++ b/crates/geraniumrelay-testkit/src/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io::{self, Read};
+use std::io::{self, BufReader, Read};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -298,5 +298,5 @@
 
 /// Reads a JSON body, whatever its content type says.
 pub(crate) fn read_json<T: serde::de::DeserializeOwned>(req: &Request) -> Option<T> {
-    serde_json::from_reader(req.data()?).ok()
+    serde_json::from_reader(BufReader::new(req.data()?)).ok()
 }
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -192,8 +192,8 @@
                 response::json(StatusCode::ACCEPTED, &convert::job_state(progress))
             }
             Reply::Rejected(rejection) => self.refuse(rejection),
-            // Only entry VMs get these.
-            Reply::HandOver(_) | Reply::Lent(_) => overloaded(),
+            // Only an entry VM that asked for them gets these.
+            Reply::Lent(_) | Reply::HandOver(_) => overloaded(),
         }
     }
 
