--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -262,6 +262,9 @@
     #[prost(message, optional, tag = "9")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer: ::core::option::Option<JobAnswer>,
+    /// Incarnation that runs it: the owner in the ticket, or its heir.
+    #[prost(uint64, tag = "10")]
+    pub writer: u64,
 }
 /// Row of one incarnation that writes the journal.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -612,6 +615,18 @@
     /// Slots that the sender could lend.
     #[prost(message, repeated, tag = "20")]
     pub spare: ::prost::alloc::vec::Vec<SpareSlots>,
+    /// In a request to another data centre: hash of the digest of it that the sender has.
+    #[prost(uint64, tag = "8")]
+    pub known_digest: u64,
+    /// In a reply to another data centre: hash of the digest, and the entry VMs of the replying data
+    /// centre unless the asking VM has this content already.
+    #[prost(uint64, tag = "9")]
+    pub digest: u64,
+    #[prost(message, repeated, tag = "10")]
+    pub peers: ::prost::alloc::vec::Vec<Heartbeat>,
+    /// Lowest revision that any entry VM of the replying data centre has in force.
+    #[prost(uint64, tag = "11")]
+    pub lowest_revision: u64,
 }
 /// Slots of a service that an entry VM could lend.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -7,7 +7,8 @@
 use geraniumrelay_core::modules::loans::LoanId;
 use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    ForwardQuery, ForwardSubmit, HandOver, PeerReply, PeerRequest, peer_reply, peer_request,
+    BorrowSlots, ForwardQuery, ForwardSubmit, HandOver, Heartbeat, PeerReply, PeerRequest,
+    peer_reply, peer_request,
 };
 use log::warn;
 use prost::Message;
@@ -20,7 +21,7 @@
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peers::{MAX_MESSAGE, hear, unreachable};
-use crate::requests::{Call, DecisionTx};
+use crate::requests::{Asker, Call, DecisionTx, OwnNews};
 use crate::sheet_cache::SheetCache;
 
 /// Longest wait of another entry VM's query.
@@ -90,20 +91,7 @@
         let call = match req.body? {
             peer_request::Body::Heartbeat(beat) => {
                 hear(&self.decision, &beat).await;
-                return self.own_heartbeat().await;
-            }
-            peer_request::Body::ReturnSlots(back) => {
-                let cmd = Command::TakeBack {
-                    loan: LoanId(back.loan),
-                    slots: convert_loans::target_slots(&back.slots),
-                };
-                self.decision.tell_async(cmd).await;
-                return self.own_heartbeat().await;
-            }
-            peer_request::Body::Borrow(req) => {
-                let req = convert_loans::borrow_request(&req)?;
-                let rx = self.decision.lend(req).ok()?;
-                return Some(convert::peer_reply(rx.recv_async().await.ok()?));
+                return self.own_heartbeat(&beat).await;
             }
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
@@ -116,6 +104,15 @@
                 ticket: cancel.ticket.parse().ok()?,
                 origin: Origin::Peer,
             },
+            peer_request::Body::Borrow(req) => return self.lend(&req).await,
+            peer_request::Body::ReturnSlots(back) => {
+                let cmd = Command::TakeBack {
+                    loan: LoanId(back.loan),
+                    slots: convert_loans::target_slots(&back.slots),
+                };
+                self.decision.tell_async(cmd).await;
+                return Some(PeerReply::default());
+            }
             peer_request::Body::HandOver(message) => return self.take_hand_over(message).await,
         };
         let reply = match self.decision.call(call) {
@@ -156,6 +153,15 @@
         late.ok().and_then(Result::ok).unwrap_or_else(unreachable)
     }
 
+    /// Without a reply the borrower forgets its wish.
+    async fn lend(&self, req: &BorrowSlots) -> Option<PeerReply> {
+        let rx = self
+            .decision
+            .lend(convert_loans::borrow_request(req)?)
+            .ok()?;
+        Some(convert::peer_reply(rx.recv_async().await.ok()?))
+    }
+
     /// Without a reply the sender repeats its message.
     async fn take_hand_over(&self, message: HandOver) -> Option<PeerReply> {
         let message = handover_wire::read_hand_over(message)?;
@@ -163,10 +169,15 @@
         Some(convert::peer_reply(rx.recv_async().await.ok()?))
     }
 
-    async fn own_heartbeat(&self) -> Option<PeerReply> {
-        let rx = self.decision.ask_news().ok()?;
-        let news = rx.recv_async().await.ok()?;
-        let body = peer_reply::Body::Heartbeat(convert::heartbeat(&news));
+    async fn own_heartbeat(&self, beat: &Heartbeat) -> Option<PeerReply> {
+        let asker = Asker {
+            data_centre: beat.data_centre.parse().ok()?,
+            known_digest: beat.known_digest,
+        };
+        let rx = self.decision.ask_news(asker).ok()?;
+        let OwnNews { news, digest } = rx.recv_async().await.ok()?;
+        let reply = convert::heartbeat_reply(&news, digest.as_ref());
+        let body = peer_reply::Body::Heartbeat(reply);
         Some(PeerReply { body: Some(body) })
     }
 }
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -24,13 +24,14 @@
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::convert;
+use crate::convert_loans;
 use crate::handover_wire;
 use crate::peer_metrics::PeerMetrics;
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
-use crate::{convert, convert_loans};
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -88,6 +89,8 @@
         address: SocketAddr,
         /// State of this VM.
         news: PeerNews,
+        /// Hash of the digest that is known of the peer's data centre; 0 for none.
+        known_digest: u64,
     },
     /// Ask for a newer sheet.
     FetchSheet {
@@ -237,12 +240,18 @@
         }
         PeerJob::Borrow { address, req } => borrow(&transport, address, req).await,
         PeerJob::Return(back) => {
-            let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(&back));
-            tell(&transport, back.lender, body).await;
+            return_slots(&transport, &back).await;
         }
-        PeerJob::Beat { address, news } => {
-            let body = peer_request::Body::Heartbeat(convert::heartbeat(&news));
-            tell(&transport, address, body).await;
+        PeerJob::Beat {
+            address,
+            news,
+            known_digest,
+        } => {
+            let beat = Heartbeat {
+                known_digest,
+                ..convert::heartbeat(&news)
+            };
+            send_beat(&transport, address, beat).await;
         }
         PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
         PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
@@ -298,9 +307,10 @@
     transport.decision.tell_async(cmd).await;
 }
 
-/// Sends a control message; every reply to one is the peer's own heartbeat.
-async fn tell(transport: &Transport, address: SocketAddr, body: peer_request::Body) {
-    let req = PeerRequest { body: Some(body) };
+/// Sends a heartbeat; the reply is the peer's own.
+async fn send_beat(transport: &Transport, address: SocketAddr, beat: Heartbeat) {
+    let body = Some(peer_request::Body::Heartbeat(beat));
+    let req = PeerRequest { body };
     let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
         Ok(reply) => reply,
         Err(e) => {
@@ -309,8 +319,27 @@
             return;
         }
     };
-    if let Some(peer_reply::Body::Heartbeat(beat)) = reply.body {
-        hear(&transport.decision, &beat).await;
+    let Some(peer_reply::Body::Heartbeat(beat)) = reply.body else {
+        return;
+    };
+    hear(&transport.decision, &beat).await;
+    let data_centre = beat.data_centre.parse().ok();
+    if let Some((data_centre, digest)) = data_centre.zip(convert::read_digest(&beat)) {
+        let cmd = Command::HearDigest {
+            data_centre,
+            digest,
+        };
+        transport.decision.tell_async(cmd).await;
+    }
+}
+
+/// Returns slots; where that is lost, the loan's end at the lender brings them back.
+async fn return_slots(transport: &Transport, back: &SlotReturn) {
+    let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(back));
+    let req = PeerRequest { body: Some(body) };
+    if let Err(e) = transport.exchange(back.lender, &req, CONTROL_TIMEOUT).await {
+        let error = e.to_string();
+        debug!(peer:% = back.lender, error = error.as_str(); "return_unanswered");
     }
 }
 
