fix(core): keep floods to their share under rarer heartbeats

Change: a team is kept to its share from 2.5 instead of 3 times it on, and takes more only while 90 instead of 75% of the slots are free.

--- a/crates/geraniumrelay-core/src/configs/shares.rs
+++ b/crates/geraniumrelay-core/src/configs/shares.rs
@@ -19,8 +19,8 @@
     fn default() -> Self {
         Self {
             window: Duration::from_secs(10),
-            tolerance: 3.0,
-            reserve_percent: 75,
+            tolerance: 2.5,
+            reserve_percent: 90,
             ageing_period: 16,
         }
     }
