--- a/crates/geraniumrelay-core/src/dispatcher/submit.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/submit.rs
@@ -19,9 +19,6 @@
 use crate::reason::Reason;
 use crate::ticket::Ticket;
 
-/// Wait before asking again for the answer of a job with too many waiters.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// One submission as it arrives.
 #[derive(Debug)]
 pub(super) struct Submission {
