fix(entry): serve after a start while the platform is away, with the targets that peers know

Change: until the platform gives a list, a reachable peer of the data centre is asked for the targets that it knows. A list without any VM is not taken over: it tells of the platform. Rows of the list are read and written in one module for both ways.

--- a/crates/geraniumrelay-core/benches/policy/world.rs
+++ b/crates/geraniumrelay-core/benches/policy/world.rs
@@ -253,6 +253,7 @@
             Effect::TargetEjected { .. }
             | Effect::Journal(_)
             | Effect::FetchSheet { .. }
+            | Effect::FetchTargets { .. }
             | Effect::SheetInForce { .. }
             | Effect::HandOver { .. }
             | Effect::NoteHandOver { .. }
--- a/crates/geraniumrelay-core/src/command.rs
+++ b/crates/geraniumrelay-core/src/command.rs
@@ -140,6 +140,8 @@
     },
     /// Take over the platform's list of targets.
     ListTargets(Vec<TargetInfo>),
+    /// Take over a peer's list of targets, where the platform has given none yet.
+    ListPeerTargets(Vec<TargetInfo>),
     /// Take over the platform's list of entry VMs.
     ListPeers(Vec<PeerNews>),
     /// Note a heartbeat of another entry VM.
--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 mod cancel;
 mod handover;
 mod lending;
+mod listing;
 mod peers;
 mod report;
 mod run;
@@ -32,6 +33,7 @@
 use crate::modules::service_load::ServiceLoad;
 use crate::modules::sheet::SheetRules;
 use crate::modules::sheet_fetch::SheetFetch;
+use crate::modules::target_fetch::TargetFetch;
 use crate::modules::targets::Targets;
 use crate::names::{DataCentre, ServiceName, VmName};
 use crate::query::Query;
@@ -72,6 +74,7 @@
     retries: RetryBudget,
     rules: SheetRules,
     sheet_fetch: SheetFetch,
+    target_fetch: TargetFetch,
     membership: Membership,
     deadlines: BTreeSet<(Instant, JobKey)>,
     /// Requests that wait until the heir has acknowledged.
@@ -109,6 +112,7 @@
             retries: RetryBudget::new(&cx.cfg.retry),
             rules: SheetRules::default(),
             sheet_fetch: SheetFetch::default(),
+            target_fetch: TargetFetch::default(),
             membership: Membership::new(identity.data_centre, identity.incarnation),
             deadlines: BTreeSet::new(),
             parked: VecDeque::new(),
@@ -165,11 +169,8 @@
             Command::EndTask { task, outcome } => self.end_task(cx, task, outcome, out),
             Command::PutSheet(sheet) => self.put_sheet(cx, &sheet, out),
             Command::PutPeerSheet { sheet, from } => self.put_peer_sheet(cx, &sheet, from, out),
-            Command::ListTargets(infos) => {
-                self.targets.list(&infos);
-                self.settle_homes(cx);
-                self.start_all(cx, out);
-            }
+            Command::ListTargets(infos) => self.list_targets(cx, &infos, out),
+            Command::ListPeerTargets(infos) => self.list_peer_targets(cx, &infos, out),
             Command::ListPeers(listed) => {
                 self.membership.list(cx, listed);
                 self.settle_homes(cx);
@@ -253,6 +254,7 @@
         self.tend_loans(cx, out);
         self.start_all(cx, out);
         self.fetch_sheet(cx, out);
+        self.fetch_targets(cx, out);
         self.spare = self.spare_now(cx);
         self.hand_over(cx, out);
         self.beat(cx, out);
--- a/crates/geraniumrelay-core/src/effect.rs
+++ b/crates/geraniumrelay-core/src/effect.rs
@@ -242,6 +242,11 @@
         /// Hash of the digest of the peer's data centre that is known here; 0 for none.
         known_digest: u64,
     },
+    /// Ask a peer of the own data centre for its list of targets.
+    FetchTargets {
+        /// Peer address.
+        address: SocketAddr,
+    },
     /// Ask another entry VM for its sheet, which is newer than the one in force here.
     FetchSheet {
         /// Peer address.
--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership.rs
@@ -398,6 +398,13 @@
             .count()
     }
 
+    /// Some reachable peer of the own data centre.
+    pub fn nearest(&self, cx: &Context<'_>) -> Option<SocketAddr> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|p| p.news.data_centre == self.own && p.is_heard_directly(cx));
+        peer.map(|peer| peer.news.address)
+    }
+
     /// The reachable peer with the newest sheet.
     pub fn newest_sheet(&self, cx: &Context<'_>) -> Option<&PeerNews> {
         let heard = self
--- a/crates/geraniumrelay-core/src/modules/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/mod.rs
@@ -25,4 +25,5 @@
 pub mod sheet;
 pub mod sheet_fetch;
 pub mod slots;
+pub mod target_fetch;
 pub mod targets;
--- a/crates/geraniumrelay-core/src/modules/targets.rs
+++ b/crates/geraniumrelay-core/src/modules/targets.rs
@@ -108,6 +108,12 @@
         self.refresh_all();
     }
 
+    /// What is known of all targets that are still listed.
+    pub fn infos(&self) -> Vec<TargetInfo> {
+        let listed = self.arena.values().filter(|target| target.is_listed);
+        listed.map(|target| target.info).collect()
+    }
+
     fn upsert(&mut self, info: TargetInfo) {
         let known = self.by_vm.get(&info.vm).copied().filter(|key| {
             let old = &self.arena[*key].info;
--- a/crates/geraniumrelay-testkit/tests/platform_away.rs
+++ b/crates/geraniumrelay-testkit/tests/platform_away.rs
@@ -41,3 +41,21 @@
         thread::sleep(STEP);
     }
 }
+
+/// A platform that has lost its list says nothing of the VMs.
+#[test]
+fn an_empty_list_takes_no_target_away() {
+    let cluster = Cluster::start(ClusterPlan::new(1, 2));
+    let (caller, entry) = (Caller::new(), cluster.entries[0].address);
+    let (_, reads) = cluster.platform.calls();
+    cluster.platform.set_vms(Vec::new());
+    let until = Instant::now() + PATIENCE;
+    // Two polls read the sheet's head and the list each.
+    while cluster.platform.calls().1 < reads + 4 {
+        assert!(Instant::now() < until, "the list is read");
+        thread::sleep(STEP);
+    }
+    let ticket = caller.tickets(entry, 1).remove(0);
+    let told = caller.submit(entry, &ticket, &job_of("kiallitas-pont", "score", &[20]));
+    assert!(told.is_complete(), "{told:?}");
+}
--- a/crates/geraniumrelay-wire/src/generated.rs
+++ b/crates/geraniumrelay-wire/src/generated.rs
@@ -756,10 +756,13 @@
     #[prost(string, tag = "1")]
     pub outcome: ::prost::alloc::string::String,
 }
+/// Asks a peer of the own data centre for its list of targets, while the platform gives none.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchTargets {}
 /// Request between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerRequest {
-    #[prost(oneof = "peer_request::Body", tags = "1, 2, 3, 4, 5, 6, 20, 21")]
+    #[prost(oneof = "peer_request::Body", tags = "1, 2, 3, 4, 5, 6, 20, 21, 22")]
     pub body: ::core::option::Option<peer_request::Body>,
 }
 /// Nested message and enum types in `PeerRequest`.
@@ -782,12 +785,14 @@
         Borrow(super::BorrowSlots),
         #[prost(message, tag = "21")]
         ReturnSlots(super::ReturnSlots),
+        #[prost(message, tag = "22")]
+        FetchTargets(super::FetchTargets),
     }
 }
 /// Reply between entry VMs.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerReply {
-    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5, 6, 20")]
+    #[prost(oneof = "peer_reply::Body", tags = "1, 2, 3, 4, 5, 6, 20, 22")]
     pub body: ::core::option::Option<peer_reply::Body>,
 }
 /// Nested message and enum types in `PeerReply`.
@@ -808,5 +813,7 @@
         HandOver(super::HandOverReply),
         #[prost(message, tag = "20")]
         Grant(super::SlotGrant),
+        #[prost(message, tag = "22")]
+        Targets(super::VmList),
     }
 }
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -10,7 +10,7 @@
 const STRICT: [&str; 3] = ["TaskRequest", "JobRequest", "ApplySheet"];
 
 /// Messages that only cross between entry VMs have no JSON form.
-const BINARY_ONLY: [&str; 11] = [
+const BINARY_ONLY: [&str; 12] = [
     "ForwardSubmit",
     "ForwardQuery",
     "ForwardCancel",
@@ -20,6 +20,7 @@
     "HandedClaim",
     "HandOver",
     "HandOverReply",
+    "FetchTargets",
     "PeerRequest",
     "PeerReply",
 ];
--- a/crates/geraniumrelay/src/convert.rs
+++ b/crates/geraniumrelay/src/convert.rs
@@ -183,7 +183,8 @@
         peer_reply::Body::Grant(_)
         | peer_reply::Body::Heartbeat(_)
         | peer_reply::Body::Sheet(_)
-        | peer_reply::Body::HandOver(_) => None,
+        | peer_reply::Body::HandOver(_)
+        | peer_reply::Body::Targets(_) => None,
     }
 }
 
--- a/crates/geraniumrelay/src/decision.rs
+++ b/crates/geraniumrelay/src/decision.rs
@@ -131,6 +131,10 @@
                 self.decide(now, Command::TakeHandOver { message, waiter });
             }
             Input::Tell(cmd) => self.decide(now, cmd),
+            Input::AskTargets { tx } => {
+                // Whoever asked may have given up.
+                let _ = tx.send(self.dispatcher.target_infos());
+            }
             Input::AskNews { asker, tx } => {
                 // Whoever asked may have given up.
                 let _ = tx.send(self.own_news(now, asker));
@@ -223,6 +227,9 @@
                 known_digest,
             }),
             Effect::NotePeer(change) => log_peer(&change),
+            Effect::FetchTargets { address } => {
+                self.outlets.peers.send(PeerJob::FetchTargets { address });
+            }
             Effect::FetchSheet { address } => {
                 self.outlets.peers.send(PeerJob::FetchSheet { address });
             }
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -37,6 +37,7 @@
 mod settings;
 mod sheet_cache;
 mod sweeper;
+mod vm_rows;
 
 pub use process::run;
 pub use settings::Settings;
--- a/crates/geraniumrelay/src/peer_server.rs
+++ b/crates/geraniumrelay/src/peer_server.rs
@@ -7,7 +7,7 @@
 use geraniumrelay_core::modules::loans::LoanId;
 use geraniumrelay_core::{Command, Origin, Query, Reply, Ticket};
 use geraniumrelay_wire::{
-    BorrowSlots, ForwardQuery, ForwardSubmit, HandOver, Heartbeat, PeerReply, PeerRequest,
+    BorrowSlots, ForwardQuery, ForwardSubmit, HandOver, Heartbeat, PeerReply, PeerRequest, VmList,
     peer_reply, peer_request,
 };
 use log::warn;
@@ -23,6 +23,7 @@
 use crate::peers::{MAX_MESSAGE, hear, unreachable};
 use crate::requests::{Asker, Call, DecisionTx, OwnNews};
 use crate::sheet_cache::SheetCache;
+use crate::vm_rows::target_row;
 
 /// Longest wait of another entry VM's query.
 const MAX_QUERY_WAIT: Duration = Duration::from_secs(30);
@@ -93,6 +94,7 @@
                 hear(&self.decision, &beat).await;
                 return self.own_heartbeat(&beat).await;
             }
+            peer_request::Body::FetchTargets(_) => return self.targets().await,
             peer_request::Body::FetchSheet(fetch) => {
                 let update = self.sheets.update_since(fetch.have).unwrap_or_default();
                 let body = Some(peer_reply::Body::Sheet(update));
@@ -162,6 +164,13 @@
         Some(convert::peer_reply(rx.recv_async().await.ok()?))
     }
 
+    async fn targets(&self) -> Option<PeerReply> {
+        let rx = self.decision.ask_targets().ok()?;
+        let vms = rx.recv_async().await.ok()?.iter().map(target_row).collect();
+        let body = Some(peer_reply::Body::Targets(VmList { vms }));
+        Some(PeerReply { body })
+    }
+
     /// Without a reply the sender repeats its message.
     async fn take_hand_over(&self, message: HandOver) -> Option<PeerReply> {
         let message = handover_wire::read_hand_over(message)?;
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -17,7 +17,8 @@
 use geraniumrelay_core::modules::membership::PeerNews;
 use geraniumrelay_core::{Command, PeerCall, Reason, Rejection, Reply};
 use geraniumrelay_wire::{
-    FetchSheet, Heartbeat, PeerReply, PeerRequest, SheetUpdate, peer_reply, peer_request,
+    FetchSheet, FetchTargets, Heartbeat, PeerReply, PeerRequest, SheetUpdate, peer_reply,
+    peer_request,
 };
 use log::{debug, warn};
 use prost::Message;
@@ -32,6 +33,7 @@
 use crate::peer_tls::{PEER_NAME, PeerTls};
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
+use crate::vm_rows::target_info;
 
 /// Jobs for the transport that may wait.
 const RING_ENTRIES: usize = 8_192;
@@ -92,6 +94,11 @@
         /// Hash of the digest that is known of the peer's data centre; 0 for none.
         known_digest: u64,
     },
+    /// Ask for the list of targets.
+    FetchTargets {
+        /// Peer address.
+        address: SocketAddr,
+    },
     /// Ask for a newer sheet.
     FetchSheet {
         /// Peer address.
@@ -253,6 +260,7 @@
             };
             send_beat(&transport, address, beat).await;
         }
+        PeerJob::FetchTargets { address } => fetch_targets(&transport, address).await,
         PeerJob::FetchSheet { address } => fetch_sheet(&transport, address).await,
         PeerJob::HandOver { address, message } => hand_over(&transport, address, &message).await,
         PeerJob::Close { tx } => {
@@ -391,6 +399,21 @@
     }
 }
 
+/// Takes over a peer's list of targets.
+async fn fetch_targets(transport: &Transport, address: SocketAddr) {
+    let body = Some(peer_request::Body::FetchTargets(FetchTargets {}));
+    let req = PeerRequest { body };
+    let reply = transport.exchange(address, &req, CONTROL_TIMEOUT).await;
+    let Ok(Some(peer_reply::Body::Targets(list))) = reply.map(|reply| reply.body) else {
+        return;
+    };
+    let infos = list.vms.iter().filter_map(target_info).collect();
+    transport
+        .decision
+        .tell_async(Command::ListPeerTargets(infos))
+        .await;
+}
+
 async fn ask_for_sheet(
     transport: &Transport,
     address: SocketAddr,
--- a/crates/geraniumrelay/src/poller.rs
+++ b/crates/geraniumrelay/src/poller.rs
@@ -1,30 +1,22 @@
 //! Platform poller: the sheet and the VM list, once a second; of both only what has changed.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use geraniumrelay_core::modules::membership::PeerNews;
-use geraniumrelay_core::modules::targets::TargetInfo;
 use geraniumrelay_core::{Clock, Command, Identity};
 use geraniumrelay_platform::{PlatformClient, PlatformError, SheetStore, VmListing};
-use geraniumrelay_wire::{SheetUpdate, Vm};
+use geraniumrelay_wire::SheetUpdate;
 use log::warn;
 
 use crate::platform_contact::PlatformContact;
 use crate::requests::DecisionTx;
 use crate::sheet_cache::{SheetCache, UpdateError};
+use crate::vm_rows::{ENTRY_ROLE, TARGET_ROLE, peer_news, target_info};
 
 /// Time between two polls.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Role of a target in the platform's list.
-const TARGET_ROLE: &str = "target";
-
-/// Role of an entry VM in the platform's list.
-const ENTRY_ROLE: &str = "entry";
-
 /// Polls the platform for one entry process.
 #[derive(Debug)]
 pub struct Poller<C> {
@@ -79,9 +71,15 @@
     /// each time.
     fn poll_list(&mut self) -> Result<(), PlatformError> {
         let data_centre = self.identity.data_centre.as_str();
-        if let Some(listing) = self.client.vms(data_centre, self.listing.tag.as_deref())? {
-            self.listing = listing;
-            self.tell_targets();
+        let listing = self.client.vms(data_centre, self.listing.tag.as_deref())?;
+        match listing {
+            // A list without any VM, not even this one, tells of the platform and not of the VMs.
+            Some(listing) if listing.list.vms.is_empty() => warn!("vm_list_empty"),
+            Some(listing) => {
+                self.listing = listing;
+                self.tell_targets();
+            }
+            None => {}
         }
         self.tell_peers();
         Ok(())
@@ -148,29 +146,3 @@
         self.decision.tell(Command::ListPeers(peers.collect()));
     }
 }
-
-fn target_info(vm: &Vm) -> Option<TargetInfo> {
-    Some(TargetInfo {
-        vm: vm.name.parse().ok()?,
-        service: vm.service.parse().ok()?,
-        address: parse_address(&vm.address)?,
-        is_leaving: vm.leaving,
-    })
-}
-
-fn peer_news(vm: &Vm) -> Option<PeerNews> {
-    Some(PeerNews {
-        vm: vm.name.parse().ok()?,
-        data_centre: vm.data_centre.parse().ok()?,
-        address: parse_address(&vm.peer_address)?,
-        incarnation: None,
-        revision: 0,
-        is_leaving: vm.leaving,
-        held: Vec::new(),
-        spare: Vec::new(),
-    })
-}
-
-fn parse_address(text: &str) -> Option<SocketAddr> {
-    text.parse().ok()
-}
--- a/crates/geraniumrelay/src/requests.rs
+++ b/crates/geraniumrelay/src/requests.rs
@@ -7,6 +7,7 @@
 use geraniumrelay_core::modules::handover::HandOverMessage;
 use geraniumrelay_core::modules::loans::BorrowRequest;
 use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::modules::targets::TargetInfo;
 use geraniumrelay_core::names::DataCentre;
 use geraniumrelay_core::{Command, JobSpec, Origin, Query, Reply, Report, ReportQuery, Ticket};
 
@@ -111,6 +112,11 @@
     },
     /// A command that nobody waits for.
     Tell(Command),
+    /// Targets that are known here.
+    AskTargets {
+        /// Where the answer goes.
+        tx: Sender<Vec<TargetInfo>>,
+    },
     /// What this VM would reply to a heartbeat.
     AskNews {
         /// Who asks.
@@ -199,6 +205,16 @@
         Ok(rx)
     }
 
+    /// Asks for the targets that are known here.
+    ///
+    /// # Errors
+    /// [`Overloaded`].
+    pub fn ask_targets(&self) -> Result<Receiver<Vec<TargetInfo>>, Overloaded> {
+        let (tx, rx) = flume::bounded(1);
+        self.try_send(Input::AskTargets { tx })?;
+        Ok(rx)
+    }
+
     /// Asks for what this VM would reply to a heartbeat.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/geraniumrelay/src/vm_rows.rs
@@ -0,0 +1,53 @@
+//! Rows of the platform's list of VMs, and what they say of targets and entry VMs.
+
+use std::net::SocketAddr;
+
+use geraniumrelay_core::modules::membership::PeerNews;
+use geraniumrelay_core::modules::targets::TargetInfo;
+use geraniumrelay_wire::Vm;
+
+/// Role of a target.
+pub const TARGET_ROLE: &str = "target";
+
+/// Role of an entry VM.
+pub const ENTRY_ROLE: &str = "entry";
+
+/// Writes the row of a target.
+pub fn target_row(info: &TargetInfo) -> Vm {
+    Vm {
+        name: info.vm.to_string(),
+        role: TARGET_ROLE.to_owned(),
+        service: info.service.to_string(),
+        address: info.address.to_string(),
+        leaving: info.is_leaving,
+        ..Vm::default()
+    }
+}
+
+/// Reads the row of a target; `None` where it is malformed.
+pub fn target_info(vm: &Vm) -> Option<TargetInfo> {
+    Some(TargetInfo {
+        vm: vm.name.parse().ok()?,
+        service: vm.service.parse().ok()?,
+        address: parse_address(&vm.address)?,
+        is_leaving: vm.leaving,
+    })
+}
+
+/// Reads the row of an entry VM; `None` where it is malformed.
+pub fn peer_news(vm: &Vm) -> Option<PeerNews> {
+    Some(PeerNews {
+        vm: vm.name.parse().ok()?,
+        data_centre: vm.data_centre.parse().ok()?,
+        address: parse_address(&vm.peer_address)?,
+        incarnation: None,
+        revision: 0,
+        is_leaving: vm.leaving,
+        held: Vec::new(),
+        spare: Vec::new(),
+    })
+}
+
+fn parse_address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
