refactor(entry): start threads one step each, and make metrics in one step

Cause: the start of the process was one function of 95 lines and that of the metrics one of 76; the same registering stood in four files. An address for peers that was taken was only logged, and the process went on alone.

Change: a Starter with a method for each thread; a Registrar that makes and registers; the peer address is bound before the process counts as started.

Measured: the test of a taken address fails before (the process ran on for 20 s) and passes after.

Conclusion: a start either has all its addresses or ends with an error.

--- a/crates/geraniumrelay-testkit/tests/whole_path.rs
+++ b/crates/geraniumrelay-testkit/tests/whole_path.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_testkit::caller::{Caller, Told, job_of};
-use geraniumrelay_testkit::entry_process::run_if_entry;
-use geraniumrelay_testkit::{Cluster, ClusterPlan};
+use geraniumrelay_testkit::entry_process::{EntryPlan, run_if_entry};
+use geraniumrelay_testkit::ports::free_address;
+use geraniumrelay_testkit::{Cluster, ClusterPlan, EntryProcess};
 
 /// Longest wait for something that is bound to happen.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -141,3 +142,17 @@
     let status = cluster.entries[0].wait(PATIENCE).expect("the process ends");
     assert!(status.success(), "{status}");
 }
+
+#[test]
+fn an_address_that_is_taken_fails_the_start() {
+    let cluster = cluster(1);
+    let taken = &cluster.entries[0];
+    let (platform, certs) = (cluster.platform.url(), cluster.certs.clone());
+    let plan = EntryPlan::new("szeged-e9", "szeged", platform, certs);
+    let free = free_address();
+    for (address, peer_address) in [(taken.address, free), (free, taken.peer_address)] {
+        let mut entry = EntryProcess::start_at(&plan, address, peer_address);
+        let status = entry.wait(PATIENCE).expect("the process ends");
+        assert!(!status.success(), "{status}");
+    }
+}
--- a/crates/geraniumrelay/src/durable_metrics.rs
+++ b/crates/geraniumrelay/src/durable_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of what is kept in the platform's table.
 
 use geraniumrelay_platform::KeyOutcome;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
+
+use crate::registrar::Registrar;
 
 /// Metrics of key bindings and deletions.
 #[derive(Debug)]
@@ -21,62 +23,42 @@
     ///
     /// # Errors
     /// A name that is registered twice.
-    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let keys = IntCounterVec::new(
-            Opts::new(
+    pub fn new(make: Registrar<'_>) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            keys: make.counters(
                 "geraniumrelay_idempotency_keys_total",
                 "Idempotency keys by outcome: bound, earlier, unknown",
-            ),
-            &["outcome"],
-        )?;
-        let key_commits = IntCounter::new(
-            "geraniumrelay_idempotency_commits_total",
-            "Group commits of idempotency keys",
-        )?;
-        let rows_deleted = IntCounter::new(
-            "geraniumrelay_expired_rows_total",
-            "Expired table rows that this VM deleted",
-        )?;
-        registry.register(Box::new(keys.clone()))?;
-        registry.register(Box::new(key_commits.clone()))?;
-        registry.register(Box::new(rows_deleted.clone()))?;
-        let journal_rows = IntCounter::new(
-            "geraniumrelay_journal_rows_total",
-            "Rows written to the journal",
-        )?;
-        let journal_commits = IntCounterVec::new(
-            Opts::new(
+                "outcome",
+            )?,
+            key_commits: make.counter(
+                "geraniumrelay_idempotency_commits_total",
+                "Group commits of idempotency keys",
+            )?,
+            rows_deleted: make.counter(
+                "geraniumrelay_expired_rows_total",
+                "Expired table rows that this VM deleted",
+            )?,
+            journal_rows: make.counter(
+                "geraniumrelay_journal_rows_total",
+                "Rows written to the journal",
+            )?,
+            journal_commits: make.counters(
                 "geraniumrelay_journal_commits_total",
                 "Group commits of the journal by outcome: committed, conflict, error",
-            ),
-            &["outcome"],
-        )?;
-        let journal_bytes = IntGauge::new(
-            "geraniumrelay_journal_waiting_bytes",
-            "Bytes of journal entries that wait for the table",
-        )?;
-        let journal_entries = IntGauge::new(
-            "geraniumrelay_journal_waiting_entries",
-            "Journal entries that wait for the table",
-        )?;
-        let journal_dropped = IntGauge::new(
-            "geraniumrelay_journal_dropped",
-            "Submissions that are missing from the journal",
-        )?;
-        registry.register(Box::new(journal_rows.clone()))?;
-        registry.register(Box::new(journal_commits.clone()))?;
-        registry.register(Box::new(journal_bytes.clone()))?;
-        registry.register(Box::new(journal_entries.clone()))?;
-        registry.register(Box::new(journal_dropped.clone()))?;
-        Ok(Self {
-            keys,
-            key_commits,
-            rows_deleted,
-            journal_rows,
-            journal_commits,
-            journal_bytes,
-            journal_entries,
-            journal_dropped,
+                "outcome",
+            )?,
+            journal_bytes: make.gauge(
+                "geraniumrelay_journal_waiting_bytes",
+                "Bytes of journal entries that wait for the table",
+            )?,
+            journal_entries: make.gauge(
+                "geraniumrelay_journal_waiting_entries",
+                "Journal entries that wait for the table",
+            )?,
+            journal_dropped: make.gauge(
+                "geraniumrelay_journal_dropped",
+                "Submissions that are missing from the journal",
+            )?,
         })
     }
 
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -33,6 +33,7 @@
 mod platform_contact;
 mod poller;
 mod process;
+mod registrar;
 mod requests;
 mod settings;
 mod sheet_cache;
--- a/crates/geraniumrelay/src/load_metrics.rs
+++ b/crates/geraniumrelay/src/load_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of decisions under load and faults.
 
 use geraniumrelay_core::query::Load;
-use prometheus::{IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{IntCounter, IntGauge, IntGaugeVec};
+
+use crate::registrar::Registrar;
 
 /// Metrics of decisions under load and faults.
 #[derive(Debug)]
@@ -20,38 +22,36 @@
     ///
     /// # Errors
     /// A name that is registered twice.
-    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let queued = Opts::new("geraniumrelay_queued_tasks", "Tasks that wait, by urgency");
-        let slots = Opts::new("geraniumrelay_slots", "Slots here: own, usable or free");
-        let metrics = Self {
-            queued: IntGaugeVec::new(queued, &["urgency"])?,
-            running: IntGauge::new("geraniumrelay_running_tasks", "Tasks sent to targets")?,
-            slots: IntGaugeVec::new(slots, &["state"])?,
-            ejected: IntGauge::new(
+    pub fn new(make: Registrar<'_>) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            queued: make.gauges(
+                "geraniumrelay_queued_tasks",
+                "Tasks that wait, by urgency",
+                "urgency",
+            )?,
+            running: make.gauge("geraniumrelay_running_tasks", "Tasks sent to targets")?,
+            slots: make.gauges(
+                "geraniumrelay_slots",
+                "Slots here: own, usable or free",
+                "state",
+            )?,
+            ejected: make.gauge(
                 "geraniumrelay_targets_ejected",
                 "Targets that get trials only",
             )?,
-            limited_teams: IntGauge::new(
+            limited_teams: make.gauge(
                 "geraniumrelay_limited_teams",
                 "Teams that are kept to their share",
             )?,
-            borrows: IntCounter::new(
+            borrows: make.counter(
                 "geraniumrelay_borrow_requests_total",
                 "Requests to peers for slots",
             )?,
-            ejections: IntCounter::new(
+            ejections: make.counter(
                 "geraniumrelay_target_ejections_total",
                 "Targets that were ejected",
             )?,
-        };
-        registry.register(Box::new(metrics.queued.clone()))?;
-        registry.register(Box::new(metrics.running.clone()))?;
-        registry.register(Box::new(metrics.slots.clone()))?;
-        registry.register(Box::new(metrics.ejected.clone()))?;
-        registry.register(Box::new(metrics.limited_teams.clone()))?;
-        registry.register(Box::new(metrics.borrows.clone()))?;
-        registry.register(Box::new(metrics.ejections.clone()))?;
-        Ok(metrics)
+        })
     }
 
     /// Counts a request to a peer for slots.
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -4,14 +4,12 @@
 use std::time::SystemTime;
 
 use geraniumrelay_core::Verdict;
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
 use crate::durable_metrics::DurableMetrics;
 use crate::load_metrics::LoadMetrics;
 use crate::peer_metrics::PeerMetrics;
+use crate::registrar::Registrar;
 
 /// Upper bounds of the response time buckets, in seconds.
 const RESPONSE_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -45,79 +43,50 @@
     /// A name that is registered twice.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let starts = IntCounter::new("geraniumrelay_task_starts_total", "Starts sent to targets")?;
-        let forwards = IntCounter::new(
-            "geraniumrelay_forwards_total",
-            "Requests passed on to their owner",
-        )?;
-        let replies = IntCounterVec::new(
-            Opts::new(
+        let make = Registrar::new(&registry);
+        Ok(Self {
+            load: LoadMetrics::new(make)?,
+            starts: make.counter("geraniumrelay_task_starts_total", "Starts sent to targets")?,
+            forwards: make.counter(
+                "geraniumrelay_forwards_total",
+                "Requests passed on to their owner",
+            )?,
+            replies: make.counters(
                 "geraniumrelay_replies_total",
                 "Answers to callers by verdict",
-            ),
-            &["verdict"],
-        )?;
-        let refusals = IntCounterVec::new(
-            Opts::new(
+                "verdict",
+            )?,
+            refusals: make.counters(
                 "geraniumrelay_refusals_total",
                 "Refusals to callers by reason",
-            ),
-            &["reason"],
-        )?;
-        let response = Histogram::with_opts(
-            HistogramOpts::new(
+                "reason",
+            )?,
+            response: make.histogram(
                 "geraniumrelay_response_seconds",
                 "Time from request to answer",
-            )
-            .buckets(RESPONSE_BUCKETS_S.to_vec()),
-        )?;
-        let jobs_in_flight = IntGauge::new(
-            "geraniumrelay_jobs_in_flight",
-            "Jobs queued or running here",
-        )?;
-        let revision = IntGauge::new("geraniumrelay_sheet_revision", "Sheet revision in force")?;
-        let peers_heard = IntGauge::new(
-            "geraniumrelay_peers_heard",
-            "Entry VMs heard within the silence",
-        )?;
-        registry.register(Box::new(peers_heard.clone()))?;
-        let settled = IntGauge::new(
-            "geraniumrelay_settled",
-            "1 once every known entry VM was heard or had the time to be",
-        )?;
-        registry.register(Box::new(settled.clone()))?;
-        let targets = IntGauge::new("geraniumrelay_targets", "Targets known")?;
-        registry.register(Box::new(targets.clone()))?;
-        let certificate_expiry = IntGauge::new(
-            "geraniumrelay_certificate_expiry_seconds",
-            "Unix time at which the certificate of this process expires",
-        )?;
-        registry.register(Box::new(certificate_expiry.clone()))?;
-        registry.register(Box::new(starts.clone()))?;
-        registry.register(Box::new(forwards.clone()))?;
-        registry.register(Box::new(replies.clone()))?;
-        registry.register(Box::new(refusals.clone()))?;
-        registry.register(Box::new(response.clone()))?;
-        registry.register(Box::new(jobs_in_flight.clone()))?;
-        registry.register(Box::new(revision.clone()))?;
-        let peers = Arc::new(PeerMetrics::new(&registry)?);
-        let durable = DurableMetrics::new(&registry)?;
-        Ok(Self {
-            load: LoadMetrics::new(&registry)?,
+                &RESPONSE_BUCKETS_S,
+            )?,
+            jobs_in_flight: make.gauge(
+                "geraniumrelay_jobs_in_flight",
+                "Jobs queued or running here",
+            )?,
+            revision: make.gauge("geraniumrelay_sheet_revision", "Sheet revision in force")?,
+            peers_heard: make.gauge(
+                "geraniumrelay_peers_heard",
+                "Entry VMs heard within the silence",
+            )?,
+            settled: make.gauge(
+                "geraniumrelay_settled",
+                "1 once every known entry VM was heard or had the time to be",
+            )?,
+            targets: make.gauge("geraniumrelay_targets", "Targets known")?,
+            peers: Arc::new(PeerMetrics::new(make)?),
+            durable: DurableMetrics::new(make)?,
+            certificate_expiry: make.gauge(
+                "geraniumrelay_certificate_expiry_seconds",
+                "Unix time at which the certificate of this process expires",
+            )?,
             registry,
-            starts,
-            forwards,
-            replies,
-            refusals,
-            response,
-            jobs_in_flight,
-            revision,
-            peers_heard,
-            settled,
-            targets,
-            peers,
-            durable,
-            certificate_expiry,
         })
     }
 
--- a/crates/geraniumrelay/src/operator/apply.rs
+++ b/crates/geraniumrelay/src/operator/apply.rs
@@ -13,7 +13,7 @@
 use rouille::{Request, Response};
 
 use crate::operator::problem::OperatorProblem;
-use crate::operator::server::OperatorDesk;
+use crate::operator::server::OperatorApi;
 use crate::sheet_cache::write_delta;
 
 /// Largest request: a sheet in JSON, where line ends take two bytes.
@@ -31,7 +31,7 @@
 /// Most lines of a difference that the audit trail keeps; a line more says how many are left out.
 const MAX_CHANGES: usize = 1_000;
 
-impl<C: Clock> OperatorDesk<C> {
+impl<C: Clock> OperatorApi<C> {
     /// `POST /v1/operator/sheet`
     pub(super) fn apply(
         &self,
--- a/crates/geraniumrelay/src/operator/mod.rs
+++ b/crates/geraniumrelay/src/operator/mod.rs
@@ -8,4 +8,4 @@
 mod reports;
 mod server;
 
-pub use server::{OperatorDesk, start};
+pub use server::{OperatorApi, start};
--- a/crates/geraniumrelay/src/operator/reports.rs
+++ b/crates/geraniumrelay/src/operator/reports.rs
@@ -10,7 +10,7 @@
 use rouille::{Request, Response};
 
 use crate::operator::problem::OperatorProblem;
-use crate::operator::server::OperatorDesk;
+use crate::operator::server::OperatorApi;
 
 /// Longest wait for the decision thread.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -21,7 +21,7 @@
 /// Most jobs or audit entries in one answer.
 const MAX_LISTED: usize = 1_000;
 
-impl<C: Clock> OperatorDesk<C> {
+impl<C: Clock> OperatorApi<C> {
     /// `GET /v1/operator/status`
     pub(super) fn status(&self) -> Result<Response, OperatorProblem> {
         let Report::Status(report) = self.ask(ReportQuery::Status)? else {
--- a/crates/geraniumrelay/src/operator/server.rs
+++ b/crates/geraniumrelay/src/operator/server.rs
@@ -21,7 +21,7 @@
 
 /// What the routes need.
 #[derive(Debug)]
-pub struct OperatorDesk<C> {
+pub struct OperatorApi<C> {
     /// Time.
     pub clock: C,
     /// This VM.
@@ -44,9 +44,9 @@
 ///
 /// # Errors
 /// An address that can't be listened on.
-pub fn start<C: Clock + 'static>(listen: SocketAddr, desk: OperatorDesk<C>) -> anyhow::Result<()> {
+pub fn start<C: Clock + 'static>(listen: SocketAddr, api: OperatorApi<C>) -> anyhow::Result<()> {
     let server = Server::new(listen, move |req| {
-        desk.route(req).unwrap_or_else(OperatorProblem::respond)
+        api.route(req).unwrap_or_else(OperatorProblem::respond)
     });
     let server = server.map_err(|e| anyhow::anyhow!("listening for operators on {listen}: {e}"))?;
     let server = server.pool_size(HTTP_THREADS);
@@ -56,7 +56,7 @@
     Ok(())
 }
 
-impl<C: Clock> OperatorDesk<C> {
+impl<C: Clock> OperatorApi<C> {
     fn route(&self, req: &Request) -> Result<Response, OperatorProblem> {
         let who = self.sign_in(req)?;
         let path = req.url();
--- a/crates/geraniumrelay/src/peer_metrics.rs
+++ b/crates/geraniumrelay/src/peer_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of the traffic between entry processes and of hand-overs.
 
 use geraniumrelay_core::effect::HandOverStage;
-use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec};
+
+use crate::registrar::Registrar;
 
 /// Counters of the peer transport.
 #[derive(Debug)]
@@ -16,25 +18,22 @@
     ///
     /// # Errors
     /// A name that is registered twice.
-    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let messages = counters(
+    pub fn new(make: Registrar<'_>) -> Result<Self, prometheus::Error> {
+        let messages = make.counters(
             "geraniumrelay_peer_messages_total",
             "Messages between entry VMs",
             "direction",
         )?;
-        let bytes = counters(
+        let bytes = make.counters(
             "geraniumrelay_peer_bytes_total",
             "Bytes of messages between entry VMs, without the transport's own",
             "direction",
         )?;
-        let hand_overs = counters(
+        let hand_overs = make.counters(
             "geraniumrelay_hand_overs_total",
             "Hand-overs by the stage that they came to",
             "stage",
         )?;
-        for counter in [&messages, &bytes, &hand_overs] {
-            registry.register(Box::new(counter.clone()))?;
-        }
         let pair =
             |direction| [&messages, &bytes].map(|counter| counter.with_label_values(&[direction]));
         let (sent, received) = (pair("sent"), pair("received"));
@@ -62,10 +61,6 @@
     }
 }
 
-fn counters(name: &str, help: &str, label: &str) -> Result<IntCounterVec, prometheus::Error> {
-    IntCounterVec::new(Opts::new(name, help), &[label])
-}
-
 fn count([messages, total]: &[IntCounter; 2], bytes: usize) {
     messages.inc();
     total.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -31,6 +31,7 @@
 use crate::peer_metrics::PeerMetrics;
 use crate::peer_server::PeerServer;
 use crate::peer_tls::{PEER_NAME, PeerTls};
+use crate::process::spawn;
 use crate::requests::DecisionTx;
 use crate::sheet_cache::SheetCache;
 use crate::vm_rows::target_info;
@@ -136,30 +137,37 @@
     Reply::Rejected(rejection.with_retry_after(RETRY_AFTER))
 }
 
-/// Runs the transport until the process ends.
+/// Starts the transport on a thread of its own.
 ///
 /// # Errors
 /// An address that can't be listened on.
-pub fn run(
+pub fn start(
     listen: SocketAddr,
     tls: PeerTls,
-    rx: &Receiver<PeerJob>,
+    rx: Receiver<PeerJob>,
     server: PeerServer,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, async {
-        let mut endpoint = Endpoint::server(tls.server, listen)
-            .with_context(|| format!("listening for peers on {listen}"))?;
-        endpoint.set_default_client_config(tls.client);
-        spawn_local(server.clone().accept(endpoint.clone()));
-        let transport = Rc::new(Transport::new(endpoint, server));
-        while let Ok(job) = rx.recv_async().await {
-            spawn_local(carry_out(Rc::clone(&transport), job));
-        }
-        Ok(())
-    })
+    let mut endpoint = {
+        let _context = runtime.enter();
+        Endpoint::server(tls.server, listen)
+            .with_context(|| format!("listening for peers on {listen}"))?
+    };
+    endpoint.set_default_client_config(tls.client);
+    spawn("peers", move || {
+        LocalSet::new().block_on(&runtime, run(endpoint, &rx, server));
+    })?;
+    Ok(())
+}
+
+async fn run(endpoint: Endpoint, rx: &Receiver<PeerJob>, server: PeerServer) {
+    spawn_local(server.clone().accept(endpoint.clone()));
+    let transport = Rc::new(Transport::new(endpoint, server));
+    while let Ok(job) = rx.recv_async().await {
+        spawn_local(carry_out(Rc::clone(&transport), job));
+    }
 }
 
 /// Connections to peers, made on first use and kept.
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use anyhow::Context as _;
 use flume::Receiver;
@@ -11,7 +11,7 @@
     Clock, Command, Config, Context, Dispatcher, Identity, Incarnation, TicketKey, TicketMint,
 };
 use geraniumrelay_platform::{PlatformClient, PlatformConfig};
-use log::{error, info, warn};
+use log::{info, warn};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -25,13 +25,13 @@
 use crate::journal::JournalTx;
 use crate::limits;
 use crate::metrics::Metrics;
-use crate::operator::{self, OperatorDesk};
+use crate::operator::{self, OperatorApi};
 use crate::peer_server::PeerServer;
 use crate::peer_tls::PeerTls;
 use crate::peers::{self, PeerJob, PeerTx};
 use crate::platform_contact::PlatformContact;
 use crate::poller::Poller;
-use crate::requests::DecisionTx;
+use crate::requests::{DecisionTx, Input};
 use crate::settings::Settings;
 use crate::sheet_cache::SheetCache;
 
@@ -55,6 +55,107 @@
     Ok(())
 }
 
+/// What every thread is started with.
+struct Starter<'a> {
+    settings: &'a Settings,
+    cfg: Config,
+    identity: Identity,
+    mint: TicketMint,
+    metrics: Arc<Metrics>,
+    sheets: Arc<SheetCache>,
+    contact: Arc<PlatformContact>,
+    platform: PlatformConfig,
+}
+
+impl<'a> Starter<'a> {
+    fn new(settings: &'a Settings) -> anyhow::Result<Self> {
+        let identity = identity(settings);
+        let key = TicketKey(rand::random());
+        Ok(Self {
+            settings,
+            cfg: Config::default(),
+            identity,
+            mint: TicketMint::new(identity.data_centre, identity.incarnation, key),
+            metrics: Arc::new(Metrics::new()?),
+            sheets: Arc::default(),
+            contact: Arc::default(),
+            platform: PlatformConfig::new(settings.platform.clone()),
+        })
+    }
+
+    fn start_decision(&self, rx: Receiver<Input>, outlets: Outlets) -> std::io::Result<()> {
+        let cfg = self.cfg.clone();
+        let cx = Context::new(SystemClock.now(), &cfg);
+        let dispatcher = Dispatcher::new(&cx, self.identity, self.mint.clone());
+        let metrics = Arc::clone(&self.metrics);
+        let thread = DecisionThread::new(SystemClock, cfg, dispatcher, outlets, metrics);
+        spawn("decision", move || thread.run(&rx))
+    }
+
+    fn start_peers(
+        &self,
+        tls: PeerTls,
+        rx: Receiver<PeerJob>,
+        decision: &DecisionTx,
+    ) -> anyhow::Result<()> {
+        let (sheets, metrics) = (Arc::clone(&self.sheets), Arc::clone(self.metrics.peers()));
+        let server = PeerServer::new(decision.clone(), sheets, metrics);
+        peers::start(self.settings.peer_listen, tls, rx, server)
+    }
+
+    fn start_poller(&self, decision: &DecisionTx) -> std::io::Result<()> {
+        let poller = Poller::new(
+            SystemClock,
+            PlatformClient::new(self.platform.clone()),
+            self.identity,
+            decision.clone(),
+            Arc::clone(&self.sheets),
+            Arc::clone(&self.contact),
+        );
+        spawn("poller", move || poller.run())
+    }
+
+    fn start_operators(&self, decision: &DecisionTx, expiry: SystemTime) -> anyhow::Result<()> {
+        let Some(listen) = self.settings.operator_listen else {
+            return Ok(());
+        };
+        let api = OperatorApi {
+            clock: SystemClock,
+            vm: self.settings.vm,
+            operators: Credentials::new(self.settings.operators.clone()),
+            decision: decision.clone(),
+            platform: self.platform.clone(),
+            sheets: Arc::clone(&self.sheets),
+            contact: Arc::clone(&self.contact),
+            certificate_expiry: expiry,
+        };
+        operator::start(listen, api)
+    }
+
+    fn start_intake(
+        &self,
+        decision: &DecisionTx,
+        durable: &Durable,
+        is_stopping: &Arc<AtomicBool>,
+    ) -> anyhow::Result<HttpServer> {
+        let settings = self.settings;
+        let intake = Intake {
+            clock: SystemClock,
+            decision: decision.clone(),
+            teams: Credentials::new(settings.teams.clone()),
+            mint: self.mint.clone(),
+            keys: durable.keys.clone(),
+            journal: durable.reader.clone(),
+            ticket_ttl: self.cfg.claims.ticket_ttl,
+            bodies: BodyReader::new(settings.max_body, settings.body_timeout),
+            head_timeout: settings.head_timeout,
+            metrics: Arc::clone(&self.metrics),
+            is_stopping: Arc::clone(is_stopping),
+        };
+        HttpServer::start(settings.listen, intake)
+    }
+}
+
 /// The running threads.
 #[derive(Debug)]
 struct Entry {
@@ -68,95 +169,43 @@
 
 impl Entry {
     fn start(settings: &Settings) -> anyhow::Result<Self> {
-        let clock = SystemClock;
-        let cfg = Config::default();
-        let metrics = Arc::new(Metrics::new()?);
-        let identity = identity(settings);
-        let key = TicketKey(rand::random());
-        let mint = TicketMint::new(identity.data_centre, identity.incarnation, key);
+        let starter = Starter::new(settings)?;
+        let Starter {
+            cfg,
+            identity,
+            metrics,
+            ..
+        } = &starter;
         let tls = PeerTls::read(&settings.ca, &settings.cert, &settings.key)?;
-
         let certificate_expiry = certificate::expiry(&settings.cert)?;
         metrics.set_certificate_expiry(certificate_expiry);
 
         let (decision, decision_rx) = DecisionTx::ring();
         let (peers, peer_rx) = PeerTx::ring();
         let (drained_tx, drained) = flume::bounded(1);
-        let dispatch = DispatchTx::spawn(settings.dispatch_threads, &decision)?;
-        let durable = Durable::start(clock, settings, identity, &cfg, &metrics)?;
+        let durable = Durable::start(SystemClock, settings, *identity, cfg, metrics)?;
         let outlets = Outlets {
-            dispatch,
+            dispatch: DispatchTx::spawn(settings.dispatch_threads, &decision)?,
             journal: durable.journal.clone(),
             peers: peers.clone(),
             drained: drained_tx,
         };
 
-        let dispatcher = Dispatcher::new(&Context::new(clock.now(), &cfg), identity, mint.clone());
-        let ticket_ttl = cfg.claims.ticket_ttl;
-        let thread = DecisionThread::new(clock, cfg, dispatcher, outlets, Arc::clone(&metrics));
-        spawn("decision", move || thread.run(&decision_rx))?;
-
-        let sheets = Arc::new(SheetCache::default());
-        let (listen, decision_tx) = (settings.peer_listen, decision.clone());
-        let (peer_sheets, peer_metrics) = (Arc::clone(&sheets), Arc::clone(metrics.peers()));
-        spawn("peers", move || {
-            let server = PeerServer::new(decision_tx, peer_sheets, peer_metrics);
-            if let Err(e) = peers::run(listen, tls, &peer_rx, server) {
-                error!(error = e.to_string().as_str(); "peer_transport_failed");
-            }
-        })?;
-
-        let contact = Arc::new(PlatformContact::default());
-        let platform = PlatformConfig::new(settings.platform.clone());
-        let (own_sheets, own_contact) = (Arc::clone(&sheets), Arc::clone(&contact));
-        let client = PlatformClient::new(platform.clone());
-        let poller = Poller::new(
-            clock,
-            client,
-            identity,
-            decision.clone(),
-            own_sheets,
-            own_contact,
-        );
-        spawn("poller", move || poller.run())?;
-
-        if let Some(listen) = settings.operator_listen {
-            let desk = OperatorDesk {
-                clock,
-                vm: settings.vm,
-                operators: Credentials::new(settings.operators.clone()),
-                decision: decision.clone(),
-                platform,
-                sheets,
-                contact,
-                certificate_expiry,
-            };
-            operator::start(listen, desk)?;
-        }
-
-        let is_stopping = Arc::new(AtomicBool::new(false));
-        let intake = Intake {
-            clock,
-            decision: decision.clone(),
-            teams: Credentials::new(settings.teams.clone()),
-            mint,
-            keys: durable.keys,
-            journal: durable.reader,
-            ticket_ttl,
-            bodies: BodyReader::new(settings.max_body, settings.body_timeout),
-            head_timeout: settings.head_timeout,
-            metrics,
-            is_stopping: Arc::clone(&is_stopping),
-        };
-        let http = HttpServer::start(settings.listen, intake)?;
+        starter.start_decision(decision_rx, outlets)?;
+        starter.start_peers(tls, peer_rx, &decision)?;
+        starter.start_poller(&decision)?;
+        starter.start_operators(&decision, certificate_expiry)?;
+        let is_stopping = Arc::default();
+        let http = starter.start_intake(&decision, &durable, &is_stopping)?;
         info!(
             vm:% = settings.vm, data_centre:% = settings.data_centre,
             incarnation:% = identity.incarnation, listen:% = settings.listen;
             "started"
         );
+        let journal = durable.journal;
         Ok(Self {
             decision,
-            journal: durable.journal,
+            journal,
             peers,
             drained,
             http,
