refactor(core): take peers and owners of claim tables out of the membership module

Change: what is known of one peer, and where incarnations run and are held, are modules of their own; the membership keeps the list, heartbeats and questions.

--- a/crates/geraniumrelay-core/src/modules/membership.rs
+++ b/crates/geraniumrelay-core/src/modules/membership/mod.rs
@@ -1,102 +1,25 @@
 //! Entry VMs known to this one, from the platform's list, from their heartbeats, and from the
 //! digests that contacts give of other data centres.
 
+mod owners;
+mod peer;
+
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
 
 use rustc_hash::FxBuildHasher;
 
-use crate::collections::{Map, Set};
+use crate::collections::Map;
 use crate::context::Context;
 use crate::modules::beats::Beats;
 use crate::modules::digest::Digest;
 use crate::modules::handover::Heir;
-use crate::modules::loans::Spare;
+use crate::modules::membership::owners::Owners;
+use crate::modules::membership::peer::{Peer, View};
 use crate::names::{DataCentre, VmName};
 use crate::ticket::Incarnation;
 
-/// What is heard of one entry VM.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerNews {
-    /// Its VM.
-    pub vm: VmName,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// Where it takes requests of other entry VMs.
-    pub address: SocketAddr,
-    /// Its incarnation; `None` where only the platform's list names it.
-    pub incarnation: Option<Incarnation>,
-    /// Sheet revision that it has in force.
-    pub revision: u64,
-    /// Whether it takes no new work.
-    pub is_leaving: bool,
-    /// Incarnations whose tickets it holds by hand-over.
-    pub held: Vec<Incarnation>,
-    /// Slots that it could lend.
-    pub spare: Vec<Spare>,
-}
-
-#[derive(Debug, Clone)]
-struct Peer {
-    news: PeerNews,
-    known_since: Instant,
-    /// Whether it was noted as reached, and with which incarnation.
-    noted: Option<Incarnation>,
-    /// Whether the platform's list says that it is leaving; its own heartbeats may not know yet.
-    is_listed_leaving: bool,
-    heard_at: Option<Instant>,
-}
-
-/// What is known of another data centre through its contacts.
-#[derive(Debug, Clone)]
-struct View {
-    hash: u64,
-    heard_at: Instant,
-    vms: Set<VmName>,
-}
-
-/// What is known of a peer, for operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerReport {
-    /// Its last news.
-    pub news: PeerNews,
-    /// Time since it was heard; `None` where it never was.
-    pub heard_ago: Option<Duration>,
-    /// Whether it was heard within the silence.
-    pub is_reached: bool,
-}
-
-/// A peer that has come or gone, for logs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PeerChange {
-    /// Its VM.
-    pub vm: VmName,
-    /// Its last incarnation.
-    pub incarnation: Option<Incarnation>,
-    /// Whether it is heard now.
-    pub is_reached: bool,
-}
-
-/// Where a heartbeat goes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Recipient {
-    /// Peer address.
-    pub address: SocketAddr,
-    /// Hash of the last digest of its data centre; 0 before the first.
-    pub known_digest: u64,
-}
-
-/// Where the owner of a ticket is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Owner {
-    /// At this peer address.
-    At(SocketAddr),
-    /// Known, but not heard for a while.
-    Silent,
-    /// Not known here: gone, or never heard.
-    Unknown,
-}
+pub use peer::{Owner, PeerChange, PeerNews, PeerReport, Recipient};
 
 /// Entry VMs known to this one.
 #[derive(Debug)]
@@ -109,20 +32,7 @@
     peers: Map<VmName, Peer>,
     beats: Beats,
     views: Map<DataCentre, View>,
-    /// VMs by the incarnation that they run.
-    running: Map<Incarnation, VmName>,
-    /// Last known holders of the incarnations that were handed over.
-    holders: Map<Incarnation, Holder>,
-}
-
-/// A process that holds, or has handed on, the table of another incarnation.
-///
-/// One that has handed it on passes requests along for as long as it runs, so it stays the holder
-/// until the next one is heard.
-#[derive(Debug, Clone, Copy)]
-struct Holder {
-    vm: VmName,
-    incarnation: Incarnation,
+    owners: Owners,
 }
 
 impl Membership {
@@ -135,8 +45,7 @@
             peers: Map::default(),
             beats: Beats::default(),
             views: Map::default(),
-            running: Map::default(),
-            holders: Map::default(),
+            owners: Owners::default(),
         }
     }
 
@@ -145,13 +54,10 @@
         self.has_list = true;
         let names: Vec<VmName> = listed.iter().map(|news| news.vm).collect();
         for news in listed {
-            let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
-                news: news.clone(),
-                known_since: cx.now,
-                noted: None,
-                is_listed_leaving: false,
-                heard_at: None,
-            });
+            let peer = self
+                .peers
+                .entry(news.vm)
+                .or_insert_with(|| Peer::new(cx, news.clone()));
             peer.news.address = news.address;
             peer.is_listed_leaving = news.is_leaving;
         }
@@ -163,13 +69,8 @@
             .retain(|vm, peer| names.contains(vm) || peer.is_heard(cx, views));
         let peers = &self.peers;
         self.beats.retain(|vm| peers.contains_key(vm));
-        self.running
-            .retain(|incarnation, vm| peers.get(vm).is_some_and(|p| p.runs(*incarnation)));
-        self.holders.retain(|_, holder| {
-            peers
-                .get(&holder.vm)
-                .is_some_and(|p| p.runs(holder.incarnation))
-        });
+        self.owners
+            .retain(|vm, incarnation| peers.get(&vm).is_some_and(|p| p.runs(incarnation)));
     }
 
     /// Notes a heartbeat.
@@ -253,26 +154,19 @@
             return false;
         };
         self.has_list = true;
-        self.running.insert(incarnation, news.vm);
-        for held in &news.held {
-            let vm = news.vm;
-            self.holders.insert(*held, Holder { vm, incarnation });
-        }
-        let peer = self.peers.entry(news.vm).or_insert_with(|| Peer {
-            news: news.clone(),
-            known_since: cx.now,
-            noted: None,
-            is_listed_leaving: false,
-            heard_at: None,
-        });
+        self.owners.learn(incarnation, &news);
+        let peer = self
+            .peers
+            .entry(news.vm)
+            .or_insert_with(|| Peer::new(cx, news.clone()));
         peer.news = news;
         true
     }
 
     /// Where the tickets of an incarnation are decided: at its heir, else where it runs.
     pub fn owner_of(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
-        let holder = self.holders.get(&incarnation);
-        let holder = holder.map_or(Owner::Unknown, |h| self.process_at(cx, h.incarnation));
+        let holder = self.owners.holder_of(incarnation);
+        let holder = holder.map_or(Owner::Unknown, |holder| self.process_at(cx, holder));
         match (holder, self.process_at(cx, incarnation)) {
             (Owner::At(address), _) | (_, Owner::At(address)) => Owner::At(address),
             (Owner::Silent, _) | (_, Owner::Silent) => Owner::Silent,
@@ -282,8 +176,8 @@
 
     /// Where the process of an incarnation is.
     pub fn process_at(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
-        let vm = self.running.get(&incarnation);
-        let peer = vm.and_then(|vm| self.peers.get(vm));
+        let vm = self.owners.vm_of(incarnation);
+        let peer = vm.and_then(|vm| self.peers.get(&vm));
         self.where_is(cx, peer.filter(|peer| peer.runs(incarnation)))
     }
 
@@ -439,33 +333,10 @@
     }
 }
 
-impl Peer {
-    fn is_leaving(&self) -> bool {
-        self.news.is_leaving || self.is_listed_leaving
-    }
-
-    fn runs(&self, incarnation: Incarnation) -> bool {
-        self.news.incarnation == Some(incarnation)
-    }
-
-    /// Whether it was heard here or by a contact in its data centre.
-    fn is_heard(&self, cx: &Context<'_>, views: &Map<DataCentre, View>) -> bool {
-        let cfg = &cx.cfg.membership;
-        let data_centre = &self.news.data_centre;
-        let view = views.get(data_centre);
-        let view = view.filter(|view| view.vms.contains(&self.news.vm));
-        view.is_some_and(|view| cx.now < view.heard_at + cfg.remote_silence)
-            || self.heard_at.is_some_and(|at| cx.now < at + cfg.silence)
-    }
-
-    fn is_heard_directly(&self, cx: &Context<'_>) -> bool {
-        let silence = cx.cfg.membership.silence;
-        self.heard_at.is_some_and(|at| cx.now < at + silence)
-    }
-}
-
 #[cfg(test)]
 mod tests {
+    use std::time::Instant;
+
     use super::*;
     use crate::configs::Config;
 
