--- a/crates/geraniumrelay/src/poller.rs
+++ b/crates/geraniumrelay/src/poller.rs
@@ -6,7 +6,7 @@
 
 use geraniumrelay_core::{Clock, Command, Identity};
 use geraniumrelay_platform::{PlatformClient, PlatformError, SheetStore, VmListing};
-use geraniumrelay_wire::SheetUpdate;
+use geraniumrelay_wire::{SheetUpdate, Vm};
 use log::warn;
 
 use crate::platform_contact::PlatformContact;
@@ -122,27 +122,23 @@
 
     fn tell_targets(&self) {
         let own_dc = self.identity.data_centre.as_str();
-        let targets = self
-            .listing
-            .list
-            .vms
-            .iter()
-            .filter(|vm| vm.role == TARGET_ROLE);
-        let targets = targets
-            .filter(|vm| vm.data_centre == own_dc)
-            .filter_map(target_info);
-        self.decision.tell(Command::ListTargets(targets.collect()));
+        let targets = self.rows(TARGET_ROLE).filter(|vm| vm.data_centre == own_dc);
+        let infos = targets.filter_map(target_info).collect();
+        self.decision.tell(Command::ListTargets(infos));
     }
 
     fn tell_peers(&self) {
         let own = self.identity.vm.as_str();
-        let peers = self
-            .listing
+        let peers = self.rows(ENTRY_ROLE).filter(|vm| vm.name != own);
+        let news = peers.filter_map(peer_news).collect();
+        self.decision.tell(Command::ListPeers(news));
+    }
+
+    fn rows(&self, role: &'static str) -> impl Iterator<Item = &Vm> {
+        self.listing
             .list
             .vms
             .iter()
-            .filter(|vm| vm.role == ENTRY_ROLE);
-        let peers = peers.filter(|vm| vm.name != own).filter_map(peer_news);
-        self.decision.tell(Command::ListPeers(peers.collect()));
+            .filter(move |vm| vm.role == role)
     }
 }
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -71,9 +71,11 @@
     fn new(settings: &'a Settings) -> anyhow::Result<Self> {
         let identity = identity(settings);
         let key = TicketKey(rand::random());
+        let mut cfg = Config::default();
+        cfg.claims.ticket_ttl = settings.ticket_ttl;
         Ok(Self {
             settings,
-            cfg: Config::default(),
+            cfg,
             identity,
             mint: TicketMint::new(identity.data_centre, identity.incarnation, key),
             metrics: Arc::new(Metrics::new()?),
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the entry process, from flags and environment variables.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
 /// Shortest time for which the journal keeps a submission.
 const MIN_JOURNAL_TTL: Duration = Duration::from_mins(1);
 
+/// Lifetimes that tickets may have.
+const TICKET_TTLS: RangeInclusive<Duration> = Duration::from_secs(10)..=Duration::from_hours(1);
+
 /// Dispatcher for sub-second tasks: the process of one entry VM.
 #[derive(Debug, Clone, Parser)]
 #[command(version, about)]
@@ -102,6 +106,10 @@
     #[arg(long, env = "GERANIUMRELAY_JOURNAL_COMMITS", default_value_t = 10)]
     pub journal_commits: u32,
 
+    /// Time within which a ticket may be submitted first; claims are kept 2 minutes longer.
+    #[arg(long, env = "GERANIUMRELAY_TICKET_TTL", default_value = "10m", value_parser = humantime::parse_duration)]
+    pub ticket_ttl: Duration,
+
     /// Longest wait of a stop for what is in flight.
     #[arg(long, env = "GERANIUMRELAY_STOP_TIMEOUT", default_value = "60s", value_parser = humantime::parse_duration)]
     pub stop_timeout: Duration,
@@ -152,6 +160,9 @@
         if !(1..=1_000).contains(&self.journal_commits) {
             faults.push("--journal-commits: allowed are 1 to 1000".to_owned());
         }
+        if !TICKET_TTLS.contains(&self.ticket_ttl) {
+            faults.push("--ticket-ttl: allowed are 10s to 1h".to_owned());
+        }
         if self.listen == self.peer_listen {
             faults.push("--peer-listen: must differ from --listen".to_owned());
         }
@@ -195,8 +206,10 @@
             "/absent",
             "--dispatch-threads",
             "0",
+            "--ticket-ttl",
+            "1s",
         ];
         let faults = Settings::parse_from(args).check().unwrap_err().to_string();
-        assert_eq!(faults.lines().count(), 1 + 6, "{faults}");
+        assert_eq!(faults.lines().count(), 1 + 7, "{faults}");
     }
 }
