fix(core): forget ended processes also while the platform is away

Cause: where processes ran was forgotten only when the platform's list was taken over, so that it grew with every replacement while the platform was away. Change: hearing a VM in a new incarnation forgets what has ended. Measured: after 1,000 replacements of one VM one process and one table are known; the test fails without the change by its count.

--- a/crates/geraniumrelay-core/src/modules/membership/mod.rs
+++ b/crates/geraniumrelay-core/src/modules/membership/mod.rs
@@ -69,8 +69,7 @@
             .retain(|vm, peer| names.contains(vm) || peer.is_heard(cx, views));
         let peers = &self.peers;
         self.beats.retain(|vm| peers.contains_key(vm));
-        self.owners
-            .retain(|vm, incarnation| peers.get(&vm).is_some_and(|p| p.runs(incarnation)));
+        self.forget_ended();
     }
 
     /// Notes a heartbeat.
@@ -159,10 +158,22 @@
             .peers
             .entry(news.vm)
             .or_insert_with(|| Peer::new(cx, news.clone()));
+        let is_replaced = peer.news.incarnation.is_some_and(|old| old != incarnation);
         peer.news = news;
+        if is_replaced {
+            // The platform's list, which else ends this, may be away for hours.
+            self.forget_ended();
+        }
         true
     }
 
+    /// Forgets where processes ran that have ended.
+    fn forget_ended(&mut self) {
+        let peers = &self.peers;
+        self.owners
+            .retain(|vm, incarnation| peers.get(&vm).is_some_and(|p| p.runs(incarnation)));
+    }
+
     /// Where the tickets of an incarnation are decided: at its heir, else where it runs.
     pub fn owner_of(&self, cx: &Context<'_>, incarnation: Incarnation) -> Owner {
         let holder = self.owners.holder_of(incarnation);
@@ -396,6 +407,18 @@
         );
     }
 
+    #[test]
+    fn replaced_processes_are_forgotten_without_the_platform() {
+        let cfg = Config::default();
+        let cx = Context::new(Instant::now(), &cfg);
+        let mut membership = Membership::new("szeged".parse().unwrap(), Incarnation(0));
+        for n in 1..=1_000 {
+            let held = vec![Incarnation(10_000 + n)];
+            membership.hear(&cx, PeerNews { held, ..news(n) });
+        }
+        assert_eq!(membership.owners.len(), 2, "one process and one table");
+    }
+
     #[test]
     fn an_owner_is_found_until_it_is_silent_or_replaced() {
         let cfg = Config::default();
--- a/crates/geraniumrelay-core/src/modules/membership/owners.rs
+++ b/crates/geraniumrelay-core/src/modules/membership/owners.rs
@@ -40,6 +40,12 @@
             .retain(|_, holder| runs(holder.vm, holder.incarnation));
     }
 
+    /// Number of processes and of tables of others.
+    #[cfg(test)]
+    pub(super) fn len(&self) -> usize {
+        self.running.len() + self.holders.len()
+    }
+
     /// VM that was last heard to run an incarnation.
     pub(super) fn vm_of(&self, incarnation: Incarnation) -> Option<VmName> {
         self.running.get(&incarnation).copied()
