--- a/crates/geraniumrelay-testkit/examples/playground.rs
+++ b/crates/geraniumrelay-testkit/examples/playground.rs
@@ -68,6 +68,7 @@
         .collect();
     println!("# set this in another terminal:");
     println!("export GERANIUMRELAY_ENTRIES={}", entries.join(","));
+    println!("export GERANIUMRELAY_PLATFORM={}", cluster.platform.url());
     println!(
         "export GERANIUMRELAY_TOKEN={}  # you are anna; also bela, csaba",
         token_of("anna")
