--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -224,6 +224,17 @@
         Ok(PeerReply::decode(reply.as_slice())?)
     }
 
+    /// Sends a control message and waits for what the peer replies, if it replies anything.
+    async fn ask(
+        &self,
+        address: SocketAddr,
+        body: peer_request::Body,
+    ) -> anyhow::Result<Option<peer_reply::Body>> {
+        let req = PeerRequest { body: Some(body) };
+        let reply = self.exchange(address, &req, CONTROL_TIMEOUT).await?;
+        Ok(reply.body)
+    }
+
     /// Uses a connection for nothing new; what is open on it may still be answered.
     fn forget(&self, address: SocketAddr, silent: &Connection) {
         let mut connections = self.connections.borrow_mut();
@@ -254,9 +265,7 @@
             let _ = tx.try_send(reply);
         }
         PeerJob::Borrow { address, req } => borrow(&transport, address, req).await,
-        PeerJob::Return(back) => {
-            return_slots(&transport, &back).await;
-        }
+        PeerJob::Return(back) => return_slots(&transport, &back).await,
         PeerJob::Beat {
             address,
             news,
@@ -300,8 +309,7 @@
 /// Sends one message of a hand-over; without a reply the dispatcher has it sent again.
 async fn hand_over(transport: &Transport, address: SocketAddr, message: &HandOverMessage) {
     let body = peer_request::Body::HandOver(handover_wire::hand_over(message));
-    let req = PeerRequest { body: Some(body) };
-    let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
+    let reply = match transport.ask(address, body).await {
         Ok(reply) => reply,
         Err(e) => {
             let error = e.to_string();
@@ -309,7 +317,7 @@
             return;
         }
     };
-    let Some(peer_reply::Body::HandOver(reply)) = reply.body else {
+    let Some(peer_reply::Body::HandOver(reply)) = reply else {
         return;
     };
     let Some(reply) = handover_wire::read_hand_over_reply(&reply) else {
@@ -325,9 +333,8 @@
 
 /// Sends a heartbeat; the reply is the peer's own.
 async fn send_beat(transport: &Transport, address: SocketAddr, beat: Heartbeat) {
-    let body = Some(peer_request::Body::Heartbeat(beat));
-    let req = PeerRequest { body };
-    let reply = match transport.exchange(address, &req, CONTROL_TIMEOUT).await {
+    let body = peer_request::Body::Heartbeat(beat);
+    let reply = match transport.ask(address, body).await {
         Ok(reply) => reply,
         Err(e) => {
             let error = e.to_string();
@@ -335,7 +342,7 @@
             return;
         }
     };
-    let Some(peer_reply::Body::Heartbeat(beat)) = reply.body else {
+    let Some(peer_reply::Body::Heartbeat(beat)) = reply else {
         return;
     };
     hear(&transport.decision, &beat).await;
@@ -352,8 +359,7 @@
 /// Returns slots; where that is lost, the loan's end at the lender brings them back.
 async fn return_slots(transport: &Transport, back: &SlotReturn) {
     let body = peer_request::Body::ReturnSlots(convert_loans::return_slots(back));
-    let req = PeerRequest { body: Some(body) };
-    if let Err(e) = transport.exchange(back.lender, &req, CONTROL_TIMEOUT).await {
+    if let Err(e) = transport.ask(back.lender, body).await {
         let error = e.to_string();
         debug!(peer:% = back.lender, error = error.as_str(); "return_unanswered");
     }
@@ -362,11 +368,8 @@
 /// Asks for slots and hands the reply over; also that there was none.
 async fn borrow(transport: &Transport, address: SocketAddr, req: BorrowRequest) {
     let body = peer_request::Body::Borrow(convert_loans::borrow_slots(req));
-    let msg = PeerRequest { body: Some(body) };
-    let grant = match transport.exchange(address, &msg, CONTROL_TIMEOUT).await {
-        Ok(PeerReply {
-            body: Some(peer_reply::Body::Grant(grant)),
-        }) => Some(convert_loans::grant(&grant)),
+    let grant = match transport.ask(address, body).await {
+        Ok(Some(peer_reply::Body::Grant(grant))) => Some(convert_loans::grant(&grant)),
         _ => None,
     };
     let cmd = Command::TakeLoan {
@@ -383,6 +386,7 @@
         decision.tell_async(Command::HearPeer(news)).await;
     }
 }
+
 /// Brings the sheet here to the peer's; the whole one where the differences don't fit.
 async fn fetch_sheet(transport: &Transport, address: SocketAddr) {
     for have in [transport.sheets.revision(), 0] {
@@ -409,10 +413,8 @@
 
 /// Takes over a peer's list of targets.
 async fn fetch_targets(transport: &Transport, address: SocketAddr) {
-    let body = Some(peer_request::Body::FetchTargets(FetchTargets {}));
-    let req = PeerRequest { body };
-    let reply = transport.exchange(address, &req, CONTROL_TIMEOUT).await;
-    let Ok(Some(peer_reply::Body::Targets(list))) = reply.map(|reply| reply.body) else {
+    let body = peer_request::Body::FetchTargets(FetchTargets {});
+    let Ok(Some(peer_reply::Body::Targets(list))) = transport.ask(address, body).await else {
         return;
     };
     let infos = list.vms.iter().filter_map(target_info).collect();
@@ -427,10 +429,8 @@
     address: SocketAddr,
     have: u64,
 ) -> Option<SheetUpdate> {
-    let body = Some(peer_request::Body::FetchSheet(FetchSheet { have }));
-    let req = PeerRequest { body };
-    let reply = transport.exchange(address, &req, CONTROL_TIMEOUT).await;
-    match reply.ok()?.body? {
+    let body = peer_request::Body::FetchSheet(FetchSheet { have });
+    match transport.ask(address, body).await.ok()?? {
         peer_reply::Body::Sheet(update) => Some(update),
         _ => None,
     }
