--- /dev/null
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -0,0 +1,60 @@
+//! Settings of jobs whose tasks run under leases.
+
+use std::time::Duration;
+
+/// Times and limits of the scheduler.
+#[derive(Debug, Clone)]
+pub struct LeasedConfig {
+    /// Time by which each order and look extends the leases on a worker; below the platform's
+    /// longest lease of one second, so that it is never cut.
+    pub lease: Duration,
+    /// Longest wait of a look for an end; a third of a lease, so that two looks may be lost.
+    pub max_look_wait: Duration,
+    /// Shortest wait of a look for an end; bounds the looks at an overdue task.
+    pub min_look_wait: Duration,
+    /// Time after a task's expected end at which its progress is checked.
+    pub overdue_slack: Duration,
+    /// First pause between looks at a worker that does not answer; doubles each time.
+    pub first_pause: Duration,
+    /// Longest pause between looks at a worker that does not answer, or that fails its tasks.
+    pub max_pause: Duration,
+    /// Pause of a worker after the first task that fails or stands still; doubles each time.
+    pub failure_pause: Duration,
+    /// Most workers set aside for failures, in percent; more than that is no fault of the workers.
+    pub max_paused_percent: usize,
+    /// Time that runs of an earlier scheduler may go on without an entry VM that asks for them; long
+    /// enough for entry VMs to pass their jobs on again.
+    pub orphan_grace: Duration,
+    /// Time within which what an earlier scheduler started has ended, where a worker can't be
+    /// asked: the longest lease, on the slowest clock.
+    pub takeover_wait: Duration,
+    /// Waiting jobs that are looked at for one that fits.
+    pub scan_limit: usize,
+    /// Share of the slack beyond which an expected wait leads to refusal, in percent.
+    pub admit_percent: u32,
+    /// Weight of the newest run time in the learnt mean of its queue.
+    pub estimate_weight: f64,
+    /// Run time over the expected one from which a worker counts as slow.
+    pub slow_factor: f64,
+}
+
+impl Default for LeasedConfig {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(950),
+            max_look_wait: Duration::from_millis(300),
+            min_look_wait: Duration::from_millis(40),
+            overdue_slack: Duration::from_millis(15),
+            first_pause: Duration::from_millis(100),
+            max_pause: Duration::from_secs(2),
+            failure_pause: Duration::from_millis(200),
+            max_paused_percent: 40,
+            orphan_grace: Duration::from_millis(400),
+            takeover_wait: Duration::from_millis(1100),
+            scan_limit: 24,
+            admit_percent: 100,
+            estimate_weight: 0.05,
+            slow_factor: 2.5,
+        }
+    }
+}
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod headroom;
 pub mod health;
 pub mod journal;
+pub mod leased;
 pub mod loans;
 pub mod membership;
 pub mod retry;
@@ -18,6 +19,7 @@
 use headroom::HeadroomConfig;
 use health::HealthConfig;
 use journal::JournalConfig;
+use leased::LeasedConfig;
 use loans::LoansConfig;
 use membership::MembershipConfig;
 use retry::RetryConfig;
@@ -35,6 +37,8 @@
     pub handover: HandOverConfig,
     /// Settings of the journal.
     pub journal: JournalConfig,
+    /// Settings of jobs whose tasks run under leases.
+    pub leased: LeasedConfig,
     /// Settings of membership.
     pub membership: MembershipConfig,
     /// Settings of retries.
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/admission.rs
@@ -0,0 +1,39 @@
+//! Whether a job that has just come in can be served in time.
+//!
+//! Load pattern: more work than the workers can do. Jobs that would wait too long are refused on
+//! arrival, when their callers can still turn elsewhere; work that waits in vain would delay the
+//! rest.
+
+use std::time::Duration;
+
+/// What waits before a job, in thousandths of a core.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Backlog {
+    /// Processor that is free now.
+    pub free: u64,
+    /// Processor that waiting tasks ahead of the job need.
+    pub ahead: u64,
+    /// Processor that the job itself needs at once.
+    pub own: u64,
+    /// Processor that running tasks free in a second.
+    pub freed_per_s: f64,
+}
+
+/// Time until all tasks of the job can have started; `None` where nothing becomes free.
+pub fn expected_wait(backlog: &Backlog) -> Option<Duration> {
+    let wanted = backlog.ahead + backlog.own;
+    if wanted <= backlog.free {
+        return Some(Duration::ZERO);
+    }
+    if backlog.freed_per_s <= 0.0 {
+        return None;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    let missing = (wanted - backlog.free) as f64;
+    Duration::try_from_secs_f64(missing / backlog.freed_per_s).ok()
+}
+
+/// Whether a job that can wait for `slack` is admitted.
+pub fn is_admitted(wait: Option<Duration>, slack: Duration, admit_percent: u32) -> bool {
+    wait.is_some_and(|wait| wait <= slack * admit_percent / 100)
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -0,0 +1,131 @@
+//! What the scheduler is told.
+
+use std::time::{Duration, Instant};
+
+use super::names::{EntryVm, JobId, TaskName, WorkerName};
+use super::report::WorkerReport;
+use super::spec::JobSpec;
+use super::worker::{WorkerEntry, WorkerKey};
+use super::worker_clock::WorkerTime;
+
+/// A job, as an entry VM passes it on.
+#[derive(Debug, Clone)]
+pub struct Submission {
+    /// The job.
+    pub spec: JobSpec,
+    /// Entry VM that holds the caller's connection.
+    pub origin: EntryVm,
+    /// How long the caller has been waiting.
+    pub waited: Duration,
+    /// How much longer the caller waits.
+    pub patience: Duration,
+    /// Whether an earlier scheduler may have started tasks of it.
+    pub may_have_started: bool,
+}
+
+/// Reply to the order to start a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartReply {
+    /// The task runs there.
+    Accepted,
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// The worker has seen this run, or a later one, end.
+    Outdated,
+    /// The lease of the order had lapsed when it arrived.
+    TooLate,
+    /// The task does not fit.
+    NoRoom,
+    /// The worker refused it for a cause of its own; nothing was started.
+    Refused,
+    /// Another life of the worker answered; nothing was started.
+    OtherLife,
+    /// The order was never sent.
+    NotSent,
+    /// No answer; it may be carried out, also later.
+    Unanswered,
+}
+
+/// Reply to the order to stop a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReply {
+    /// The run is ending, or will never start there.
+    Accepted,
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// No answer that can be relied on.
+    Unanswered,
+}
+
+/// Reply to a look at a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LookReply {
+    /// What it says.
+    Report(WorkerReport),
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// Another life of the worker answered.
+    OtherLife,
+    /// No answer.
+    Unanswered,
+}
+
+/// What the scheduler is told.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// A job has come in.
+    Submit(Submission),
+    /// The caller behind an entry VM has gone away.
+    Withdraw {
+        /// The job.
+        id: JobId,
+        /// The entry VM.
+        origin: EntryVm,
+    },
+    /// A caller wants the job to end.
+    Cancel {
+        /// The job.
+        id: JobId,
+    },
+    /// An entry VM can't be reached any more.
+    EntryLost(EntryVm),
+    /// A worker's entry is new or has changed.
+    WorkerSeen(WorkerEntry),
+    /// A worker's entry is gone.
+    WorkerGone(WorkerName),
+    /// A worker replied to a start.
+    StartReplied {
+        /// The worker.
+        worker: WorkerKey,
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The reply.
+        reply: StartReply,
+        /// Its clock, where the reply told it.
+        clock: Option<WorkerTime>,
+    },
+    /// A worker replied to a stop.
+    StopReplied {
+        /// The worker.
+        worker: WorkerKey,
+        /// The task.
+        task: TaskName,
+        /// The run.
+        run: u32,
+        /// The reply.
+        reply: StopReply,
+    },
+    /// A worker replied to a look.
+    Looked {
+        /// The worker.
+        worker: WorkerKey,
+        /// When the look was sent.
+        sent: Instant,
+        /// The reply.
+        reply: LookReply,
+    },
+    /// Time has passed.
+    Tick,
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -0,0 +1,282 @@
+//! Which entry VM schedules.
+//!
+//! Two that believe it of themselves do no harm, as workers obey the higher fencing token alone, so
+//! no agreement is needed: the choice works while the platform's store is away, and on both sides
+//! of a partition. Load pattern: the scheduler's VM dies, freezes or is cut off while jobs wait for
+//! tens of milliseconds at most.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use super::names::{EntryVm, FencingToken};
+use crate::collections::Map;
+
+/// Fencing rounds start at the seconds since this time (2020-01-01), so that they grow across a
+/// restart of all entry VMs.
+const ROUND_EPOCH: Duration = Duration::from_hours(438_288);
+
+/// Rounds skipped when workers turn out to have seen a higher token than anybody here knows.
+const FENCED_STEP: u64 = 16;
+
+/// Times of the election.
+#[derive(Debug, Clone)]
+pub struct ElectionConfig {
+    /// Silence after which the scheduler is taken for gone; four of its beats.
+    pub scheduler_silence: Duration,
+    /// Silence after which another entry VM is taken for gone.
+    pub peer_silence: Duration,
+    /// Time after the start in which a scheduler may make itself heard.
+    pub start_grace: Duration,
+    /// Head start of each entry VM over the next in line; covers a takeover and one beat.
+    pub turn: Duration,
+    /// Time without the platform's store after which the scheduler hands over to a VM that has it.
+    pub store_patience: Duration,
+}
+
+impl Default for ElectionConfig {
+    fn default() -> Self {
+        Self {
+            scheduler_silence: Duration::from_millis(450),
+            peer_silence: Duration::from_millis(900),
+            start_grace: Duration::from_millis(400),
+            turn: Duration::from_millis(150),
+            store_patience: Duration::from_millis(1_500),
+        }
+    }
+}
+
+/// What an entry VM says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Beat {
+    /// Its token, where it schedules.
+    pub token: Option<FencingToken>,
+    /// Whether the platform's store answers it.
+    pub has_store: bool,
+    /// Whether it can't take over: it is stopping, or knows no workers.
+    pub is_barred: bool,
+    /// Who is to take over from it.
+    pub successor: Option<EntryVm>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    heard: Instant,
+    beat: Beat,
+}
+
+/// What to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing has changed.
+    Stay,
+    /// Start to schedule with this token.
+    TakeOver(FencingToken),
+    /// Stop scheduling: the other VM has a higher token.
+    Yield(EntryVm),
+    /// Stop scheduling and name a successor.
+    HandOver(EntryVm),
+    /// Pass jobs to another scheduler.
+    Follow(EntryVm, FencingToken),
+    /// There is no scheduler for now.
+    Lose,
+}
+
+/// The state of the election in one process.
+#[derive(Debug)]
+pub struct Election {
+    vm: EntryVm,
+    cfg: ElectionConfig,
+    started: Instant,
+    peers: Map<EntryVm, Peer>,
+    highest: FencingToken,
+    /// The scheduler that is followed, or this one.
+    current: Option<(EntryVm, FencingToken)>,
+    /// Since when there is none.
+    lost_at: Instant,
+    store_lost_at: Option<Instant>,
+    is_barred: bool,
+    named: bool,
+}
+
+impl Election {
+    /// The state of a process that starts at `now`.
+    pub fn new(cfg: ElectionConfig, vm: EntryVm, now: Instant) -> Self {
+        Self {
+            vm,
+            cfg,
+            started: now,
+            peers: Map::default(),
+            highest: FencingToken::default(),
+            current: None,
+            lost_at: now,
+            store_lost_at: Some(now),
+            is_barred: true,
+            named: false,
+        }
+    }
+
+    /// The scheduler that is known.
+    pub fn current(&self) -> Option<(EntryVm, FencingToken)> {
+        self.current
+    }
+
+    /// Whether this process schedules.
+    pub fn is_scheduler(&self) -> bool {
+        self.current.is_some_and(|(vm, _)| vm == self.vm)
+    }
+
+    /// Notes whether this process may take over, and whether the store answers it.
+    pub fn set_own(&mut self, is_barred: bool, has_store: bool, now: Instant) {
+        self.is_barred = is_barred;
+        if has_store {
+            self.store_lost_at = None;
+        } else if self.store_lost_at.is_none() {
+            self.store_lost_at = Some(now);
+        }
+    }
+
+    /// What this process says of itself.
+    pub fn own_beat(&self, successor: Option<EntryVm>) -> Beat {
+        Beat {
+            token: self.current.filter(|c| c.0 == self.vm).map(|c| c.1),
+            has_store: self.store_lost_at.is_none(),
+            is_barred: self.is_barred,
+            successor,
+        }
+    }
+
+    /// Takes a beat of another entry VM.
+    pub fn hear(&mut self, from: EntryVm, beat: Beat, now: Instant) -> Step {
+        self.peers.insert(from, Peer { heard: now, beat });
+        if beat.successor == Some(self.vm) && !self.is_scheduler() && !self.is_barred {
+            self.named = true;
+        }
+        let Some(token) = beat.token else {
+            if self.current.is_some_and(|(vm, _)| vm == from) {
+                return self.lose(now);
+            }
+            return Step::Stay;
+        };
+        self.highest = self.highest.max(token);
+        match self.current {
+            Some((vm, known)) if token > known => {
+                self.current = Some((from, token));
+                if vm == self.vm {
+                    Step::Yield(from)
+                } else {
+                    Step::Follow(from, token)
+                }
+            }
+            Some(_) => Step::Stay,
+            None => {
+                self.current = Some((from, token));
+                Step::Follow(from, token)
+            }
+        }
+    }
+
+    /// Takes note that the connection to another entry VM has broken.
+    pub fn link_lost(&mut self, vm: EntryVm, now: Instant) -> Step {
+        self.peers.remove(&vm);
+        if self.current.is_some_and(|(current, _)| current == vm) {
+            return self.lose(now);
+        }
+        Step::Stay
+    }
+
+    /// Takes note that workers have seen a higher token than this scheduler's.
+    pub fn fenced(&mut self, now: Instant) -> Step {
+        self.highest = FencingToken::new(self.highest.round() + FENCED_STEP, self.vm);
+        self.lose(now)
+    }
+
+    /// Decides by the time that has passed; `wall` is the time of day.
+    pub fn tick(&mut self, now: Instant, wall: SystemTime) -> Step {
+        match self.current {
+            Some((vm, _)) if vm == self.vm => self.check_own(now),
+            Some((vm, _)) => {
+                let heard = self.peers.get(&vm).map(|p| p.heard);
+                let silence = |h| now.saturating_duration_since(h);
+                if heard.is_none_or(|h| silence(h) >= self.cfg.scheduler_silence) {
+                    return self.lose(now);
+                }
+                Step::Stay
+            }
+            None => self.claim(now, wall),
+        }
+    }
+
+    /// Names the VM that takes over when this one stops.
+    pub fn successor(&self, now: Instant) -> Option<EntryVm> {
+        let live = self.live_peers(now);
+        live.min_by_key(|&(vm, peer)| order(vm, peer.beat.has_store))
+            .map(|(vm, _)| vm)
+    }
+
+    /// Stops scheduling on purpose.
+    pub fn resign(&mut self, now: Instant) -> Step {
+        match self.successor(now) {
+            Some(vm) => {
+                self.lose(now);
+                Step::HandOver(vm)
+            }
+            None => Step::Stay,
+        }
+    }
+
+    fn lose(&mut self, now: Instant) -> Step {
+        self.current = None;
+        self.lost_at = now;
+        Step::Lose
+    }
+
+    fn check_own(&mut self, now: Instant) -> Step {
+        let since = self.store_lost_at;
+        let is_long =
+            since.is_some_and(|at| now.saturating_duration_since(at) >= self.cfg.store_patience);
+        let successor = self.successor(now);
+        let has_store = |vm: &EntryVm| self.peers.get(vm).is_some_and(|p| p.beat.has_store);
+        if is_long && successor.as_ref().is_some_and(has_store) {
+            return self.resign(now);
+        }
+        Step::Stay
+    }
+
+    fn claim(&mut self, now: Instant, wall: SystemTime) -> Step {
+        if self.is_barred {
+            return Step::Stay;
+        }
+        let own = order(self.vm, self.store_lost_at.is_none());
+        let before = self
+            .live_peers(now)
+            .filter(|&(vm, peer)| order(vm, peer.beat.has_store) < own)
+            .count();
+        let turns = u32::try_from(before).unwrap_or(u32::MAX);
+        let start = (self.started + self.cfg.start_grace).max(self.lost_at);
+        if !self.named && now < start + self.cfg.turn * turns {
+            return Step::Stay;
+        }
+        self.named = false;
+        let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH + ROUND_EPOCH);
+        let by_clock = since_epoch.unwrap_or_default().as_secs();
+        let round = by_clock.max(self.highest.round() + 1);
+        let token = FencingToken::new(round, self.vm);
+        self.highest = token;
+        self.current = Some((self.vm, token));
+        Step::TakeOver(token)
+    }
+
+    fn live_peers(&self, now: Instant) -> impl Iterator<Item = (EntryVm, &Peer)> {
+        let limit = self.cfg.peer_silence;
+        self.peers
+            .iter()
+            .filter(move |(_, p)| {
+                now.saturating_duration_since(p.heard) < limit && !p.beat.is_barred
+            })
+            .map(|(&vm, p)| (vm, p))
+    }
+}
+
+/// Order in which entry VMs take over: those that the store answers first.
+fn order(vm: EntryVm, has_store: bool) -> (bool, EntryVm) {
+    (!has_store, vm)
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -0,0 +1,217 @@
+//! A job and its tasks.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::names::{EntryVm, TaskName};
+use super::spec::{JobSpec, StepSpec};
+use super::worker::WorkerKey;
+
+slotmap::new_key_type! {
+    /// Key of a job in the scheduler's arena.
+    pub(super) struct JobKey;
+}
+
+/// A task in the scheduler's arena: its job and its position there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct TaskKey {
+    pub(super) job: JobKey,
+    pub(super) position: u32,
+}
+
+/// Where a job is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum JobState {
+    /// No task has started.
+    #[display("queued")]
+    Queued,
+    /// A task has started.
+    #[display("running")]
+    Running,
+}
+
+/// Where a task is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TaskState {
+    /// An earlier step is not done.
+    Blocked,
+    /// It can start.
+    Waiting,
+    /// A worker has it.
+    Placed,
+    /// It has ended with success.
+    Done,
+}
+
+/// A task.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Task {
+    pub(super) step: u16,
+    pub(super) index: u16,
+    pub(super) state: TaskState,
+    /// Runs that ended as failed.
+    pub(super) failures: u32,
+    /// Number of the last run.
+    pub(super) last_run: u32,
+    /// Worker of the last run that failed.
+    pub(super) failed_on: Option<WorkerKey>,
+}
+
+/// Place of a job in the queue: the lowest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    pub(super) priority: u8,
+    /// Latest start at which the objective is met.
+    pub(super) latest_start: Instant,
+    pub(super) sequence: u64,
+}
+
+/// Times that a job is held to.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Times {
+    /// Until when the answer is in time.
+    pub(super) objective: Instant,
+    /// When its caller stops waiting.
+    pub(super) give_up: Instant,
+}
+
+/// A job.
+#[derive(Debug, Clone)]
+pub(super) struct Job {
+    pub(super) spec: JobSpec,
+    pub(super) origins: Vec<EntryVm>,
+    pub(super) times: Times,
+    pub(super) rank: Rank,
+    /// Expected run time of a task of each step.
+    pub(super) expected: Vec<Duration>,
+    pub(super) tasks: Vec<Task>,
+    /// Positions of the tasks that can start.
+    pub(super) ready: VecDeque<u32>,
+    /// Tasks of each step that are not done.
+    pub(super) left: Vec<u16>,
+    pub(super) has_started: bool,
+    /// Tasks must not start before it is known what an earlier scheduler left running.
+    pub(super) awaits_takeover: bool,
+    /// When it must be looked at again.
+    pub(super) check_at: Instant,
+}
+
+impl Job {
+    pub(super) fn new(
+        spec: JobSpec,
+        origin: EntryVm,
+        times: Times,
+        rank: Rank,
+        expected: Vec<Duration>,
+    ) -> Self {
+        let mut tasks = Vec::with_capacity(spec.task_count());
+        for (step, s) in (0..).zip(&spec.steps) {
+            tasks.extend((0..s.count).map(|index| Task {
+                step,
+                index,
+                state: TaskState::Blocked,
+                failures: 0,
+                last_run: 0,
+                failed_on: None,
+            }));
+        }
+        let left = spec.steps.iter().map(|s| s.count).collect();
+        let mut job = Self {
+            spec,
+            origins: vec![origin],
+            times,
+            rank,
+            expected,
+            tasks,
+            ready: VecDeque::new(),
+            left,
+            has_started: false,
+            awaits_takeover: false,
+            check_at: times.give_up,
+        };
+        job.unblock();
+        job
+    }
+
+    pub(super) fn step(&self, position: u32) -> &StepSpec {
+        &self.spec.steps[usize::from(self.task(position).step)]
+    }
+
+    pub(super) fn task(&self, position: u32) -> &Task {
+        &self.tasks[position as usize]
+    }
+
+    pub(super) fn task_mut(&mut self, position: u32) -> &mut Task {
+        &mut self.tasks[position as usize]
+    }
+
+    pub(super) fn name(&self, position: u32) -> TaskName {
+        let task = self.task(position);
+        TaskName {
+            job: self.spec.id,
+            occurrence: 0,
+            step: task.step,
+            index: task.index,
+        }
+    }
+
+    pub(super) fn position(&self, name: TaskName) -> Option<u32> {
+        let found = self
+            .tasks
+            .iter()
+            .position(|t| t.step == name.step && t.index == name.index);
+        found.and_then(|p| u32::try_from(p).ok())
+    }
+
+    pub(super) fn expected_run(&self, position: u32) -> Duration {
+        self.expected[usize::from(self.task(position).step)]
+    }
+
+    pub(super) fn payload(&self) -> Arc<str> {
+        Arc::clone(&self.spec.payload)
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.left.iter().all(|&left| left == 0)
+    }
+
+    pub(super) fn mark_done(&mut self, position: u32) {
+        let step = usize::from(self.task(position).step);
+        if self.task(position).state == TaskState::Done {
+            return;
+        }
+        self.ready.retain(|&p| p != position);
+        self.task_mut(position).state = TaskState::Done;
+        self.left[step] -= 1;
+        if self.left[step] == 0 {
+            self.unblock();
+        }
+    }
+
+    /// Puts a task whose run is over back among those that can start, before the others.
+    pub(super) fn requeue(&mut self, position: u32) {
+        if self.task(position).state == TaskState::Placed {
+            self.task_mut(position).state = TaskState::Waiting;
+            self.ready.push_front(position);
+        }
+    }
+
+    pub(super) fn mark_placed(&mut self, position: u32) {
+        self.ready.retain(|&p| p != position);
+        self.task_mut(position).state = TaskState::Placed;
+        self.has_started = true;
+    }
+
+    /// Lets the tasks start whose earlier steps are done.
+    fn unblock(&mut self) {
+        for (position, task) in (0..).zip(&mut self.tasks) {
+            let step = &self.spec.steps[usize::from(task.step)];
+            let is_open = step.after.iter().all(|&s| self.left[usize::from(s)] == 0);
+            if task.state == TaskState::Blocked && is_open {
+                task.state = TaskState::Waiting;
+                self.ready.push_back(position);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -0,0 +1,32 @@
+//! Jobs whose tasks run on workers under leases and fencing tokens.
+//!
+//! One scheduler at a time places the tasks of a set of workers. It takes a
+//! [`Command`] and a [`Context`](crate::Context), and pushes [`Effect`]s for its host to carry out.
+//! A deposed scheduler does no harm: workers ignore a fencing token lower than the highest they
+//! have seen, and whatever nobody renews ends with its lease.
+
+pub mod admission;
+mod command;
+mod effect;
+pub mod election;
+pub mod estimates;
+mod health;
+mod job;
+mod names;
+mod placement;
+mod report;
+pub mod routes;
+mod scheduler;
+mod spec;
+mod worker;
+mod worker_clock;
+
+pub use command::{Command, LookReply, StartReply, StopReply, Submission};
+pub use effect::{Effect, JobOutcome, LookCall, RefusalReason, StartCall, StopCall};
+pub use job::JobState;
+pub use names::{EntryVm, FencingToken, JobId, NameError, TaskName, WorkerName};
+pub use report::{EndKind, EndedRun, RunningTask, WorkerReport};
+pub use scheduler::{Scheduler, Snapshot};
+pub use spec::{JobSpec, Resources, StepSpec};
+pub use worker::{WorkerEntry, WorkerKey, WorkerState};
+pub use worker_clock::WorkerTime;
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/names.rs
@@ -0,0 +1,103 @@
+//! Names of jobs, tasks, workers and entry VMs.
+
+use std::net::Ipv4Addr;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use derive_more::{Display, Error, From};
+
+/// Digits of a job's id.
+const ID_DIGITS: usize = 16;
+
+/// Bits of a fencing token that name the entry VM.
+const VM_BITS: u32 = 24;
+
+/// A job's id, chosen by its caller: 16 lower-case hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
+#[display("{_0:016x}")]
+pub struct JobId(pub u64);
+
+/// A name that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum NameError {
+    /// Not 16 lower-case hexadecimal digits.
+    #[display("a job's id has 16 lower-case hexadecimal digits")]
+    JobId,
+    /// Not `ID.OCCURRENCE.STEP.INDEX`.
+    #[display("a task's name has the form ID.OCCURRENCE.STEP.INDEX")]
+    TaskName,
+}
+
+impl FromStr for JobId {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let is_digit = |c: u8| matches!(c, b'0'..=b'9' | b'a'..=b'f');
+        if text.len() != ID_DIGITS || !text.bytes().all(is_digit) {
+            return Err(NameError::JobId);
+        }
+        let id = u64::from_str_radix(text, 16).map_err(|_| NameError::JobId)?;
+        Ok(Self(id))
+    }
+}
+
+/// Name of one task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[display("{job}.{occurrence}.{step}.{index}")]
+pub struct TaskName {
+    /// Its job.
+    pub job: JobId,
+    /// Which repetition of the job; 0 for a job that runs once.
+    pub occurrence: u32,
+    /// Its step, from 0.
+    pub step: u16,
+    /// Its place in the step, from 0.
+    pub index: u16,
+}
+
+impl FromStr for TaskName {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Self, NameError> {
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or(NameError::TaskName);
+        let name = Self {
+            job: next()?.parse()?,
+            occurrence: next()?.parse().map_err(|_| NameError::TaskName)?,
+            step: next()?.parse().map_err(|_| NameError::TaskName)?,
+            index: next()?.parse().map_err(|_| NameError::TaskName)?,
+        };
+        if parts.next().is_some() {
+            return Err(NameError::TaskName);
+        }
+        Ok(name)
+    }
+}
+
+/// Name of a worker.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct WorkerName(pub Arc<str>);
+
+/// An entry VM, by its address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
+pub struct EntryVm(pub Ipv4Addr);
+
+/// Rank of a scheduler: workers ignore orders with a lower one than they have seen.
+///
+/// A round, that grows with each takeover, and the low bits of the entry VM's address, so that two
+/// that take over at once never hold the same one. It stays below 2^53, which JSON numbers carry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct FencingToken(pub u64);
+
+impl FencingToken {
+    /// The token of `vm` in `round`.
+    pub fn new(round: u64, vm: EntryVm) -> Self {
+        let vm_part = u64::from(u32::from(vm.0)) & ((1 << VM_BITS) - 1);
+        Self((round << VM_BITS) | vm_part)
+    }
+
+    /// Its round.
+    pub fn round(self) -> u64 {
+        self.0 >> VM_BITS
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -0,0 +1,176 @@
+//! Ends of runs and of jobs.
+
+use super::Scheduler;
+use crate::context::Context;
+use crate::leased::effect::{Effect, JobOutcome, StopCall};
+use crate::leased::job::{JobKey, TaskKey};
+use crate::leased::names::TaskName;
+use crate::leased::report::EndKind;
+use crate::leased::worker::{Run, RunState, WorkerKey};
+
+impl Scheduler {
+    /// Ends a job: answers its callers and stops what runs of it.
+    pub(super) fn finish(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        outcome: JobOutcome,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&job.spec.id);
+        self.waiting.remove(&(job.rank, key));
+        self.checks.remove(&(job.check_at, key));
+        for &origin in &job.origins {
+            out.push(Effect::Answer {
+                origin,
+                id: job.spec.id,
+                outcome,
+            });
+        }
+        if !job.has_started || job.is_done() {
+            return;
+        }
+        let workers: Vec<WorkerKey> = self.workers.keys().collect();
+        for worker in workers {
+            let runs = &self.workers[worker].runs;
+            let own: Vec<(TaskName, u32)> = runs
+                .iter()
+                .filter(|r| r.task.job == key)
+                .map(|r| (r.name, r.run))
+                .collect();
+            for (name, run) in own {
+                self.stop(cx, worker, name, run, out);
+            }
+        }
+    }
+
+    /// Tells a worker to stop a run.
+    pub(super) fn stop(
+        &mut self,
+        cx: &Context<'_>,
+        on: WorkerKey,
+        task: TaskName,
+        run: u32,
+        out: &mut Vec<Effect>,
+    ) {
+        let worker = &mut self.workers[on];
+        if let Some(position) = worker.run_position(task, run) {
+            let run = &mut worker.runs[position];
+            run.state = RunState::Stopping;
+            run.stop_sent = Some(cx.now);
+        }
+        out.push(Effect::Stop(StopCall {
+            worker: on,
+            name: worker.entry.name.clone(),
+            address: worker.entry.address,
+            task,
+            run,
+            token: self.token,
+        }));
+    }
+
+    /// Takes note that a run is over.
+    pub(super) fn run_ended(
+        &mut self,
+        cx: &Context<'_>,
+        on: WorkerKey,
+        run: &Run,
+        kind: EndKind,
+        out: &mut Vec<Effect>,
+    ) {
+        self.has_new_room = true;
+        if kind == EndKind::Done {
+            self.note_pace(cx, on, run);
+        }
+        let TaskKey { job: key, position } = run.task;
+        if !self.jobs.contains_key(key) {
+            return;
+        }
+        match kind {
+            EndKind::Done => self.task_done(cx, run.task, out),
+            EndKind::Failed => self.task_failed(cx, run.task, on, out),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::GangBroken => {
+                self.requeue(key, position);
+            }
+        }
+    }
+
+    fn note_pace(&mut self, cx: &Context<'_>, on: WorkerKey, run: &Run) {
+        let took = cx.now.saturating_duration_since(run.sent);
+        let ratio = took.as_secs_f64() / run.expected.as_secs_f64().max(0.001);
+        let health = &mut self.workers[on].health;
+        health.note_success();
+        health.note_pace(ratio, cx.now, &cx.cfg.leased);
+        if health.slowness(&cx.cfg.leased) > 1.0 {
+            return;
+        }
+        if let Some(job) = self.jobs.get(run.task.job) {
+            let declared = job.step(run.task.position).estimate;
+            let queue = &job.spec.queue;
+            self.estimates.note(&cx.cfg.leased, queue, declared, took);
+        }
+    }
+
+    pub(super) fn requeue(&mut self, key: JobKey, position: u32) {
+        let job = &mut self.jobs[key];
+        job.requeue(position);
+        if !job.ready.is_empty() {
+            self.waiting.insert((job.rank, key));
+        }
+    }
+
+    fn task_done(&mut self, cx: &Context<'_>, task: TaskKey, out: &mut Vec<Effect>) {
+        let job = &mut self.jobs[task.job];
+        job.mark_done(task.position);
+        if job.is_done() {
+            self.finish(cx, task.job, JobOutcome::Completed, out);
+        } else if !job.ready.is_empty() {
+            self.waiting.insert((job.rank, task.job));
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        cx: &Context<'_>,
+        task: TaskKey,
+        on: WorkerKey,
+        out: &mut Vec<Effect>,
+    ) {
+        let max_attempts = self.jobs[task.job].spec.max_attempts;
+        let entry = self.jobs[task.job].task_mut(task.position);
+        entry.failures += 1;
+        let (failures, before) = (entry.failures, entry.failed_on.replace(on));
+        // A task that fails on a second worker as well is more likely at fault than both workers.
+        match before.and_then(|b| self.workers.get_mut(b)) {
+            Some(earlier) if before != Some(on) => earlier.health.forgive(),
+            _ => {
+                let health = &mut self.workers[on].health;
+                health.note_fault(cx.now, &cx.cfg.leased);
+            }
+        }
+        if failures >= max_attempts {
+            self.finish(cx, task.job, JobOutcome::Failed, out);
+        } else {
+            self.requeue(task.job, task.position);
+        }
+    }
+
+    /// Takes note that a worker has none of the runs it was given: it has started anew.
+    pub(super) fn forget_runs(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let worker = &mut self.workers[key];
+        worker.clock = None;
+        worker.is_fenced = false;
+        worker.lease = None;
+        worker.last_seen = 0;
+        worker.owes_ack = false;
+        worker.orphans.clear();
+        worker.looking = crate::leased::worker::Looking::default();
+        while !self.workers[key].runs.is_empty() {
+            let run = self.workers[key].remove_run(0);
+            self.run_ended(cx, key, &run, EndKind::Lapsed, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -0,0 +1,214 @@
+//! Looks at workers: leases renewed, progress read, ends acknowledged.
+
+use std::time::{Duration, Instant};
+
+use super::Scheduler;
+use crate::configs::leased::LeasedConfig;
+use crate::context::Context;
+use crate::leased::effect::{Effect, LookCall};
+use crate::leased::health::doubled;
+use crate::leased::names::TaskName;
+use crate::leased::report::{EndKind, WorkerReport};
+use crate::leased::worker::{Orphan, RunState, Worker, WorkerKey};
+use crate::leased::worker_clock::WorkerClock;
+
+impl Scheduler {
+    pub(super) fn take_report(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        sent: Instant,
+        report: &WorkerReport,
+        out: &mut Vec<Effect>,
+    ) {
+        let known = self.workers[key].entry.born;
+        if known.is_some() && report.born.is_some() && known != report.born {
+            self.workers[key].entry.born = report.born;
+            self.forget_runs(cx, key, out);
+        }
+        let worker = &mut self.workers[key];
+        worker.looking.out_since = None;
+        worker.looking.misses = 0;
+        worker.looking.not_before = None;
+        worker.clock = Some(WorkerClock::new(report.clock, cx.now));
+        if !worker.is_fenced {
+            worker.is_fenced = true;
+            self.has_new_room = true;
+        }
+        self.take_ends(cx, key, report, out);
+        self.take_running(cx, key, report);
+        self.drop_missing(cx, key, sent, report, out);
+    }
+
+    fn take_ends(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        report: &WorkerReport,
+        out: &mut Vec<Effect>,
+    ) {
+        for end in &report.ended {
+            let worker = &mut self.workers[key];
+            if end.number > worker.last_seen {
+                worker.last_seen = end.number;
+                worker.owes_ack = true;
+            }
+            let is_ended = |o: &Orphan| o.name == end.task && o.run == end.run;
+            worker.orphans.retain(|o| !is_ended(o));
+            if let Some(position) = worker.run_position(end.task, end.run) {
+                let run = worker.remove_run(position);
+                self.run_ended(cx, key, &run, end.kind, out);
+            } else if end.kind == EndKind::Done {
+                self.done_elsewhere(cx, end.task, out);
+            }
+        }
+    }
+
+    /// Takes note of a success that an earlier scheduler had ordered.
+    fn done_elsewhere(&mut self, cx: &Context<'_>, name: TaskName, out: &mut Vec<Effect>) {
+        let Some(&job) = self.by_id.get(&name.job) else {
+            self.early_ends.insert(name, cx.now);
+            return;
+        };
+        if !self.jobs[job].awaits_takeover {
+            return;
+        }
+        let Some(position) = self.jobs[job].position(name) else {
+            return;
+        };
+        if self.jobs[job].ready.contains(&position) {
+            self.jobs[job].mark_done(position);
+            if self.jobs[job].is_done() {
+                use crate::leased::effect::JobOutcome;
+                self.finish(cx, job, JobOutcome::Completed, out);
+            }
+        }
+    }
+
+    fn take_running(&mut self, cx: &Context<'_>, key: WorkerKey, report: &WorkerReport) {
+        for row in &report.running {
+            let worker = &mut self.workers[key];
+            if let Some(position) = worker.run_position(row.task, row.run) {
+                let run = &mut worker.runs[position];
+                if row.percent > run.percent {
+                    run.percent = row.percent;
+                    run.moved = cx.now;
+                }
+                if matches!(run.state, RunState::Starting | RunState::Unsure) {
+                    run.state = RunState::Running;
+                    run.settled = cx.now;
+                }
+                continue;
+            }
+            let is_known = |o: &Orphan| o.name == row.task && o.run == row.run;
+            if !worker.orphans.iter().any(is_known) {
+                worker.orphans.push(Orphan {
+                    name: row.task,
+                    run: row.run,
+                    since: cx.now,
+                    stop_sent: None,
+                });
+            }
+            if let Some(&job) = self.by_id.get(&row.task.job) {
+                self.adopt(cx, job, key, row.task, row.run);
+            }
+        }
+    }
+
+    /// Ends the runs that a worker should know, but doesn't.
+    fn drop_missing(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        sent: Instant,
+        report: &WorkerReport,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_listed = |name: TaskName, run: u32| {
+            report
+                .running
+                .iter()
+                .any(|row| row.task == name && row.run == run)
+        };
+        let worker = &mut self.workers[key];
+        worker.orphans.retain(|o| is_listed(o.name, o.run));
+        let mut position = 0;
+        while position < self.workers[key].runs.len() {
+            let run = &self.workers[key].runs[position];
+            let is_settled = matches!(run.state, RunState::Running | RunState::Stopping);
+            if is_settled && run.settled < sent && !is_listed(run.name, run.run) {
+                let run = self.workers[key].remove_run(position);
+                self.run_ended(cx, key, &run, EndKind::Stopped, out);
+            } else {
+                position += 1;
+            }
+        }
+    }
+
+    pub(super) fn look_failed(&mut self, cx: &Context<'_>, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        worker.looking.out_since = None;
+        let cfg = &cx.cfg.leased;
+        let pause = doubled(cfg.first_pause, worker.looking.misses, cfg.max_pause);
+        worker.looking.misses += 1;
+        worker.looking.not_before = Some(cx.now + pause);
+    }
+
+    /// Sends a look where one is due and none is under way.
+    pub(super) fn plan_look(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let is_early = worker.looking.not_before.is_some_and(|t| cx.now < t);
+        if worker.looking.out_since.is_some() || is_early || !needs_look(worker) {
+            return;
+        }
+        let has_runs = !worker.runs.is_empty();
+        let lease_until = worker
+            .clock
+            .filter(|_| has_runs && worker.is_fenced)
+            .map(|clock| clock.at(cx.now).after(cx.cfg.leased.lease));
+        if let Some(until) = lease_until {
+            worker.note_lease(until);
+        }
+        worker.looking.out_since = Some(cx.now);
+        worker.owes_ack = false;
+        let is_first = !worker.is_fenced || worker.looking.misses > 0;
+        out.push(Effect::Look(LookCall {
+            worker: key,
+            name: worker.entry.name.clone(),
+            address: worker.entry.address,
+            lease_until,
+            last_seen: worker.last_seen,
+            wait: if is_first {
+                Duration::ZERO
+            } else {
+                look_wait(&cx.cfg.leased, worker, cx.now)
+            },
+            token: self.token,
+        }));
+    }
+}
+
+fn needs_look(worker: &Worker) -> bool {
+    let has_runs = !worker.runs.is_empty() || !worker.orphans.is_empty();
+    let must_answer = worker.is_listed && (!worker.is_fenced || worker.looking.misses > 0);
+    has_runs || worker.owes_ack || must_answer
+}
+
+/// How long a look waits for an end: until the first task is overdue.
+fn look_wait(cfg: &LeasedConfig, worker: &Worker, now: Instant) -> Duration {
+    if worker.runs.iter().any(|r| r.state == RunState::Stopping) || !worker.orphans.is_empty() {
+        return cfg.min_look_wait;
+    }
+    let ends = worker
+        .runs
+        .iter()
+        .map(|r| r.sent + r.expected + cfg.overdue_slack);
+    let Some(first) = ends.min() else {
+        return Duration::ZERO;
+    };
+    first
+        .saturating_duration_since(now)
+        .clamp(cfg.min_look_wait, cfg.max_look_wait)
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -0,0 +1,239 @@
+//! The scheduler: takes commands, decides, and pushes effects.
+
+mod finish;
+mod look;
+mod place;
+mod replies;
+mod submit;
+mod watch;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use slotmap::SlotMap;
+
+use super::command::{Command, LookReply};
+use super::effect::Effect;
+use super::estimates::Estimates;
+use super::job::{Job, JobKey, JobState, Rank};
+use super::names::{FencingToken, JobId, TaskName, WorkerName};
+use super::worker::{Worker, WorkerEntry, WorkerKey};
+use crate::collections::Map;
+use crate::context::Context;
+
+/// Places the tasks of all jobs on the workers of its data centres.
+#[derive(Debug)]
+pub struct Scheduler {
+    token: FencingToken,
+    data_centre: Arc<str>,
+    started: Instant,
+    workers: SlotMap<WorkerKey, Worker>,
+    by_name: Map<WorkerName, WorkerKey>,
+    jobs: SlotMap<JobKey, Job>,
+    /// Ordered, as callers choose the ids.
+    by_id: BTreeMap<JobId, JobKey>,
+    waiting: BTreeSet<(Rank, JobKey)>,
+    checks: BTreeSet<(Instant, JobKey)>,
+    estimates: Estimates,
+    /// Ends of tasks whose jobs have not been passed on to this scheduler yet.
+    early_ends: BTreeMap<TaskName, Instant>,
+    sequence: u64,
+    /// Whether tasks may fit that did not fit before.
+    has_new_room: bool,
+    is_deposed: bool,
+}
+
+/// Figures of a scheduler at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Workers that are listed.
+    pub workers: usize,
+    /// Workers that can be given tasks.
+    pub usable: usize,
+    /// Workers set aside for faults.
+    pub paused: usize,
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Jobs with tasks that wait.
+    pub waiting: usize,
+    /// Runs that are known.
+    pub runs: usize,
+}
+
+impl Scheduler {
+    /// Makes a scheduler that takes over at `cx.now`.
+    pub fn new(cx: &Context<'_>, token: FencingToken, data_centre: Arc<str>) -> Self {
+        Self {
+            token,
+            data_centre,
+            started: cx.now,
+            workers: SlotMap::with_key(),
+            by_name: Map::default(),
+            jobs: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            checks: BTreeSet::new(),
+            estimates: Estimates::default(),
+            early_ends: BTreeMap::new(),
+            sequence: 0,
+            has_new_room: false,
+            is_deposed: false,
+        }
+    }
+
+    /// The same scheduler with run times that another one has learnt.
+    #[must_use]
+    pub fn with_estimates(mut self, estimates: Estimates) -> Self {
+        self.estimates = estimates;
+        self
+    }
+
+    /// Its rank.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Run times learnt so far.
+    pub fn estimates(&self) -> &Estimates {
+        &self.estimates
+    }
+
+    /// Carries out one command; what the host has to do is pushed to `out`.
+    pub fn handle(&mut self, cx: &Context<'_>, cmd: Command, out: &mut Vec<Effect>) {
+        if self.is_deposed {
+            return;
+        }
+        match cmd {
+            Command::Submit(submission) => self.submit(cx, submission, out),
+            Command::Withdraw { id, origin } => self.withdraw(cx, id, origin, out),
+            Command::Cancel { id } => self.cancel(cx, id, out),
+            Command::EntryLost(origin) => self.entry_lost(cx, origin, out),
+            Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
+            Command::WorkerGone(name) => self.worker_gone(&name),
+            Command::StartReplied {
+                worker,
+                task,
+                run,
+                reply,
+                clock,
+            } => self.start_replied(cx, (worker, task, run), reply, clock, out),
+            Command::StopReplied {
+                worker,
+                task,
+                run,
+                reply,
+            } => self.stop_replied(cx, (worker, task, run), reply, out),
+            Command::Looked {
+                worker,
+                sent,
+                reply,
+            } => self.looked(cx, worker, sent, reply, out),
+            Command::Tick => self.tick(cx, out),
+        }
+        if self.has_new_room && !self.is_deposed {
+            self.has_new_room = false;
+            self.place_waiting(cx, out);
+        }
+    }
+
+    /// State of a job that has not ended.
+    pub fn state_of(&self, id: JobId) -> Option<JobState> {
+        let job = &self.jobs[*self.by_id.get(&id)?];
+        Some(if job.has_started {
+            JobState::Running
+        } else {
+            JobState::Queued
+        })
+    }
+
+    /// Jobs of each queue none of whose tasks has started.
+    pub fn pending(&self) -> Map<Arc<str>, u32> {
+        let mut pending = Map::default();
+        for job in self.jobs.values().filter(|j| !j.has_started) {
+            *pending.entry(Arc::clone(&job.spec.queue)).or_insert(0) += 1;
+        }
+        pending
+    }
+
+    /// Its figures.
+    pub fn snapshot(&self, now: Instant) -> Snapshot {
+        let workers = self.workers.values();
+        Snapshot {
+            workers: workers.clone().filter(|w| w.is_listed).count(),
+            usable: workers.clone().filter(|w| w.is_usable()).count(),
+            paused: workers.clone().filter(|w| w.health.is_paused(now)).count(),
+            jobs: self.jobs.len(),
+            waiting: self.waiting.len(),
+            runs: workers.map(|w| w.runs.len()).sum(),
+        }
+    }
+
+    /// Time at which [`Command::Tick`] is due next, where nothing else happens before.
+    pub fn next_check(&self) -> Option<Instant> {
+        self.checks.first().map(|&(at, _)| at)
+    }
+
+    fn looked(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        sent: Instant,
+        reply: LookReply,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.workers.contains_key(key) {
+            return;
+        }
+        match reply {
+            LookReply::Report(report) => self.take_report(cx, key, sent, &report, out),
+            LookReply::Fenced => self.depose(key, out),
+            LookReply::OtherLife => {
+                self.forget_runs(cx, key, out);
+                self.look_failed(cx, key);
+            }
+            LookReply::Unanswered => self.look_failed(cx, key),
+        }
+        self.plan_look(cx, key, out);
+    }
+
+    fn worker_seen(&mut self, cx: &Context<'_>, entry: WorkerEntry, out: &mut Vec<Effect>) {
+        let key = if let Some(&key) = self.by_name.get(&entry.name) {
+            let worker = &mut self.workers[key];
+            let is_other_life = worker.entry.address != entry.address
+                || (entry.born.is_some() && entry.born != worker.entry.born);
+            worker.entry = entry;
+            worker.is_listed = true;
+            if is_other_life {
+                self.forget_runs(cx, key, out);
+            }
+            key
+        } else {
+            let name = entry.name.clone();
+            let key = self.workers.insert(Worker::new(entry));
+            self.by_name.insert(name, key);
+            key
+        };
+        self.has_new_room = true;
+        self.plan_look(cx, key, out);
+    }
+
+    fn worker_gone(&mut self, name: &WorkerName) {
+        let Some(&key) = self.by_name.get(name) else {
+            return;
+        };
+        let worker = &mut self.workers[key];
+        worker.is_listed = false;
+        if worker.runs.is_empty() && worker.orphans.is_empty() {
+            self.workers.remove(key);
+            self.by_name.remove(name);
+        }
+    }
+
+    fn depose(&mut self, key: WorkerKey, out: &mut Vec<Effect>) {
+        self.is_deposed = true;
+        out.push(Effect::Deposed {
+            worker: self.workers[key].entry.name.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -0,0 +1,140 @@
+//! Starts of tasks.
+
+use super::Scheduler;
+use super::submit::is_takeover_over;
+use crate::context::Context;
+use crate::leased::effect::{Effect, StartCall};
+use crate::leased::job::{JobKey, TaskKey};
+use crate::leased::names::TaskName;
+use crate::leased::placement::{self, Wish};
+use crate::leased::worker::{Run, RunState, WorkerKey};
+
+impl Scheduler {
+    /// Starts what fits, in order of rank.
+    pub(super) fn place_waiting(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let respects_pauses = self.are_pauses_respected(cx);
+        let is_settled = is_takeover_over(self, cx.now, cx.cfg.leased.takeover_wait);
+        let mut misses = 0;
+        let order: Vec<_> = self.waiting.iter().copied().collect();
+        for (rank, key) in order {
+            if self.jobs[key].awaits_takeover && !is_settled {
+                continue;
+            }
+            if !self.place_job(cx, key, respects_pauses, out) {
+                misses += 1;
+            }
+            if self.jobs[key].ready.is_empty() {
+                self.waiting.remove(&(rank, key));
+            }
+            if misses >= cx.cfg.leased.scan_limit {
+                break;
+            }
+        }
+    }
+
+    /// Starts tasks of one job; `false` where one has to wait.
+    fn place_job(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        respects_pauses: bool,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        while let Some(&position) = self.jobs[key].ready.front() {
+            let task = TaskKey { job: key, position };
+            let wish = Wish {
+                job: &self.jobs[key],
+                task,
+                now: cx.now,
+                data_centre: &self.data_centre,
+                respects_pauses,
+            };
+            let Some(worker) = placement::choose(&cx.cfg.leased, &self.workers, wish) else {
+                return false;
+            };
+            self.start(cx, task, worker, out);
+        }
+        true
+    }
+
+    /// Workers that were set aside are left out only while they are few.
+    fn are_pauses_respected(&self, cx: &Context<'_>) -> bool {
+        let snapshot = self.snapshot(cx.now);
+        snapshot.paused * 100 <= snapshot.workers * cx.cfg.leased.max_paused_percent
+    }
+
+    fn start(&mut self, cx: &Context<'_>, task: TaskKey, to: WorkerKey, out: &mut Vec<Effect>) {
+        let job = &mut self.jobs[task.job];
+        let was_started = job.has_started;
+        job.mark_placed(task.position);
+        job.task_mut(task.position).last_run += 1;
+        let (name, run) = (job.name(task.position), job.task(task.position).last_run);
+        let worker = &mut self.workers[to];
+        let Some(clock) = worker.clock else { return };
+        let lease_until = clock.at(cx.now).after(cx.cfg.leased.lease);
+        worker.note_lease(lease_until);
+        worker.add_run(Run {
+            task,
+            name,
+            run,
+            size: job.step(task.position).size,
+            state: RunState::Starting,
+            sent: cx.now,
+            settled: cx.now,
+            expected: job.expected_run(task.position),
+            percent: 0,
+            moved: cx.now,
+            stop_sent: None,
+        });
+        out.push(Effect::Start(StartCall {
+            worker: to,
+            name: worker.entry.name.clone(),
+            address: worker.entry.address,
+            task: name,
+            run,
+            payload: job.payload(),
+            lease_until,
+            token: self.token,
+        }));
+        if !was_started {
+            self.plan_check(cx, task.job);
+        }
+    }
+
+    /// Takes a run of an earlier scheduler over into a job.
+    pub(super) fn adopt(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        on: WorkerKey,
+        name: TaskName,
+        run: u32,
+    ) {
+        use crate::leased::job::TaskState;
+        let job = &mut self.jobs[key];
+        let Some(position) = job.position(name) else {
+            return;
+        };
+        if job.task(position).state != TaskState::Waiting {
+            return;
+        }
+        job.mark_placed(position);
+        let task = job.task_mut(position);
+        task.last_run = task.last_run.max(run);
+        let worker = &mut self.workers[on];
+        worker.orphans.retain(|o| o.name != name || o.run != run);
+        worker.add_run(Run {
+            task: TaskKey { job: key, position },
+            name,
+            run,
+            size: job.step(position).size,
+            state: RunState::Running,
+            sent: cx.now,
+            settled: cx.now,
+            expected: job.expected_run(position),
+            percent: 0,
+            moved: cx.now,
+            stop_sent: None,
+        });
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -0,0 +1,110 @@
+//! Replies of workers to starts and stops.
+
+use super::Scheduler;
+use crate::context::Context;
+use crate::leased::command::{StartReply, StopReply};
+use crate::leased::effect::Effect;
+use crate::leased::job::TaskKey;
+use crate::leased::names::TaskName;
+use crate::leased::report::EndKind;
+use crate::leased::worker::{RunState, WorkerKey};
+use crate::leased::worker_clock::{WorkerClock, WorkerTime};
+
+/// Added to the number of a run that a worker calls outdated, to get past what it has seen.
+const OUTDATED_STEP: u32 = 100;
+
+/// A run on a worker.
+type RunRef = (WorkerKey, TaskName, u32);
+
+impl Scheduler {
+    pub(super) fn start_replied(
+        &mut self,
+        cx: &Context<'_>,
+        (key, task, run): RunRef,
+        reply: StartReply,
+        clock: Option<WorkerTime>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if let Some(clock) = clock {
+            worker.clock = Some(WorkerClock::new(clock, cx.now));
+        }
+        let Some(position) = worker.run_position(task, run) else {
+            return;
+        };
+        match reply {
+            StartReply::Accepted => {
+                let run = &mut worker.runs[position];
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running;
+                    run.settled = cx.now;
+                    run.moved = cx.now;
+                }
+            }
+            StartReply::Unanswered => {
+                if worker.runs[position].state == RunState::Starting {
+                    worker.runs[position].state = RunState::Unsure;
+                }
+                // Its leases lapse unless a look gets through.
+                worker.looking.misses = worker.looking.misses.max(1);
+                self.stop(cx, key, task, run, out);
+            }
+            StartReply::Fenced => return self.depose(key, out),
+            StartReply::OtherLife => self.forget_runs(cx, key, out),
+            refusal => self.start_refused(cx, key, position, refusal, out),
+        }
+        self.plan_look(cx, key, out);
+    }
+
+    fn start_refused(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        position: usize,
+        reply: StartReply,
+        out: &mut Vec<Effect>,
+    ) {
+        let worker = &mut self.workers[key];
+        let run = worker.remove_run(position);
+        let TaskKey { job, position } = run.task;
+        match reply {
+            StartReply::Outdated => {
+                if let Some(job) = self.jobs.get_mut(job) {
+                    job.task_mut(position).last_run += OUTDATED_STEP;
+                }
+            }
+            StartReply::NotSent => worker.looking.misses = worker.looking.misses.max(1),
+            StartReply::Refused => {
+                worker.health.note_fault(cx.now, &cx.cfg.leased);
+            }
+            _ => {}
+        }
+        self.run_ended(cx, key, &run, EndKind::Stopped, out);
+    }
+
+    pub(super) fn stop_replied(
+        &mut self,
+        cx: &Context<'_>,
+        (key, task, run): RunRef,
+        reply: StopReply,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        match reply {
+            StopReply::Accepted => {
+                if let Some(position) = worker.run_position(task, run) {
+                    // A look sent from now on tells whether it is still there.
+                    worker.runs[position].settled = cx.now;
+                    worker.runs[position].state = RunState::Stopping;
+                }
+            }
+            StopReply::Fenced => return self.depose(key, out),
+            StopReply::Unanswered => {}
+        }
+        self.plan_look(cx, key, out);
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -0,0 +1,265 @@
+//! Jobs that come in and callers that go away.
+
+use std::time::{Duration, Instant};
+
+use super::Scheduler;
+use crate::context::Context;
+use crate::leased::admission::{self, Backlog};
+use crate::leased::command::Submission;
+use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
+use crate::leased::job::{Job, JobKey, Rank, Times};
+use crate::leased::names::{EntryVm, JobId};
+use crate::leased::placement;
+use crate::leased::spec::JobSpec;
+
+/// Shortest time after which a refused caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs that an earlier scheduler may have made of a task, so that later numbers are higher.
+const RUNS_BEFORE_TAKEOVER: u32 = 100;
+
+impl Scheduler {
+    pub(super) fn submit(
+        &mut self,
+        cx: &Context<'_>,
+        submission: Submission,
+        out: &mut Vec<Effect>,
+    ) {
+        let Submission {
+            spec,
+            origin,
+            waited,
+            patience,
+            may_have_started,
+        } = submission;
+        if let Some(&key) = self.by_id.get(&spec.id) {
+            let job = &mut self.jobs[key];
+            if !job.origins.contains(&origin) {
+                job.origins.push(origin);
+            }
+            return;
+        }
+        let id = spec.id;
+        let job = self.new_job(cx, spec, origin, waited, patience);
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.adopt_orphans(cx, key);
+        let job = &mut self.jobs[key];
+        if may_have_started {
+            job.awaits_takeover = true;
+            for task in &mut job.tasks {
+                task.last_run = task.last_run.max(RUNS_BEFORE_TAKEOVER);
+            }
+        }
+        if job.is_done() {
+            self.finish(cx, key, JobOutcome::Completed, out);
+            return;
+        }
+        if !self.jobs[key].has_started
+            && !may_have_started
+            && let Some(reason) = self.refusal(cx, key)
+        {
+            self.refuse(cx, key, reason, out);
+            return;
+        }
+        self.plan_check(cx, key);
+        if !self.jobs[key].ready.is_empty() {
+            self.waiting.insert((self.jobs[key].rank, key));
+        }
+        self.has_new_room = true;
+    }
+
+    fn new_job(
+        &mut self,
+        cx: &Context<'_>,
+        spec: JobSpec,
+        origin: EntryVm,
+        waited: Duration,
+        patience: Duration,
+    ) -> Job {
+        let queue = &spec.queue;
+        let expect = |declared| self.estimates.expected(queue, declared);
+        let expected: Vec<Duration> = spec.steps.iter().map(|s| expect(s.estimate)).collect();
+        let chain = longest_chain(&spec, &expected);
+        let arrived = cx.now.checked_sub(waited).unwrap_or(cx.now);
+        let give_up = cx.now + patience;
+        let objective = (arrived + chain.mul_f64(spec.stretch) + spec.target_latency).min(give_up);
+        self.sequence += 1;
+        let rank = Rank {
+            priority: spec.priority,
+            latest_start: objective.checked_sub(chain).unwrap_or(arrived),
+            sequence: self.sequence,
+        };
+        let times = Times { objective, give_up };
+        Job::new(spec, origin, times, rank, expected)
+    }
+
+    /// Why a job that has just come in can't be served, if it can't.
+    fn refusal(&self, cx: &Context<'_>, key: JobKey) -> Option<RefusalReason> {
+        let job = &self.jobs[key];
+        let can_run = |p| {
+            self.workers
+                .values()
+                .any(|w| placement::could_run(w, job, p))
+        };
+        if !(0..)
+            .zip(&job.tasks)
+            .all(|(p, t)| t.index > 0 || can_run(p))
+        {
+            return Some(RefusalReason::NoWorkerFits);
+        }
+        let wait = admission::expected_wait(&self.backlog(cx, key));
+        let slack = job.rank.latest_start.saturating_duration_since(cx.now);
+        let is_admitted = admission::is_admitted(wait, slack, cx.cfg.leased.admit_percent);
+        (!is_admitted).then_some(RefusalReason::Overload)
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    pub(super) fn backlog(&self, cx: &Context<'_>, key: JobKey) -> Backlog {
+        let job = &self.jobs[key];
+        let needs = |job: &Job| -> u64 {
+            let cpu = |&p: &u32| job.step(p).size.cpu_milli;
+            job.ready.iter().map(cpu).sum()
+        };
+        let service = &job.spec.service;
+        let ahead = self.waiting.range(..(job.rank, key));
+        let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
+        let mut backlog = Backlog {
+            free: 0,
+            ahead: ahead
+                .filter(|j| j.spec.service == *service)
+                .map(needs)
+                .sum(),
+            own: needs(job),
+            freed_per_s: 0.0,
+        };
+        for worker in self.workers.values() {
+            if worker.entry.service != *service || !worker.is_usable() {
+                continue;
+            }
+            if worker.health.may_start(cx.now, 0) {
+                backlog.free += worker.free().cpu_milli;
+            }
+            for run in &worker.runs {
+                let took = cx.now.saturating_duration_since(run.sent);
+                // A run that is overdue says little of when it ends.
+                let whole = run.expected.max(took).as_secs_f64();
+                backlog.freed_per_s += run.size.cpu_milli as f64 / whole.max(0.001);
+            }
+        }
+        backlog
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        reason: RefusalReason,
+        out: &mut Vec<Effect>,
+    ) {
+        let wait = admission::expected_wait(&self.backlog(cx, key));
+        let retry_after = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        let outcome = JobOutcome::Refused {
+            reason,
+            retry_after,
+        };
+        self.finish(cx, key, outcome, out);
+    }
+
+    /// Sets the time at which a job is looked at next.
+    pub(super) fn plan_check(&mut self, _cx: &Context<'_>, key: JobKey) {
+        let job = &mut self.jobs[key];
+        self.checks.remove(&(job.check_at, key));
+        job.check_at = if job.has_started || job.awaits_takeover {
+            job.times.give_up
+        } else {
+            job.rank.latest_start.min(job.times.give_up)
+        };
+        self.checks.insert((job.check_at, key));
+    }
+
+    pub(super) fn withdraw(
+        &mut self,
+        cx: &Context<'_>,
+        id: JobId,
+        origin: EntryVm,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(&key) = self.by_id.get(&id) else {
+            return;
+        };
+        let job = &mut self.jobs[key];
+        job.origins.retain(|&o| o != origin);
+        if job.origins.is_empty() {
+            self.finish(cx, key, JobOutcome::Cancelled, out);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, cx: &Context<'_>, id: JobId, out: &mut Vec<Effect>) {
+        if let Some(&key) = self.by_id.get(&id) {
+            self.finish(cx, key, JobOutcome::Cancelled, out);
+        }
+    }
+
+    pub(super) fn entry_lost(&mut self, cx: &Context<'_>, origin: EntryVm, out: &mut Vec<Effect>) {
+        let of_origin = |job: &Job| job.origins.contains(&origin);
+        let ids: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|j| of_origin(j))
+            .map(|j| j.spec.id)
+            .collect();
+        for id in ids {
+            self.withdraw(cx, id, origin, out);
+        }
+    }
+
+    /// Gives a job the runs and ends that an earlier scheduler left.
+    fn adopt_orphans(&mut self, cx: &Context<'_>, key: JobKey) {
+        let id = self.jobs[key].spec.id;
+        let ends: Vec<_> = self
+            .early_ends
+            .keys()
+            .filter(|n| n.job == id)
+            .copied()
+            .collect();
+        for name in ends {
+            self.early_ends.remove(&name);
+            if let Some(position) = self.jobs[key].position(name) {
+                self.jobs[key].mark_done(position);
+            }
+        }
+        let workers: Vec<_> = self.workers.keys().collect();
+        for worker in workers {
+            let is_own = |name: crate::leased::TaskName| name.job == id;
+            let own: Vec<_> = self.workers[worker]
+                .orphans
+                .iter()
+                .filter(|o| is_own(o.name))
+                .copied()
+                .collect();
+            for orphan in own {
+                if orphan.stop_sent.is_none() {
+                    self.adopt(cx, key, worker, orphan.name, orphan.run);
+                }
+            }
+        }
+    }
+}
+
+/// Run time of the longest chain of steps.
+fn longest_chain(spec: &JobSpec, expected: &[Duration]) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(expected.len());
+    for (step, &run) in spec.steps.iter().zip(expected) {
+        let before = step.after.iter().filter_map(|&s| ends.get(usize::from(s)));
+        let start = before.max().copied().unwrap_or_default();
+        ends.push(start + run);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+/// Whether nothing that an earlier scheduler started can still be unknown.
+pub(super) fn is_takeover_over(s: &Scheduler, now: Instant, wait: Duration) -> bool {
+    now.saturating_duration_since(s.started) >= wait
+        || s.workers.values().all(|w| w.is_fenced || !w.is_listed)
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -0,0 +1,145 @@
+//! What time alone changes: deadlines, lapsed leases, tasks that stand still, runs nobody wants.
+
+use std::time::{Duration, Instant};
+
+use super::Scheduler;
+use crate::configs::leased::LeasedConfig;
+use crate::context::Context;
+use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
+use crate::leased::names::TaskName;
+use crate::leased::report::EndKind;
+use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
+
+/// Time after which a stop that was not confirmed is sent again.
+const STOP_REPEAT: Duration = Duration::from_millis(150);
+
+/// Time after which a slow worker is tried again.
+const SLOW_RETRY: Duration = Duration::from_secs(2);
+
+/// Time for which ends of unknown jobs are kept.
+const EARLY_END_TTL: Duration = Duration::from_secs(2);
+
+/// Time without progress, as a multiple of the expected run time, from which a task stands still.
+const STALL_FACTOR: f64 = 1.0;
+
+/// Shortest time without progress from which a task stands still; progress is reported in percent
+/// and read no more often than the shortest look.
+const MIN_STALL: Duration = Duration::from_millis(80);
+
+impl Scheduler {
+    pub(super) fn tick(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        self.check_deadlines(cx, out);
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            self.watch(cx, key, out);
+        }
+        let now = cx.now;
+        self.early_ends
+            .retain(|_, at| now.saturating_duration_since(*at) < EARLY_END_TTL);
+        // Pauses end, leases lapse and the takeover settles with time alone.
+        self.has_new_room = !self.waiting.is_empty();
+    }
+
+    fn check_deadlines(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        while let Some(&(at, key)) = self.checks.first() {
+            if at > cx.now {
+                return;
+            }
+            let job = &self.jobs[key];
+            if job.has_started || job.awaits_takeover {
+                self.finish(cx, key, JobOutcome::TimedOut, out);
+            } else {
+                self.refuse(cx, key, RefusalReason::WaitedTooLong, out);
+            }
+        }
+    }
+
+    fn watch(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let worker = &mut self.workers[key];
+        worker.health.refresh(cx.now, SLOW_RETRY, &cx.cfg.leased);
+        if worker.has_lapsed(cx.now) && worker.looking.misses > 0 {
+            self.lapse(cx, key, out);
+        }
+        self.stop_orphans(cx, key, out);
+        self.repeat_stops(cx, key, out);
+        self.move_stalled(cx, key, out);
+        let worker = &self.workers[key];
+        if !worker.is_listed && worker.runs.is_empty() && worker.orphans.is_empty() {
+            let name = worker.entry.name.clone();
+            self.workers.remove(key);
+            self.by_name.remove(&name);
+            return;
+        }
+        self.plan_look(cx, key, out);
+    }
+
+    /// Ends all runs on a worker that can't be reached: their leases have lapsed.
+    fn lapse(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        self.workers[key].orphans.clear();
+        while !self.workers[key].runs.is_empty() {
+            let run = self.workers[key].remove_run(0);
+            self.run_ended(cx, key, &run, EndKind::Lapsed, out);
+        }
+    }
+
+    fn stop_orphans(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let grace = cx.cfg.leased.orphan_grace;
+        let mut due: Vec<(TaskName, u32)> = Vec::new();
+        for orphan in &mut self.workers[key].orphans {
+            let is_old = cx.now.saturating_duration_since(orphan.since) >= grace;
+            if is_old && is_stop_due(orphan.stop_sent, cx.now) {
+                orphan.stop_sent = Some(cx.now);
+                due.push((orphan.name, orphan.run));
+            }
+        }
+        for (name, run) in due {
+            self.stop(cx, key, name, run, out);
+        }
+    }
+
+    fn repeat_stops(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let is_due = |r: &&Run| r.state == RunState::Stopping && is_stop_due(r.stop_sent, cx.now);
+        let due: Vec<(TaskName, u32)> = self.workers[key]
+            .runs
+            .iter()
+            .filter(is_due)
+            .map(|r| (r.name, r.run))
+            .collect();
+        for (name, run) in due {
+            self.stop(cx, key, name, run, out);
+        }
+    }
+
+    /// Stops tasks that stand still, so that they run again elsewhere.
+    fn move_stalled(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let worker = &self.workers[key];
+        if worker.looking.misses > 0 {
+            return;
+        }
+        let stalled: Vec<(TaskName, u32)> = worker
+            .runs
+            .iter()
+            .filter(|r| is_stalled(worker, r, cx.now, &cx.cfg.leased))
+            .map(|r| (r.name, r.run))
+            .collect();
+        if stalled.is_empty() {
+            return;
+        }
+        self.workers[key].health.note_fault(cx.now, &cx.cfg.leased);
+        for (name, run) in stalled {
+            self.stop(cx, key, name, run, out);
+        }
+    }
+}
+
+fn is_stop_due(sent: Option<Instant>, now: Instant) -> bool {
+    sent.is_none_or(|at| now.saturating_duration_since(at) >= STOP_REPEAT)
+}
+
+fn is_stalled(worker: &Worker, run: &Run, now: Instant, cfg: &LeasedConfig) -> bool {
+    // Progress as of the last look: a look that is under way may bring more.
+    let seen = worker.looking.out_since.unwrap_or(now);
+    let still = seen.saturating_duration_since(run.moved);
+    let limit = run.expected.mul_f64(STALL_FACTOR).min(cfg.max_look_wait);
+    run.state == RunState::Running && still >= limit.max(MIN_STALL)
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -0,0 +1,185 @@
+//! A worker, as the scheduler sees it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::health::Health;
+use super::job::TaskKey;
+use super::names::{TaskName, WorkerName};
+use super::spec::Resources;
+use super::worker_clock::{WorkerClock, WorkerTime};
+
+slotmap::new_key_type! {
+    /// Key of a worker in the scheduler's arena.
+    pub struct WorkerKey;
+}
+
+/// Whether a worker takes new tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum WorkerState {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// A worker's entry, as the platform lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkerEntry {
+    /// Its name.
+    pub name: WorkerName,
+    /// Service whose tasks it runs.
+    pub service: Arc<str>,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Whether it takes new tasks.
+    pub state: WorkerState,
+    /// Its size.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<Arc<str>>,
+    /// Start of this life, in Unix milliseconds.
+    pub born: Option<u64>,
+}
+
+/// Where a run is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunState {
+    /// The order is under way.
+    Starting,
+    /// The worker has confirmed it.
+    Running,
+    /// It may run, now or later: the order was not answered.
+    Unsure,
+    /// It has been told to stop.
+    Stopping,
+}
+
+/// A run of a task on a worker.
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    pub(super) task: TaskKey,
+    pub(super) name: TaskName,
+    pub(super) run: u32,
+    pub(super) size: Resources,
+    pub(super) state: RunState,
+    /// When the order was sent.
+    pub(super) sent: Instant,
+    /// When a reply to it, or to a stop, was last heard.
+    pub(super) settled: Instant,
+    pub(super) expected: Duration,
+    pub(super) percent: u8,
+    /// When `percent` last grew.
+    pub(super) moved: Instant,
+    /// When a stop was last sent.
+    pub(super) stop_sent: Option<Instant>,
+}
+
+/// A run of an earlier scheduler that nobody has asked for yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Orphan {
+    pub(super) name: TaskName,
+    pub(super) run: u32,
+    pub(super) since: Instant,
+    pub(super) stop_sent: Option<Instant>,
+}
+
+/// Looks at a worker.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Looking {
+    /// When the look that is under way was sent.
+    pub(super) out_since: Option<Instant>,
+    /// Looks in a row that were not answered.
+    pub(super) misses: u32,
+    /// Earliest time of the next look.
+    pub(super) not_before: Option<Instant>,
+}
+
+/// A worker.
+#[derive(Debug, Clone)]
+pub(super) struct Worker {
+    pub(super) entry: WorkerEntry,
+    /// Whether the platform lists it.
+    pub(super) is_listed: bool,
+    pub(super) clock: Option<WorkerClock>,
+    /// Whether it has answered to this scheduler's token.
+    pub(super) is_fenced: bool,
+    /// When the longest lease given to it lapses, and on its own clock.
+    pub(super) lease: Option<(Instant, WorkerTime)>,
+    pub(super) runs: Vec<Run>,
+    pub(super) orphans: Vec<Orphan>,
+    pub(super) used: Resources,
+    pub(super) last_seen: u64,
+    /// Whether `last_seen` has grown since it was last sent.
+    pub(super) owes_ack: bool,
+    pub(super) looking: Looking,
+    pub(super) health: Health,
+}
+
+impl Worker {
+    pub(super) fn new(entry: WorkerEntry) -> Self {
+        Self {
+            entry,
+            is_listed: true,
+            clock: None,
+            is_fenced: false,
+            lease: None,
+            runs: Vec::new(),
+            orphans: Vec::new(),
+            used: Resources::default(),
+            last_seen: 0,
+            owes_ack: false,
+            looking: Looking::default(),
+            health: Health::default(),
+        }
+    }
+
+    pub(super) fn free(&self) -> Resources {
+        self.entry.capacity.without(&self.used)
+    }
+
+    /// Whether it answers, takes tasks and holds only runs that are known.
+    pub(super) fn is_usable(&self) -> bool {
+        self.is_listed
+            && self.entry.state == WorkerState::Ready
+            && self.is_fenced
+            && self.clock.is_some()
+            && self.looking.misses == 0
+    }
+
+    pub(super) fn run_position(&self, name: TaskName, run: u32) -> Option<usize> {
+        self.runs
+            .iter()
+            .position(|r| r.name == name && r.run == run)
+    }
+
+    pub(super) fn add_run(&mut self, run: Run) {
+        self.used += run.size;
+        self.runs.push(run);
+    }
+
+    pub(super) fn remove_run(&mut self, position: usize) -> Run {
+        let run = self.runs.swap_remove(position);
+        self.used -= run.size;
+        run
+    }
+
+    /// Notes a lease until `until` on the worker's clock.
+    pub(super) fn note_lease(&mut self, until: WorkerTime) {
+        let Some(clock) = self.clock else { return };
+        let until = self.lease.map_or(until, |(_, known)| known.max(until));
+        self.lease = Some((clock.lapse(until), until));
+    }
+
+    /// Whether every lease given to it has lapsed.
+    pub(super) fn has_lapsed(&self, now: Instant) -> bool {
+        self.lease.is_none_or(|(lapse, _)| now >= lapse)
+    }
+
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        self.entry.labels.iter().any(|l| **l == *label)
+    }
+}
--- a/crates/geraniumrelay-core/src/lib.rs
+++ b/crates/geraniumrelay-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod context;
 pub mod dispatcher;
 pub mod effect;
+pub mod leased;
 pub mod modules;
 pub mod names;
 pub mod query;
--- a/crates/geraniumrelay-wire/tests/generated.rs
+++ b/crates/geraniumrelay-wire/tests/generated.rs
@@ -66,17 +66,42 @@
     cfg.compile_fds(descriptors).expect("types are generated");
     let code = fs::read_to_string(out_dir.join("geraniumrelay.v1.rs")).expect("generated file");
     fs::remove_dir_all(&out_dir).expect("temporary directory is removed");
+    with_header("geraniumrelay.proto", &code)
+}
+
+/// Messages between the entry VMs that run leased tasks; they have no JSON form.
+fn generate_leased() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let proto = root.join("proto/leased.proto");
+    let descriptors = protox::compile([proto], [root.join("proto")]).expect("proto compiles");
+    let out_dir: PathBuf =
+        std::env::temp_dir().join(format!("geraniumrelay-wire-leased-{}", std::process::id()));
+    fs::create_dir_all(&out_dir).expect("temporary directory");
+    let mut cfg = prost_build::Config::new();
+    cfg.out_dir(&out_dir);
+    cfg.compile_fds(descriptors).expect("types are generated");
+    let file = out_dir.join("geraniumrelay.leased.v1.rs");
+    let code = fs::read_to_string(file).expect("generated file");
+    fs::remove_dir_all(&out_dir).expect("temporary directory is removed");
+    with_header("leased.proto", &code)
+}
+
+fn with_header(proto: &str, code: &str) -> String {
     format!(
-        "//! Generated from `proto/geraniumrelay.proto`; see `tests/generated.rs`.\n#![allow(\n    missing_docs,\n    clippy::all,\n    clippy::pedantic,\n    clippy::allow_attributes_without_reason\n)]\n\n{code}"
+        "//! Generated from `proto/{proto}`; see `tests/generated.rs`.\n#![allow(\n    missing_docs,\n    clippy::all,\n    clippy::pedantic,\n    clippy::allow_attributes_without_reason\n)]\n\n{code}"
     )
 }
 
 #[test]
 fn committed_types_match_the_proto_file() {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/generated.rs");
-    let expected = generate();
+    compare("src/generated.rs", &generate());
+    compare("src/leased.rs", &generate_leased());
+}
+
+fn compare(file: &str, expected: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(file);
     if std::env::var_os(REGENERATE).is_some() {
-        fs::write(&path, &expected).expect("types are written");
+        fs::write(&path, expected).expect("types are written");
     }
     let committed = fs::read_to_string(&path).expect("committed types");
     assert!(
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/balance.rs
@@ -0,0 +1,80 @@
+//! What the balancer is told.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use geraniumrelay_adapter::ingress::READINESS_PATH;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use log::info;
+use tokio::task::spawn_local;
+
+use super::server;
+
+/// Whether this VM takes callers.
+#[derive(Debug, Default)]
+pub(super) struct Readiness {
+    can_serve: Cell<bool>,
+    is_stopping: Cell<bool>,
+}
+
+impl Readiness {
+    pub(super) fn set(&self, can_serve: bool, reason: &str) {
+        if self.can_serve.replace(can_serve) != can_serve {
+            info!(is_ready = can_serve, reason; "readiness_changed");
+        }
+    }
+
+    pub(super) fn stop(&self) {
+        self.is_stopping.set(true);
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.can_serve.get() && !self.is_stopping.get()
+    }
+}
+
+/// Starts to answer the balancer.
+pub(super) fn start(address: SocketAddr, readiness: Rc<Readiness>) -> std::io::Result<()> {
+    let listener = server::bind(address)?;
+    spawn_local(async move {
+        while let Some(stream) = server::accept(&listener).await {
+            let readiness = Rc::clone(&readiness);
+            spawn_local(async move {
+                let service = service_fn(|req| answer(req, &readiness));
+                // A check that breaks off is repeated by the balancer.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    Ok(())
+}
+
+async fn answer(
+    req: Request<Incoming>,
+    readiness: &Readiness,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let status = if req.uri().path() != READINESS_PATH {
+        StatusCode::NOT_FOUND
+    } else if readiness.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    Ok(res)
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -0,0 +1,174 @@
+//! Messages between entry VMs and the dispatcher's own types.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumrelay_adapter::Change;
+use geraniumrelay_adapter::store::CONFIGURATION_KEY;
+use geraniumrelay_core::leased::election::Beat as OwnBeat;
+use geraniumrelay_core::leased::{
+    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, RefusalReason, Resources, StepSpec,
+    Submission,
+};
+use geraniumrelay_wire::leased::answer::Outcome;
+use geraniumrelay_wire::leased::{Answer, Beat, QueueCount, Step, Submit};
+
+/// Reasons that a refusal may have.
+const REASONS: [RefusalReason; 5] = [
+    RefusalReason::Overload,
+    RefusalReason::NoWorkerFits,
+    RefusalReason::WaitedTooLong,
+    RefusalReason::NoScheduler,
+    RefusalReason::Unsupported,
+];
+
+pub(super) fn vm_from(address: u32) -> EntryVm {
+    EntryVm(Ipv4Addr::from(address))
+}
+
+pub(super) fn vm_to(vm: EntryVm) -> u32 {
+    u32::from(vm.0)
+}
+
+pub(super) fn beat_to(beat: OwnBeat, config_version: u64, pending: Vec<QueueCount>) -> Beat {
+    Beat {
+        token: beat.token.unwrap_or_default().0,
+        has_store: beat.has_store,
+        is_barred: beat.is_barred,
+        successor: beat.successor.map_or(0, vm_to),
+        config_version,
+        pending,
+    }
+}
+
+pub(super) fn beat_from(beat: &Beat) -> OwnBeat {
+    OwnBeat {
+        token: (beat.token > 0).then_some(FencingToken(beat.token)),
+        has_store: beat.has_store,
+        is_barred: beat.is_barred,
+        successor: (beat.successor > 0).then(|| vm_from(beat.successor)),
+    }
+}
+
+/// The configuration's row, as it came from another entry VM.
+pub(super) fn configuration_from(row: Vec<u8>) -> Change {
+    Change {
+        key: CONFIGURATION_KEY.to_owned(),
+        value: Some(row),
+    }
+}
+
+pub(super) fn submit_to(submission: &Submission) -> Submit {
+    let spec = &submission.spec;
+    Submit {
+        id: spec.id.0,
+        queue: spec.queue.to_string(),
+        service: spec.service.to_string(),
+        priority: spec.priority.into(),
+        max_attempts: spec.max_attempts,
+        stretch: spec.stretch,
+        target_latency_us: micros(spec.target_latency),
+        payload: spec.payload.to_string(),
+        steps: spec.steps.iter().map(step_to).collect(),
+        waited_us: micros(submission.waited),
+        patience_us: micros(submission.patience),
+        may_have_started: submission.may_have_started,
+    }
+}
+
+pub(super) fn submit_from(submit: Submit, origin: EntryVm) -> Submission {
+    Submission {
+        spec: JobSpec {
+            id: JobId(submit.id),
+            queue: submit.queue.into(),
+            service: submit.service.into(),
+            priority: u8::try_from(submit.priority).unwrap_or(u8::MAX),
+            max_attempts: submit.max_attempts,
+            stretch: submit.stretch,
+            target_latency: Duration::from_micros(submit.target_latency_us),
+            payload: submit.payload.into(),
+            steps: submit.steps.into_iter().map(step_from).collect(),
+        },
+        origin,
+        waited: Duration::from_micros(submit.waited_us),
+        patience: Duration::from_micros(submit.patience_us),
+        may_have_started: submit.may_have_started,
+    }
+}
+
+fn step_to(step: &StepSpec) -> Step {
+    let text = |t: &Option<Arc<str>>| t.as_deref().unwrap_or_default().to_owned();
+    Step {
+        count: step.count.into(),
+        cpu_milli: step.size.cpu_milli,
+        memory_mb: step.size.memory_mb,
+        gpus: step.size.gpus,
+        estimate_us: micros(step.estimate),
+        after: step.after.iter().map(|&s| s.into()).collect(),
+        required_label: text(&step.required_label),
+        preferred_rack: text(&step.preferred_rack),
+        max_per_worker: step.max_per_worker.unwrap_or(0).into(),
+    }
+}
+
+fn step_from(step: Step) -> StepSpec {
+    let text = |t: String| (!t.is_empty()).then(|| t.into());
+    let small = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+    StepSpec {
+        count: small(step.count),
+        size: Resources {
+            cpu_milli: step.cpu_milli,
+            memory_mb: step.memory_mb,
+            gpus: step.gpus,
+        },
+        estimate: Duration::from_micros(step.estimate_us),
+        after: step.after.into_iter().map(small).collect(),
+        required_label: text(step.required_label),
+        preferred_rack: text(step.preferred_rack),
+        max_per_worker: (step.max_per_worker > 0).then(|| small(step.max_per_worker)),
+    }
+}
+
+pub(super) fn answer_to(id: JobId, outcome: JobOutcome) -> Answer {
+    let (kind, refusal) = match outcome {
+        JobOutcome::TimedOut => (Outcome::TimedOut, None),
+        JobOutcome::Completed => (Outcome::Completed, None),
+        JobOutcome::Failed => (Outcome::Failed, None),
+        JobOutcome::Cancelled => (Outcome::Cancelled, None),
+        JobOutcome::Refused {
+            reason,
+            retry_after,
+        } => (Outcome::Refused, Some((reason, retry_after))),
+    };
+    Answer {
+        id: id.0,
+        outcome: kind.into(),
+        reason: refusal.map_or(String::new(), |(reason, _)| reason.to_string()),
+        retry_after_ms: refusal.map_or(0, |(_, after)| micros(after) / 1_000),
+    }
+}
+
+pub(super) fn answer_from(answer: &Answer) -> (JobId, JobOutcome) {
+    let outcome = match answer.outcome() {
+        Outcome::TimedOut => JobOutcome::TimedOut,
+        Outcome::Completed => JobOutcome::Completed,
+        Outcome::Failed => JobOutcome::Failed,
+        Outcome::Cancelled => JobOutcome::Cancelled,
+        Outcome::Refused => JobOutcome::Refused {
+            reason: reason_from(&answer.reason),
+            retry_after: Duration::from_millis(answer.retry_after_ms),
+        },
+    };
+    (JobId(answer.id), outcome)
+}
+
+/// A reason of a newer program counts as the most general one.
+fn reason_from(text: &str) -> RefusalReason {
+    let known = REASONS.into_iter().find(|r| r.to_string() == text);
+    known.unwrap_or(RefusalReason::NoScheduler)
+}
+
+fn micros(d: Duration) -> u64 {
+    u64::try_from(d.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -0,0 +1,171 @@
+//! Links between entry VMs: one connection for each direction.
+//!
+//! TCP in place of QUIC: when a process is killed its kernel resets the connection, so that the
+//! scheduler's death is known within a round trip. A QUIC peer would only be silent.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use flume::{Receiver, Sender};
+use geraniumrelay_core::leased::EntryVm;
+use geraniumrelay_wire::leased::peer_message::Body;
+use geraniumrelay_wire::leased::{Hello, PeerMessage};
+use log::{info, warn};
+use prost::Message as _;
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::convert::{vm_from, vm_to};
+use super::input::{Input, InputTx};
+use super::server;
+
+/// Messages that wait for one peer at most; more means that it does not read.
+const RING: usize = 2_048;
+
+/// Longest wait for a connection: some round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Unacknowledged time after which a connection counts as broken; shorter than the silence after
+/// which a peer is taken for gone.
+const USER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Silence after which an incoming connection is closed; a peer beats several times a second.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Pause before a broken connection is made again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(150);
+
+/// Largest message, in bytes; a configuration is the largest.
+const MAX_MESSAGE: usize = 8 << 20;
+
+/// Binds the listener of links.
+pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    server::bind(address)
+}
+
+/// Accepts links of other entry VMs.
+pub(super) async fn accept_all(listener: TcpListener, tx: InputTx) {
+    while let Some(stream) = server::accept(&listener).await {
+        spawn_local(receive(stream, tx.clone()));
+    }
+}
+
+async fn receive(mut stream: TcpStream, tx: InputTx) {
+    let mut buf = BytesMut::new();
+    let Some(Body::Hello(hello)) = read_message(&mut stream, &mut buf).await else {
+        return;
+    };
+    let from = vm_from(hello.address);
+    let peer = stream.peer_addr().map(|a| a.ip());
+    if peer.is_ok_and(|ip| ip != IpAddr::V4(from.0)) {
+        warn!(vm:% = from; "link_refused");
+        return;
+    }
+    info!(vm:% = from, incarnation = hello.incarnation; "link_in_up");
+    while let Some(body) = read_message(&mut stream, &mut buf).await {
+        tx.send(Input::Peer { from, body }).await;
+    }
+    info!(vm:% = from, incarnation = hello.incarnation; "link_in_down");
+    tx.send(Input::LinkLost { from }).await;
+}
+
+/// The next message; `None` where the link has ended or is silent.
+async fn read_message(stream: &mut TcpStream, buf: &mut BytesMut) -> Option<Body> {
+    loop {
+        if let Some(body) = take_message(buf)? {
+            return Some(body);
+        }
+        match timeout(READ_TIMEOUT, stream.read_buf(buf)).await {
+            Ok(Ok(read)) if read > 0 => {}
+            _ => return None,
+        }
+    }
+}
+
+/// Takes a whole message off the buffer. The outer `None` is a link that can't be understood.
+#[expect(clippy::option_option, reason = "no message yet, or never again")]
+fn take_message(buf: &mut BytesMut) -> Option<Option<Body>> {
+    loop {
+        let Some(head) = buf.first_chunk::<4>() else {
+            return Some(None);
+        };
+        let size = usize::try_from(u32::from_be_bytes(*head)).ok()?;
+        if size > MAX_MESSAGE {
+            return None;
+        }
+        if buf.len() < 4 + size {
+            return Some(None);
+        }
+        buf.advance(4);
+        let message = PeerMessage::decode(buf.split_to(size)).ok()?;
+        // A message of a newer program says nothing here.
+        if message.body.is_some() {
+            return Some(message.body);
+        }
+    }
+}
+
+/// Encodes a message for a link.
+pub(super) fn frame(body: Body) -> Bytes {
+    let message = PeerMessage { body: Some(body) };
+    let size = message.encoded_len();
+    let mut buf = BytesMut::with_capacity(4 + size);
+    buf.put_u32(u32::try_from(size).unwrap_or(u32::MAX));
+    message.encode_raw(&mut buf);
+    buf.freeze()
+}
+
+/// Link to one entry VM.
+#[derive(Debug)]
+pub(super) struct Link {
+    tx: Sender<Bytes>,
+}
+
+impl Link {
+    /// Connects, and connects again whenever the connection breaks.
+    pub(super) fn start(own: EntryVm, incarnation: u64, to: SocketAddr) -> Self {
+        let (tx, rx) = flume::bounded(RING);
+        let hello = frame(Body::Hello(Hello {
+            address: vm_to(own),
+            incarnation,
+        }));
+        spawn_local(async move {
+            while !rx.is_disconnected() {
+                if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+                    // What waited for the broken connection is out of date.
+                    rx.drain().for_each(drop);
+                    if let Err(e) = send_all(stream, &hello, &rx).await {
+                        info!(to:% = to, reason = e.to_string().as_str(); "link_out_down");
+                    }
+                }
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+            }
+        });
+        Self { tx }
+    }
+
+    /// Sends a message; `false` where the peer does not read.
+    pub(super) fn send(&self, message: Bytes) -> bool {
+        self.tx.try_send(message).is_ok()
+    }
+}
+
+async fn send_all(mut stream: TcpStream, hello: &Bytes, rx: &Receiver<Bytes>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    stream.write_all(hello).await?;
+    let mut buf = BytesMut::new();
+    while let Ok(message) = rx.recv_async().await {
+        buf.put(message);
+        for message in rx.drain() {
+            buf.put(message);
+        }
+        stream.write_all_buf(&mut buf).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -0,0 +1,181 @@
+//! Counters and histograms, served as text.
+
+use std::convert::Infallible;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geraniumrelay_core::leased::{JobOutcome, Snapshot};
+use http_body_util::Full;
+use hyper::Response;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+use tokio::task::spawn_local;
+
+use super::server;
+
+/// Port of the metrics, as `deploy/system.toml` names it.
+const PORT: u16 = 9464;
+
+/// Bounds of the latency histograms, in seconds: the objectives lie between 0.1 and 1.5 s.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.7, 1.0, 1.5,
+];
+
+/// Metrics of the entry process.
+#[derive(Debug)]
+pub(super) struct LeasedMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: Histogram,
+    starts: IntCounterVec,
+    looks: IntCounterVec,
+    takeovers: IntCounter,
+    ring_full: IntCounter,
+    state: IntGaugeVec,
+    configuration: IntGauge,
+    token: IntGauge,
+    store_errors: IntCounterVec,
+}
+
+impl LeasedMetrics {
+    pub(super) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let latency = Histogram::with_opts(
+            HistogramOpts::new("request_seconds", "Time from a job's arrival to its answer")
+                .buckets(LATENCY_BOUNDS.to_vec()),
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        let state = IntGaugeVec::new(Opts::new("scheduler", "Figures of the scheduler"), &["of"])?;
+        registry.register(Box::new(state.clone()))?;
+        Ok(Self {
+            requests: counters("requests_total", "Jobs by outcome", "outcome")?,
+            starts: counters("starts_total", "Orders to start by reply", "reply")?,
+            looks: counters("looks_total", "Looks at workers by reply", "reply")?,
+            takeovers: counter("takeovers_total", "Times that this VM began to schedule")?,
+            ring_full: counter(
+                "ring_full_total",
+                "Inputs dropped as the hub's ring was full",
+            )?,
+            configuration: gauge("configuration_version", "Version of the configuration")?,
+            token: gauge(
+                "fencing_token",
+                "Fencing token of the scheduler that is followed",
+            )?,
+            store_errors: counters("store_errors_total", "Failed reads by table", "table")?,
+            latency,
+            state,
+            registry,
+        })
+    }
+
+    pub(super) fn note_request(&self, outcome: &str) {
+        self.requests.with_label_values(&[outcome]).inc();
+    }
+
+    pub(super) fn note_answer(&self, outcome: JobOutcome, took: Duration) {
+        self.latency.observe(took.as_secs_f64());
+        match outcome {
+            JobOutcome::Completed => self.note_request("completed"),
+            JobOutcome::Failed => self.note_request("failed"),
+            JobOutcome::Refused { reason, .. } => {
+                self.note_request(&format!("refused-{reason}"));
+            }
+            JobOutcome::TimedOut => self.note_request("timed-out"),
+            JobOutcome::Cancelled => self.note_request("cancelled"),
+        }
+    }
+
+    pub(super) fn note_start(&self, reply: &str) {
+        self.starts.with_label_values(&[reply]).inc();
+    }
+
+    pub(super) fn note_look(&self, reply: &str) {
+        self.looks.with_label_values(&[reply]).inc();
+    }
+
+    pub(super) fn note_takeover(&self) {
+        self.takeovers.inc();
+    }
+
+    pub(super) fn note_ring_full(&self) {
+        self.ring_full.inc();
+    }
+
+    pub(super) fn note_store_error(&self, table: &str) {
+        self.store_errors.with_label_values(&[table]).inc();
+    }
+
+    pub(super) fn set_configuration(&self, version: u64) {
+        self.configuration
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    pub(super) fn set_token(&self, token: u64) {
+        self.token.set(i64::try_from(token).unwrap_or(i64::MAX));
+    }
+
+    pub(super) fn set_snapshot(&self, s: &Snapshot) {
+        let figures = [
+            ("workers", s.workers),
+            ("usable", s.usable),
+            ("paused", s.paused),
+            ("jobs", s.jobs),
+            ("waiting", s.waiting),
+            ("runs", s.runs),
+        ];
+        for (name, figure) in figures {
+            let figure = i64::try_from(figure).unwrap_or(i64::MAX);
+            self.state.with_label_values(&[name]).set(figure);
+        }
+    }
+
+    fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory does not fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+/// Starts to serve the metrics.
+pub(super) fn start(address: Ipv4Addr, metrics: Arc<LeasedMetrics>) -> std::io::Result<()> {
+    let listener = server::bind(SocketAddr::new(IpAddr::V4(address), PORT))?;
+    spawn_local(async move {
+        while let Some(stream) = server::accept(&listener).await {
+            let metrics = Arc::clone(&metrics);
+            spawn_local(async move {
+                let service = service_fn(|_| {
+                    let body = Full::new(Bytes::from(metrics.text()));
+                    std::future::ready(Ok::<_, Infallible>(Response::new(body)))
+                });
+                // Whoever reads them asks again.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    Ok(())
+}
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -21,6 +21,7 @@
 mod journal;
 mod journal_reader;
 mod key_binder;
+mod leased;
 mod limits;
 mod load_metrics;
 mod logging;
@@ -40,5 +41,6 @@
 mod sweeper;
 mod vm_rows;
 
+pub use leased::run as run_leased;
 pub use process::run;
 pub use settings::Settings;
