feat(core): one lost call does not set a worker aside; jobs that can't end in time end early

Heartbeats change the workers' rows, so the feed returned at once 32 times a second. Change: an unanswered start is looked for before it is stopped, a worker is set aside after two misses, feeds pause 250 ms, answers carry the token of their scheduler.

--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -19,6 +19,9 @@
     /// No worker there is can take one of its tasks.
     #[display("no-worker-fits")]
     NoWorkerFits,
+    /// It takes longer than its caller waits.
+    #[display("too-long")]
+    TooLong,
     /// It waited as long as it may.
     #[display("waited-too-long")]
     WaitedTooLong,
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -18,6 +18,9 @@
 /// Score of a second of expected run time beyond that on a sound worker.
 const SLOWNESS_PENALTY_PER_S: f64 = 1_000_000.0;
 
+/// Score of a worker whose last call was not answered: others go first.
+const DOUBT_PENALTY: f64 = 200_000.0;
+
 /// Score of running away from the task's data.
 const RACK_PENALTY: f64 = 50_000.0;
 
@@ -94,6 +97,9 @@
     }
     let mut score = (free.cpu_milli - step.size.cpu_milli) as f64;
     score += longer.as_secs_f64() * SLOWNESS_PENALTY_PER_S;
+    if worker.is_doubtful() {
+        score += DOUBT_PENALTY;
+    }
     if *worker.entry.data_centre != *wish.data_centre {
         score += REMOTE_PENALTY;
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -9,7 +9,7 @@
 use crate::leased::health::doubled;
 use crate::leased::names::TaskName;
 use crate::leased::report::{EndKind, WorkerReport};
-use crate::leased::worker::{Orphan, RunState, Worker, WorkerKey};
+use crate::leased::worker::{Orphan, Run, RunState, Worker, WorkerKey};
 use crate::leased::worker_clock::WorkerClock;
 
 impl Scheduler {
@@ -38,6 +38,8 @@
         self.take_ends(cx, key, report, out);
         self.take_running(cx, key, report);
         self.drop_missing(cx, key, sent, report, out);
+        self.stop_unsure(cx, key, sent, out);
+        self.judge_paces(cx, key, out);
     }
 
     fn take_ends(
@@ -146,13 +148,37 @@
         }
     }
 
+    /// Stops runs of unanswered orders that a later look did not show.
+    fn stop_unsure(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        sent: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_due = |r: &&Run| {
+            r.state == RunState::Unsure && r.unsure_since.is_some_and(|since| since <= sent)
+        };
+        let due: Vec<_> = self.workers[key]
+            .runs
+            .iter()
+            .filter(is_due)
+            .map(|r| (r.name, r.run))
+            .collect();
+        for (name, run) in due {
+            self.stop(cx, key, name, run, out);
+        }
+    }
+
     pub(super) fn look_failed(&mut self, cx: &Context<'_>, key: WorkerKey) {
         let worker = &mut self.workers[key];
         worker.looking.out_since = None;
         let cfg = &cx.cfg.leased;
-        let pause = doubled(cfg.first_pause, worker.looking.misses, cfg.max_pause);
+        let misses = worker.looking.misses;
         worker.looking.misses += 1;
-        worker.looking.not_before = Some(cx.now + pause);
+        // The first repeat is sent at once: a single call gets lost now and then.
+        let pause = doubled(cfg.first_pause, misses.saturating_sub(1), cfg.max_pause);
+        worker.looking.not_before = (misses > 0).then(|| cx.now + pause);
     }
 
     /// Sends a look where one is due and none is under way.
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod finish;
 mod look;
+mod pace;
 mod place;
 mod replies;
 mod submit;
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -83,6 +83,8 @@
             expected: job.expected_run(task.position),
             percent: 0,
             moved: cx.now,
+            unsure_since: None,
+            is_pace_noted: false,
             stop_sent: None,
         });
         out.push(Effect::Start(StartCall {
@@ -135,6 +137,8 @@
             expected: job.expected_run(position),
             percent: 0,
             moved: cx.now,
+            unsure_since: None,
+            is_pace_noted: false,
             stop_sent,
         });
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -44,12 +44,13 @@
                 }
             }
             StartReply::Unanswered => {
-                if worker.runs[position].state == RunState::Starting {
-                    worker.runs[position].state = RunState::Unsure;
+                // The next look tells whether it runs.
+                let run = &mut worker.runs[position];
+                if run.state == RunState::Starting {
+                    run.state = RunState::Unsure;
+                    run.unsure_since = Some(cx.now);
                 }
-                // Its leases lapse unless a look gets through.
                 worker.looking.misses = worker.looking.misses.max(1);
-                self.stop(cx, key, task, run, out);
             }
             StartReply::Fenced => return self.depose(key, out),
             StartReply::OtherLife => self.forget_runs(cx, key, out),
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -124,6 +124,9 @@
         {
             return Some(RefusalReason::NoWorkerFits);
         }
+        if job.rank.latest_start <= cx.now {
+            return Some(RefusalReason::TooLong);
+        }
         let wait = admission::expected_wait(&self.backlog(cx, key));
         let slack = job.rank.latest_start.saturating_duration_since(cx.now);
         let is_admitted = admission::is_admitted(wait, slack, cx.cfg.leased.admit_percent);
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -15,6 +15,10 @@
     pub struct WorkerKey;
 }
 
+/// Calls in a row without an answer from which a worker gets no tasks. One call is lost now and
+/// then while the worker is sound.
+const MAX_MISSES: u32 = 2;
+
 /// Whether a worker takes new tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum WorkerState {
@@ -76,6 +80,10 @@
     pub(super) percent: u8,
     /// When `percent` last grew.
     pub(super) moved: Instant,
+    /// Since when it is not known whether it runs.
+    pub(super) unsure_since: Option<Instant>,
+    /// Whether its pace has been held against the worker.
+    pub(super) is_pace_noted: bool,
     /// When a stop was last sent.
     pub(super) stop_sent: Option<Instant>,
 }
@@ -152,7 +160,12 @@
             && self.entry.state == WorkerState::Ready
             && self.is_fenced
             && self.clock.is_some()
-            && self.looking.misses == 0
+            && self.looking.misses < MAX_MISSES
+    }
+
+    /// Whether its last call was not answered.
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.looking.misses > 0
     }
 
     pub(super) fn run_position(&self, name: TaskName, run: u32) -> Option<usize> {
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -124,6 +124,9 @@
     /// Only of a refusal.
     #[prost(uint64, tag = "4")]
     pub retry_after_ms: u64,
+    /// Fencing token of the scheduler that answers.
+    #[prost(uint64, tag = "5")]
+    pub token: u64,
 }
 /// Nested message and enum types in `Answer`.
 pub mod answer {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -15,9 +15,10 @@
 use geraniumrelay_wire::leased::{Answer, Beat, QueueCount, Step, Submit};
 
 /// Reasons that a refusal may have.
-const REASONS: [RefusalReason; 5] = [
+const REASONS: [RefusalReason; 6] = [
     RefusalReason::Overload,
     RefusalReason::NoWorkerFits,
+    RefusalReason::TooLong,
     RefusalReason::WaitedTooLong,
     RefusalReason::NoScheduler,
     RefusalReason::Unsupported,
@@ -130,7 +131,7 @@
     }
 }
 
-pub(super) fn answer_to(id: JobId, outcome: JobOutcome) -> Answer {
+pub(super) fn answer_to(id: JobId, outcome: JobOutcome, token: FencingToken) -> Answer {
     let (kind, refusal) = match outcome {
         JobOutcome::TimedOut => (Outcome::TimedOut, None),
         JobOutcome::Completed => (Outcome::Completed, None),
@@ -146,6 +147,7 @@
         outcome: kind.into(),
         reason: refusal.map_or(String::new(), |(reason, _)| reason.to_string()),
         retry_after_ms: refusal.map_or(0, |(_, after)| micros(after) / 1_000),
+        token: token.0,
     }
 }
 
--- a/crates/geraniumrelay/src/leased/desk.rs
+++ b/crates/geraniumrelay/src/leased/desk.rs
@@ -77,6 +77,12 @@
         self.jobs.get(&id).is_some_and(|job| job.was_sent)
     }
 
+    /// Whether the scheduler with `token` is the last that was given the job.
+    pub(super) fn is_with(&self, id: JobId, token: FencingToken) -> bool {
+        let job = self.jobs.get(&id);
+        job.is_some_and(|job| job.sent_to == Some(token))
+    }
+
     /// What the scheduler with `token` has not been given yet.
     pub(super) fn unsent(
         &mut self,
--- a/crates/geraniumrelay/src/leased/feeds.rs
+++ b/crates/geraniumrelay/src/leased/feeds.rs
@@ -1,5 +1,7 @@
 //! Follows the tables of the platform's store.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use geraniumrelay_adapter::{NodeSettings, StoreClient, StoreError, Table};
@@ -13,6 +15,13 @@
 /// shorter than the two seconds in which a configuration must be in force.
 const WAIT: Duration = Duration::from_millis(1_500);
 
+/// Shortest time between two reads of the workers' entries, whose heartbeats change them all the
+/// time; an eighth of the time in which a draining worker must be left alone.
+const WORKERS_GAP: Duration = Duration::from_millis(250);
+
+/// The same for a VM that does not schedule, and only has to be ready to.
+const WORKERS_STANDBY_GAP: Duration = Duration::from_millis(1_200);
+
 /// First pause after a failure; doubles each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -23,9 +32,15 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Starts to follow all tables, and enters this VM.
-pub(super) fn start(store: &StoreClient, settings: &NodeSettings, tx: &InputTx) {
+pub(super) fn start(
+    store: &StoreClient,
+    settings: &NodeSettings,
+    is_scheduler: &Rc<Cell<bool>>,
+    tx: &InputTx,
+) {
     for table in [Table::Configuration, Table::Workers, Table::EntryVms] {
-        spawn_local(follow(store.clone(), table, tx.clone()));
+        let is_scheduler = Rc::clone(is_scheduler);
+        spawn_local(follow(store.clone(), table, is_scheduler, tx.clone()));
     }
     let address = settings.peer_listen().to_string();
     spawn_local(enter(store.clone(), settings.vm.clone(), address));
@@ -57,7 +72,7 @@
 }
 
 /// Reads a table whole, then what changes; whole again where history is missing.
-async fn follow(store: StoreClient, table: Table, tx: InputTx) {
+async fn follow(store: StoreClient, table: Table, is_scheduler: Rc<Cell<bool>>, tx: InputTx) {
     let mut revision = None;
     let mut pause = FIRST_PAUSE;
     let mut was_healthy = true;
@@ -85,6 +100,15 @@
                     })
                     .await;
                 }
+                if table == Table::Workers && !is_whole {
+                    let standby = !is_scheduler.get();
+                    sleep(if standby {
+                        WORKERS_STANDBY_GAP
+                    } else {
+                        WORKERS_GAP
+                    })
+                    .await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 info!(table:% = table, revision = revision.unwrap_or(0); "history_gone");
--- a/crates/geraniumrelay/src/leased/hub.rs
+++ b/crates/geraniumrelay/src/leased/hub.rs
@@ -1,5 +1,6 @@
 //! The hub: owns the decisions and carries out their effects.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,6 +60,8 @@
     pub(super) workers: WorkerClient,
     pub(super) routes: Routes,
     pub(super) readiness: Rc<Readiness>,
+    /// Told to the feeds.
+    pub(super) is_scheduler: Rc<Cell<bool>>,
     pub(super) tx: InputTx,
     pub(super) metrics: Arc<LeasedMetrics>,
 }
@@ -190,6 +193,7 @@
             self.answer(id, outcome);
         }
         self.set_readiness(now);
+        self.parts.is_scheduler.set(self.scheduler.is_some());
         if now >= self.next_beat {
             self.beat(None);
             let pause = if self.scheduler.is_some() {
@@ -267,7 +271,7 @@
             }),
             Body::Answer(answer) => {
                 let (id, outcome) = convert::answer_from(&answer);
-                self.answer(id, outcome);
+                self.take_answer(id, outcome, FencingToken(answer.token));
             }
             Body::Configuration(configuration) => {
                 let change = convert::configuration_from(configuration.row);
@@ -421,6 +425,17 @@
         pending.get(queue).copied().unwrap_or(0)
     }
 
+    /// Takes a scheduler's word on a job. Where another one has been given the job since, only the
+    /// word that it has ended still holds.
+    fn take_answer(&mut self, id: JobId, outcome: JobOutcome, token: FencingToken) {
+        if self.desk.is_with(id, token) {
+            self.answer(id, outcome);
+        } else if matches!(outcome, JobOutcome::Completed | JobOutcome::Failed) {
+            self.withdraw(id);
+            self.answer(id, outcome);
+        }
+    }
+
     fn answer(&mut self, id: JobId, outcome: JobOutcome) {
         let Some(took) = self.desk.answer(id, outcome) else {
             return;
@@ -514,10 +529,13 @@
                 id,
                 outcome,
             } => {
+                let token = self.scheduler.as_ref().map(Scheduler::token);
+                let token = token.unwrap_or_default();
                 if origin == self.parts.vm {
-                    self.answer(id, outcome);
+                    self.take_answer(id, outcome, token);
                 } else {
-                    self.send(origin, Body::Answer(convert::answer_to(id, outcome)));
+                    let answer = convert::answer_to(id, outcome, token);
+                    self.send(origin, Body::Answer(answer));
                 }
             }
             Effect::Deposed { worker } => {
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -15,7 +15,7 @@
 mod metrics;
 mod server;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -90,7 +90,8 @@
     let server = server::Server::start(settings.listen, &intake).context("listen")?;
     balance::start(settings.readiness_listen, Rc::clone(&readiness)).context("readiness_listen")?;
     metrics::start(settings.address, Arc::clone(&metrics)).context("metrics")?;
-    feeds::start(&store, &settings, &tx);
+    let is_scheduler = Rc::new(Cell::new(false));
+    feeds::start(&store, &settings, &is_scheduler, &tx);
     spawn_local(watch_settings(path, settings.clone()));
     info!(
         vm = settings.vm.as_str(), data_centre = settings.data_centre.as_str(),
@@ -105,6 +106,7 @@
         workers,
         routes,
         readiness: Rc::clone(&readiness),
+        is_scheduler,
         tx: tx.clone(),
         metrics,
     });
