--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -20,6 +20,10 @@
     pub(super) position: u32,
 }
 
+/// Share of the expected run time that a job may be expected to take at least: callers' estimates
+/// are off by some tens of percent either way.
+const TOO_LONG_FACTOR: f64 = 0.8;
+
 /// Where a job is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum JobState {
@@ -61,9 +65,9 @@
 /// Place of a job in the queue: the lowest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
-    pub(super) priority: u8,
     /// Latest start at which the objective is met.
     pub(super) latest_start: Instant,
+    pub(super) priority: u8,
     pub(super) sequence: u64,
 }
 
@@ -180,6 +184,13 @@
         Arc::clone(&self.spec.payload)
     }
 
+    /// Whether it ends after its caller's patience even if it starts at once. Estimates are rough,
+    /// so that it must be so by a margin.
+    pub(super) fn is_too_long(&self, now: Instant) -> bool {
+        let chain = self.times.objective - self.rank.latest_start;
+        now + chain.mul_f64(TOO_LONG_FACTOR) > self.times.give_up
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.left.iter().all(|&left| left == 0)
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
@@ -14,7 +14,7 @@
 use crate::leased::worker::{Run, RunState, WorkerKey};
 
 /// Progress from which a pace can be told: reports are in whole percent.
-const MIN_PERCENT: u8 = 4;
+const MIN_PERCENT: u8 = 8;
 
 /// Time that a stop and a new start take.
 const MOVE_TIME: Duration = Duration::from_millis(30);
@@ -63,6 +63,7 @@
         return None;
     }
     let took = run.moved.saturating_duration_since(run.sent);
-    let whole = took.mul_f64(100.0 / f64::from(run.percent));
+    // Reports are rounded down.
+    let whole = took.mul_f64(100.0 / (f64::from(run.percent) + 1.0));
     Some((run.sent + whole).max(now))
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -124,7 +124,7 @@
         {
             return Some(RefusalReason::NoWorkerFits);
         }
-        if job.rank.latest_start <= cx.now {
+        if job.is_too_long(cx.now) {
             return Some(RefusalReason::TooLong);
         }
         let wait = admission::expected_wait(&self.backlog(cx, key));
--- a/crates/geraniumrelay/src/leased/desk.rs
+++ b/crates/geraniumrelay/src/leased/desk.rs
@@ -1,6 +1,7 @@
 //! Jobs whose callers wait at this entry VM.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::{
@@ -31,6 +32,16 @@
     was_sent: bool,
 }
 
+/// What a log line says of a job that has been answered.
+#[derive(Debug)]
+pub(super) struct Answered {
+    pub(super) took: Duration,
+    pub(super) queue: Arc<str>,
+    pub(super) tasks: usize,
+    /// The longest of its steps' estimates.
+    pub(super) estimate: Duration,
+}
+
 /// Jobs whose callers wait here.
 #[derive(Debug, Default)]
 pub(super) struct Desk {
@@ -123,13 +134,19 @@
     }
 
     /// Answers a job's callers.
-    pub(super) fn answer(&mut self, id: JobId, outcome: JobOutcome) -> Option<Duration> {
+    pub(super) fn answer(&mut self, id: JobId, outcome: JobOutcome) -> Option<Answered> {
         let job = self.jobs.remove(&id)?;
         for reply in job.replies {
             // A caller that has gone away needs no answer.
             let _ = reply.send(outcome);
         }
-        Some(job.arrived.elapsed())
+        let estimates = job.spec.steps.iter().map(|s| s.estimate);
+        Some(Answered {
+            took: job.arrived.elapsed(),
+            queue: Arc::clone(&job.spec.queue),
+            tasks: job.spec.task_count(),
+            estimate: estimates.max().unwrap_or_default(),
+        })
     }
 
     /// Takes note that a caller has gone away; `true` where none is left.
--- a/crates/geraniumrelay/src/leased/hub.rs
+++ b/crates/geraniumrelay/src/leased/hub.rs
@@ -437,19 +437,22 @@
     }
 
     fn answer(&mut self, id: JobId, outcome: JobOutcome) {
-        let Some(took) = self.desk.answer(id, outcome) else {
+        let Some(job) = self.desk.answer(id, outcome) else {
             return;
         };
-        let took_ms = took.as_millis();
+        let took_ms = job.took.as_millis();
+        let (queue, tasks, estimate_ms) = (&*job.queue, job.tasks, job.estimate.as_millis());
         match outcome {
             JobOutcome::Refused {
                 reason,
                 retry_after,
             } => {
                 let retry_after_ms = retry_after.as_millis();
-                info!(id:% = id, outcome = "refused", reason:% = reason, retry_after_ms, took_ms; "job_answered");
+                info!(id:% = id, outcome = "refused", reason:% = reason, retry_after_ms, took_ms, queue, tasks, estimate_ms; "job_answered");
+            }
+            other => {
+                info!(id:% = id, outcome:? = other, took_ms, queue, tasks, estimate_ms; "job_answered")
             }
-            other => info!(id:% = id, outcome:? = other, took_ms; "job_answered"),
         }
     }
 
