--- a/crates/geraniumrelay/src/leased/hub.rs
+++ b/crates/geraniumrelay/src/leased/hub.rs
@@ -451,7 +451,7 @@
                 info!(id:% = id, outcome = "refused", reason:% = reason, retry_after_ms, took_ms, queue, tasks, estimate_ms; "job_answered");
             }
             other => {
-                info!(id:% = id, outcome:? = other, took_ms, queue, tasks, estimate_ms; "job_answered")
+                info!(id:% = id, outcome:? = other, took_ms, queue, tasks, estimate_ms; "job_answered");
             }
         }
     }
--- a/crates/geraniumrelay/src/leased/intake.rs
+++ b/crates/geraniumrelay/src/leased/intake.rs
@@ -204,13 +204,14 @@
     headers.get(HOST)?.to_str().ok().map(str::to_owned)
 }
 
+/// How long a caller waits. What it says itself goes first: a job may well take longer than its
+/// route's time-out, which bounds calls that ask for the state of one.
 fn patience(headers: &HeaderMap, route: &Route) -> Duration {
     let named = headers.get(PATIENCE).and_then(|v| v.to_str().ok());
     let named = named
         .and_then(|ms| ms.trim().parse().ok())
         .map(Duration::from_millis);
-    let limits = named.into_iter().chain(route.timeout);
-    limits.min().unwrap_or(DEFAULT_PATIENCE)
+    named.or(route.timeout).unwrap_or(DEFAULT_PATIENCE)
 }
 
 fn answer_of(outcome: JobOutcome) -> Reply {
