fix(core): a cut-off scheduler lets go of jobs that have moved on

A scheduler behind a partition kept the leases of jobs whose entry VMs had passed them to another one, as it noticed the silence after 3 s; a process that had started during a partition did not know the workers behind it. Ruled out: late orders, clocks.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -61,7 +61,7 @@
             max_paused_percent: 40,
             orphan_grace: Duration::from_millis(400),
             takeover_wait: Duration::from_millis(1100),
-            departed_ttl: Duration::from_secs(30),
+            departed_ttl: Duration::from_secs(20),
             stop_grace: Duration::from_millis(80),
             entry_grace: Duration::from_millis(500),
             outcome_ttl: Duration::from_secs(10),
--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -87,8 +87,10 @@
         /// The job.
         id: JobId,
     },
-    /// An entry VM can't be reached any more.
+    /// The link of an entry VM has broken; it may connect again.
     EntryLost(EntryVm),
+    /// An entry VM is silent, or has passed its jobs to another scheduler.
+    EntryLeft(EntryVm),
     /// A worker's entry is new or has changed.
     WorkerSeen(WorkerEntry),
     /// A worker's entry is gone.
--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -55,6 +55,10 @@
     pub is_barred: bool,
     /// Who is to take over from it.
     pub successor: Option<EntryVm>,
+    /// Token of the scheduler that it follows, which may be itself.
+    pub follows: Option<FencingToken>,
+    /// Whether it knows the workers that have departed lately.
+    pub knows_departed: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -94,6 +98,7 @@
     lost_at: Instant,
     store_lost_at: Option<Instant>,
     is_barred: bool,
+    knows_departed: bool,
     named: bool,
 }
 
@@ -110,6 +115,7 @@
             lost_at: now,
             store_lost_at: Some(now),
             is_barred: true,
+            knows_departed: false,
             named: false,
         }
     }
@@ -134,6 +140,19 @@
         }
     }
 
+    /// Notes whether this process knows the workers that have departed lately.
+    pub fn set_knows_departed(&mut self, knows_departed: bool) {
+        self.knows_departed = knows_departed;
+    }
+
+    /// Entry VMs that have not been heard for too long to be taken for alive.
+    pub fn silent_peers(&self, now: Instant) -> Vec<EntryVm> {
+        let limit = self.cfg.peer_silence;
+        let is_silent = |p: &Peer| now.saturating_duration_since(p.heard) >= limit;
+        let peers = self.peers.iter().filter(|(_, p)| is_silent(p));
+        peers.map(|(&vm, _)| vm).collect()
+    }
+
     /// What this process says of itself.
     pub fn own_beat(&self, successor: Option<EntryVm>) -> Beat {
         Beat {
@@ -141,6 +160,8 @@
             has_store: self.store_lost_at.is_none(),
             is_barred: self.is_barred,
             successor,
+            follows: self.current.map(|c| c.1),
+            knows_departed: self.knows_departed,
         }
     }
 
@@ -208,7 +229,7 @@
     /// Names the VM that takes over when this one stops.
     pub fn successor(&self, now: Instant) -> Option<EntryVm> {
         let live = self.live_peers(now);
-        live.min_by_key(|&(vm, peer)| order(vm, peer.beat.has_store))
+        live.min_by_key(|&(vm, peer)| order(vm, &peer.beat))
             .map(|(vm, _)| vm)
     }
 
@@ -245,10 +266,10 @@
         if self.is_barred {
             return Step::Stay;
         }
-        let own = order(self.vm, self.store_lost_at.is_none());
+        let own = order(self.vm, &self.own_beat(None));
         let before = self
             .live_peers(now)
-            .filter(|&(vm, peer)| order(vm, peer.beat.has_store) < own)
+            .filter(|&(vm, peer)| order(vm, &peer.beat) < own)
             .count();
         let turns = u32::try_from(before).unwrap_or(u32::MAX);
         let start = (self.started + self.cfg.start_grace).max(self.lost_at);
@@ -276,7 +297,7 @@
     }
 }
 
-/// Order in which entry VMs take over: those that the store answers first.
-fn order(vm: EntryVm, has_store: bool) -> (bool, EntryVm) {
-    (!has_store, vm)
+/// Order in which entry VMs take over: those first that the store answers and that know the workers.
+fn order(vm: EntryVm, beat: &Beat) -> (bool, bool, EntryVm) {
+    (!beat.has_store, !beat.knows_departed, vm)
 }
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -191,6 +191,11 @@
         now + chain.mul_f64(TOO_LONG_FACTOR) > self.times.give_up
     }
 
+    /// Whether it can't be said that none of its tasks has started.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.has_started || self.earlier_runs_until.is_some()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.left.iter().all(|&left| left == 0)
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -43,6 +43,8 @@
     outcome_ages: VecDeque<(Instant, JobId)>,
     /// Entry VMs whose links have broken, and when.
     lost_entries: Vec<(EntryVm, Instant)>,
+    /// Whether all workers are known on which an earlier scheduler may have started tasks.
+    knows_departed: bool,
     sequence: u64,
     /// Whether tasks may fit that did not fit before.
     has_new_room: bool,
@@ -83,6 +85,7 @@
             outcomes: BTreeMap::new(),
             outcome_ages: VecDeque::new(),
             lost_entries: Vec::new(),
+            knows_departed: true,
             sequence: 0,
             has_new_room: false,
             is_deposed: false,
@@ -96,6 +99,14 @@
         self
     }
 
+    /// The same scheduler, told whether it knows all workers on which an earlier one may have
+    /// started tasks.
+    #[must_use]
+    pub fn with_departed_known(mut self, knows_departed: bool) -> Self {
+        self.knows_departed = knows_departed;
+        self
+    }
+
     /// Its rank.
     pub fn token(&self) -> FencingToken {
         self.token
@@ -116,6 +127,7 @@
             Command::Withdraw { id, origin } => self.withdraw(cx, id, origin, out),
             Command::Cancel { id } => self.cancel(cx, id, out),
             Command::EntryLost(vm) => self.lost_entries.push((vm, cx.now)),
+            Command::EntryLeft(vm) => self.drop_entry(cx, vm, cx.now, out),
             Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
             Command::WorkerGone(name) => self.worker_gone(cx, &name),
             Command::StartReplied {
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -11,7 +11,7 @@
     /// Starts what fits, in order of rank.
     pub(super) fn place_waiting(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         let respects_pauses = self.are_pauses_respected(cx);
-        let are_all_fenced = self.workers.values().all(|w| w.is_fenced);
+        let are_all_fenced = self.knows_departed && self.workers.values().all(|w| w.is_fenced);
         let mut misses = 0;
         let order: Vec<_> = self.waiting.iter().copied().collect();
         for (rank, key) in order {
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -189,7 +189,7 @@
     pub(super) fn plan_check(&mut self, _cx: &Context<'_>, key: JobKey) {
         let job = &mut self.jobs[key];
         self.checks.remove(&(job.check_at, key));
-        job.check_at = if job.has_started || job.earlier_runs_until.is_some() {
+        job.check_at = if job.may_have_run() {
             job.times.give_up
         } else {
             job.rank.latest_start.min(job.times.give_up)
@@ -249,7 +249,17 @@
             .map(|j| j.spec.id)
             .collect();
         for id in ids {
-            self.withdraw(cx, id, origin, out);
+            let key = self.by_id[&id];
+            if self.jobs[key].origins.len() > 1 {
+                self.withdraw(cx, id, origin, out);
+                continue;
+            }
+            // In case it lives and only this scheduler does not hear it.
+            if self.jobs[key].may_have_run() {
+                self.finish(cx, key, JobOutcome::TimedOut, out);
+            } else {
+                self.refuse(cx, key, RefusalReason::NoScheduler, out);
+            }
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -75,7 +75,7 @@
                 return;
             }
             let job = &self.jobs[key];
-            if job.has_started || job.earlier_runs_until.is_some() {
+            if job.may_have_run() {
                 self.finish(cx, key, JobOutcome::TimedOut, out);
             } else {
                 self.refuse(cx, key, RefusalReason::WaitedTooLong, out);
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -45,6 +45,12 @@
     /// Only from the scheduler.
     #[prost(message, repeated, tag = "6")]
     pub pending: ::prost::alloc::vec::Vec<QueueCount>,
+    /// Fencing token of the scheduler that it follows; 0 for none.
+    #[prost(uint64, tag = "7")]
+    pub follows: u64,
+    /// It has followed the workers' entries for long enough to know those that have departed.
+    #[prost(bool, tag = "8")]
+    pub knows_departed: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -40,6 +40,8 @@
         successor: beat.successor.map_or(0, vm_to),
         config_version,
         pending,
+        follows: beat.follows.unwrap_or_default().0,
+        knows_departed: beat.knows_departed,
     }
 }
 
@@ -49,6 +51,8 @@
         has_store: beat.has_store,
         is_barred: beat.is_barred,
         successor: (beat.successor > 0).then(|| vm_from(beat.successor)),
+        follows: (beat.follows > 0).then_some(FencingToken(beat.follows)),
+        knows_departed: beat.knows_departed,
     }
 }
 
--- a/crates/geraniumrelay/src/leased/hub.rs
+++ b/crates/geraniumrelay/src/leased/hub.rs
@@ -55,6 +55,8 @@
 pub(super) struct Parts {
     pub(super) vm: EntryVm,
     pub(super) incarnation: u64,
+    /// Whether no entry process has run before.
+    pub(super) is_first_start: bool,
     pub(super) data_centre: Arc<str>,
     pub(super) cfg: Config,
     pub(super) workers: WorkerClient,
@@ -76,6 +78,8 @@
     links: Map<EntryVm, Link>,
     /// Workers as the store lists them.
     entries: Map<WorkerName, WorkerEntry>,
+    /// Since when the workers' entries are followed.
+    workers_since: Option<Instant>,
     /// Workers that went silent, and since when the store does not list them.
     departed: Map<WorkerName, (WorkerEntry, Instant)>,
     /// Names under which entry VMs are listed.
@@ -104,6 +108,7 @@
             desk: Desk::default(),
             links: Map::default(),
             entries: Map::default(),
+            workers_since: None,
             departed: Map::default(),
             members: BTreeMap::new(),
             configuration: convert::configuration_from(Vec::new()),
@@ -183,9 +188,13 @@
         let is_barred = self.is_stopping || self.entries.is_empty();
         let has_store = self.sick_tables.is_empty();
         self.election.set_own(is_barred, has_store, now);
+        self.election.set_knows_departed(self.knows_departed(now));
         let step = self.election.tick(now, SystemTime::now());
         self.follow(step);
         if self.scheduler.is_some() {
+            for vm in self.election.silent_peers(now) {
+                self.command(Command::EntryLeft(vm));
+            }
             self.command(Command::Tick);
         }
         for (id, outcome) in self.desk.overdue(now) {
@@ -253,6 +262,9 @@
                 let own = convert::beat_from(&beat);
                 let step = self.election.hear(from, own, Instant::now());
                 self.follow(step);
+                if own.follows > self.scheduler.as_ref().map(Scheduler::token) {
+                    self.command(Command::EntryLeft(from));
+                }
                 if self.election.current().is_some_and(|(vm, _)| vm == from) {
                     let count = |c: &QueueCount| (c.queue.as_str().into(), c.pending);
                     self.pending = beat.pending.iter().map(count).collect();
@@ -338,7 +350,9 @@
         self.parts.metrics.set_token(token.0);
         let data_centre = Arc::clone(&self.parts.data_centre);
         let scheduler = Scheduler::new(token, data_centre);
-        self.scheduler = Some(scheduler.with_estimates(self.estimates.clone()));
+        let scheduler = scheduler.with_estimates(self.estimates.clone());
+        let knows_departed = self.knows_departed(Instant::now());
+        self.scheduler = Some(scheduler.with_departed_known(knows_departed));
         let entries: Vec<WorkerEntry> = self.entries.values().cloned().collect();
         for entry in entries {
             self.command(Command::WorkerSeen(entry));
@@ -615,6 +629,7 @@
             }
         }
         if is_whole {
+            self.workers_since.get_or_insert_with(Instant::now);
             let gone: Vec<WorkerName> = self
                 .entries
                 .keys()
@@ -649,6 +664,14 @@
         self.command(Command::WorkerGone(name.clone()));
     }
 
+    /// Whether every worker that may still run something is known here.
+    fn knows_departed(&self, now: Instant) -> bool {
+        let ttl = self.parts.cfg.leased.departed_ttl;
+        self.workers_since.is_some_and(|since| {
+            self.parts.is_first_start || now.saturating_duration_since(since) >= ttl
+        })
+    }
+
     fn forget_departed(&mut self) {
         let (now, ttl) = (Instant::now(), self.parts.cfg.leased.departed_ttl);
         self.departed
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -101,6 +101,7 @@
     let hub = Hub::new(hub::Parts {
         vm,
         incarnation: rand::random(),
+        is_first_start: settings.is_first_start,
         data_centre: settings.data_centre.as_str().into(),
         cfg: leased_config(&settings),
         workers,
