feat(core): admission counts room that fits and leaves room to the more urgent; tests in virtual time

Change: free room is counted in tasks, the demand of more urgent priorities is left to them, a successor waits for stops under way.

--- a/crates/geraniumrelay-core/src/leased/admission.rs
+++ b/crates/geraniumrelay-core/src/leased/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: more work than the workers can do. Jobs that would wait too long are refused on
 //! arrival, when their callers can still turn elsewhere; work that waits in vain would delay the
-//! rest.
+//! rest. What more urgent jobs are going to take is left to them, so that the least urgent are
+//! refused first.
 
 use std::time::Duration;
 
@@ -17,20 +18,27 @@
     pub own: u64,
     /// Processor that running tasks free in a second.
     pub freed_per_s: f64,
+    /// Processor that more urgent jobs have been taking in a second, and will go on to take.
+    pub urgent_per_s: f64,
 }
 
+/// Least share of the freed processor that is left for a job beside more urgent ones, so that no
+/// kind of job is refused altogether.
+const MIN_SHARE: f64 = 0.25;
+
 /// Time until all tasks of the job can have started; `None` where nothing becomes free.
 pub fn expected_wait(backlog: &Backlog) -> Option<Duration> {
     let wanted = backlog.ahead + backlog.own;
     if wanted <= backlog.free {
         return Some(Duration::ZERO);
     }
-    if backlog.freed_per_s <= 0.0 {
+    let rate = (backlog.freed_per_s - backlog.urgent_per_s).max(backlog.freed_per_s * MIN_SHARE);
+    if rate <= 0.0 {
         return None;
     }
     #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
     let missing = (wanted - backlog.free) as f64;
-    Duration::try_from_secs_f64(missing / backlog.freed_per_s).ok()
+    Duration::try_from_secs_f64(missing / rate).ok()
 }
 
 /// Whether a job that can wait for `slack` is admitted.
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -165,7 +165,7 @@
     pub(super) fn forget_runs(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let worker = &mut self.workers[key];
         worker.clock = None;
-        worker.is_fenced = false;
+        worker.fenced = None;
         worker.lease = None;
         worker.last_seen = 0;
         worker.owes_ack = false;
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -31,8 +31,8 @@
         worker.looking.misses = 0;
         worker.looking.not_before = None;
         worker.clock = Some(WorkerClock::new(report.clock, cx.now));
-        if !worker.is_fenced {
-            worker.is_fenced = true;
+        if worker.fenced.is_none() {
+            worker.fenced = Some(cx.now);
             self.has_new_room = true;
         }
         self.take_ends(cx, key, report, out);
@@ -193,14 +193,14 @@
         let has_runs = !worker.runs.is_empty();
         let lease_until = worker
             .clock
-            .filter(|_| has_runs && worker.is_fenced)
+            .filter(|_| has_runs && worker.fenced.is_some())
             .map(|clock| clock.at(cx.now).after(cx.cfg.leased.lease));
         if let Some(until) = lease_until {
             worker.note_lease(until);
         }
         worker.looking.out_since = Some(cx.now);
         worker.owes_ack = false;
-        let is_first = !worker.is_fenced || worker.looking.misses > 0;
+        let is_first = worker.fenced.is_none() || worker.looking.misses > 0;
         out.push(Effect::Look(LookCall {
             worker: key,
             name: worker.entry.name.clone(),
@@ -219,7 +219,7 @@
 
 fn needs_look(worker: &Worker) -> bool {
     let has_runs = !worker.runs.is_empty() || !worker.orphans.is_empty();
-    let must_answer = !worker.is_fenced || (worker.is_listed && worker.looking.misses > 0);
+    let must_answer = worker.fenced.is_none() || (worker.is_listed && worker.looking.misses > 0);
     has_runs || worker.owes_ack || must_answer
 }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -22,6 +22,7 @@
 use super::worker::{Worker, WorkerEntry, WorkerKey, WorkerState};
 use crate::collections::Map;
 use crate::context::Context;
+use crate::modules::decayed::Decayed;
 
 /// Places the tasks of all jobs on the workers of its data centres.
 #[derive(Debug)]
@@ -36,6 +37,8 @@
     waiting: BTreeSet<(Rank, JobKey)>,
     checks: BTreeSet<(Instant, JobKey)>,
     estimates: Estimates,
+    /// Processor that admitted jobs of each priority take.
+    demand: BTreeMap<u8, Decayed>,
     /// Ends of tasks whose jobs have not been passed on to this scheduler yet.
     early_ends: BTreeMap<TaskName, Instant>,
     /// How jobs ended, for a while.
@@ -81,6 +84,7 @@
             waiting: BTreeSet::new(),
             checks: BTreeSet::new(),
             estimates: Estimates::default(),
+            demand: BTreeMap::new(),
             early_ends: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             outcome_ages: VecDeque::new(),
@@ -248,7 +252,9 @@
         worker.is_listed = false;
         worker.departed = Some(cx.now);
         // A worker that went silent may live on and obey another scheduler.
-        worker.is_fenced &= !is_silent;
+        if is_silent {
+            worker.fenced = None;
+        }
     }
 
     fn depose(&mut self, key: WorkerKey, out: &mut Vec<Effect>) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -11,12 +11,14 @@
     /// Starts what fits, in order of rank.
     pub(super) fn place_waiting(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         let respects_pauses = self.are_pauses_respected(cx);
-        let are_all_fenced = self.knows_departed && self.workers.values().all(|w| w.is_fenced);
+        let grace = cx.cfg.leased.stop_grace;
+        let mut workers = self.workers.values();
+        let are_all_listed = self.knows_departed && workers.all(|w| w.lists_all(cx.now, grace));
         let mut misses = 0;
         let order: Vec<_> = self.waiting.iter().copied().collect();
         for (rank, key) in order {
             let earlier = self.jobs[key].earlier_runs_until;
-            if !are_all_fenced && earlier.is_some_and(|until| cx.now < until) {
+            if !are_all_listed && earlier.is_some_and(|until| cx.now < until) {
                 continue;
             }
             if !self.place_job(cx, key, respects_pauses, out) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -11,10 +11,14 @@
 use crate::leased::names::{EntryVm, JobId};
 use crate::leased::placement;
 use crate::leased::spec::JobSpec;
+use crate::modules::decayed::Decayed;
 
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time over which the demand of each priority is measured: some bursts, and some tasks.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
 /// Runs that an earlier scheduler may have made of a task, so that later numbers are higher.
 const RUNS_BEFORE_TAKEOVER: u32 = 100;
 
@@ -74,6 +78,7 @@
             self.refuse(cx, key, reason, out);
             return;
         }
+        self.note_demand(cx.now, key);
         self.plan_check(cx, key);
         if !self.jobs[key].ready.is_empty() {
             self.waiting.insert((self.jobs[key].rank, key));
@@ -133,31 +138,35 @@
         (!is_admitted).then_some(RefusalReason::Overload)
     }
 
+    /// What waits before a job, counted in room for its own tasks: what is left of a worker beside
+    /// them is of no use.
     #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
     pub(super) fn backlog(&self, cx: &Context<'_>, key: JobKey) -> Backlog {
         let job = &self.jobs[key];
+        let service = &job.spec.service;
         let needs = |job: &Job| -> u64 {
             let cpu = |&p: &u32| job.step(p).size.cpu_milli;
             job.ready.iter().map(cpu).sum()
         };
-        let service = &job.spec.service;
         let ahead = self.waiting.range(..(job.rank, key));
         let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
+        let ahead = ahead.filter(|j| j.spec.service == *service);
+        let own = needs(job);
+        let position = job.ready.front().copied().unwrap_or(0);
+        let (size, expected) = (job.step(position).size, job.expected_run(position));
         let mut backlog = Backlog {
             free: 0,
-            ahead: ahead
-                .filter(|j| j.spec.service == *service)
-                .map(needs)
-                .sum(),
-            own: needs(job),
+            ahead: ahead.map(needs).sum(),
+            own,
             freed_per_s: 0.0,
+            urgent_per_s: self.urgent_demand(cx.now, job.spec.priority),
         };
         for worker in self.workers.values() {
-            if worker.entry.service != *service || !worker.is_usable() {
+            if worker.entry.service != *service || !worker.may_become_usable() {
                 continue;
             }
             if worker.health.may_start(cx.now, 0) {
-                backlog.free += worker.free().cpu_milli;
+                backlog.free += worker.free().count_of(&size) * size.cpu_milli;
             }
             for run in &worker.runs {
                 let took = cx.now.saturating_duration_since(run.sent);
@@ -166,9 +175,29 @@
                 backlog.freed_per_s += run.size.cpu_milli as f64 / whole.max(0.001);
             }
         }
+        // What starts now is free again after one run.
+        let started = backlog.free.min(backlog.ahead + own) as f64;
+        backlog.freed_per_s += started / expected.as_secs_f64().max(0.001);
         backlog
     }
 
+    /// Processor that jobs of lower priority numbers have taken in a second.
+    fn urgent_demand(&self, now: Instant, priority: u8) -> f64 {
+        let urgent = self.demand.range(..priority);
+        let taken: f64 = urgent.map(|(_, taken)| taken.get(now)).sum();
+        taken / DEMAND_WINDOW.as_secs_f64()
+    }
+
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    fn note_demand(&mut self, now: Instant, key: JobKey) {
+        let job = &self.jobs[key];
+        let tasks = (0..).zip(&job.tasks);
+        let cpu: u64 = tasks.map(|(p, _)| job.step(p).size.cpu_milli).sum();
+        let new = || Decayed::new(now, DEMAND_WINDOW);
+        let taken = self.demand.entry(job.spec.priority).or_insert_with(new);
+        taken.add(now, cpu as f64);
+    }
+
     pub(super) fn refuse(
         &mut self,
         cx: &Context<'_>,
--- a/crates/geraniumrelay-core/src/leased/spec.rs
+++ b/crates/geraniumrelay-core/src/leased/spec.rs
@@ -6,6 +6,9 @@
 
 use super::names::JobId;
 
+/// Most tasks that are counted on one worker, for tasks that ask for nothing.
+const MAX_COUNT: u64 = 1_000;
+
 /// Resources of a task, or of a worker.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Resources {
@@ -25,6 +28,15 @@
             && self.gpus >= part.gpus
     }
 
+    /// How often `part` fits into these.
+    pub fn count_of(&self, part: &Self) -> u64 {
+        let times = |whole: u64, part: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+        times(self.cpu_milli, part.cpu_milli)
+            .min(times(self.memory_mb, part.memory_mb))
+            .min(times(self.gpus, part.gpus))
+            .min(MAX_COUNT)
+    }
+
     /// What is left without `used`; nothing where more is used than there is.
     #[must_use]
     pub fn without(&self, used: &Self) -> Self {
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -117,8 +117,8 @@
     /// Since when the platform does not list it.
     pub(super) departed: Option<Instant>,
     pub(super) clock: Option<WorkerClock>,
-    /// Whether it has answered to this scheduler's token.
-    pub(super) is_fenced: bool,
+    /// When it answered to this scheduler's token: no other one gives it orders since.
+    pub(super) fenced: Option<Instant>,
     /// When the longest lease given to it lapses, and on its own clock.
     pub(super) lease: Option<(Instant, WorkerTime)>,
     pub(super) runs: Vec<Run>,
@@ -138,7 +138,7 @@
             is_listed: true,
             departed: None,
             clock: None,
-            is_fenced: false,
+            fenced: None,
             lease: None,
             runs: Vec::new(),
             orphans: Vec::new(),
@@ -158,11 +158,17 @@
     pub(super) fn is_usable(&self) -> bool {
         self.is_listed
             && self.entry.state == WorkerState::Ready
-            && self.is_fenced
+            && self.fenced.is_some()
             && self.clock.is_some()
             && self.looking.misses < MAX_MISSES
     }
 
+    /// Whether it answers, as far as is known, and takes tasks.
+    pub(super) fn may_become_usable(&self) -> bool {
+        let is_open = self.is_listed && self.entry.state == WorkerState::Ready;
+        is_open && self.looking.misses < MAX_MISSES
+    }
+
     /// Whether its last call was not answered.
     pub(super) fn is_doubtful(&self) -> bool {
         self.looking.misses > 0
@@ -197,9 +203,17 @@
         self.lease.is_none_or(|(lapse, _)| now >= lapse)
     }
 
+    /// Whether it lists all that runs there: what an earlier scheduler had told it to stop is not
+    /// listed and has ended by now.
+    pub(super) fn lists_all(&self, now: Instant, stop_grace: Duration) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        self.fenced.is_some_and(|at| age(at) >= stop_grace)
+    }
+
     /// Whether nothing more can be running there.
     pub(super) fn is_over(&self, now: Instant, departed_ttl: Duration) -> bool {
-        let is_settled = |at| self.is_fenced || now.saturating_duration_since(at) >= departed_ttl;
+        let is_settled =
+            |at| self.fenced.is_some() || now.saturating_duration_since(at) >= departed_ttl;
         self.runs.is_empty() && self.orphans.is_empty() && self.departed.is_some_and(is_settled)
     }
 
--- /dev/null
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -0,0 +1,9 @@
+//! Jobs under leases, on stand-in workers in virtual time.
+
+mod election;
+mod faults;
+mod jobs;
+mod load;
+mod takeover;
+mod worker;
+mod world;
--- /dev/null
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -0,0 +1,123 @@
+//! One scheduler after another.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use geraniumrelay_core::leased::{Command, JobOutcome};
+
+use crate::world::{TestJob, World, name_of};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Passes a job on to another scheduler, as entry VMs do when the first one is lost.
+fn pass_on(world: &mut World, host: usize, job: &TestJob) {
+    world.submit(host, MS, job.clone().passed_on_again());
+}
+
+#[test]
+fn a_successor_adopts_what_runs() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 6, 300 * MS);
+    world.submit(0, MS, job.clone());
+    world.run_for(100 * MS);
+    world.kill(0);
+    let next = world.add_host(2);
+    pass_on(&mut world, next, &job);
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.outcome(1), Some(JobOutcome::Completed));
+    assert!(world.starts.values().all(|&n| n == 1), "{:?}", world.starts);
+}
+
+#[test]
+fn a_deposed_scheduler_starts_nothing() {
+    let mut world = World::new(4, 1);
+    let next = world.add_host(2);
+    world.run_for(10 * MS);
+    assert!(world.hosts[0].token() < world.hosts[next].token());
+    world.submit(0, MS, TestJob::new(1, 1, 50 * MS));
+    world.run_for(Duration::from_secs(1));
+    assert!(world.hosts[0].is_deposed);
+    assert!(world.starts.is_empty());
+}
+
+#[test]
+fn runs_that_nobody_asks_for_are_stopped() {
+    let mut world = World::new(4, 1);
+    world.submit(0, MS, TestJob::new(1, 6, Duration::from_secs(5)));
+    world.run_for(100 * MS);
+    world.kill(0);
+    world.add_host(2);
+    world.run_for(700 * MS);
+    assert!(world.workers.iter().all(|w| w.running().count() == 0));
+}
+
+/// The old scheduler keeps a worker that the new one can't reach.
+#[test]
+fn tasks_on_a_worker_out_of_reach_wait_until_its_leases_have_lapsed() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 8, Duration::from_secs(2));
+    world.submit(0, MS, job.clone());
+    world.run_for(100 * MS);
+    world.kill(0);
+    let cut = BTreeSet::from([0]);
+    let next = world.add_host_with(2, &cut, true);
+    pass_on(&mut world, next, &job);
+    world.run_for(Duration::from_secs(6));
+    assert!(world.twice.is_empty(), "{:?}", world.twice);
+    assert_eq!(world.outcome(1), Some(JobOutcome::Completed));
+}
+
+#[test]
+fn departed_workers_may_still_run_what_another_scheduler_started() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 8, Duration::from_secs(2));
+    world.submit(0, MS, job.clone());
+    world.run_for(100 * MS);
+    world.kill(0);
+    let next = world.add_host_with(2, &BTreeSet::from([0]), true);
+    world.tell(next, Command::WorkerGone(name_of(0)));
+    pass_on(&mut world, next, &job);
+    world.run_for(Duration::from_secs(6));
+    assert!(world.twice.is_empty(), "{:?}", world.twice);
+}
+
+/// A process that started during a partition does not know the workers behind it.
+#[test]
+fn a_young_scheduler_waits_for_workers_that_it_never_knew() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 8, Duration::from_secs(2));
+    world.submit(0, MS, job.clone());
+    world.run_for(100 * MS);
+    world.kill(0);
+    let hidden = world.workers.pop().unwrap();
+    let next = world.add_host_with(2, &BTreeSet::new(), false);
+    world.workers.push(hidden);
+    pass_on(&mut world, next, &job);
+    world.run_for(Duration::from_secs(6));
+    assert!(world.twice.is_empty(), "{:?}", world.twice);
+}
+
+#[test]
+fn a_scheduler_lets_go_of_jobs_whose_entry_has_moved_on() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 8, Duration::from_secs(2));
+    world.submit(0, MS, job);
+    world.run_for(100 * MS);
+    world.tell(0, Command::EntryLeft(crate::world::vm(100)));
+    world.run_for(60 * MS);
+    assert!(world.workers.iter().all(|w| w.running().count() == 0));
+}
+
+#[test]
+fn jobs_of_an_entry_that_connects_again_go_on() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 4, Duration::from_secs(1));
+    world.submit(0, MS, job.clone());
+    world.run_for(100 * MS);
+    world.tell(0, Command::EntryLost(crate::world::vm(100)));
+    world.run_for(100 * MS);
+    pass_on(&mut world, 0, &job);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.outcome(1), Some(JobOutcome::Completed));
+    assert!(world.starts.values().all(|&n| n == 1));
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -0,0 +1,634 @@
+//! Schedulers and stand-in workers in virtual time, with calls that get lost, late or cut.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use geraniumrelay_core::leased::{
+    Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobSpec, LookCall, LookReply,
+    Resources, Scheduler, StartCall, StartReply, StepSpec, StopCall, StopReply, Submission,
+    TaskName, WorkerEntry, WorkerName, WorkerState,
+};
+use geraniumrelay_core::{Config, Context};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::worker::FakeWorker;
+
+/// One way between a scheduler and a worker.
+const ONE_WAY: Duration = Duration::from_micros(500);
+
+/// Time after which a call counts as unanswered, beside its wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Time after which a worker that holds a look back checks for an end again.
+const LOOK_STEP: Duration = Duration::from_millis(1);
+
+/// Time between two ticks of a scheduler.
+const TICK: Duration = Duration::from_millis(25);
+
+/// What happens at some time.
+#[derive(Debug, Clone)]
+enum Event {
+    Arrive {
+        host: usize,
+        job: JobId,
+    },
+    Start {
+        host: usize,
+        call: StartCall,
+        is_heard: bool,
+    },
+    Stop {
+        host: usize,
+        call: StopCall,
+        is_heard: bool,
+    },
+    Look {
+        host: usize,
+        call: LookCall,
+        sent: Instant,
+        is_heard: bool,
+    },
+    LookEnds {
+        host: usize,
+        call: LookCall,
+        sent: Instant,
+        is_heard: bool,
+    },
+    Tell {
+        host: usize,
+        cmd: Command,
+    },
+    Tick {
+        host: usize,
+    },
+}
+
+/// A scheduler and what it can reach.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) scheduler: Option<Scheduler>,
+    /// Workers that it can't reach.
+    pub(crate) cut: BTreeSet<usize>,
+    pub(crate) is_deposed: bool,
+    token: FencingToken,
+}
+
+/// A job as the caller knows it.
+#[derive(Debug, Clone)]
+pub(crate) struct TestJob {
+    pub(crate) spec: JobSpec,
+    /// True run time of each task.
+    pub(crate) work: Duration,
+    pub(crate) patience: Duration,
+    pub(crate) arrived: Instant,
+    pub(crate) may_have_started: bool,
+}
+
+impl TestJob {
+    /// A job of one step whose tasks take 27 cores each.
+    pub(crate) fn new(id: u64, tasks: u16, work: Duration) -> Self {
+        let step = StepSpec {
+            count: tasks,
+            size: Resources {
+                cpu_milli: 27_000,
+                memory_mb: 64,
+                gpus: 0,
+            },
+            estimate: work,
+            after: Vec::new(),
+            required_label: None,
+            preferred_rack: None,
+            max_per_worker: None,
+        };
+        let spec = JobSpec {
+            id: JobId(id),
+            queue: "queue".into(),
+            service: "service".into(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 1.6,
+            target_latency: Duration::from_millis(60),
+            payload: "payload".into(),
+            steps: vec![step],
+        };
+        Self {
+            spec,
+            work,
+            patience: Duration::from_secs(4),
+            arrived: Instant::now(),
+            may_have_started: false,
+        }
+    }
+
+    pub(crate) fn with_priority(mut self, priority: u8) -> Self {
+        self.spec.priority = priority;
+        self.spec.queue = format!("queue-{priority}").into();
+        self
+    }
+
+    pub(crate) fn with_estimate(mut self, estimate: Duration) -> Self {
+        self.spec.steps[0].estimate = estimate;
+        self
+    }
+
+    pub(crate) fn with_patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    pub(crate) fn passed_on_again(mut self) -> Self {
+        self.may_have_started = true;
+        self
+    }
+
+    fn objective(&self) -> Duration {
+        self.work.mul_f64(self.spec.stretch) + self.spec.target_latency
+    }
+}
+
+/// Everything that happens in a test.
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    pub(crate) started: Instant,
+    pub(crate) cfg: Config,
+    pub(crate) workers: Vec<FakeWorker>,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) jobs: BTreeMap<JobId, TestJob>,
+    /// First answer to each job, and when.
+    pub(crate) answers: BTreeMap<JobId, (JobOutcome, Instant)>,
+    /// Tasks that a worker has begun, and how often.
+    pub(crate) starts: BTreeMap<TaskName, u32>,
+    /// Two runs of one task at a time.
+    pub(crate) twice: Vec<TaskName>,
+    pub(crate) no_room: u32,
+    /// What workers and schedulers did, to explain a failure.
+    pub(crate) trace: Vec<String>,
+    /// Share of the calls whose answer is lost.
+    pub(crate) lost_answers: f64,
+    /// Share of the orders that are lost, and carried out seconds later.
+    pub(crate) late_orders: f64,
+    events: BTreeMap<(Instant, u64), Event>,
+    sequence: u64,
+    rng: StdRng,
+}
+
+pub(crate) fn vm(number: u8) -> EntryVm {
+    EntryVm(Ipv4Addr::new(10, 0, 0, number))
+}
+
+impl World {
+    /// A world with one scheduler that knows `count` workers of 64 cores.
+    pub(crate) fn new(count: usize, seed: u64) -> Self {
+        let now = Instant::now();
+        let mut world = Self {
+            now,
+            started: now,
+            cfg: Config::default(),
+            workers: (0..count).map(|_| FakeWorker::new(now, 64_000)).collect(),
+            hosts: Vec::new(),
+            jobs: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            twice: Vec::new(),
+            no_room: 0,
+            trace: Vec::new(),
+            lost_answers: 0.0,
+            late_orders: 0.0,
+            events: BTreeMap::new(),
+            sequence: 0,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        world.add_host(1);
+        world.run_for(Duration::from_millis(20));
+        world
+    }
+
+    pub(crate) fn cx<'a>(cfg: &'a Config, now: Instant) -> Context<'a> {
+        Context::new(now, cfg)
+    }
+
+    /// Adds a scheduler with the token of `round`, that knows all workers.
+    pub(crate) fn add_host(&mut self, round: u64) -> usize {
+        self.add_host_with(round, &BTreeSet::new(), true)
+    }
+
+    /// The same, cut off from some workers.
+    pub(crate) fn add_host_with(
+        &mut self,
+        round: u64,
+        cut: &BTreeSet<usize>,
+        knows_departed: bool,
+    ) -> usize {
+        let host = self.hosts.len();
+        let number = u8::try_from(host).unwrap() + 1;
+        let token = FencingToken::new(round, vm(number));
+        let ms = (self.now - self.started).as_millis();
+        self.trace
+            .push(format!("{ms} ms: host {host} takes over, cut from {cut:?}"));
+        let scheduler = Scheduler::new(token, "a".into()).with_departed_known(knows_departed);
+        self.hosts.push(Host {
+            scheduler: Some(scheduler),
+            cut: cut.clone(),
+            is_deposed: false,
+            token,
+        });
+        for worker in 0..self.workers.len() {
+            let entry = self.entry(worker);
+            self.tell(host, Command::WorkerSeen(entry));
+        }
+        self.at(self.now, Event::Tick { host });
+        host
+    }
+
+    pub(crate) fn entry(&self, worker: usize) -> WorkerEntry {
+        let port = 1_000 + u16::try_from(worker).unwrap();
+        WorkerEntry {
+            name: name_of(worker),
+            service: "service".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            data_centre: "a".into(),
+            state: WorkerState::Ready,
+            capacity: self.workers[worker].capacity,
+            labels: vec![Arc::from("a"), Arc::from("r-1")],
+            born: None,
+        }
+    }
+
+    pub(crate) fn submit(&mut self, host: usize, after: Duration, mut job: TestJob) {
+        let at = self.now + after;
+        job.arrived = at;
+        let id = job.spec.id;
+        self.jobs.insert(id, job);
+        self.at(at, Event::Arrive { host, job: id });
+    }
+
+    /// Ends a scheduler without a word, as a kill does.
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.hosts[host].scheduler = None;
+    }
+
+    pub(crate) fn tell(&mut self, host: usize, cmd: Command) {
+        let Some(scheduler) = &mut self.hosts[host].scheduler else {
+            return;
+        };
+        let mut out = Vec::new();
+        scheduler.handle(&Self::cx(&self.cfg, self.now), cmd, &mut out);
+        for effect in out {
+            self.carry_out(host, effect);
+        }
+    }
+
+    pub(crate) fn run_for(&mut self, d: Duration) {
+        let until = self.now + d;
+        while let Some((&(at, sequence), _)) = self.events.first_key_value() {
+            if at > until {
+                break;
+            }
+            let event = self.events.remove(&(at, sequence)).unwrap();
+            self.now = self.now.max(at);
+            self.happen(event);
+        }
+        self.now = until;
+        self.settle_all();
+    }
+
+    /// Jobs that were completed within their objective.
+    pub(crate) fn in_time(&self, of: impl Fn(&TestJob) -> bool) -> usize {
+        let is_in_time = |job: &TestJob| {
+            self.answers
+                .get(&job.spec.id)
+                .is_some_and(|&(outcome, at)| {
+                    outcome == JobOutcome::Completed && at <= job.arrived + job.objective()
+                })
+        };
+        self.jobs
+            .values()
+            .filter(|j| of(j) && is_in_time(j))
+            .count()
+    }
+
+    pub(crate) fn count(&self, of: impl Fn(&TestJob) -> bool) -> usize {
+        self.jobs.values().filter(|j| of(j)).count()
+    }
+
+    pub(crate) fn outcome(&self, id: u64) -> Option<JobOutcome> {
+        self.answers.get(&JobId(id)).map(|a| a.0)
+    }
+
+    /// What was done to a job.
+    pub(crate) fn trace_of(&self, id: JobId) -> String {
+        let lines = self.trace.iter().filter(|l| l.contains(&id.to_string()));
+        lines.cloned().collect::<Vec<_>>().join("\n")
+    }
+
+    /// Jobs that were refused, though a task of theirs has started.
+    pub(crate) fn false_refusals(&self) -> Vec<JobId> {
+        let refused = self
+            .answers
+            .iter()
+            .filter(|(_, (outcome, _))| matches!(outcome, JobOutcome::Refused { .. }));
+        let ids = refused.map(|(&id, _)| id);
+        ids.filter(|&id| self.starts.keys().any(|name| name.job == id))
+            .collect()
+    }
+
+    pub(crate) fn random(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    fn at(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive { host, job } => self.arrive(host, job),
+            Event::Start {
+                host,
+                call,
+                is_heard,
+            } => self.start(host, call, is_heard),
+            Event::Stop {
+                host,
+                call,
+                is_heard,
+            } => {
+                let worker = index_of(&call.name);
+                let order = (call.task, call.run);
+                let reply = self.workers[worker].stop(self.now, order, call.token);
+                let ms = (self.now - self.started).as_millis();
+                self.trace.push(format!(
+                    "{ms} ms: host {host} stops {} run {} on {worker}: {reply:?}",
+                    call.task, call.run
+                ));
+                let cmd = Command::StopReplied {
+                    worker: call.worker,
+                    task: call.task,
+                    run: call.run,
+                    reply,
+                };
+                self.reply(host, is_heard, cmd);
+            }
+            Event::Look {
+                host,
+                call,
+                sent,
+                is_heard,
+            } => self.look(host, call, sent, is_heard),
+            Event::LookEnds {
+                host,
+                call,
+                sent,
+                is_heard,
+            } => {
+                self.look_ends(host, call, sent, is_heard);
+            }
+            Event::Tell { host, cmd } => self.tell(host, cmd),
+            Event::Tick { host } => {
+                self.tell(host, Command::Tick);
+                self.at(self.now + TICK, Event::Tick { host });
+            }
+        }
+    }
+
+    fn arrive(&mut self, host: usize, id: JobId) {
+        let job = &self.jobs[&id];
+        let submission = Submission {
+            spec: job.spec.clone(),
+            origin: vm(100),
+            waited: Duration::ZERO,
+            patience: job.patience,
+            may_have_started: job.may_have_started,
+        };
+        self.tell(host, Command::Submit(submission));
+    }
+
+    fn carry_out(&mut self, host: usize, effect: Effect) {
+        match effect {
+            Effect::Start(call) => self.send_start(host, call),
+            Effect::Stop(call) => {
+                let timeout = Command::StopReplied {
+                    worker: call.worker,
+                    task: call.task,
+                    run: call.run,
+                    reply: StopReply::Unanswered,
+                };
+                let is_cut = self.is_cut(host, &call.name);
+                let is_late = self.is_late();
+                let is_heard = self.is_heard() && !is_late;
+                if !is_heard || is_cut {
+                    self.at(self.now + CALL_TIMEOUT, Event::Tell { host, cmd: timeout });
+                }
+                if !is_cut {
+                    let at = self.now + self.delay(is_late);
+                    self.at(
+                        at,
+                        Event::Stop {
+                            host,
+                            call,
+                            is_heard,
+                        },
+                    );
+                }
+            }
+            Effect::Look(call) => {
+                let sent = self.now;
+                let timeout = Command::Looked {
+                    worker: call.worker,
+                    sent,
+                    reply: LookReply::Unanswered,
+                };
+                let limit = self.now + call.wait + CALL_TIMEOUT;
+                let is_cut = self.is_cut(host, &call.name);
+                let is_heard = self.is_heard();
+                if !is_heard || is_cut {
+                    self.at(limit, Event::Tell { host, cmd: timeout });
+                }
+                if !is_cut {
+                    let at = self.now + ONE_WAY;
+                    self.at(
+                        at,
+                        Event::Look {
+                            host,
+                            call,
+                            sent,
+                            is_heard,
+                        },
+                    );
+                }
+            }
+            Effect::Answer { id, outcome, .. } => {
+                self.answers.entry(id).or_insert((outcome, self.now));
+            }
+            Effect::Deposed { .. } => self.hosts[host].is_deposed = true,
+        }
+    }
+
+    fn send_start(&mut self, host: usize, call: StartCall) {
+        let timeout = Command::StartReplied {
+            worker: call.worker,
+            task: call.task,
+            run: call.run,
+            reply: StartReply::Unanswered,
+            clock: None,
+        };
+        let is_cut = self.is_cut(host, &call.name);
+        let is_late = self.is_late();
+        let is_heard = self.is_heard() && !is_late;
+        if !is_heard || is_cut {
+            self.at(self.now + CALL_TIMEOUT, Event::Tell { host, cmd: timeout });
+        }
+        if !is_cut {
+            let at = self.now + self.delay(is_late);
+            self.at(
+                at,
+                Event::Start {
+                    host,
+                    call,
+                    is_heard,
+                },
+            );
+        }
+    }
+
+    fn start(&mut self, host: usize, call: StartCall, is_heard: bool) {
+        let worker = index_of(&call.name);
+        let (task, run) = (call.task, call.run);
+        let job = &self.jobs[&task.job];
+        let size = job.spec.steps[usize::from(task.step)].size;
+        let lease = (call.lease_until, call.token);
+        let work = job.work;
+        self.settle_all();
+        let was_running = self.workers[worker].running().any(|r| r == (task, run));
+        let reply = self.workers[worker].start(self.now, (task, run), size, work, lease);
+        if reply == StartReply::Accepted && !was_running {
+            *self.starts.entry(task).or_insert(0) += 1;
+            let others = self.workers.iter().flat_map(FakeWorker::running);
+            if others.filter(|r| r.0 == task).count() > 1 {
+                self.twice.push(task);
+            }
+        }
+        let ms = (self.now - self.started).as_millis();
+        self.trace.push(format!(
+            "{ms} ms: host {host} starts {task} run {run} on {worker}: {reply:?}"
+        ));
+        if reply == StartReply::NoRoom {
+            self.no_room += 1;
+        }
+        let clock = Some(self.workers[worker].clock(self.now));
+        let cmd = Command::StartReplied {
+            worker: call.worker,
+            task,
+            run,
+            reply,
+            clock,
+        };
+        self.reply(host, is_heard, cmd);
+    }
+
+    fn settle_all(&mut self) {
+        for worker in &mut self.workers {
+            worker.advance(self.now);
+        }
+    }
+
+    fn look(&mut self, host: usize, call: LookCall, sent: Instant, is_heard: bool) {
+        let worker = index_of(&call.name);
+        let may_wait = !call.wait.is_zero();
+        let lease = (call.lease_until, call.token);
+        let reply = self.workers[worker].look(self.now, lease, call.last_seen, may_wait);
+        if let Some(reply) = reply {
+            self.looked(host, &call, sent, is_heard, reply);
+            return;
+        }
+        self.hold_back(host, call, sent, is_heard);
+    }
+
+    /// Lets a worker check for an end again a little later.
+    fn hold_back(&mut self, host: usize, call: LookCall, sent: Instant, is_heard: bool) {
+        let event = Event::LookEnds {
+            host,
+            call,
+            sent,
+            is_heard,
+        };
+        self.at(self.now + LOOK_STEP, event);
+    }
+
+    fn look_ends(&mut self, host: usize, call: LookCall, sent: Instant, is_heard: bool) {
+        let worker = index_of(&call.name);
+        let waits_on = self.now < sent + call.wait;
+        let order = (None, call.token);
+        let reply = self.workers[worker].look(self.now, order, call.last_seen, waits_on);
+        if let Some(reply) = reply {
+            self.looked(host, &call, sent, is_heard, reply);
+            return;
+        }
+        self.hold_back(host, call, sent, is_heard);
+    }
+
+    fn looked(
+        &mut self,
+        host: usize,
+        call: &LookCall,
+        sent: Instant,
+        is_heard: bool,
+        reply: LookReply,
+    ) {
+        let cmd = Command::Looked {
+            worker: call.worker,
+            sent,
+            reply,
+        };
+        self.reply(host, is_heard, cmd);
+    }
+
+    /// Replies belong to the scheduler that asked: a host keeps its scheduler for life.
+    fn reply(&mut self, host: usize, is_heard: bool, cmd: Command) {
+        if is_heard {
+            self.at(self.now + ONE_WAY, Event::Tell { host, cmd });
+        }
+    }
+
+    fn is_cut(&self, host: usize, name: &WorkerName) -> bool {
+        self.hosts[host].cut.contains(&index_of(name))
+    }
+
+    fn is_heard(&mut self) -> bool {
+        let share = self.lost_answers;
+        self.random() >= share
+    }
+
+    fn is_late(&mut self) -> bool {
+        let share = self.late_orders;
+        self.random() < share
+    }
+
+    fn delay(&mut self, is_late: bool) -> Duration {
+        if is_late {
+            Duration::from_secs_f64(2.0 + 10.0 * self.random())
+        } else {
+            ONE_WAY
+        }
+    }
+}
+
+impl Host {
+    /// Its fencing token.
+    pub(crate) fn token(&self) -> FencingToken {
+        self.token
+    }
+}
+
+pub(crate) fn name_of(worker: usize) -> WorkerName {
+    WorkerName(format!("w-{worker}").into())
+}
+
+fn index_of(name: &WorkerName) -> usize {
+    name.0.trim_start_matches("w-").parse().unwrap()
+}
