feat(core,entry): cells of workers, a scheduler each

Change: more than 96 workers are split into cells by data centre, by a plan that is set once in the store; large VMs near the cell go first; jobs go to the least loaded cell at hand and, refused, to one more.

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -5,6 +5,7 @@
 //! of a partition. Load pattern: the scheduler's VM dies, freezes or is cut off while jobs wait for
 //! tens of milliseconds at most.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant, SystemTime};
 
 use super::names::{EntryVm, FencingToken};
@@ -59,6 +60,19 @@
     pub follows: Option<FencingToken>,
     /// Whether it knows the workers that have departed lately.
     pub knows_departed: bool,
+    /// How well its VM suits.
+    pub fitness: Fitness,
+}
+
+/// How well a VM suits as the scheduler of a cell.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Fitness {
+    /// Whether it is in the cell's data centre, where the cell has one.
+    pub is_local: bool,
+    /// Its processor, in tenths of a core.
+    pub cpu_tenths: u32,
+    /// Other cells that it schedules.
+    pub other_cells: u32,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -99,6 +113,7 @@
     store_lost_at: Option<Instant>,
     is_barred: bool,
     knows_departed: bool,
+    fitness: Fitness,
     named: bool,
 }
 
@@ -116,6 +131,7 @@
             store_lost_at: Some(now),
             is_barred: true,
             knows_departed: false,
+            fitness: Fitness::default(),
             named: false,
         }
     }
@@ -140,9 +156,11 @@
         }
     }
 
-    /// Notes whether this process knows the workers that have departed lately.
-    pub fn set_knows_departed(&mut self, knows_departed: bool) {
+    /// Notes whether this process knows the workers that have departed lately, and how well its VM
+    /// suits.
+    pub fn set_fitness(&mut self, knows_departed: bool, fitness: Fitness) {
         self.knows_departed = knows_departed;
+        self.fitness = fitness;
     }
 
     /// Entry VMs that have not been heard for too long to be taken for alive.
@@ -162,6 +180,7 @@
             successor,
             follows: self.current.map(|c| c.1),
             knows_departed: self.knows_departed,
+            fitness: self.fitness,
         }
     }
 
@@ -297,7 +316,14 @@
     }
 }
 
-/// Order in which entry VMs take over: those first that the store answers and that know the workers.
-fn order(vm: EntryVm, beat: &Beat) -> (bool, bool, EntryVm) {
-    (!beat.has_store, !beat.knows_departed, vm)
+/// Order in which entry VMs take over: those first that the store answers and that know the workers,
+/// then near and large ones that schedule nothing else.
+fn order(vm: EntryVm, beat: &Beat) -> impl Ord + use<> {
+    let Fitness {
+        is_local,
+        cpu_tenths,
+        other_cells,
+    } = beat.fitness;
+    let is_weak = (!beat.has_store, !beat.knows_departed, !is_local);
+    (is_weak, Reverse(cpu_tenths), other_cells, vm)
 }
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -6,6 +6,7 @@
 //! have seen, and whatever nobody renews ends with its lease.
 
 pub mod admission;
+pub mod cells;
 mod command;
 mod effect;
 pub mod election;
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -179,6 +179,21 @@
         pending
     }
 
+    /// Processor in use and waited for, in percent of the room of the workers that answer.
+    pub fn load_percent(&self) -> u32 {
+        let usable = self.workers.values().filter(|w| w.is_usable());
+        let room: u64 = usable.clone().map(|w| w.entry.capacity.cpu_milli).sum();
+        let used: u64 = usable.map(|w| w.used.cpu_milli).sum();
+        let jobs = self.waiting.iter().map(|&(_, key)| &self.jobs[key]);
+        let needs = |job: &Job| -> u64 {
+            let cpu = |&p: &u32| job.step(p).size.cpu_milli;
+            job.ready.iter().map(cpu).sum()
+        };
+        let waiting: u64 = jobs.map(needs).sum();
+        let percent = ((used + waiting) * 100).checked_div(room);
+        percent.map_or(u32::MAX, |p| u32::try_from(p).unwrap_or(u32::MAX))
+    }
+
     /// Its figures.
     pub fn snapshot(&self, now: Instant) -> Snapshot {
         let workers = self.workers.values();
--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use geraniumrelay_core::leased::EntryVm;
-use geraniumrelay_core::leased::election::{Beat, Election, ElectionConfig, Step};
+use geraniumrelay_core::leased::election::{Beat, Election, ElectionConfig, Fitness, Step};
 
 use crate::world::vm;
 
@@ -13,7 +13,7 @@
 fn ready(number: u8, now: Instant) -> Election {
     let mut election = Election::new(ElectionConfig::default(), vm(number), now);
     election.set_own(false, true, now);
-    election.set_knows_departed(true);
+    election.set_fitness(true, Fitness::default());
     election
 }
 
@@ -25,6 +25,7 @@
         successor: None,
         follows: None,
         knows_departed: true,
+        fitness: Fitness::default(),
     }
 }
 
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -25,32 +25,48 @@
     #[prost(uint32, tag = "2")]
     pub pending: u32,
 }
-/// What an entry VM says of itself, several times a second.
+/// What an entry VM says of a cell of workers.
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct Beat {
-    /// Fencing token; 0 where it does not schedule.
-    #[prost(uint64, tag = "1")]
+pub struct CellBeat {
+    #[prost(string, tag = "1")]
+    pub cell: ::prost::alloc::string::String,
+    /// Fencing token; 0 where it does not schedule the cell.
+    #[prost(uint64, tag = "2")]
     pub token: u64,
-    #[prost(bool, tag = "2")]
-    pub has_store: bool,
-    /// It can't take over as the scheduler.
-    #[prost(bool, tag = "3")]
-    pub is_barred: bool,
+    /// Fencing token of the scheduler that it follows; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub follows: u64,
     /// IPv4 address of the VM that is to take over from it; 0 for none.
     #[prost(uint32, tag = "4")]
     pub successor: u32,
-    /// Version of the configuration that it has; 0 for none.
-    #[prost(uint64, tag = "5")]
-    pub config_version: u64,
-    /// Only from the scheduler.
+    /// Processor in use and waited for, in percent of the cell's room; only from its scheduler.
+    #[prost(uint32, tag = "5")]
+    pub load_percent: u32,
+    /// Only from its scheduler.
     #[prost(message, repeated, tag = "6")]
     pub pending: ::prost::alloc::vec::Vec<QueueCount>,
-    /// Fencing token of the scheduler that it follows; 0 for none.
-    #[prost(uint64, tag = "7")]
-    pub follows: u64,
+}
+/// What an entry VM says of itself, several times a second.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Beat {
+    #[prost(bool, tag = "1")]
+    pub has_store: bool,
+    /// It can't take over as a scheduler.
+    #[prost(bool, tag = "2")]
+    pub is_barred: bool,
     /// It has followed the workers' entries for long enough to know those that have departed.
-    #[prost(bool, tag = "8")]
+    #[prost(bool, tag = "3")]
     pub knows_departed: bool,
+    #[prost(string, tag = "4")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Its processor, in tenths of a core.
+    #[prost(uint32, tag = "5")]
+    pub cpu_tenths: u32,
+    /// Version of the configuration that it has; 0 for none.
+    #[prost(uint64, tag = "6")]
+    pub config_version: u64,
+    #[prost(message, repeated, tag = "7")]
+    pub cells: ::prost::alloc::vec::Vec<CellBeat>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
@@ -104,18 +120,24 @@
     /// An earlier scheduler may have started tasks of it.
     #[prost(bool, tag = "12")]
     pub may_have_started: bool,
+    #[prost(string, tag = "13")]
+    pub cell: ::prost::alloc::string::String,
 }
 /// The caller of a job has gone away.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Withdraw {
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    #[prost(string, tag = "2")]
+    pub cell: ::prost::alloc::string::String,
 }
 /// A caller wants a job to end.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Cancel {
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    #[prost(string, tag = "2")]
+    pub cell: ::prost::alloc::string::String,
 }
 /// How a job ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -133,6 +155,8 @@
     /// Fencing token of the scheduler that answers.
     #[prost(uint64, tag = "5")]
     pub token: u64,
+    #[prost(string, tag = "6")]
+    pub cell: ::prost::alloc::string::String,
 }
 /// Nested message and enum types in `Answer`.
 pub mod answer {
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -0,0 +1,78 @@
+//! A cell, as this process sees it.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use geraniumrelay_core::collections::Map;
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::election::{Election, ElectionConfig};
+use geraniumrelay_core::leased::estimates::Estimates;
+use geraniumrelay_core::leased::{EntryVm, Scheduler};
+use geraniumrelay_wire::leased::{CellBeat, QueueCount};
+
+use super::convert;
+
+/// A cell.
+#[derive(Debug)]
+pub(super) struct Cell {
+    pub(super) name: CellName,
+    pub(super) election: Election,
+    /// The cell's scheduler, where it is this process.
+    pub(super) scheduler: Option<Scheduler>,
+    /// Run times learnt while this process scheduled.
+    pub(super) estimates: Estimates,
+    /// Load of the cell, as its scheduler told, in percent of its room.
+    pub(super) load: u32,
+    /// Waiting jobs of each queue, as the scheduler told.
+    pending: Map<Arc<str>, u32>,
+}
+
+impl Cell {
+    pub(super) fn new(name: CellName, vm: EntryVm, now: Instant) -> Self {
+        Self {
+            name,
+            election: Election::new(ElectionConfig::default(), vm, now),
+            scheduler: None,
+            estimates: Estimates::default(),
+            load: 0,
+            pending: Map::default(),
+        }
+    }
+
+    /// What is said of the cell to the other entry VMs.
+    pub(super) fn beat(&mut self, successor: Option<EntryVm>) -> CellBeat {
+        let own = self.election.own_beat(successor);
+        let mut counts = Vec::new();
+        if let Some(scheduler) = &self.scheduler {
+            self.load = scheduler.load_percent();
+            self.pending = scheduler.pending();
+            let count = |(queue, &pending): (&Arc<str>, &u32)| QueueCount {
+                queue: queue.to_string(),
+                pending,
+            };
+            counts = self.pending.iter().map(count).collect();
+        }
+        convert::cell_beat_to(&self.name, &own, self.load, counts)
+    }
+
+    /// Takes what the cell's scheduler said.
+    pub(super) fn take_figures(&mut self, beat: &CellBeat) {
+        self.load = beat.load_percent;
+        let count = |c: &QueueCount| (c.queue.as_str().into(), c.pending);
+        self.pending = beat.pending.iter().map(count).collect();
+    }
+
+    /// Jobs of a queue none of whose tasks has started.
+    pub(super) fn pending_of(&self, queue: &str) -> u32 {
+        let own = self.scheduler.as_ref().map(Scheduler::pending);
+        let pending = own.as_ref().unwrap_or(&self.pending);
+        pending.get(queue).copied().unwrap_or(0)
+    }
+
+    /// Stops scheduling.
+    pub(super) fn drop_scheduler(&mut self) {
+        if let Some(scheduler) = self.scheduler.take() {
+            self.estimates = scheduler.estimates().clone();
+        }
+    }
+}
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -6,13 +6,14 @@
 
 use geraniumrelay_adapter::Change;
 use geraniumrelay_adapter::store::CONFIGURATION_KEY;
-use geraniumrelay_core::leased::election::Beat as OwnBeat;
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::election::{Beat as OwnBeat, Fitness};
 use geraniumrelay_core::leased::{
     EntryVm, FencingToken, JobId, JobOutcome, JobSpec, RefusalReason, Resources, StepSpec,
     Submission,
 };
 use geraniumrelay_wire::leased::answer::Outcome;
-use geraniumrelay_wire::leased::{Answer, Beat, QueueCount, Step, Submit};
+use geraniumrelay_wire::leased::{Answer, Beat, CellBeat, QueueCount, Step, Submit};
 
 /// Reasons that a refusal may have.
 const REASONS: [RefusalReason; 6] = [
@@ -32,30 +33,49 @@
     u32::from(vm.0)
 }
 
-pub(super) fn beat_to(beat: OwnBeat, config_version: u64, pending: Vec<QueueCount>) -> Beat {
-    Beat {
+/// What a VM says of one cell.
+pub(super) fn cell_beat_to(
+    cell: &CellName,
+    beat: &OwnBeat,
+    load_percent: u32,
+    pending: Vec<QueueCount>,
+) -> CellBeat {
+    CellBeat {
+        cell: cell.to_string(),
         token: beat.token.unwrap_or_default().0,
-        has_store: beat.has_store,
-        is_barred: beat.is_barred,
+        follows: beat.follows.unwrap_or_default().0,
         successor: beat.successor.map_or(0, vm_to),
-        config_version,
+        load_percent,
         pending,
-        follows: beat.follows.unwrap_or_default().0,
-        knows_departed: beat.knows_departed,
     }
 }
 
-pub(super) fn beat_from(beat: &Beat) -> OwnBeat {
+/// What a VM says of itself and of `cell`.
+pub(super) fn beat_from(beat: &Beat, cell: &CellName) -> OwnBeat {
+    let of_cell = beat.cells.iter().find(|c| c.cell == *cell.0);
+    let token = |token: u64| (token > 0).then_some(FencingToken(token));
+    let is_other = |c: &&CellBeat| c.token > 0 && c.cell != *cell.0;
+    let others = beat.cells.iter().filter(is_other).count();
     OwnBeat {
-        token: (beat.token > 0).then_some(FencingToken(beat.token)),
+        token: of_cell.and_then(|c| token(c.token)),
         has_store: beat.has_store,
         is_barred: beat.is_barred,
-        successor: (beat.successor > 0).then(|| vm_from(beat.successor)),
-        follows: (beat.follows > 0).then_some(FencingToken(beat.follows)),
+        successor: of_cell.and_then(|c| (c.successor > 0).then(|| vm_from(c.successor))),
+        follows: of_cell.and_then(|c| token(c.follows)),
         knows_departed: beat.knows_departed,
+        fitness: Fitness {
+            is_local: is_local(cell, &beat.data_centre),
+            cpu_tenths: beat.cpu_tenths,
+            other_cells: u32::try_from(others).unwrap_or(u32::MAX),
+        },
     }
 }
 
+/// Whether a VM of `data_centre` is near the cell's workers.
+pub(super) fn is_local(cell: &CellName, data_centre: &str) -> bool {
+    cell.data_centre().is_none_or(|own| own == data_centre)
+}
+
 /// The configuration's row, as it came from another entry VM.
 pub(super) fn configuration_from(row: Vec<u8>) -> Change {
     Change {
@@ -64,7 +84,7 @@
     }
 }
 
-pub(super) fn submit_to(submission: &Submission) -> Submit {
+pub(super) fn submit_to(submission: &Submission, cell: &CellName) -> Submit {
     let spec = &submission.spec;
     Submit {
         id: spec.id.0,
@@ -79,6 +99,7 @@
         waited_us: micros(submission.waited),
         patience_us: micros(submission.patience),
         may_have_started: submission.may_have_started,
+        cell: cell.to_string(),
     }
 }
 
@@ -135,7 +156,12 @@
     }
 }
 
-pub(super) fn answer_to(id: JobId, outcome: JobOutcome, token: FencingToken) -> Answer {
+pub(super) fn answer_to(
+    id: JobId,
+    outcome: JobOutcome,
+    cell: &CellName,
+    token: FencingToken,
+) -> Answer {
     let (kind, refusal) = match outcome {
         JobOutcome::TimedOut => (Outcome::TimedOut, None),
         JobOutcome::Completed => (Outcome::Completed, None),
@@ -152,6 +178,7 @@
         reason: refusal.map_or(String::new(), |(reason, _)| reason.to_string()),
         retry_after_ms: refusal.map_or(0, |(_, after)| micros(after) / 1_000),
         token: token.0,
+        cell: cell.to_string(),
     }
 }
 
--- a/crates/geraniumrelay/src/leased/desk.rs
+++ b/crates/geraniumrelay/src/leased/desk.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    FencingToken, JobId, JobOutcome, JobSpec, RefusalReason, Submission,
+    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, RefusalReason, Submission,
 };
 use tokio::sync::oneshot;
 
-use geraniumrelay_core::leased::EntryVm;
-
 /// Longest time that a job waits for a scheduler; a takeover takes less where one can be had.
 const SCHEDULER_WAIT: Duration = Duration::from_millis(700);
 
@@ -20,18 +19,35 @@
 /// Time after a caller's patience at which a silent scheduler is given up.
 const SILENCE_MARGIN: Duration = Duration::from_millis(5);
 
+/// Cells that are asked to take a job.
+const MAX_CELLS: usize = 2;
+
 #[derive(Debug)]
 struct OpenJob {
     spec: JobSpec,
     arrived: Instant,
     give_up: Instant,
     replies: Vec<oneshot::Sender<JobOutcome>>,
-    /// Scheduler that was given the job last.
+    /// Cell that has been given the job last.
+    cell: Option<CellName>,
+    /// Cells that have refused it.
+    refused_by: Vec<CellName>,
+    /// Scheduler of the cell that has been given it.
     sent_to: Option<FencingToken>,
-    /// Whether some scheduler was given it.
+    /// Whether some scheduler of the cell has been given it.
     was_sent: bool,
 }
 
+/// A job that has to be passed on.
+#[derive(Debug)]
+pub(super) struct Unsent {
+    pub(super) id: JobId,
+    /// Where it must go, as tasks may have started there.
+    pub(super) cell: Option<CellName>,
+    /// Where it need not go.
+    pub(super) refused_by: Vec<CellName>,
+}
+
 /// What a log line says of a job that has been answered.
 #[derive(Debug)]
 pub(super) struct Answered {
@@ -68,6 +84,8 @@
             arrived: now,
             give_up: now + patience,
             replies: vec![reply],
+            cell: None,
+            refused_by: Vec::new(),
             sent_to: None,
             was_sent: false,
         };
@@ -83,56 +101,82 @@
         self.jobs.contains_key(&id)
     }
 
-    /// Whether a scheduler has been given the job.
-    pub(super) fn was_sent(&self, id: JobId) -> bool {
-        self.jobs.get(&id).is_some_and(|job| job.was_sent)
+    /// The cell that has the job.
+    pub(super) fn cell_of(&self, id: JobId) -> Option<CellName> {
+        self.jobs.get(&id)?.cell.clone()
     }
 
-    /// Whether the scheduler with `token` is the last that was given the job.
-    pub(super) fn is_with(&self, id: JobId, token: FencingToken) -> bool {
+    /// Whether the scheduler of `cell` with `token` is the last that was given the job.
+    pub(super) fn is_with(&self, id: JobId, cell: &CellName, token: FencingToken) -> bool {
         let job = self.jobs.get(&id);
-        job.is_some_and(|job| job.sent_to == Some(token))
+        job.is_some_and(|j| j.cell.as_ref() == Some(cell) && j.sent_to == Some(token))
     }
 
-    /// What the scheduler with `token` has not been given yet.
-    pub(super) fn unsent(
+    /// Jobs that no scheduler has, or whose scheduler has changed.
+    pub(super) fn unsent(&self) -> Vec<Unsent> {
+        let unsent = self.jobs.iter().filter(|(_, j)| j.sent_to.is_none());
+        unsent
+            .map(|(&id, job)| Unsent {
+                id,
+                cell: job.cell.clone().filter(|_| job.was_sent),
+                refused_by: job.refused_by.clone(),
+            })
+            .collect()
+    }
+
+    /// Gives a job to the scheduler of `cell` with `token`.
+    pub(super) fn give(
         &mut self,
+        id: JobId,
+        cell: &CellName,
         token: FencingToken,
         origin: EntryVm,
         now: Instant,
-    ) -> Vec<Submission> {
-        let unsent = self.jobs.values_mut().filter(|j| j.sent_to != Some(token));
-        unsent
-            .map(|job| {
-                let may_have_started = job.was_sent;
-                job.sent_to = Some(token);
-                job.was_sent = true;
-                Submission {
-                    spec: job.spec.clone(),
-                    origin,
-                    waited: now.saturating_duration_since(job.arrived),
-                    patience: job.give_up.saturating_duration_since(now),
-                    may_have_started,
-                }
-            })
-            .collect()
+    ) -> Option<Submission> {
+        let job = self.jobs.get_mut(&id)?;
+        let may_have_started = job.was_sent;
+        job.cell = Some(cell.clone());
+        job.sent_to = Some(token);
+        job.was_sent = true;
+        Some(Submission {
+            spec: job.spec.clone(),
+            origin,
+            waited: now.saturating_duration_since(job.arrived),
+            patience: job.give_up.saturating_duration_since(now),
+            may_have_started,
+        })
     }
 
-    /// Takes back that jobs were given to a scheduler, which may not have got them or whose
-    /// answers may be lost.
-    pub(super) fn mark_all_unsent(&mut self) {
-        for job in self.jobs.values_mut() {
+    /// Takes note that a cell's scheduler may not have its jobs, or that its answers may be lost.
+    pub(super) fn mark_unsent(&mut self, cell: &CellName) {
+        let of_cell = |j: &&mut OpenJob| j.cell.as_ref() == Some(cell);
+        for job in self.jobs.values_mut().filter(of_cell) {
             job.sent_to = None;
         }
     }
 
-    /// Takes back that jobs were given to a scheduler that never got them.
-    pub(super) fn mark_unsent(&mut self, id: JobId) {
+    /// Takes note that a job did not get to its scheduler.
+    pub(super) fn mark_job_unsent(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.sent_to = None;
         }
     }
 
+    /// Takes note that a cell has refused a job; `true` where another one may be asked.
+    pub(super) fn try_elsewhere(&mut self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        if job.refused_by.len() + 1 >= MAX_CELLS {
+            return false;
+        }
+        job.refused_by.extend(job.cell.take());
+        job.sent_to = None;
+        // A refusal says that nothing has started.
+        job.was_sent = false;
+        true
+    }
+
     /// Answers a job's callers.
     pub(super) fn answer(&mut self, id: JobId, outcome: JobOutcome) -> Option<Answered> {
         let job = self.jobs.remove(&id)?;
@@ -155,11 +199,12 @@
             return false;
         };
         job.replies.retain(|r| !r.is_closed());
-        if job.replies.is_empty() {
-            self.jobs.remove(&id);
-            return true;
-        }
-        false
+        job.replies.is_empty()
+    }
+
+    /// Forgets a job that nobody waits for.
+    pub(super) fn remove(&mut self, id: JobId) {
+        self.jobs.remove(&id);
     }
 
     /// Jobs that are over without a scheduler's word, and how.
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -0,0 +1,118 @@
+//! Who schedules the cells.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::election::{Fitness, Step};
+use geraniumrelay_core::leased::{Command, FencingToken, Scheduler};
+use log::info;
+
+use super::Hub;
+use crate::leased::convert;
+
+impl Hub {
+    /// Does what the election of a cell decided.
+    pub(super) fn follow(&mut self, name: &CellName, step: Step) {
+        let Some(cell) = self.cells.get_mut(name) else {
+            return;
+        };
+        match step {
+            Step::Stay => return,
+            Step::TakeOver(token) => return self.take_over(name, token),
+            Step::Yield(vm) => {
+                info!(cell:% = name, to:% = vm, reason = "higher token"; "scheduling_ended");
+                cell.drop_scheduler();
+            }
+            Step::HandOver(vm) => {
+                info!(cell:% = name, to:% = vm, reason = "handed over"; "scheduling_ended");
+                cell.drop_scheduler();
+                self.beat(Some((name, vm)));
+            }
+            Step::Follow(vm, token) => {
+                info!(cell:% = name, vm:% = vm, token:% = token; "scheduler_followed");
+                cell.drop_scheduler();
+                self.parts.metrics.set_token(token.0);
+            }
+            Step::Lose => {
+                info!(cell:% = name, open_jobs = self.desk.len(); "scheduler_lost");
+                cell.drop_scheduler();
+            }
+        }
+        self.desk.mark_unsent(name);
+        self.pass_jobs_on();
+    }
+
+    pub(super) fn take_over(&mut self, name: &CellName, token: FencingToken) {
+        let now = Instant::now();
+        let workers = self.roster.workers_of(name);
+        let departed = self.roster.departed_of(name, now);
+        info!(
+            cell:% = name, token:% = token, round = token.round(), workers = workers.len(),
+            departed = departed.len(), open_jobs = self.desk.len();
+            "scheduling_begun"
+        );
+        self.parts.metrics.note_takeover();
+        self.parts.metrics.set_token(token.0);
+        let knows_departed = self.roster.knows_departed(now);
+        let data_centre = Arc::clone(&self.parts.data_centre);
+        let Some(cell) = self.cells.get_mut(name) else {
+            return;
+        };
+        let scheduler = Scheduler::new(token, data_centre)
+            .with_estimates(cell.estimates.clone())
+            .with_departed_known(knows_departed);
+        cell.scheduler = Some(scheduler);
+        for entry in workers {
+            self.command(name, Command::WorkerSeen(entry));
+        }
+        for entry in departed {
+            let worker = entry.name.clone();
+            self.command(name, Command::WorkerSeen(entry));
+            self.command(name, Command::WorkerGone(worker));
+        }
+        self.beat(None);
+        self.desk.mark_unsent(name);
+        self.pass_jobs_on();
+    }
+
+    pub(super) fn set_fitness(&mut self, now: Instant) {
+        let is_barred = self.is_stopping || !self.roster.is_known();
+        let has_store = self.sick_tables.is_empty();
+        let knows_departed = self.roster.knows_departed(now);
+        let led = self
+            .cells
+            .values()
+            .filter(|c| c.scheduler.is_some())
+            .count();
+        for cell in self.cells.values_mut() {
+            let other_cells = led - usize::from(cell.scheduler.is_some());
+            let fitness = Fitness {
+                is_local: convert::is_local(&cell.name, &self.parts.data_centre),
+                cpu_tenths: self.parts.cpu_tenths,
+                other_cells: u32::try_from(other_cells).unwrap_or(u32::MAX),
+            };
+            cell.election.set_own(is_barred, has_store, now);
+            cell.election.set_fitness(knows_departed, fitness);
+        }
+    }
+
+    pub(super) fn tick_cell(&mut self, name: &CellName, now: Instant) {
+        let Some(cell) = self.cells.get_mut(name) else {
+            return;
+        };
+        let step = cell.election.tick(now, SystemTime::now());
+        let silent = cell.election.silent_peers(now);
+        let has_scheduler = cell.scheduler.is_some();
+        if step != Step::Stay {
+            self.follow(name, step);
+            self.set_fitness(now);
+        }
+        if has_scheduler {
+            for vm in silent {
+                self.command(name, Command::EntryLeft(vm));
+            }
+            self.command(name, Command::Tick);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -0,0 +1,166 @@
+//! Rows of the platform's store: configuration, workers, entry VMs, cells.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use geraniumrelay_adapter::store::configuration;
+use geraniumrelay_adapter::{Change, Table};
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{Command, EntryVm};
+use geraniumrelay_wire::leased::Configuration;
+use geraniumrelay_wire::leased::peer_message::Body;
+use log::{info, warn};
+use tokio::task::spawn_local;
+
+use super::Hub;
+use crate::leased::cell::Cell;
+use crate::leased::links::Link;
+use crate::leased::roster::{PLAN_KEY, WorkerNews};
+
+/// Time for which the number of workers must not change before the cells are planned; workers of
+/// a deployment that starts enter themselves within one heartbeat.
+const PLAN_STEADY: Duration = Duration::from_millis(1_600);
+
+/// Pause before another attempt to set the plan of cells.
+const PLAN_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time between two copies of the configuration to the same peer.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(500);
+
+impl Hub {
+    pub(super) fn take_rows(
+        &mut self,
+        table: Table,
+        is_whole: bool,
+        rows: &[Change],
+        revision: u64,
+    ) {
+        if is_whole {
+            info!(table:% = table, revision, rows = rows.len(); "table_read");
+        }
+        let now = Instant::now();
+        match table {
+            Table::Configuration => {
+                for change in rows {
+                    self.take_configuration(change.clone(), "store");
+                }
+            }
+            Table::Workers => {
+                for news in self.roster.take_workers(is_whole, rows, now) {
+                    self.take_worker_news(news);
+                }
+            }
+            Table::EntryVms => {
+                if self.roster.take_members(is_whole, rows) {
+                    self.make_cells(now);
+                }
+                self.link_to_peers();
+            }
+        }
+    }
+
+    pub(super) fn take_worker_news(&mut self, news: WorkerNews) {
+        match news {
+            WorkerNews::Seen(entry) => {
+                let cell = self.roster.cell_of(&entry);
+                self.command(&cell, Command::WorkerSeen(entry));
+            }
+            WorkerNews::Gone(entry) => {
+                let cell = self.roster.cell_of(&entry);
+                self.command(&cell, Command::WorkerGone(entry.name));
+            }
+        }
+    }
+
+    /// Starts anew with the cells of the present plan; what runs is found again by takeover.
+    pub(super) fn make_cells(&mut self, now: Instant) {
+        for name in self.names() {
+            self.desk.mark_unsent(&name);
+        }
+        let vm = self.parts.vm;
+        let names = self.roster.cells();
+        info!(cells = names.len(); "cells_made");
+        let cell = |name: CellName| (name.clone(), Cell::new(name, vm, now));
+        self.cells = names.into_iter().map(cell).collect();
+    }
+
+    /// Sets the plan of cells, where there are too many workers for one cell and no plan yet.
+    pub(super) fn propose_plan(&mut self, now: Instant) {
+        let is_leader = self.own_token(&CellName::single()).is_some();
+        if !is_leader || now < self.next_plan {
+            return;
+        }
+        let Some(plan) = self.roster.wanted_plan(now, PLAN_STEADY) else {
+            return;
+        };
+        self.next_plan = now + PLAN_PAUSE;
+        let (store, text) = (self.parts.store.clone(), plan.text());
+        info!(cells = plan.names().len(), workers = self.roster.worker_count(); "plan_of_cells_proposed");
+        spawn_local(async move {
+            let set = store.create(Table::EntryVms, PLAN_KEY, text.as_bytes());
+            if let Err(e) = set.await {
+                warn!(reason:% = e; "plan_of_cells_not_set");
+            }
+        });
+    }
+
+    pub(super) fn take_configuration(&mut self, change: Change, source: &str) {
+        let routes = match configuration(&change) {
+            Some(Ok(routes)) => routes,
+            Some(Err(e)) => {
+                warn!(reason:% = e, source; "configuration_refused");
+                return;
+            }
+            None => return,
+        };
+        let known = self.config_version();
+        if routes.version <= known {
+            return;
+        }
+        info!(version = routes.version, previous = known, routes = routes.len(), source; "configuration_in_force");
+        self.parts.metrics.set_configuration(routes.version);
+        self.configuration = change;
+        *self.parts.routes.borrow_mut() = Some(Rc::new(routes));
+    }
+
+    pub(super) fn pass_configuration_on(&mut self, to: EntryVm, version: u64) {
+        if version >= self.config_version() {
+            return;
+        }
+        let now = Instant::now();
+        let last = self.sent_configuration.get(&to);
+        if last.is_some_and(|&at| now.saturating_duration_since(at) < CONFIGURATION_PAUSE) {
+            return;
+        }
+        self.sent_configuration.insert(to, now);
+        let row = self.configuration.value.clone().unwrap_or_default();
+        self.send(to, Body::Configuration(Configuration { row }));
+    }
+
+    pub(super) fn link_to_peers(&mut self) {
+        let peers = self.roster.peers(self.parts.vm);
+        self.links.retain(|vm, _| peers.contains_key(vm));
+        let (own, incarnation) = (self.parts.vm, self.parts.incarnation);
+        for (vm, address) in peers {
+            let tx = self.parts.tx.clone();
+            self.links
+                .entry(vm)
+                .or_insert_with(|| Link::start(own, incarnation, (vm, address), tx));
+        }
+    }
+
+    pub(super) fn store_health(&mut self, table: Table, is_healthy: bool) {
+        let name = match table {
+            Table::Configuration => "configuration",
+            Table::Workers => "workers",
+            Table::EntryVms => "entry-vms",
+        };
+        if is_healthy {
+            self.sick_tables.remove(name);
+        } else {
+            self.parts.metrics.note_store_error(name);
+            self.sick_tables.insert(name);
+        }
+        info!(table = name, is_healthy; "store_health_changed");
+    }
+}
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -5,6 +5,7 @@
 
 use flume::{Receiver, Sender};
 use geraniumrelay_adapter::{Change, Table};
+use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
     Command, EntryVm, FencingToken, JobId, JobOutcome, JobSpec, JobState,
 };
@@ -58,8 +59,9 @@
     LinkUp { to: EntryVm },
     /// The connection from another entry VM has ended.
     LinkLost { from: EntryVm },
-    /// A worker's reply to an order of the scheduler with this token.
+    /// A worker's reply to an order of the cell's scheduler with this token.
     Worker {
+        cell: CellName,
         token: FencingToken,
         command: Command,
     },
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -5,6 +5,7 @@
 //! feeds and worker calls are tasks that reach it through one bounded ring.
 
 mod balance;
+mod cell;
 mod convert;
 mod desk;
 mod feeds;
@@ -13,6 +14,8 @@
 mod intake;
 mod links;
 mod metrics;
+mod orders;
+mod roster;
 mod server;
 
 use std::cell::{Cell, RefCell};
@@ -33,6 +36,7 @@
 use input::{Input, InputTx};
 use intake::Intake;
 use metrics::LeasedMetrics;
+use orders::Orders;
 
 /// Part of the time between the signal to stop and the kill that is used at most.
 const STOP_SHARE: f64 = 0.85;
@@ -77,6 +81,11 @@
     let routes = Routes::default();
     let metrics = Arc::new(LeasedMetrics::new()?);
     let (tx, rx) = input::ring(Arc::clone(&metrics));
+    let orders = Orders {
+        workers,
+        tx: tx.clone(),
+        metrics: Arc::clone(&metrics),
+    };
     let readiness = Rc::new(balance::Readiness::default());
 
     let listener = links::listen(settings.peer_listen()).context("peer_listen")?;
@@ -103,8 +112,10 @@
         incarnation: rand::random(),
         is_first_start: settings.is_first_start,
         data_centre: settings.data_centre.as_str().into(),
+        cpu_tenths: settings.cpu_tenths(),
         cfg: leased_config(&settings),
-        workers,
+        store: store.clone(),
+        orders,
         routes,
         readiness: Rc::clone(&readiness),
         is_scheduler,
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/orders.rs
@@ -0,0 +1,110 @@
+//! Carries orders to workers out, each in a task of its own.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use geraniumrelay_adapter::WorkerClient;
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{
+    Command, FencingToken, LookCall, LookReply, StartCall, StartReply, StopCall,
+};
+use log::{debug, info};
+use tokio::task::spawn_local;
+
+use super::input::{Input, InputTx};
+use super::metrics::LeasedMetrics;
+
+/// Where orders are carried out.
+#[derive(Debug, Clone)]
+pub(super) struct Orders {
+    pub(super) workers: WorkerClient,
+    pub(super) tx: InputTx,
+    pub(super) metrics: Arc<LeasedMetrics>,
+}
+
+impl Orders {
+    pub(super) fn start(&self, cell: CellName, order: StartCall) {
+        debug!(task:% = order.task, run = order.run, worker:% = order.name, lease_until:% = order.lease_until; "start_ordered");
+        let orders = self.clone();
+        spawn_local(async move {
+            let (worker, task, run, token) = (order.worker, order.task, order.run, order.token);
+            let name = order.name.clone();
+            let (reply, clock) = orders.workers.start(order).await;
+            orders.metrics.note_start(start_label(reply));
+            if reply != StartReply::Accepted {
+                info!(task:% = task, run, worker:% = name, reply:? = reply; "start_not_accepted");
+            }
+            let command = Command::StartReplied {
+                worker,
+                task,
+                run,
+                reply,
+                clock,
+            };
+            orders.reply(cell, token, command).await;
+        });
+    }
+
+    pub(super) fn stop(&self, cell: CellName, order: StopCall) {
+        debug!(task:% = order.task, run = order.run, worker:% = order.name; "stop_ordered");
+        let orders = self.clone();
+        spawn_local(async move {
+            let (worker, task, run, token) = (order.worker, order.task, order.run, order.token);
+            let reply = orders.workers.stop(order).await;
+            let command = Command::StopReplied {
+                worker,
+                task,
+                run,
+                reply,
+            };
+            orders.reply(cell, token, command).await;
+        });
+    }
+
+    pub(super) fn look(&self, cell: CellName, order: LookCall) {
+        let orders = self.clone();
+        spawn_local(async move {
+            let (worker, token, sent) = (order.worker, order.token, Instant::now());
+            let reply = orders.workers.look(order).await;
+            orders.metrics.note_look(look_label(&reply));
+            let command = Command::Looked {
+                worker,
+                sent,
+                reply,
+            };
+            orders.reply(cell, token, command).await;
+        });
+    }
+
+    async fn reply(&self, cell: CellName, token: FencingToken, command: Command) {
+        let input = Input::Worker {
+            cell,
+            token,
+            command,
+        };
+        self.tx.send(input).await;
+    }
+}
+
+fn start_label(reply: StartReply) -> &'static str {
+    match reply {
+        StartReply::Accepted => "accepted",
+        StartReply::Fenced => "fenced",
+        StartReply::Outdated => "outdated",
+        StartReply::TooLate => "too-late",
+        StartReply::NoRoom => "no-room",
+        StartReply::Refused => "refused",
+        StartReply::OtherLife => "other-life",
+        StartReply::NotSent => "not-sent",
+        StartReply::Unanswered => "unanswered",
+    }
+}
+
+fn look_label(reply: &LookReply) -> &'static str {
+    match reply {
+        LookReply::Report(_) => "report",
+        LookReply::Fenced => "fenced",
+        LookReply::OtherLife => "other-life",
+        LookReply::Unanswered => "unanswered",
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/roster.rs
@@ -0,0 +1,230 @@
+//! Workers and entry VMs, as the platform's store lists them.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use geraniumrelay_adapter::Change;
+use geraniumrelay_adapter::worker_entry::worker_entry;
+use geraniumrelay_core::collections::{Map, Set};
+use geraniumrelay_core::leased::cells::{CellName, Plan};
+use geraniumrelay_core::leased::{EntryVm, WorkerEntry, WorkerName, WorkerState};
+use log::{info, warn};
+
+/// Key of the plan of cells among the entry VMs' rows.
+pub(super) const PLAN_KEY: &str = "cells";
+
+/// A worker that is new, has changed, or is gone.
+#[derive(Debug)]
+pub(super) enum WorkerNews {
+    Seen(WorkerEntry),
+    Gone(WorkerEntry),
+}
+
+/// What the store lists.
+#[derive(Debug)]
+pub(super) struct Roster {
+    workers: Map<WorkerName, WorkerEntry>,
+    /// Since when the workers' entries are followed, and since when their number has not changed.
+    workers_since: Option<(Instant, Instant)>,
+    /// Workers that went silent, and since when they are not listed.
+    departed: Map<WorkerName, (WorkerEntry, Instant)>,
+    departed_ttl: Duration,
+    is_first_start: bool,
+    members: BTreeMap<String, SocketAddr>,
+    knows_members: bool,
+    plan: Option<Plan>,
+}
+
+impl Roster {
+    pub(super) fn new(departed_ttl: Duration, is_first_start: bool) -> Self {
+        Self {
+            workers: Map::default(),
+            workers_since: None,
+            departed: Map::default(),
+            departed_ttl,
+            is_first_start,
+            members: BTreeMap::new(),
+            knows_members: false,
+            plan: None,
+        }
+    }
+
+    /// Whether there is enough to schedule by.
+    pub(super) fn is_known(&self) -> bool {
+        !self.workers.is_empty() && self.knows_members
+    }
+
+    /// Whether every worker that may still run something is known.
+    pub(super) fn knows_departed(&self, now: Instant) -> bool {
+        self.workers_since.is_some_and(|(since, _)| {
+            self.is_first_start || now.saturating_duration_since(since) >= self.departed_ttl
+        })
+    }
+
+    /// Number of listed workers.
+    pub(super) fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Listed workers of a cell.
+    pub(super) fn workers_of(&self, cell: &CellName) -> Vec<WorkerEntry> {
+        let workers = self.workers.values();
+        workers
+            .filter(|w| self.cell_of(w) == *cell)
+            .cloned()
+            .collect()
+    }
+
+    /// Workers of a cell that went silent lately.
+    pub(super) fn departed_of(&mut self, cell: &CellName, now: Instant) -> Vec<WorkerEntry> {
+        let ttl = self.departed_ttl;
+        self.departed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < ttl);
+        let departed = self.departed.values().map(|(entry, _)| entry);
+        departed
+            .filter(|w| self.cell_of(w) == *cell)
+            .cloned()
+            .collect()
+    }
+
+    /// The cell of a worker.
+    pub(super) fn cell_of(&self, worker: &WorkerEntry) -> CellName {
+        let plan = self.plan.as_ref();
+        plan.map_or_else(CellName::single, |plan| {
+            plan.cell_of(&worker.name, &worker.data_centre)
+        })
+    }
+
+    /// All cells.
+    pub(super) fn cells(&self) -> Vec<CellName> {
+        self.plan.clone().unwrap_or_default().names()
+    }
+
+    /// The plan that the present workers call for, once their number is steady and there is none.
+    pub(super) fn wanted_plan(&self, now: Instant, steady: Duration) -> Option<Plan> {
+        let (_, changed) = self.workers_since?;
+        let is_steady = now.saturating_duration_since(changed) >= steady;
+        if self.plan.is_some() || !self.knows_members || !is_steady {
+            return None;
+        }
+        let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for worker in self.workers.values() {
+            *counts.entry(Arc::clone(&worker.data_centre)).or_insert(0) += 1;
+        }
+        Plan::for_workers(&counts)
+    }
+
+    /// Takes rows of the workers' table.
+    pub(super) fn take_workers(
+        &mut self,
+        is_whole: bool,
+        rows: &[Change],
+        now: Instant,
+    ) -> Vec<WorkerNews> {
+        let count = self.workers.len();
+        let mut news = Vec::new();
+        let mut listed: Set<WorkerName> = Set::default();
+        for change in rows {
+            let name = WorkerName(change.key.as_str().into());
+            match change
+                .value
+                .as_deref()
+                .map(|v| worker_entry(&change.key, v))
+            {
+                Some(Ok(entry)) => {
+                    listed.insert(name);
+                    news.extend(self.worker_seen(entry));
+                }
+                Some(Err(e)) => {
+                    warn!(worker = change.key.as_str(), reason:% = e; "worker_entry_refused");
+                    news.extend(self.worker_gone(&name, now));
+                }
+                None => news.extend(self.worker_gone(&name, now)),
+            }
+        }
+        if is_whole {
+            let is_gone = |name: &&WorkerName| !listed.contains(*name);
+            let gone: Vec<_> = self.workers.keys().filter(is_gone).cloned().collect();
+            for name in gone {
+                news.extend(self.worker_gone(&name, now));
+            }
+        }
+        let (since, changed) = self.workers_since.unwrap_or((now, now));
+        let is_changed = count != self.workers.len();
+        self.workers_since = Some((since, if is_changed { now } else { changed }));
+        news
+    }
+
+    fn worker_seen(&mut self, entry: WorkerEntry) -> Option<WorkerNews> {
+        if self.workers.get(&entry.name) == Some(&entry) {
+            return None;
+        }
+        info!(worker:% = entry.name, state:% = entry.state, address:% = entry.address, born = entry.born.unwrap_or(0); "worker_seen");
+        self.departed.remove(&entry.name);
+        self.workers.insert(entry.name.clone(), entry.clone());
+        Some(WorkerNews::Seen(entry))
+    }
+
+    fn worker_gone(&mut self, name: &WorkerName, now: Instant) -> Option<WorkerNews> {
+        let entry = self.workers.remove(name)?;
+        info!(worker:% = name, state:% = entry.state; "worker_gone");
+        if entry.state == WorkerState::Ready {
+            self.departed.insert(name.clone(), (entry.clone(), now));
+        }
+        Some(WorkerNews::Gone(entry))
+    }
+
+    /// Takes rows of the entry VMs' table; `true` where the plan of cells has changed.
+    pub(super) fn take_members(&mut self, is_whole: bool, rows: &[Change]) -> bool {
+        if is_whole {
+            self.members.clear();
+            self.knows_members = true;
+        }
+        let before = self.plan.clone();
+        for change in rows {
+            let text = change.value.as_deref().map(String::from_utf8_lossy);
+            if change.key == PLAN_KEY {
+                self.take_plan(text.as_deref());
+                continue;
+            }
+            match text.map(|t| t.parse::<SocketAddr>()) {
+                Some(Ok(address)) => {
+                    self.members.insert(change.key.clone(), address);
+                }
+                Some(Err(e)) => {
+                    warn!(vm = change.key.as_str(), reason:% = e; "member_refused");
+                }
+                None => {
+                    self.members.remove(&change.key);
+                }
+            }
+        }
+        self.plan != before
+    }
+
+    fn take_plan(&mut self, text: Option<&str>) {
+        match text.map(Plan::parse) {
+            Some(Ok(plan)) => {
+                info!(cells = plan.names().len(); "plan_of_cells");
+                self.plan = Some(plan);
+            }
+            Some(Err(e)) => warn!(reason:% = e; "plan_of_cells_refused"),
+            None => {}
+        }
+    }
+
+    /// The other entry VMs, and where they listen.
+    pub(super) fn peers(&self, own: EntryVm) -> Map<EntryVm, SocketAddr> {
+        let mut peers = Map::default();
+        for &address in self.members.values() {
+            if let IpAddr::V4(ip) = address.ip()
+                && EntryVm(ip) != own
+            {
+                peers.insert(EntryVm(ip), address);
+            }
+        }
+        peers
+    }
+}
