--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -20,6 +20,8 @@
     pub max_pause: Duration,
     /// Pause of a worker after the first task that fails or stands still; doubles each time.
     pub failure_pause: Duration,
+    /// Time for which a worker that had no room gets nothing, unless an end is seen there before.
+    pub full_pause: Duration,
     /// Most workers set aside for failures, in percent; more than that is no fault of the workers.
     pub max_paused_percent: usize,
     /// Time that runs of an earlier scheduler may go on without an entry VM that asks for them; long
@@ -58,6 +60,7 @@
             first_pause: Duration::from_millis(100),
             max_pause: Duration::from_secs(2),
             failure_pause: Duration::from_millis(200),
+            full_pause: Duration::from_millis(60),
             max_paused_percent: 40,
             orphan_grace: Duration::from_millis(400),
             takeover_wait: Duration::from_millis(1100),
--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -16,15 +16,17 @@
 const ROUND_EPOCH: Duration = Duration::from_hours(438_288);
 
 /// Rounds skipped when workers turn out to have seen a higher token than anybody here knows.
-const FENCED_STEP: u64 = 16;
+const FENCED_STEP: u64 = 2;
 
 /// Times of the election.
 #[derive(Debug, Clone)]
 pub struct ElectionConfig {
-    /// Silence after which the scheduler is taken for gone; four of its beats.
+    /// Silence after which the scheduler is taken for gone; five of its beats.
     pub scheduler_silence: Duration,
     /// Silence after which another entry VM is taken for gone.
     pub peer_silence: Duration,
+    /// Silence after which another entry VM is passed over when one takes over; two of its beats.
+    pub peer_fresh: Duration,
     /// Time after the start in which a scheduler may make itself heard.
     pub start_grace: Duration,
     /// Head start of each entry VM over the next in line; covers a takeover and one beat.
@@ -36,9 +38,10 @@
 impl Default for ElectionConfig {
     fn default() -> Self {
         Self {
-            scheduler_silence: Duration::from_millis(450),
+            scheduler_silence: Duration::from_millis(300),
             peer_silence: Duration::from_millis(900),
-            start_grace: Duration::from_millis(400),
+            peer_fresh: Duration::from_millis(350),
+            start_grace: Duration::from_millis(300),
             turn: Duration::from_millis(150),
             store_patience: Duration::from_millis(1_500),
         }
@@ -171,6 +174,11 @@
         peers.map(|(&vm, _)| vm).collect()
     }
 
+    /// Sets the silence after which another entry VM is passed over.
+    pub fn set_peer_fresh(&mut self, peer_fresh: Duration) {
+        self.cfg.peer_fresh = peer_fresh;
+    }
+
     /// What this process says of itself.
     pub fn own_beat(&self, successor: Option<EntryVm>) -> Beat {
         Beat {
@@ -306,7 +314,7 @@
     }
 
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = (EntryVm, &Peer)> {
-        let limit = self.cfg.peer_silence;
+        let limit = self.cfg.peer_fresh;
         self.peers
             .iter()
             .filter(move |(_, p)| {
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -71,7 +71,11 @@
     let (job, position) = (wish.job, wish.task.position);
     let step = job.step(position);
     let free = worker.free();
-    if !free.has_room_for(&step.size) || !worker.is_usable() || !could_run(worker, job, position) {
+    if worker.is_full(wish.now)
+        || !free.has_room_for(&step.size)
+        || !worker.is_usable()
+        || !could_run(worker, job, position)
+    {
         return None;
     }
     let running = worker.runs.len() + worker.orphans.len();
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -51,6 +51,7 @@
     ) {
         for end in &report.ended {
             let worker = &mut self.workers[key];
+            worker.full_until = None;
             if end.number > worker.last_seen {
                 worker.last_seen = end.number;
                 worker.owes_ack = true;
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -76,6 +76,7 @@
                     job.task_mut(position).last_run += OUTDATED_STEP;
                 }
             }
+            StartReply::NoRoom => worker.full_until = Some(cx.now + cx.cfg.leased.full_pause),
             StartReply::NotSent => worker.looking.misses = worker.looking.misses.max(1),
             StartReply::Refused => {
                 worker.health.note_fault(cx.now, &cx.cfg.leased);
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -150,7 +150,8 @@
         };
         let ahead = self.waiting.range(..(job.rank, key));
         let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
-        let ahead = ahead.filter(|j| j.spec.service == *service);
+        let is_held = |j: &Job| j.earlier_runs_until.is_some_and(|until| cx.now < until);
+        let ahead = ahead.filter(|j| j.spec.service == *service && !is_held(j));
         let own = needs(job);
         let position = job.ready.front().copied().unwrap_or(0);
         let (size, expected) = (job.step(position).size, job.expected_run(position));
@@ -165,7 +166,7 @@
             if worker.entry.service != *service || !worker.may_become_usable() {
                 continue;
             }
-            if worker.health.may_start(cx.now, 0) {
+            if worker.health.may_start(cx.now, 0) && !worker.is_full(cx.now) {
                 backlog.free += worker.free().count_of(&size) * size.cpu_milli;
             }
             for run in &worker.runs {
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -128,6 +128,8 @@
     /// Whether `last_seen` has grown since it was last sent.
     pub(super) owes_ack: bool,
     pub(super) looking: Looking,
+    /// Until when it counts as full, though it seemed to have room.
+    pub(super) full_until: Option<Instant>,
     pub(super) health: Health,
 }
 
@@ -146,6 +148,7 @@
             last_seen: 0,
             owes_ack: false,
             looking: Looking::default(),
+            full_until: None,
             health: Health::default(),
         }
     }
@@ -169,6 +172,11 @@
         is_open && self.looking.misses < MAX_MISSES
     }
 
+    /// Whether it said a moment ago that it has no room.
+    pub(super) fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
     /// Whether its last call was not answered.
     pub(super) fn is_doubtful(&self) -> bool {
         self.looking.misses > 0
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -1,7 +1,7 @@
 //! Who schedules the cells.
 
 use std::sync::Arc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::election::{Fitness, Step};
@@ -11,6 +11,9 @@
 use super::Hub;
 use crate::leased::convert;
 
+/// Beats after whose absence a VM is passed over when one takes over.
+const FRESH_BEATS: u32 = 2;
+
 impl Hub {
     /// Does what the election of a cell decided.
     pub(super) fn follow(&mut self, name: &CellName, step: Step) {
@@ -80,6 +83,7 @@
         let is_barred = self.is_stopping || !self.roster.is_known();
         let has_store = self.sick_tables.is_empty();
         let knows_departed = self.roster.knows_departed(now);
+        let peer_fresh = self.follower_beat() * FRESH_BEATS + Duration::from_millis(50);
         let led = self
             .cells
             .values()
@@ -94,6 +98,7 @@
             };
             cell.election.set_own(is_barred, has_store, now);
             cell.election.set_fitness(knows_departed, fitness);
+            cell.election.set_peer_fresh(peer_fresh);
         }
     }
 
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -36,10 +36,10 @@
 const TICK: Duration = Duration::from_millis(25);
 
 /// Time between two beats of a scheduler.
-const SCHEDULER_BEAT: Duration = Duration::from_millis(100);
+const SCHEDULER_BEAT: Duration = Duration::from_millis(60);
 
 /// Time between two beats of the others.
-const BEAT: Duration = Duration::from_millis(250);
+const BEAT: Duration = Duration::from_millis(150);
 
 /// The same where entry VMs are many, and each hears all others.
 const RARE_BEAT: Duration = Duration::from_millis(400);
@@ -211,7 +211,14 @@
     fn beat_pause(&self, is_scheduler: bool) -> Duration {
         if is_scheduler {
             SCHEDULER_BEAT
-        } else if self.links.len() >= MANY_VMS {
+        } else {
+            self.follower_beat()
+        }
+    }
+
+    /// Time between two beats of a VM that schedules nothing.
+    fn follower_beat(&self) -> Duration {
+        if self.links.len() >= MANY_VMS {
             RARE_BEAT
         } else {
             BEAT
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -144,10 +144,11 @@
     info!(grace_s = settings.stop_grace_s; "stopping");
     readiness.stop();
     tx.tell(Input::Stop);
-    feeds::leave(store, settings).await;
     let linger = (started + STOP_LINGER).min(until);
     tokio::time::sleep_until(linger.into()).await;
     server.close(until).await;
+    // Until here answers of schedulers come over the links of the entry.
+    feeds::leave(store, settings).await;
 }
 
 /// Reads the settings again at each SIGHUP and says what has changed.
