fix(core): adopted runs teach no run times

The start of an adopted run is not known, so it counted as very short; the learnt run times fell, every worker then seemed slow, and slow workers' run times were not learnt. Change: adopted runs are left out; where most workers seem slow the expected run times are doubted; slow workers are no free room; 70 % of the slack at admission.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -69,7 +69,7 @@
             entry_grace: Duration::from_millis(500),
             outcome_ttl: Duration::from_secs(10),
             scan_limit: 24,
-            admit_percent: 100,
+            admit_percent: 70,
             estimate_weight: 0.05,
             slow_factor: 2.5,
         }
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -34,6 +34,8 @@
     pub(super) data_centre: &'a str,
     /// Whether workers that were set aside are left out.
     pub(super) respects_pauses: bool,
+    /// Whether slow workers only get what they can end in time.
+    pub(super) respects_slowness: bool,
 }
 
 /// The best worker for a task; `None` where it has to wait.
@@ -96,7 +98,7 @@
     let expected = job.expected_run(position);
     let slowness = worker.health.slowness(cfg);
     let longer = expected.mul_f64(slowness - 1.0);
-    if slowness > 1.0 && !is_in_time(wish, expected + longer) {
+    if wish.respects_slowness && slowness > 1.0 && !is_in_time(wish, expected + longer) {
         return None;
     }
     let mut score = (free.cpu_milli - step.size.cpu_milli) as f64;
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -102,12 +102,16 @@
     }
 
     fn note_pace(&mut self, cx: &Context<'_>, on: WorkerKey, run: &Run) {
-        let took = cx.now.saturating_duration_since(run.sent);
-        let ratio = took.as_secs_f64() / run.expected.as_secs_f64().max(0.001);
+        let is_slowness_respected = self.is_slowness_respected(cx);
         let health = &mut self.workers[on].health;
         health.note_success();
+        if run.is_adopted {
+            return;
+        }
+        let took = cx.now.saturating_duration_since(run.sent);
+        let ratio = took.as_secs_f64() / run.expected.as_secs_f64().max(0.001);
         health.note_pace(ratio, cx.now, &cx.cfg.leased);
-        if health.slowness(&cx.cfg.leased) > 1.0 {
+        if is_slowness_respected && health.slowness(&cx.cfg.leased) > 1.0 {
             return;
         }
         if let Some(job) = self.jobs.get(run.task.job) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
@@ -59,7 +59,7 @@
 
 /// When a run ends at its present pace, where that can be told.
 fn projected_end(run: &Run, now: Instant) -> Option<Instant> {
-    if run.state != RunState::Running || run.percent < MIN_PERCENT {
+    if run.is_adopted || run.state != RunState::Running || run.percent < MIN_PERCENT {
         return None;
     }
     let took = run.moved.saturating_duration_since(run.sent);
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -5,12 +5,13 @@
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, TaskKey, TaskState};
 use crate::leased::placement::{self, Wish};
-use crate::leased::worker::{Orphan, Run, RunState, WorkerKey};
+use crate::leased::worker::{Orphan, Run, RunState, Worker, WorkerKey};
 
 impl Scheduler {
     /// Starts what fits, in order of rank.
     pub(super) fn place_waiting(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         let respects_pauses = self.are_pauses_respected(cx);
+        let respects_slowness = self.is_slowness_respected(cx);
         let grace = cx.cfg.leased.stop_grace;
         let mut workers = self.workers.values();
         let are_all_listed = self.knows_departed && workers.all(|w| w.lists_all(cx.now, grace));
@@ -21,7 +22,7 @@
             if !are_all_listed && earlier.is_some_and(|until| cx.now < until) {
                 continue;
             }
-            if !self.place_job(cx, key, respects_pauses, out) {
+            if !self.place_job(cx, key, (respects_pauses, respects_slowness), out) {
                 misses += 1;
             }
             if self.jobs[key].ready.is_empty() {
@@ -38,7 +39,7 @@
         &mut self,
         cx: &Context<'_>,
         key: JobKey,
-        respects_pauses: bool,
+        (respects_pauses, respects_slowness): (bool, bool),
         out: &mut Vec<Effect>,
     ) -> bool {
         while let Some(&position) = self.jobs[key].ready.front() {
@@ -49,6 +50,7 @@
                 now: cx.now,
                 data_centre: &self.data_centre,
                 respects_pauses,
+                respects_slowness,
             };
             let Some(worker) = placement::choose(&cx.cfg.leased, &self.workers, wish) else {
                 return false;
@@ -64,6 +66,14 @@
         snapshot.paused * 100 <= snapshot.workers * cx.cfg.leased.max_paused_percent
     }
 
+    /// Where most workers seem slow, it is the expected run times that are wrong.
+    pub(super) fn is_slowness_respected(&self, cx: &Context<'_>) -> bool {
+        let cfg = &cx.cfg.leased;
+        let is_slow = |w: &&Worker| w.health.slowness(cfg) > 1.0;
+        let slow = self.workers.values().filter(is_slow).count();
+        slow * 100 <= self.workers.len() * cfg.max_paused_percent
+    }
+
     fn start(&mut self, cx: &Context<'_>, task: TaskKey, to: WorkerKey, out: &mut Vec<Effect>) {
         let job = &mut self.jobs[task.job];
         let was_started = job.has_started;
@@ -85,6 +95,7 @@
             expected: job.expected_run(task.position),
             percent: 0,
             moved: cx.now,
+            is_adopted: false,
             unsure_since: None,
             is_pace_noted: false,
             stop_sent: None,
@@ -139,6 +150,7 @@
             expected: job.expected_run(position),
             percent: 0,
             moved: cx.now,
+            is_adopted: true,
             unsure_since: None,
             is_pace_noted: false,
             stop_sent,
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -162,17 +162,25 @@
             freed_per_s: 0.0,
             urgent_per_s: self.urgent_demand(cx.now, job.spec.priority),
         };
+        let is_slowness_respected = self.is_slowness_respected(cx);
         for worker in self.workers.values() {
             if worker.entry.service != *service || !worker.may_become_usable() {
                 continue;
             }
-            if worker.health.may_start(cx.now, 0) && !worker.is_full(cx.now) {
+            let slowness = if is_slowness_respected {
+                worker.health.slowness(&cx.cfg.leased)
+            } else {
+                1.0
+            };
+            let is_open = worker.health.may_start(cx.now, 0) && !worker.is_full(cx.now);
+            // Few jobs can wait for a slow worker.
+            if is_open && slowness <= 1.0 {
                 backlog.free += worker.free().count_of(&size) * size.cpu_milli;
             }
             for run in &worker.runs {
                 let took = cx.now.saturating_duration_since(run.sent);
                 // A run that is overdue says little of when it ends.
-                let whole = run.expected.max(took).as_secs_f64();
+                let whole = run.expected.mul_f64(slowness).max(took).as_secs_f64();
                 backlog.freed_per_s += run.size.cpu_milli as f64 / whole.max(0.001);
             }
         }
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -80,6 +80,8 @@
     pub(super) percent: u8,
     /// When `percent` last grew.
     pub(super) moved: Instant,
+    /// Whether an earlier scheduler started it, so that its start is not known.
+    pub(super) is_adopted: bool,
     /// Since when it is not known whether it runs.
     pub(super) unsure_since: Option<Instant>,
     /// Whether its pace has been held against the worker.
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -121,3 +121,32 @@
     assert_eq!(world.outcome(1), Some(JobOutcome::Completed));
     assert!(world.starts.values().all(|&n| n == 1));
 }
+
+/// The start of an adopted run is not known, so its run time must not be learnt.
+#[test]
+fn adopted_runs_teach_no_run_times() {
+    let mut world = World::new(8, 1);
+    let mut host = 0;
+    for round in 2..8 {
+        let mut jobs = Vec::new();
+        for number in 0..4 {
+            let job = TestJob::new(u64::from(round as u32) * 10 + number, 4, 300 * MS);
+            jobs.push(job.clone());
+            world.submit(host, MS, job);
+        }
+        world.run_for(280 * MS);
+        let learnt = world.hosts[host].scheduler.as_ref().unwrap();
+        let learnt = learnt.estimates().clone();
+        world.kill(host);
+        host = world.add_host(round);
+        let scheduler = world.hosts[host].scheduler.take().unwrap();
+        world.hosts[host].scheduler = Some(scheduler.with_estimates(learnt));
+        for job in &jobs {
+            pass_on(&mut world, host, job);
+        }
+        world.run_for(400 * MS);
+    }
+    let scheduler = world.hosts[host].scheduler.as_ref().unwrap();
+    let expected = scheduler.estimates().expected("queue", 300 * MS);
+    assert!(expected >= 270 * MS, "{expected:?}");
+}
