fix(core): a restarted process lets the scheduler make itself heard

Ruled out: a silent scheduler (its beats went on). Change: the time counts from when the process could take over. A test fails without it.

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -27,7 +27,7 @@
     pub peer_silence: Duration,
     /// Silence after which another entry VM is passed over when one takes over; two of its beats.
     pub peer_fresh: Duration,
-    /// Time after the start in which a scheduler may make itself heard.
+    /// Time in which a scheduler may make itself heard, from when a process could take over itself.
     pub start_grace: Duration,
     /// Head start of each entry VM over the next in line; covers a takeover and one beat.
     pub turn: Duration,
@@ -151,6 +151,11 @@
 
     /// Notes whether this process may take over, and whether the store answers it.
     pub fn set_own(&mut self, is_barred: bool, has_store: bool, now: Instant) {
+        if self.is_barred && !is_barred {
+            // From now on the scheduler has time to make itself heard: before, this process knew
+            // nobody who could connect to it.
+            self.started = now;
+        }
         self.is_barred = is_barred;
         if has_store {
             self.store_lost_at = None;
--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -164,3 +164,20 @@
     let tokens = vms.map(|ip| FencingToken::new(5, EntryVm(ip.into())));
     assert!(tokens[0] != tokens[1] && tokens[0] != tokens[2] && tokens[1] != tokens[2]);
 }
+
+/// A process that restarts while another VM schedules reads its tables first, and hears the
+/// scheduler only after that.
+#[test]
+fn a_restarted_process_lets_the_scheduler_make_itself_heard() {
+    let start = Instant::now();
+    let mut restarted = Election::new(ElectionConfig::default(), vm(1), start);
+    let known = start + 400 * MS;
+    restarted.set_own(true, true, known - MS);
+    restarted.set_own(false, true, known);
+    assert_eq!(tick(&mut restarted, known + 100 * MS), Step::Stay);
+    let mut scheduler = ready(2, start);
+    let beat = lead(&mut scheduler, start + 400 * MS);
+    let step = restarted.hear(vm(2), beat, known + 150 * MS);
+    assert_matches!(step, Step::Follow(v, _) if v == vm(2));
+    assert_eq!(tick(&mut restarted, known + 350 * MS), Step::Stay);
+}
