--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -17,6 +17,8 @@
 mod orders;
 mod roster;
 mod server;
+#[cfg(test)]
+mod tests;
 
 use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/tests/convert.rs
@@ -0,0 +1,59 @@
+//! Messages between entry VMs.
+
+use std::time::Duration;
+
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{
+    EntryVm, FencingToken, JobId, JobOutcome, RefusalReason, Submission,
+};
+
+use super::{MS, spec};
+use crate::leased::convert;
+
+#[test]
+fn a_job_is_the_same_on_the_other_side() {
+    let origin = EntryVm([10, 0, 0, 1].into());
+    let submission = Submission {
+        spec: spec(7),
+        origin,
+        waited: 3 * MS,
+        patience: Duration::from_secs(2),
+        may_have_started: true,
+    };
+    let message = convert::submit_to(&submission, &CellName("z/1".into()));
+    assert_eq!(message.cell, "z/1");
+    let same = convert::submit_from(message, origin);
+    assert_eq!(same.spec, submission.spec);
+    assert_eq!(
+        (same.waited, same.patience),
+        (3 * MS, Duration::from_secs(2))
+    );
+    assert!(same.may_have_started);
+}
+
+#[test]
+fn every_outcome_is_the_same_on_the_other_side() {
+    let reasons = [
+        RefusalReason::Overload,
+        RefusalReason::NoWorkerFits,
+        RefusalReason::TooLong,
+        RefusalReason::WaitedTooLong,
+        RefusalReason::NoScheduler,
+        RefusalReason::Unsupported,
+    ];
+    let refused = reasons.map(|reason| JobOutcome::Refused {
+        reason,
+        retry_after: Duration::from_secs(3),
+    });
+    let others = [
+        JobOutcome::Completed,
+        JobOutcome::Failed,
+        JobOutcome::TimedOut,
+        JobOutcome::Cancelled,
+    ];
+    for outcome in refused.into_iter().chain(others) {
+        let answer = convert::answer_to(JobId(7), outcome, &CellName::single(), FencingToken(5));
+        assert_eq!(answer.token, 5);
+        assert_eq!(convert::answer_from(&answer), (JobId(7), outcome));
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -0,0 +1,39 @@
+//! Tests of the parts that no other package sees.
+
+mod convert;
+mod desk;
+mod links;
+mod roster;
+
+use std::time::Duration;
+
+use geraniumrelay_core::leased::{JobId, JobSpec, Resources, StepSpec};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A job of one step of two tasks.
+fn spec(id: u64) -> JobSpec {
+    JobSpec {
+        id: JobId(id),
+        queue: "queue".into(),
+        service: "service".into(),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 1.6,
+        target_latency: 60 * MS,
+        payload: "payload".into(),
+        steps: vec![StepSpec {
+            count: 2,
+            size: Resources {
+                cpu_milli: 27_000,
+                memory_mb: 64,
+                gpus: 0,
+            },
+            estimate: 200 * MS,
+            after: Vec::new(),
+            required_label: Some("b".into()),
+            preferred_rack: None,
+            max_per_worker: Some(1),
+        }],
+    }
+}
