feat(core,entry): a log line for each decision; fix(core): replaced workers are looked at rarely

The first lines showed 10,324 changes of belief on five workers: another worker answered at their address, and each such answer led to the next look at once. Change: notes of the scheduler (job_over, run_over, run_stopped, worker_believed); looks at a replaced worker back off.

--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
+use super::note::Note;
 use super::worker::WorkerKey;
 use super::worker_clock::WorkerTime;
 
@@ -128,6 +129,8 @@
         /// How it ended.
         outcome: JobOutcome,
     },
+    /// Say what was decided.
+    Note(Note),
     /// A worker has seen a higher fencing token: another scheduler has taken over.
     Deposed {
         /// The worker.
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::admission::Backlog;
 use super::names::{EntryVm, TaskName};
 use super::spec::{JobSpec, StepSpec};
 use super::worker::WorkerKey;
@@ -74,6 +75,7 @@
 /// Times that a job is held to.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Times {
+    pub(super) arrived: Instant,
     /// Until when the answer is in time.
     pub(super) objective: Instant,
     /// When its caller stops waiting.
@@ -105,6 +107,12 @@
     pub(super) has_started: bool,
     /// Until when an earlier scheduler's runs of its tasks may go on, where there was one.
     pub(super) earlier_runs_until: Option<Instant>,
+    /// What waited before it when it came, and the wait that followed from that.
+    pub(super) admission: Option<(Backlog, Option<Duration>)>,
+    /// When its first task was ordered.
+    pub(super) first_start: Option<Instant>,
+    /// Runs beyond one for each task.
+    pub(super) reruns: u32,
     /// When it must be looked at again.
     pub(super) check_at: Instant,
 }
@@ -140,6 +148,9 @@
             left,
             has_started: false,
             earlier_runs_until: None,
+            admission: None,
+            first_start: None,
+            reruns: 0,
             check_at: times.give_up,
         };
         job.unblock();
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -1,10 +1,13 @@
 //! Ends of runs and of jobs.
 
+use std::time::Duration;
+
 use super::Scheduler;
 use crate::context::Context;
 use crate::leased::effect::{Effect, JobOutcome, StopCall};
 use crate::leased::job::{JobKey, TaskKey};
 use crate::leased::names::TaskName;
+use crate::leased::note::{Belief, Note, StopCause};
 use crate::leased::report::EndKind;
 use crate::leased::worker::{Run, RunState, WorkerKey};
 
@@ -25,6 +28,24 @@
         self.checks.remove(&(job.check_at, key));
         self.outcomes.insert(job.spec.id, (cx.now, outcome));
         self.outcome_ages.push_back((cx.now, job.spec.id));
+        out.push(Effect::Note(Note::JobOver {
+            id: job.spec.id,
+            outcome,
+            admission: job.admission,
+            slack: job
+                .rank
+                .latest_start
+                .saturating_duration_since(job.times.arrived),
+            waited: job
+                .first_start
+                .map(|at| at.saturating_duration_since(job.times.arrived)),
+            took: cx.now.saturating_duration_since(job.times.arrived),
+            objective: job
+                .times
+                .objective
+                .saturating_duration_since(job.times.arrived),
+            reruns: job.reruns,
+        }));
         for origin in &job.origins {
             out.push(Effect::Answer {
                 origin: origin.vm,
@@ -87,6 +108,16 @@
         self.has_new_room = true;
         if kind == EndKind::Done {
             self.note_pace(cx, on, run);
+        } else {
+            out.push(Effect::Note(Note::RunOver {
+                task: run.name,
+                run: run.run,
+                worker: self.workers[on].entry.name.clone(),
+                kind,
+                took: cx.now.saturating_duration_since(run.sent),
+                expected: run.expected,
+                percent: run.percent,
+            }));
         }
         let TaskKey { job: key, position } = run.task;
         if !self.jobs.contains_key(key) {
@@ -124,6 +155,7 @@
     pub(super) fn requeue(&mut self, key: JobKey, position: u32) {
         let job = &mut self.jobs[key];
         job.requeue(position);
+        job.reruns += 1;
         if !job.ready.is_empty() {
             self.waiting.insert((job.rank, key));
         }
@@ -153,10 +185,7 @@
         // A task that fails on a second worker as well is more likely at fault than both workers.
         match before.and_then(|b| self.workers.get_mut(b)) {
             Some(earlier) if before != Some(on) => earlier.health.forgive(),
-            _ => {
-                let health = &mut self.workers[on].health;
-                health.note_fault(cx.now, &cx.cfg.leased);
-            }
+            _ => self.note_fault(cx, on, out),
         }
         if failures >= max_attempts {
             self.finish(cx, task.job, JobOutcome::Failed, out);
@@ -165,16 +194,44 @@
         }
     }
 
+    /// Sets a worker aside for a while.
+    pub(super) fn note_fault(&mut self, cx: &Context<'_>, on: WorkerKey, out: &mut Vec<Effect>) {
+        let worker = &mut self.workers[on];
+        let pause = worker.health.note_fault(cx.now, &cx.cfg.leased);
+        out.push(worker.believed(Belief::Faulty, pause));
+    }
+
+    /// Stops a run for a cause that is not its job's.
+    pub(super) fn stop_for(
+        &mut self,
+        cx: &Context<'_>,
+        on: WorkerKey,
+        (task, run): (TaskName, u32),
+        cause: StopCause,
+        out: &mut Vec<Effect>,
+    ) {
+        out.push(Effect::Note(Note::RunStopped {
+            task,
+            run,
+            worker: self.workers[on].entry.name.clone(),
+            cause,
+        }));
+        self.stop(cx, on, task, run, out);
+    }
+
     /// Takes note that a worker has none of the runs it was given: it has started anew.
     pub(super) fn forget_runs(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let worker = &mut self.workers[key];
+        if worker.fenced.is_some() || !worker.runs.is_empty() {
+            out.push(worker.believed(Belief::NewLife, Duration::ZERO));
+        }
         worker.clock = None;
         worker.fenced = None;
         worker.lease = None;
         worker.last_seen = 0;
         worker.owes_ack = false;
         worker.orphans.clear();
-        worker.looking = crate::leased::worker::Looking::default();
+        worker.looking.out_since = None;
         while !self.workers[key].runs.is_empty() {
             let run = self.workers[key].remove_run(0);
             self.run_ended(cx, key, &run, EndKind::Lapsed, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -8,8 +8,9 @@
 use crate::leased::effect::{Effect, LookCall};
 use crate::leased::health::doubled;
 use crate::leased::names::TaskName;
+use crate::leased::note::{Belief, StopCause};
 use crate::leased::report::{EndKind, WorkerReport};
-use crate::leased::worker::{Orphan, Run, RunState, Worker, WorkerKey};
+use crate::leased::worker::{MAX_MISSES, Orphan, Run, RunState, Worker, WorkerKey};
 use crate::leased::worker_clock::WorkerClock;
 
 impl Scheduler {
@@ -27,6 +28,9 @@
             self.forget_runs(cx, key, out);
         }
         let worker = &mut self.workers[key];
+        if worker.looking.misses >= MAX_MISSES {
+            out.push(worker.believed(Belief::Answers, Duration::ZERO));
+        }
         worker.looking.out_since = None;
         worker.looking.misses = 0;
         worker.looking.not_before = None;
@@ -166,22 +170,41 @@
             .filter(is_due)
             .map(|r| (r.name, r.run))
             .collect();
-        for (name, run) in due {
-            self.stop(cx, key, name, run, out);
+        for run in due {
+            self.stop_for(cx, key, run, StopCause::OrderUnanswered, out);
         }
     }
 
-    pub(super) fn look_failed(&mut self, cx: &Context<'_>, key: WorkerKey) {
+    pub(super) fn look_failed(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let worker = &mut self.workers[key];
         worker.looking.out_since = None;
         let cfg = &cx.cfg.leased;
         let misses = worker.looking.misses;
         worker.looking.misses += 1;
+        if worker.looking.misses == MAX_MISSES {
+            out.push(worker.believed(Belief::Silent, Duration::ZERO));
+        }
         // The first repeat is sent at once: a single call gets lost now and then.
         let pause = doubled(cfg.first_pause, misses.saturating_sub(1), cfg.max_pause);
         worker.looking.not_before = (misses > 0).then(|| cx.now + pause);
     }
 
+    /// Takes note that another worker answers at a worker's address: nothing of the one that was
+    /// meant runs any more. Looks go on, ever more rarely, until its entry is gone.
+    pub(super) fn met_other_life(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        out: &mut Vec<Effect>,
+    ) {
+        self.forget_runs(cx, key, out);
+        self.workers[key].fenced = Some(cx.now);
+        while self.workers[key].looking.misses < MAX_MISSES {
+            self.look_failed(cx, key, out);
+        }
+        self.look_failed(cx, key, out);
+    }
+
     /// Sends a look where one is due and none is under way.
     pub(super) fn plan_look(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let Some(worker) = self.workers.get_mut(key) else {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -19,7 +19,7 @@
 use super::estimates::Estimates;
 use super::job::{Job, JobKey, JobState, Rank};
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
-use super::worker::{Worker, WorkerEntry, WorkerKey, WorkerState};
+use super::worker::{Looking, Worker, WorkerEntry, WorkerKey, WorkerState};
 use crate::collections::Map;
 use crate::context::Context;
 use crate::modules::decayed::Decayed;
@@ -226,11 +226,8 @@
         match reply {
             LookReply::Report(report) => self.take_report(cx, key, sent, &report, out),
             LookReply::Fenced => self.depose(key, out),
-            LookReply::OtherLife => {
-                self.forget_runs(cx, key, out);
-                self.look_failed(cx, key);
-            }
-            LookReply::Unanswered => self.look_failed(cx, key),
+            LookReply::OtherLife => self.met_other_life(cx, key, out),
+            LookReply::Unanswered => self.look_failed(cx, key, out),
         }
         self.plan_look(cx, key, out);
     }
@@ -245,6 +242,7 @@
             worker.departed = None;
             worker.looking.not_before = None;
             if is_other_life {
+                self.workers[key].looking = Looking::default();
                 self.forget_runs(cx, key, out);
             }
             key
--- a/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
@@ -11,6 +11,7 @@
 use crate::leased::effect::{Effect, JobOutcome};
 use crate::leased::job::JobKey;
 use crate::leased::names::TaskName;
+use crate::leased::note::StopCause;
 use crate::leased::worker::{Run, RunState, WorkerKey};
 
 /// Progress from which a pace can be told: reports are in whole percent.
@@ -48,8 +49,8 @@
                 hopeless.push(run.task.job);
             }
         }
-        for (name, run) in moves {
-            self.stop(cx, key, name, run, out);
+        for run in moves {
+            self.stop_for(cx, key, run, StopCause::SlowWorker, out);
         }
         for job in hopeless {
             self.finish(cx, job, JobOutcome::TimedOut, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -77,6 +77,7 @@
     fn start(&mut self, cx: &Context<'_>, task: TaskKey, to: WorkerKey, out: &mut Vec<Effect>) {
         let job = &mut self.jobs[task.job];
         let was_started = job.has_started;
+        job.first_start.get_or_insert(cx.now);
         job.mark_placed(task.position);
         job.task_mut(task.position).last_run += 1;
         let (name, run) = (job.name(task.position), job.task(task.position).last_run);
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -53,7 +53,7 @@
                 worker.looking.misses = worker.looking.misses.max(1);
             }
             StartReply::Fenced => return self.depose(key, out),
-            StartReply::OtherLife => self.forget_runs(cx, key, out),
+            StartReply::OtherLife => self.met_other_life(cx, key, out),
             refusal => self.start_refused(cx, key, position, refusal, out),
         }
         self.plan_look(cx, key, out);
@@ -78,9 +78,7 @@
             }
             StartReply::NoRoom => worker.full_until = Some(cx.now + cx.cfg.leased.full_pause),
             StartReply::NotSent => worker.looking.misses = worker.looking.misses.max(1),
-            StartReply::Refused => {
-                worker.health.note_fault(cx.now, &cx.cfg.leased);
-            }
+            StartReply::Refused => self.note_fault(cx, key, out),
             _ => {}
         }
         self.run_ended(cx, key, &run, EndKind::Stopped, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -107,7 +107,11 @@
             latest_start: objective.checked_sub(chain).unwrap_or(arrived),
             sequence: self.sequence,
         };
-        let times = Times { objective, give_up };
+        let times = Times {
+            arrived,
+            objective,
+            give_up,
+        };
         let origin = Origin {
             vm: origin,
             confirmed: cx.now,
@@ -116,7 +120,7 @@
     }
 
     /// Why a job that has just come in can't be served, if it can't.
-    fn refusal(&self, cx: &Context<'_>, key: JobKey) -> Option<RefusalReason> {
+    fn refusal(&mut self, cx: &Context<'_>, key: JobKey) -> Option<RefusalReason> {
         let job = &self.jobs[key];
         let can_run = |p| {
             self.workers
@@ -132,7 +136,10 @@
         if job.is_too_long(cx.now) {
             return Some(RefusalReason::TooLong);
         }
-        let wait = admission::expected_wait(&self.backlog(cx, key));
+        let backlog = self.backlog(cx, key);
+        let wait = admission::expected_wait(&backlog);
+        let job = &mut self.jobs[key];
+        job.admission = Some((backlog, wait));
         let slack = job.rank.latest_start.saturating_duration_since(cx.now);
         let is_admitted = admission::is_admitted(wait, slack, cx.cfg.leased.admit_percent);
         (!is_admitted).then_some(RefusalReason::Overload)
--- a/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -7,6 +7,7 @@
 use crate::context::Context;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
 use crate::leased::names::{EntryVm, TaskName};
+use crate::leased::note::StopCause;
 use crate::leased::report::EndKind;
 use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
 
@@ -121,8 +122,8 @@
                 due.push((orphan.name, orphan.run));
             }
         }
-        for (name, run) in due {
-            self.stop(cx, key, name, run, out);
+        for run in due {
+            self.stop_for(cx, key, run, StopCause::Orphan, out);
         }
     }
 
@@ -154,9 +155,9 @@
         if stalled.is_empty() {
             return;
         }
-        self.workers[key].health.note_fault(cx.now, &cx.cfg.leased);
-        for (name, run) in stalled {
-            self.stop(cx, key, name, run, out);
+        self.note_fault(cx, key, out);
+        for run in stalled {
+            self.stop_for(cx, key, run, StopCause::Stalled, out);
         }
     }
 }
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::effect::Effect;
 use super::health::Health;
 use super::job::TaskKey;
 use super::names::{TaskName, WorkerName};
+use super::note::{Belief, Note};
 use super::spec::Resources;
 use super::worker_clock::{WorkerClock, WorkerTime};
 
@@ -17,7 +19,7 @@
 
 /// Calls in a row without an answer from which a worker gets no tasks. One call is lost now and
 /// then while the worker is sound.
-const MAX_MISSES: u32 = 2;
+pub(super) const MAX_MISSES: u32 = 2;
 
 /// Whether a worker takes new tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -220,6 +222,17 @@
         self.fenced.is_some_and(|at| age(at) >= stop_grace)
     }
 
+    /// Says that something else is believed of it.
+    pub(super) fn believed(&self, belief: Belief, pause: Duration) -> Effect {
+        Effect::Note(Note::WorkerBelieved {
+            worker: self.entry.name.clone(),
+            belief,
+            misses: self.looking.misses,
+            pause,
+            runs: self.runs.len(),
+        })
+    }
+
     /// Whether nothing more can be running there.
     pub(super) fn is_over(&self, now: Instant, departed_ttl: Duration) -> bool {
         let is_settled =
--- a/crates/geraniumrelay-core/tests/leased/jobs.rs
+++ b/crates/geraniumrelay-core/tests/leased/jobs.rs
@@ -190,3 +190,19 @@
     assert_eq!(world.outcome(1), Some(JobOutcome::TimedOut));
     assert!(world.workers.iter().all(|w| w.running().count() == 0));
 }
+
+/// Its entry lapses only after some heartbeats, and all that time the new one answers.
+#[test]
+fn a_worker_whose_address_another_one_has_taken_is_looked_at_ever_more_rarely() {
+    let mut world = World::new(2, 1);
+    world.workers[0].is_replaced = true;
+    world.submit(0, MS, TestJob::new(1, 4, 300 * MS));
+    world.run_for(Duration::from_secs(5));
+    assert_eq!(world.outcome(1), Some(JobOutcome::Completed));
+    let looks = world.workers[0].looks;
+    assert!(looks <= 10, "{looks}");
+    world.tell(0, Command::WorkerGone(name_of(0)));
+    world.run_for(Duration::from_secs(5));
+    let further = world.workers[0].looks - looks;
+    assert!(further <= 1, "{further}");
+}
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -44,6 +44,10 @@
 pub(crate) struct FakeWorker {
     pub(crate) capacity: Resources,
     pub(crate) mood: Mood,
+    /// Whether another worker has taken its address.
+    pub(crate) is_replaced: bool,
+    /// Looks that it has answered.
+    pub(crate) looks: u32,
     /// Rate of its clock against the world's.
     pub(crate) clock_rate: f64,
     born: Instant,
@@ -65,6 +69,8 @@
                 gpus: 0,
             },
             mood: Mood::Sound,
+            is_replaced: false,
+            looks: 0,
             clock_rate: 1.0,
             born: now,
             runs: Vec::new(),
@@ -139,6 +145,9 @@
         (lease, token): (WorkerTime, FencingToken),
     ) -> StartReply {
         self.advance(now);
+        if self.is_replaced {
+            return StartReply::OtherLife;
+        }
         if token < self.token {
             return StartReply::Fenced;
         }
@@ -207,6 +216,10 @@
         may_wait: bool,
     ) -> Option<LookReply> {
         self.advance(now);
+        if self.is_replaced {
+            self.looks += 1;
+            return Some(LookReply::OtherLife);
+        }
         if token < self.token {
             return Some(LookReply::Fenced);
         }
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -465,6 +465,7 @@
             Effect::Answer { id, outcome, .. } => {
                 self.answers.entry(id).or_insert((outcome, self.now));
             }
+            Effect::Note(_) => {}
             Effect::Deposed { .. } => self.hosts[host].is_deposed = true,
         }
     }
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -29,6 +29,7 @@
 use crate::leased::input::{Input, InputTx};
 use crate::leased::links::{self, Link};
 use crate::leased::metrics::LeasedMetrics;
+use crate::leased::notes;
 use crate::leased::orders::Orders;
 use crate::leased::roster::Roster;
 
@@ -387,6 +388,7 @@
                     self.send(origin, Body::Answer(answer));
                 }
             }
+            Effect::Note(note) => notes::write(name, &note),
             Effect::Deposed { worker } => {
                 info!(cell:% = name, worker:% = worker, token:% = token; "scheduler_deposed");
                 if let Some(cell) = self.cells.get_mut(name) {
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -14,6 +14,7 @@
 mod intake;
 mod links;
 mod metrics;
+mod notes;
 mod orders;
 mod roster;
 mod server;
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/notes.rs
@@ -0,0 +1,73 @@
+//! Log lines of the scheduler's decisions.
+
+use std::time::Duration;
+
+use geraniumrelay_core::leased::Note;
+use geraniumrelay_core::leased::cells::CellName;
+use log::info;
+
+/// Writes a line for what the scheduler of `cell` decided.
+pub(super) fn write(cell: &CellName, note: &Note) {
+    match note {
+        Note::JobOver {
+            id,
+            outcome,
+            admission,
+            slack,
+            waited,
+            took,
+            objective,
+            reruns,
+        } => {
+            let (backlog, wait) = admission.unzip();
+            let of = |f: fn(&geraniumrelay_core::leased::admission::Backlog) -> u64| {
+                backlog.as_ref().map_or(0, f)
+            };
+            info!(
+                cell:% = cell, id:% = id, outcome:? = outcome,
+                is_late = took > objective, took_ms = ms(*took), objective_ms = ms(*objective),
+                slack_ms = ms(*slack), first_start_ms:? = waited.map(ms),
+                expected_wait_ms:? = wait.flatten().map(ms), free_cpu = of(|b| b.free),
+                ahead_cpu = of(|b| b.ahead), own_cpu = of(|b| b.own), reruns;
+                "job_over"
+            );
+        }
+        Note::RunOver {
+            task,
+            run,
+            worker,
+            kind,
+            took,
+            expected,
+            percent,
+        } => info!(
+            cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker, kind:% = kind,
+            took_ms = ms(*took), expected_ms = ms(*expected), percent;
+            "run_over"
+        ),
+        Note::RunStopped {
+            task,
+            run,
+            worker,
+            cause,
+        } => info!(
+            cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker, cause:% = cause;
+            "run_stopped"
+        ),
+        Note::WorkerBelieved {
+            worker,
+            belief,
+            misses,
+            pause,
+            runs,
+        } => info!(
+            cell:% = cell, worker:% = worker, belief:% = belief, misses, pause_ms = ms(*pause),
+            runs;
+            "worker_believed"
+        ),
+    }
+}
+
+fn ms(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
