fix(core): leases of silent workers are not prolonged

Ruled out: the worker's clock. The test fails without the change; the stand-in now cuts held-back looks as well.

--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -217,7 +217,8 @@
         let has_runs = !worker.runs.is_empty();
         let lease_until = worker
             .clock
-            .filter(|_| has_runs && worker.fenced.is_some())
+            // What a silent worker may or may not have heard must not prolong the wait for its tasks.
+            .filter(|_| has_runs && worker.fenced.is_some() && !worker.is_doubtful())
             .map(|clock| clock.at(cx.now).after(cx.cfg.leased.lease));
         if let Some(until) = lease_until {
             worker.note_lease(until);
--- a/crates/geraniumrelay-core/tests/leased/jobs.rs
+++ b/crates/geraniumrelay-core/tests/leased/jobs.rs
@@ -206,3 +206,15 @@
     let further = world.workers[0].looks - looks;
     assert!(further <= 1, "{further}");
 }
+
+/// Looks that are not answered must not prolong the leases that are waited for.
+#[test]
+fn tasks_of_a_worker_that_goes_dark_run_elsewhere_once_their_leases_have_lapsed() {
+    let mut world = World::new(4, 1);
+    world.submit(0, MS, TestJob::new(1, 8, 300 * MS));
+    world.run_for(100 * MS);
+    world.hosts[0].cut = [0].into();
+    world.run_for(1_500 * MS);
+    assert_eq!(world.outcome(1), Some(JobOutcome::Completed));
+    assert!(world.twice.is_empty());
+}
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -563,6 +563,17 @@
 
     fn look_ends(&mut self, host: usize, call: LookCall, sent: Instant, is_heard: bool) {
         let worker = index_of(&call.name);
+        if is_heard && self.is_cut(host, &call.name) {
+            // The cut came while the worker held the look back.
+            let cmd = Command::Looked {
+                worker: call.worker,
+                sent,
+                reply: LookReply::Unanswered,
+            };
+            let limit = (sent + call.wait + CALL_TIMEOUT).max(self.now);
+            self.at(limit, Event::Tell { host, cmd });
+            return;
+        }
         let waits_on = self.now < sent + call.wait;
         let order = (None, call.token);
         let reply = self.workers[worker].look(self.now, order, call.last_seen, waits_on);
