test(entry): a fault soak of real processes on loopback

Stand-ins for the store and the workers behind proxies that reset, silence, delay and lose replies; processes are killed, paused, stopped and started by signals; callers keep connections and send again. Checked: no task runs twice at a time, what was refused has not run, it serves again after the faults. Links are bound to the VM's own address, which loopback needed.

--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -172,7 +172,7 @@
     let start = Instant::now();
     let mut restarted = Election::new(ElectionConfig::default(), vm(1), start);
     let known = start + 400 * MS;
-    restarted.set_own(true, true, known - MS);
+    restarted.set_own(true, true, start + 399 * MS);
     restarted.set_own(false, true, known);
     assert_eq!(tick(&mut restarted, known + 100 * MS), Step::Stay);
     let mut scheduler = ready(2, start);
--- a/crates/geraniumrelay-core/tests/leased/faults.rs
+++ b/crates/geraniumrelay-core/tests/leased/faults.rs
@@ -26,7 +26,7 @@
     let mut id = 1;
     for _ in 0..LENGTH_MS / 50 {
         if world.random() < 0.7 {
-            let tasks = 1 + (world.random() * 4.0) as u16;
+            let tasks = world.random_below(4) + 1;
             let work = Duration::from_secs_f64(0.02 + 0.6 * world.random());
             let job = TestJob::new(id, tasks, work);
             id += 1;
@@ -46,7 +46,7 @@
 }
 
 fn fault(world: &mut World, host: usize) {
-    let worker = (world.random() * 8.0) as usize;
+    let worker = usize::from(world.random_below(8));
     let mood = match world.random() {
         r if r < 0.03 => Mood::Hanging,
         r if r < 0.06 => Mood::Failing,
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -127,10 +127,10 @@
 fn adopted_runs_teach_no_run_times() {
     let mut world = World::new(8, 1);
     let mut host = 0;
-    for round in 2..8 {
+    for round in 2..8_u64 {
         let mut jobs = Vec::new();
         for number in 0..4 {
-            let job = TestJob::new(u64::from(round as u32) * 10 + number, 4, 300 * MS);
+            let job = TestJob::new(round * 10 + number, 4, 300 * MS);
             jobs.push(job.clone());
             world.submit(host, MS, job);
         }
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -27,6 +27,7 @@
 }
 
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_field_names, reason = "the platform numbers runs, too")]
 struct Run {
     task: TaskName,
     run: u32,
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -207,10 +207,6 @@
         world
     }
 
-    pub(crate) fn cx<'a>(cfg: &'a Config, now: Instant) -> Context<'a> {
-        Context::new(now, cfg)
-    }
-
     /// Adds a scheduler with the token of `round`, that knows all workers.
     pub(crate) fn add_host(&mut self, round: u64) -> usize {
         self.add_host_with(round, &BTreeSet::new(), true)
@@ -276,7 +272,7 @@
             return;
         };
         let mut out = Vec::new();
-        scheduler.handle(&Self::cx(&self.cfg, self.now), cmd, &mut out);
+        scheduler.handle(&Context::new(self.now, &self.cfg), cmd, &mut out);
         for effect in out {
             self.carry_out(host, effect);
         }
@@ -340,6 +336,10 @@
         self.rng.random()
     }
 
+    pub(crate) fn random_below(&mut self, limit: u16) -> u16 {
+        self.rng.random_range(0..limit)
+    }
+
     fn at(&mut self, at: Instant, event: Event) {
         self.sequence += 1;
         self.events.insert((at, self.sequence), event);
@@ -352,7 +352,7 @@
                 host,
                 call,
                 is_heard,
-            } => self.start(host, call, is_heard),
+            } => self.start(host, &call, is_heard),
             Event::Stop {
                 host,
                 call,
@@ -497,7 +497,7 @@
         }
     }
 
-    fn start(&mut self, host: usize, call: StartCall, is_heard: bool) {
+    fn start(&mut self, host: usize, call: &StartCall, is_heard: bool) {
         let worker = index_of(&call.name);
         let (task, run) = (call.task, call.run);
         let job = &self.jobs[&task.job];
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -16,7 +16,7 @@
 use prost::Message as _;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -141,7 +141,7 @@
         }));
         spawn_local(async move {
             while !rx.is_disconnected() {
-                if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+                if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect(own, to)).await {
                     // What waited for the broken connection is out of date.
                     rx.drain().for_each(drop);
                     inputs.send(Input::LinkUp { to: vm }).await;
@@ -161,6 +161,13 @@
     }
 }
 
+/// Connects from the VM's own address, by which its peer knows it.
+async fn connect(own: EntryVm, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(IpAddr::V4(own.0), 0))?;
+    socket.connect(to).await
+}
+
 async fn send_all(mut stream: TcpStream, hello: &Bytes, rx: &Receiver<Bytes>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
--- /dev/null
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -0,0 +1,210 @@
+//! Entry processes, started and ended by signals.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::platform::Platform;
+use crate::proxy::{Mode, Proxy};
+
+/// Time that a stopping process has before it is killed.
+const GRACE: Duration = Duration::from_secs(4);
+
+/// Ports of every process; each has an address of its own.
+const FRONT: u16 = 28_161;
+const READY: u16 = 28_167;
+const PEERS: u16 = 28_720;
+
+struct Vm {
+    address: Ipv4Addr,
+    settings: PathBuf,
+    log: PathBuf,
+    store: Proxy,
+    child: Child,
+}
+
+/// The entry processes.
+pub(crate) struct Fleet {
+    vms: Vec<Vm>,
+    dir: PathBuf,
+}
+
+impl Fleet {
+    pub(crate) async fn start(count: u8, platform: &Platform, seed: u64) -> Self {
+        let pid = std::process::id();
+        let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{pid}-{seed}"));
+        std::fs::create_dir_all(&dir).unwrap();
+        let mut vms = Vec::new();
+        for number in 1..=count {
+            // Each run has addresses of its own, as several may go on at a time.
+            let third = u8::try_from(pid % 200).unwrap() + 20;
+            let address = Ipv4Addr::new(127, 44, third, number);
+            let store = Proxy::start(platform.store).await;
+            let settings = dir.join(format!("vm-{number}.json"));
+            let text = json!({"vm": format!("vm-{number}"), "data_centre": "z",
+                "address": address, "listen": format!("{address}:{FRONT}"),
+                "readiness_listen": format!("{address}:{READY}"),
+                "peer_ports": [PEERS, PEERS + 5], "cores": 0.25, "is_first_start": false,
+                "store": store.address, "max_row_bytes": 65536, "stop_grace_s": GRACE.as_secs_f64(),
+                "max_lease_ms": 1000, "resend_ms": 1300});
+            std::fs::write(&settings, text.to_string()).unwrap();
+            let log = dir.join(format!("vm-{number}.log"));
+            let child = spawn(&settings, &log);
+            vms.push(Vm {
+                address,
+                settings,
+                log,
+                store,
+                child,
+            });
+        }
+        Self { vms, dir }
+    }
+
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self.vms.iter().map(|vm| vm.address);
+        addresses.map(|ip| SocketAddr::from((ip, FRONT))).collect()
+    }
+
+    pub(crate) fn store_proxy(&self, vm: usize) -> &Proxy {
+        &self.vms[vm].store
+    }
+
+    /// Kills a process; it starts again a little later.
+    pub(crate) async fn kill(&mut self, vm: usize) {
+        self.signal(vm, Signal::KILL);
+        self.restart(vm, Duration::from_millis(300)).await;
+    }
+
+    /// Stops a process; it starts again once it has ended.
+    pub(crate) async fn terminate(&mut self, vm: usize) {
+        self.signal(vm, Signal::TERM);
+        let until = Instant::now() + GRACE;
+        while Instant::now() < until {
+            if self.vms[vm].child.try_wait().unwrap().is_some() {
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        self.signal(vm, Signal::KILL);
+        self.restart(vm, Duration::from_millis(50)).await;
+    }
+
+    /// Pauses a process for a while.
+    pub(crate) fn pause(&self, vm: usize, d: Duration) {
+        self.signal(vm, Signal::STOP);
+        let pid = self.pid(vm);
+        spawn_local(async move {
+            sleep(d).await;
+            // It may have been killed meanwhile.
+            let _ = kill_process(pid, Signal::CONT);
+        });
+    }
+
+    /// Ends all faults.
+    pub(crate) async fn heal(&mut self, platform: &Platform) {
+        platform.heal();
+        for vm in 0..self.vms.len() {
+            self.vms[vm].store.set(Mode::Pass);
+            self.signal(vm, Signal::CONT);
+            if self.vms[vm].child.try_wait().unwrap().is_some() {
+                self.restart(vm, Duration::ZERO).await;
+            }
+        }
+    }
+
+    pub(crate) async fn wait_until_ready(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        for vm in &self.vms {
+            while !is_ready(SocketAddr::from((vm.address, READY))).await {
+                let log = std::fs::read_to_string(&vm.log).unwrap_or_default();
+                assert!(
+                    Instant::now() < until,
+                    "{} is not ready:\n{log}",
+                    vm.address
+                );
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Ends all processes; their logs stay where a check has failed before.
+    pub(crate) async fn stop(mut self) {
+        for vm in 0..self.vms.len() {
+            self.signal(vm, Signal::TERM);
+        }
+        for vm in &mut self.vms {
+            let until = Instant::now() + GRACE;
+            while vm.child.try_wait().unwrap().is_none() {
+                assert!(Instant::now() < until, "{} does not stop", vm.address);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        std::fs::remove_dir_all(&self.dir).unwrap();
+    }
+
+    async fn restart(&mut self, vm: usize, pause: Duration) {
+        // The pause belongs to the fault: the process is away.
+        sleep(pause).await;
+        let vm = &mut self.vms[vm];
+        vm.child.wait().unwrap();
+        vm.child = spawn(&vm.settings, &vm.log);
+    }
+
+    fn signal(&self, vm: usize, signal: Signal) {
+        // It may have ended by itself; that shows when it is asked for.
+        let _ = kill_process(self.pid(vm), signal);
+    }
+
+    fn pid(&self, vm: usize) -> Pid {
+        let id = i32::try_from(self.vms[vm].child.id()).unwrap();
+        Pid::from_raw(id).unwrap()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            // Only what this run has started, also after a failed check.
+            let _ = vm.child.kill();
+            let _ = vm.child.wait();
+        }
+    }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .unwrap();
+    Command::new(env!("CARGO_BIN_EXE_geraniumrelay"))
+        .arg("leased")
+        .env("GERANIUMRELAY_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let check = async {
+        let mut stream = TcpStream::connect(address).await?;
+        let request = "GET /geraniumrelay/readiness HTTP/1.1\r\nHost: x\r\n\r\n";
+        stream.write_all(request.as_bytes()).await?;
+        let mut buf = [0; 15];
+        stream.read_exact(&mut buf).await?;
+        Ok::<bool, std::io::Error>(buf.ends_with(b"200 OK"))
+    };
+    let checked = timeout(Duration::from_millis(500), check).await;
+    checked.is_ok_and(|ready| ready.unwrap_or(false))
+}
--- /dev/null
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -0,0 +1,124 @@
+//! Real processes under random faults from outside, on loopback.
+//!
+//! Stand-ins take the place of the platform's store and of the workers, behind proxies that cut,
+//! silence, delay and reset connections. Processes are killed, paused, stopped and started again by
+//! signals. What callers and workers see is checked while it runs. By hand, with fresh seeds:
+//!
+//!     GERANIUMRELAY_SOAK_SEEDS=1000..1050 cargo test -p geraniumrelay --test leased_soak
+
+mod callers;
+mod fleet;
+mod platform;
+mod proxy;
+#[path = "../../../geraniumrelay-core/tests/leased/worker.rs"]
+#[allow(dead_code, reason = "shared with the tests in virtual time")]
+mod worker;
+
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+use callers::Callers;
+use fleet::Fleet;
+use platform::Platform;
+use proxy::Mode;
+
+/// Seeds of a run in CI: bounded, and the same every time. Seeds that ever failed stay here.
+const SEEDS: Range<u64> = 0..2;
+
+/// Environment variable with other seeds, `FROM..TO`.
+const SEEDS_VARIABLE: &str = "GERANIUMRELAY_SOAK_SEEDS";
+
+/// Time with faults.
+const FAULTY: Duration = Duration::from_secs(8);
+
+/// Longest time until the fleet serves again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Entry processes.
+const VMS: u8 = 3;
+
+/// Workers.
+const WORKERS: usize = 8;
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var(SEEDS_VARIABLE) else {
+        return SEEDS;
+    };
+    let (from, to) = text.split_once("..").expect("FROM..TO");
+    from.parse().expect("a seed")..to.parse().expect("a seed")
+}
+
+#[test]
+fn rules_hold_under_faults_from_outside() {
+    for seed in seeds() {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        LocalSet::new().block_on(&runtime, soak(seed));
+    }
+}
+
+async fn soak(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let platform = Platform::start(WORKERS).await;
+    let mut fleet = Fleet::start(VMS, &platform, seed).await;
+    fleet.wait_until_ready(RECOVERY).await;
+    let callers = Callers::start(&fleet.addresses(), seed);
+    let started = tokio::time::Instant::now();
+    while started.elapsed() < FAULTY {
+        sleep(Duration::from_millis(rng.random_range(100..900))).await;
+        inject(&mut rng, &mut fleet, &platform).await;
+        platform.assert_rules(seed);
+    }
+    fleet.heal(&platform).await;
+    fleet.wait_until_ready(RECOVERY).await;
+    let told = callers.stop().await;
+    println!(
+        "seed {seed}: {} served, {} refused",
+        told.served,
+        told.refused.len()
+    );
+    platform.assert_rules(seed);
+    for id in &told.refused {
+        let has_run = platform.has_run(*id);
+        assert!(
+            !has_run,
+            "seed {seed}: job {id:016x} was refused and has run"
+        );
+    }
+    assert!(told.served > 0, "seed {seed}: nothing was served");
+    let served = Callers::probe(&fleet.addresses(), seed).await;
+    assert!(served, "seed {seed}: nothing is served after the faults");
+    fleet.stop().await;
+    platform.assert_rules(seed);
+}
+
+/// One fault, or the end of some.
+async fn inject(rng: &mut StdRng, fleet: &mut Fleet, platform: &Rc<Platform>) {
+    let vm = rng.random_range(0..usize::from(VMS));
+    let worker = rng.random_range(0..WORKERS);
+    let mode = [
+        Mode::Pass,
+        Mode::Pass,
+        Mode::Reset,
+        Mode::Silent,
+        Mode::LoseReplies,
+        Mode::Delay(Duration::from_millis(150)),
+    ][rng.random_range(0..6)];
+    match rng.random_range(0..9) {
+        0 => fleet.kill(vm).await,
+        1 => fleet.pause(vm, Duration::from_millis(rng.random_range(200..2_500))),
+        2 => fleet.terminate(vm).await,
+        3 | 4 => fleet.store_proxy(vm).set(mode),
+        5 => platform.replace_worker(worker),
+        6 => platform.sicken_worker(worker, rng.random_range(0..4)),
+        _ => platform.worker_proxy(worker).set(mode),
+    }
+}
--- /dev/null
+++ b/crates/geraniumrelay/tests/leased_soak/platform.rs
@@ -0,0 +1,387 @@
+//! Stand-ins for the platform's store and the workers, and what they see.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use geraniumrelay_core::leased::{
+    FencingToken, LookReply, Resources, StartReply, StopReply, TaskName, WorkerTime,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::proxy::Proxy;
+use crate::worker::{FakeWorker, Mood};
+
+/// Time after which a held call looks for news again.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Processor of a worker, in thousandths of a core.
+const WORKER_CPU: u64 = 64_000;
+
+/// Host and path of the only queue.
+pub(crate) const HOST: &str = "jobs.example";
+pub(crate) const PREFIX: &str = "/q/";
+
+#[derive(Debug, Clone)]
+struct Row {
+    value: Option<String>,
+    version: u64,
+}
+
+/// The platform.
+pub(crate) struct Platform {
+    pub(crate) store: SocketAddr,
+    rows: RefCell<BTreeMap<(String, String), Row>>,
+    version: RefCell<u64>,
+    workers: RefCell<Vec<FakeWorker>>,
+    /// Names of the workers' lives.
+    names: RefCell<Vec<String>>,
+    proxies: RefCell<Vec<Proxy>>,
+    twice: RefCell<Vec<String>>,
+    begun: RefCell<BTreeSet<u64>>,
+    lives: RefCell<u32>,
+}
+
+type Reply = (StatusCode, Value);
+
+impl Platform {
+    pub(crate) async fn start(workers: usize) -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let now = Instant::now();
+        let fakes = (0..workers).map(|_| FakeWorker::new(now, WORKER_CPU));
+        let platform = Rc::new(Self {
+            store: listener.local_addr().unwrap(),
+            rows: RefCell::default(),
+            version: RefCell::new(0),
+            workers: RefCell::new(fakes.collect()),
+            names: RefCell::new(vec![String::new(); workers]),
+            proxies: RefCell::default(),
+            twice: RefCell::default(),
+            begun: RefCell::default(),
+            lives: RefCell::new(0),
+        });
+        platform.configure();
+        let own = Rc::clone(&platform);
+        serve(listener, move |path, body| {
+            let own = Rc::clone(&own);
+            async move { own.store_call(&path, &body).await }
+        });
+        for worker in 0..workers {
+            platform.start_worker(worker).await;
+        }
+        platform
+    }
+
+    fn configure(&self) {
+        let route = json!({"name": "r", "host": HOST, "path_prefix": PREFIX, "service": "s",
+            "priority": 0, "max_attempts": 3, "stretch": 1.6, "target_latency_ms": 60});
+        let config = json!({"version": 1, "routes": [route], "services": [],
+            "limits": {"max_body_bytes": 65536, "header_timeout_ms": 3000}});
+        self.set("op", "config", Some(&config));
+    }
+
+    async fn start_worker(self: &Rc<Self>, worker: usize) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let own = Rc::clone(self);
+        serve(listener, move |path, body| {
+            let own = Rc::clone(&own);
+            async move { own.worker_call(worker, &path, &body).await }
+        });
+        let proxy = Proxy::start(address).await;
+        self.proxies.borrow_mut().push(proxy);
+        self.enter(worker);
+    }
+
+    /// Enters a new life of a worker.
+    fn enter(&self, worker: usize) {
+        *self.lives.borrow_mut() += 1;
+        let life = *self.lives.borrow();
+        let name = format!("i-{worker}-{life}");
+        let entry = json!({"service": "s", "zone": "z", "version": "v1", "slots": 8,
+            "address": self.proxies.borrow()[worker].address.to_string(),
+            "state": "ready", "capacity": {"cpu": WORKER_CPU, "mem_mb": 65536, "gpu": 0},
+            "labels": ["a", "r-1"], "sequence": 1, "born": life});
+        self.set("servers", &name, Some(&entry));
+        let old = std::mem::replace(&mut self.names.borrow_mut()[worker], name);
+        if !old.is_empty() {
+            self.set("servers", &old, None);
+        }
+    }
+
+    /// A worker crashes and starts anew.
+    pub(crate) fn replace_worker(&self, worker: usize) {
+        self.workers.borrow_mut()[worker] = FakeWorker::new(Instant::now(), WORKER_CPU);
+        self.enter(worker);
+    }
+
+    pub(crate) fn sicken_worker(&self, worker: usize, how: u32) {
+        let mood = match how {
+            0 => Mood::Hanging,
+            1 => Mood::Failing,
+            2 => Mood::Slow(6.0),
+            _ => Mood::Sound,
+        };
+        self.workers.borrow_mut()[worker].mood = mood;
+    }
+
+    pub(crate) fn heal(&self) {
+        for worker in self.workers.borrow_mut().iter_mut() {
+            worker.mood = Mood::Sound;
+        }
+        for proxy in self.proxies.borrow().iter() {
+            proxy.set(crate::proxy::Mode::Pass);
+        }
+    }
+
+    pub(crate) fn worker_proxy(&self, worker: usize) -> std::cell::Ref<'_, Proxy> {
+        std::cell::Ref::map(self.proxies.borrow(), |p| &p[worker])
+    }
+
+    pub(crate) fn assert_rules(&self, seed: u64) {
+        let twice = self.twice.borrow();
+        assert!(twice.is_empty(), "seed {seed}: {twice:?}");
+    }
+
+    /// Whether a task of the job has begun anywhere.
+    pub(crate) fn has_run(&self, id: u64) -> bool {
+        self.begun.borrow().contains(&id)
+    }
+
+    fn set(&self, table: &str, key: &str, value: Option<&Value>) {
+        let text = value.map(|v| STANDARD.encode(v.to_string()));
+        self.set_text(table, key, text);
+    }
+
+    fn set_text(&self, table: &str, key: &str, value: Option<String>) {
+        *self.version.borrow_mut() += 1;
+        let version = *self.version.borrow();
+        let row = Row { value, version };
+        let key = (table.to_owned(), key.to_owned());
+        self.rows.borrow_mut().insert(key, row);
+    }
+
+    async fn store_call(&self, path: &str, body: &Value) -> Reply {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let arg = |name: &str| {
+            let pairs = query.split('&').filter_map(|p| p.split_once('='));
+            pairs.clone().find(|p| p.0 == name).map_or("", |p| p.1)
+        };
+        match path.rsplit('/').next() {
+            Some("rows-get") => (StatusCode::OK, self.rows_after(arg("table"), None)),
+            Some("rows-feed") => {
+                let after: u64 = arg("after").parse().unwrap();
+                let wait: u64 = arg("wait_ms").parse().unwrap();
+                let until = Instant::now() + Duration::from_millis(wait);
+                loop {
+                    let news = self.rows_after(arg("table"), Some(after));
+                    let is_empty = news["rows"].as_array().unwrap().is_empty();
+                    if !is_empty || Instant::now() >= until {
+                        return (StatusCode::OK, news);
+                    }
+                    sleep(STEP).await;
+                }
+            }
+            Some("rows-tx") => self.transact(body),
+            _ => (StatusCode::NOT_FOUND, Value::Null),
+        }
+    }
+
+    fn rows_after(&self, table: &str, after: Option<u64>) -> Value {
+        let rows = self.rows.borrow();
+        let of_table = rows.iter().filter(|((t, _), _)| t == table);
+        let listed = of_table.filter(|(_, row)| match after {
+            Some(after) => row.version > after,
+            None => row.value.is_some(),
+        });
+        let listed: Vec<Value> = listed
+            .map(|((_, key), row)| {
+                json!({"key": key, "value": row.value, "deleted": row.value.is_none(),
+                    "row_version": row.version})
+            })
+            .collect();
+        json!({"rows": listed, "has_more": false, "row_version": *self.version.borrow()})
+    }
+
+    fn transact(&self, body: &Value) -> Reply {
+        let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let text = |v: &Value, name: &str| v[name].as_str().unwrap_or_default().to_owned();
+        for entry in entries("expected") {
+            let key = (text(&entry, "table"), text(&entry, "key"));
+            let rows = self.rows.borrow();
+            let row = rows.get(&key).filter(|r| r.value.is_some());
+            if row.map_or(0, |r| r.version) != entry["row_version"].as_u64().unwrap_or(0) {
+                return (StatusCode::PRECONDITION_FAILED, json!({"rows": []}));
+            }
+        }
+        for entry in entries("upserts") {
+            let value = Some(text(&entry, "value"));
+            self.set_text(&text(&entry, "table"), &text(&entry, "key"), value);
+        }
+        for entry in entries("remove") {
+            self.set_text(&text(&entry, "table"), &text(&entry, "key"), None);
+        }
+        (
+            StatusCode::OK,
+            json!({"row_version": *self.version.borrow()}),
+        )
+    }
+
+    async fn worker_call(&self, worker: usize, path: &str, body: &Value) -> Reply {
+        let token = FencingToken(body["fencing_token"].as_u64().unwrap_or(0));
+        let run = || {
+            let task: TaskName = body["task"].as_str().unwrap().parse().unwrap();
+            (task, u32::try_from(body["run"].as_u64().unwrap()).unwrap())
+        };
+        match path.rsplit('/').next() {
+            Some("run-start") => self.start_task(worker, run(), token, body),
+            Some("run-stop") => {
+                let reply = self.workers.borrow_mut()[worker].stop(Instant::now(), run(), token);
+                match reply {
+                    StopReply::Fenced => self.refuse(worker, "fence"),
+                    _ => (StatusCode::OK, json!({"clock_ms": self.clock(worker)})),
+                }
+            }
+            Some("hold") => self.look(worker, token, body).await,
+            _ => (StatusCode::NOT_FOUND, Value::Null),
+        }
+    }
+
+    fn clock(&self, worker: usize) -> u64 {
+        self.workers.borrow()[worker].clock(Instant::now()).0
+    }
+
+    fn refuse(&self, worker: usize, reason: &str) -> Reply {
+        let body = json!({"clock_ms": self.clock(worker), "reason": reason});
+        (StatusCode::CONFLICT, body)
+    }
+
+    fn start_task(
+        &self,
+        worker: usize,
+        (task, run): (TaskName, u32),
+        token: FencingToken,
+        body: &Value,
+    ) -> Reply {
+        let now = Instant::now();
+        let mut words = body["spec"].as_str().unwrap().split(' ');
+        let mut number = || words.next().unwrap().parse::<u64>().unwrap();
+        let work = Duration::from_millis(number());
+        let size = Resources {
+            cpu_milli: number(),
+            memory_mb: 1,
+            gpus: 0,
+        };
+        let lease = WorkerTime(body["deadline_ms"].as_u64().unwrap());
+        let mut workers = self.workers.borrow_mut();
+        for other in workers.iter_mut() {
+            other.advance(now);
+        }
+        let was_running = workers[worker].running().any(|r| r == (task, run));
+        let reply = workers[worker].start(now, (task, run), size, work, (lease, token));
+        if reply == StartReply::Accepted && !was_running {
+            self.begun.borrow_mut().insert(task.job.0);
+            let runs = workers.iter().flat_map(FakeWorker::running);
+            let runs: Vec<_> = runs.filter(|r| r.0 == task).map(|r| r.1).collect();
+            if runs.len() > 1 {
+                let line = format!("{task} runs twice at a time: {runs:?}");
+                self.twice.borrow_mut().push(line);
+            }
+        }
+        drop(workers);
+        match reply {
+            StartReply::Accepted => (StatusCode::OK, json!({"clock_ms": self.clock(worker)})),
+            StartReply::Fenced => self.refuse(worker, "fence"),
+            StartReply::Outdated => self.refuse(worker, "old"),
+            StartReply::TooLate => self.refuse(worker, "late"),
+            _ => self.refuse(worker, "room"),
+        }
+    }
+
+    async fn look(&self, worker: usize, token: FencingToken, body: &Value) -> Reply {
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+        let until = Instant::now() + wait;
+        let mut lease = body["deadline_ms"].as_u64().map(WorkerTime);
+        let last_seen = body["last_seen"].as_u64().unwrap_or(0);
+        let life = self.names.borrow()[worker].clone();
+        loop {
+            if life != self.names.borrow()[worker] {
+                return (StatusCode::MISDIRECTED_REQUEST, Value::Null);
+            }
+            let now = Instant::now();
+            let order = (lease.take(), token);
+            let may_wait = now < until;
+            let reply = self.workers.borrow_mut()[worker].look(now, order, last_seen, may_wait);
+            match reply {
+                Some(LookReply::Report(report)) => {
+                    let running = report.running.iter();
+                    let running: Vec<Value> = running
+                        .map(|r| json!([r.task.to_string(), r.run, "", r.percent]))
+                        .collect();
+                    let ended = report.ended.iter().map(|e| {
+                        let how = e.kind.to_string().to_lowercase();
+                        json!([e.number, e.task.to_string(), e.run, how, ""])
+                    });
+                    let ended: Vec<Value> = ended.collect();
+                    let clock = report.clock.0;
+                    let body = json!({"clock_ms": clock, "running": running, "ended": ended});
+                    return (StatusCode::OK, body);
+                }
+                Some(_) => return self.refuse(worker, "fence"),
+                None => sleep(STEP).await,
+            }
+        }
+    }
+}
+
+/// Serves JSON calls: path and query, body.
+fn serve<F, R>(listener: TcpListener, call: F)
+where
+    F: Fn(String, Value) -> R + Clone + 'static,
+    R: Future<Output = Reply> + 'static,
+{
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let call = call.clone();
+            spawn_local(async move {
+                let service = service_fn(|req| answer(req, call.clone()));
+                // Connections that break are part of the test.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+}
+
+async fn answer<F, R>(req: Request<Incoming>, call: F) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    F: Fn(String, Value) -> R,
+    R: Future<Output = Reply>,
+{
+    let path = req.uri().to_string();
+    let body = req.into_body().collect().await;
+    let body = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let (status, body) = call(path, body).await;
+    let mut res = Response::new(Full::from(body.to_string()));
+    *res.status_mut() = status;
+    Ok(res)
+}
