feat(entry): jobs that must be kept, in the platform's store

A job without best_effort is stored before it is accepted, its state and cancels are answered at any VM from its record, and a new scheduler reads the records before it acknowledges ends or stops runs that it does not know. Changes of records go out in groups, one transaction at a time.

--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -146,10 +146,16 @@
             RecordState::Failed => JobOutcome::Failed,
             RecordState::Cancelled => JobOutcome::Cancelled,
         };
-        self.ended_records.push_back((cx.now, id));
+        self.note_ended(cx, id);
         self.finish(cx, key, outcome, out);
     }
 
+    fn note_ended(&mut self, cx: &Context<'_>, id: JobId) {
+        if self.ended.insert(id) {
+            self.ended_records.push_back((cx.now, id));
+        }
+    }
+
     /// Lets the ends of a job's tasks be acknowledged.
     pub(super) fn release_ends(&mut self, id: JobId) {
         for worker in self.workers.values_mut() {
@@ -223,10 +229,12 @@
             }
             return;
         }
+        // What is told of a job that has ended here meanwhile is out of date.
+        if self.ended.contains(&id) {
+            return;
+        }
         if record.state != RecordState::Open {
-            if !self.ended_records.iter().any(|e| e.1 == id) {
-                self.ended_records.push_back((cx.now, id));
-            }
+            self.note_ended(cx, id);
             return;
         }
         let nobody = EntryVm([0, 0, 0, 0].into());
@@ -274,6 +282,7 @@
                 return;
             }
             self.ended_records.pop_front();
+            self.ended.remove(&id);
             out.push(Effect::ForgetRecord { id });
         }
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -54,6 +54,7 @@
     knows_records: bool,
     /// Ended kept jobs, and since when.
     ended_records: VecDeque<(Instant, JobId)>,
+    ended: BTreeSet<JobId>,
     /// Whether all workers are known on which an earlier scheduler may have started tasks.
     knows_departed: bool,
     sequence: u64,
@@ -100,6 +101,7 @@
             cell: CellName::single(),
             knows_records: true,
             ended_records: VecDeque::new(),
+            ended: BTreeSet::new(),
             knows_departed: true,
             sequence: 0,
             has_new_room: false,
--- a/crates/geraniumrelay-core/tests/leased/kept.rs
+++ b/crates/geraniumrelay-core/tests/leased/kept.rs
@@ -170,3 +170,18 @@
     world.run_for(Duration::from_secs(30));
     assert!(world.records.is_empty());
 }
+
+/// The feed of records lags behind what the scheduler has stored itself.
+#[test]
+fn an_outdated_record_does_not_bring_an_ended_job_back() {
+    let mut world = World::new(4, 1);
+    world.submit(0, MS, TestJob::new(1, 2, 100 * MS).kept());
+    world.run_for(50 * MS);
+    let (record, version) = world.records[&JobId(1)].clone();
+    assert_eq!(record.state, RecordState::Open);
+    world.run_for(500 * MS);
+    assert_eq!(state(&world, 1), RecordState::Completed);
+    world.tell(0, Command::RecordSeen { record, version });
+    world.run_for(Duration::from_secs(2));
+    assert!(world.starts.values().all(|&n| n == 1), "{:?}", world.starts);
+}
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -67,6 +67,9 @@
     pub config_version: u64,
     #[prost(message, repeated, tag = "7")]
     pub cells: ::prost::alloc::vec::Vec<CellBeat>,
+    /// There are kept jobs, as far as it knows.
+    #[prost(bool, tag = "8")]
+    pub has_kept_jobs: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
@@ -122,6 +125,55 @@
     pub may_have_started: bool,
     #[prost(string, tag = "13")]
     pub cell: ::prost::alloc::string::String,
+    /// It is stored before it is accepted.
+    #[prost(bool, tag = "14")]
+    pub is_kept: bool,
+}
+/// A kept job, as it is stored.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct JobRecord {
+    #[prost(message, optional, tag = "1")]
+    pub job: ::core::option::Option<Submit>,
+    /// Positions of the tasks that are done.
+    #[prost(uint32, repeated, tag = "2")]
+    pub done: ::prost::alloc::vec::Vec<u32>,
+    #[prost(enumeration = "job_record::State", tag = "3")]
+    pub state: i32,
+}
+/// Nested message and enum types in `JobRecord`.
+pub mod job_record {
+    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+    #[repr(i32)]
+    pub enum State {
+        Open = 0,
+        Completed = 1,
+        Failed = 2,
+        Cancelled = 3,
+    }
+    impl State {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::Open => "OPEN",
+                Self::Completed => "COMPLETED",
+                Self::Failed => "FAILED",
+                Self::Cancelled => "CANCELLED",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "OPEN" => Some(Self::Open),
+                "COMPLETED" => Some(Self::Completed),
+                "FAILED" => Some(Self::Failed),
+                "CANCELLED" => Some(Self::Cancelled),
+                _ => None,
+            }
+        }
+    }
 }
 /// The caller of a job has gone away.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -168,6 +220,7 @@
         Failed = 2,
         Refused = 3,
         Cancelled = 4,
+        Accepted = 5,
     }
     impl Outcome {
         /// String value of the enum field names used in the ProtoBuf definition.
@@ -181,6 +234,7 @@
                 Self::Failed => "FAILED",
                 Self::Refused => "REFUSED",
                 Self::Cancelled => "CANCELLED",
+                Self::Accepted => "ACCEPTED",
             }
         }
         /// Creates an enum from field names used in the ProtoBuf definition.
@@ -191,6 +245,7 @@
                 "FAILED" => Some(Self::Failed),
                 "REFUSED" => Some(Self::Refused),
                 "CANCELLED" => Some(Self::Cancelled),
+                "ACCEPTED" => Some(Self::Accepted),
                 _ => None,
             }
         }
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -9,11 +9,14 @@
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::election::{Beat as OwnBeat, Fitness};
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, RefusalReason, Resources, StepSpec,
-    Submission,
+    EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, RecordState, RefusalReason,
+    Resources, StepSpec, Submission,
 };
 use geraniumrelay_wire::leased::answer::Outcome;
-use geraniumrelay_wire::leased::{Answer, Beat, CellBeat, QueueCount, Step, Submit};
+use geraniumrelay_wire::leased::job_record::State as StoredState;
+use geraniumrelay_wire::leased::{
+    Answer, Beat, CellBeat, JobRecord as StoredRecord, QueueCount, Step, Submit,
+};
 
 /// Reasons that a refusal may have.
 const REASONS: [RefusalReason; 6] = [
@@ -81,6 +84,7 @@
     Change {
         key: CONFIGURATION_KEY.to_owned(),
         value: Some(row),
+        version: 0,
     }
 }
 
@@ -100,6 +104,7 @@
         patience_us: micros(submission.patience),
         may_have_started: submission.may_have_started,
         cell: cell.to_string(),
+        is_kept: spec.is_kept,
     }
 }
 
@@ -114,6 +119,7 @@
             stretch: submit.stretch,
             target_latency: Duration::from_micros(submit.target_latency_us),
             payload: submit.payload.into(),
+            is_kept: submit.is_kept,
             steps: submit.steps.into_iter().map(step_from).collect(),
         },
         origin,
@@ -123,6 +129,46 @@
     }
 }
 
+/// A record as it is stored.
+pub(super) fn record_to(record: &JobRecord) -> StoredRecord {
+    let submission = Submission {
+        spec: record.spec.clone(),
+        origin: vm_from(0),
+        waited: Duration::ZERO,
+        patience: Duration::ZERO,
+        may_have_started: false,
+    };
+    let state = match record.state {
+        RecordState::Open => StoredState::Open,
+        RecordState::Completed => StoredState::Completed,
+        RecordState::Failed => StoredState::Failed,
+        RecordState::Cancelled => StoredState::Cancelled,
+    };
+    StoredRecord {
+        job: Some(submit_to(&submission, &record.cell)),
+        done: record.done.clone(),
+        state: state.into(),
+    }
+}
+
+/// A record that was stored; `None` where it has no job.
+pub(super) fn record_from(stored: StoredRecord) -> Option<JobRecord> {
+    let state = match stored.state() {
+        StoredState::Open => RecordState::Open,
+        StoredState::Completed => RecordState::Completed,
+        StoredState::Failed => RecordState::Failed,
+        StoredState::Cancelled => RecordState::Cancelled,
+    };
+    let job = stored.job?;
+    let cell = CellName(job.cell.as_str().into());
+    Some(JobRecord {
+        spec: submit_from(job, vm_from(0)).spec,
+        cell,
+        done: stored.done,
+        state,
+    })
+}
+
 fn step_to(step: &StepSpec) -> Step {
     let text = |t: &Option<Arc<str>>| t.as_deref().unwrap_or_default().to_owned();
     Step {
@@ -167,6 +213,7 @@
         JobOutcome::Completed => (Outcome::Completed, None),
         JobOutcome::Failed => (Outcome::Failed, None),
         JobOutcome::Cancelled => (Outcome::Cancelled, None),
+        JobOutcome::Accepted => (Outcome::Accepted, None),
         JobOutcome::Refused {
             reason,
             retry_after,
@@ -188,6 +235,7 @@
         Outcome::Completed => JobOutcome::Completed,
         Outcome::Failed => JobOutcome::Failed,
         Outcome::Cancelled => JobOutcome::Cancelled,
+        Outcome::Accepted => JobOutcome::Accepted,
         Outcome::Refused => JobOutcome::Refused {
             reason: reason_from(&answer.reason),
             retry_after: Duration::from_millis(answer.retry_after_ms),
--- a/crates/geraniumrelay/src/leased/feeds.rs
+++ b/crates/geraniumrelay/src/leased/feeds.rs
@@ -22,6 +22,13 @@
 /// The same for a VM that does not schedule, and only has to be ready to.
 const WORKERS_STANDBY_GAP: Duration = Duration::from_millis(1_200);
 
+/// Shortest time between two reads of the records of kept jobs by a scheduler, which change with
+/// each end; a cancel is acted on within three seconds.
+const RECORDS_GAP: Duration = Duration::from_millis(500);
+
+/// The same for a VM that does not schedule, and only has to know whether there are any.
+const RECORDS_STANDBY_GAP: Duration = Duration::from_secs(4);
+
 /// First pause after a failure; doubles each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,7 +45,12 @@
     is_scheduler: &Rc<Cell<bool>>,
     tx: &InputTx,
 ) {
-    for table in [Table::Configuration, Table::Workers, Table::EntryVms] {
+    for table in [
+        Table::Configuration,
+        Table::Workers,
+        Table::EntryVms,
+        Table::KeptJobs,
+    ] {
         let is_scheduler = Rc::clone(is_scheduler);
         spawn_local(follow(store.clone(), table, is_scheduler, tx.clone()));
     }
@@ -71,6 +83,17 @@
     }
 }
 
+/// Pause after a read of a table.
+fn gap(table: Table, is_scheduler: bool) -> Duration {
+    match (table, is_scheduler) {
+        (Table::Workers, true) => WORKERS_GAP,
+        (Table::Workers, false) => WORKERS_STANDBY_GAP,
+        (Table::KeptJobs, true) => RECORDS_GAP,
+        (Table::KeptJobs, false) => RECORDS_STANDBY_GAP,
+        _ => Duration::ZERO,
+    }
+}
+
 /// Reads a table whole, then what changes; whole again where history is missing.
 async fn follow(store: StoreClient, table: Table, is_scheduler: Rc<Cell<bool>>, tx: InputTx) {
     let mut revision = None;
@@ -100,14 +123,8 @@
                     })
                     .await;
                 }
-                if table == Table::Workers && !is_whole {
-                    let standby = !is_scheduler.get();
-                    sleep(if standby {
-                        WORKERS_STANDBY_GAP
-                    } else {
-                        WORKERS_GAP
-                    })
-                    .await;
+                if !is_whole {
+                    sleep(gap(table, is_scheduler.get())).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -65,6 +65,11 @@
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
             .with_departed_known(knows_departed);
+        let scheduler = if self.has_kept_jobs {
+            scheduler.with_records(name.clone())
+        } else {
+            scheduler.with_cell(name.clone())
+        };
         cell.scheduler = Some(scheduler);
         for entry in workers {
             self.command(name, Command::WorkerSeen(entry));
@@ -74,6 +79,9 @@
             self.command(name, Command::WorkerSeen(entry));
             self.command(name, Command::WorkerGone(worker));
         }
+        if self.has_kept_jobs {
+            self.read_records(name, token);
+        }
         self.beat(None);
         self.desk.mark_unsent(name);
         self.pass_jobs_on();
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -2,6 +2,7 @@
 
 mod election;
 mod jobs;
+mod records;
 mod tables;
 
 use std::cell::Cell as Flag;
@@ -19,6 +20,7 @@
 use geraniumrelay_wire::leased::Beat;
 use geraniumrelay_wire::leased::peer_message::Body;
 use log::info;
+use tokio::task::spawn_local;
 use tokio::time::timeout_at;
 
 use crate::leased::Routes;
@@ -27,6 +29,7 @@
 use crate::leased::convert;
 use crate::leased::desk::Desk;
 use crate::leased::input::{Input, InputTx};
+use crate::leased::kept::KeptJobs;
 use crate::leased::links::{self, Link};
 use crate::leased::metrics::LeasedMetrics;
 use crate::leased::notes;
@@ -64,6 +67,7 @@
     pub(super) cpu_tenths: u32,
     pub(super) cfg: Config,
     pub(super) store: StoreClient,
+    pub(super) kept: KeptJobs,
     pub(super) orders: Orders,
     pub(super) routes: Routes,
     pub(super) readiness: Rc<Readiness>,
@@ -88,6 +92,8 @@
     next_beat: Instant,
     next_plan: Instant,
     no_scheduler_since: Instant,
+    /// Whether there are jobs that must be kept.
+    has_kept_jobs: bool,
     is_stopping: bool,
 }
 
@@ -108,6 +114,7 @@
             next_beat: now,
             next_plan: now,
             no_scheduler_since: now,
+            has_kept_jobs: false,
             is_stopping: false,
         };
         hub.make_cells(now);
@@ -138,6 +145,7 @@
                 patience,
                 reply,
             } => {
+                self.has_kept_jobs |= spec.is_kept;
                 if self.desk.open(spec, patience, reply, Instant::now()) {
                     self.pass_jobs_on();
                 }
@@ -256,6 +264,7 @@
             cpu_tenths: self.parts.cpu_tenths,
             config_version: self.config_version(),
             cells,
+            has_kept_jobs: self.has_kept_jobs,
         };
         let message = links::frame(Body::Beat(beat));
         for link in self.links.values() {
@@ -310,6 +319,7 @@
 
     fn hear_beat(&mut self, from: EntryVm, beat: &Beat) {
         let now = Instant::now();
+        self.has_kept_jobs |= beat.has_kept_jobs;
         for name in self.names() {
             let Some(cell) = self.cells.get_mut(&name) else {
                 continue;
@@ -388,6 +398,13 @@
                     self.send(origin, Body::Answer(answer));
                 }
             }
+            Effect::Record { record, expected } => {
+                self.store_record(name, token, record, expected);
+            }
+            Effect::ForgetRecord { id } => {
+                let kept = self.parts.kept.clone();
+                spawn_local(async move { kept.forget(id).await });
+            }
             Effect::Note(note) => notes::write(name, &note),
             Effect::Deposed { worker } => {
                 info!(cell:% = name, worker:% = worker, token:% = token; "scheduler_deposed");
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/hub/records.rs
@@ -0,0 +1,77 @@
+//! Records of kept jobs.
+
+use std::time::Duration;
+
+use geraniumrelay_adapter::Change;
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{Command, FencingToken, JobRecord};
+use log::{info, warn};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::Hub;
+use crate::leased::input::Input;
+use crate::leased::kept;
+
+/// Pause before the records are read again that a new scheduler needs.
+const READ_PAUSE: Duration = Duration::from_millis(200);
+
+impl Hub {
+    /// Stores a record, and tells the scheduler the reply.
+    pub(super) fn store_record(
+        &self,
+        cell: &CellName,
+        token: FencingToken,
+        record: JobRecord,
+        expected: u64,
+    ) {
+        let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
+        spawn_local(async move {
+            let id = record.spec.id;
+            let reply = kept.store(&record, expected).await;
+            let command = Command::RecordReplied { id, reply };
+            tx.send(Input::Worker {
+                cell,
+                token,
+                command,
+            })
+            .await;
+        });
+    }
+
+    /// Reads all records for a new scheduler.
+    pub(super) fn read_records(&self, cell: &CellName, token: FencingToken) {
+        let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
+        spawn_local(async move {
+            let records = loop {
+                match kept.all().await {
+                    Ok(records) => break records,
+                    Err(e) => warn!(cell:% = cell, reason:% = e; "records_not_read"),
+                }
+                sleep(READ_PAUSE).await;
+            };
+            info!(cell:% = cell, records = records.len(); "records_read");
+            let seen = records
+                .into_iter()
+                .map(|(record, version)| Command::RecordSeen { record, version });
+            for command in seen.chain([Command::RecordsKnown]) {
+                let cell = cell.clone();
+                tx.send(Input::Worker {
+                    cell,
+                    token,
+                    command,
+                })
+                .await;
+            }
+        });
+    }
+
+    /// Takes records that have changed.
+    pub(super) fn take_records(&mut self, rows: &[Change]) {
+        for (record, version) in rows.iter().filter_map(kept::decode) {
+            self.has_kept_jobs = true;
+            let cell = record.cell.clone();
+            self.command(&cell, Command::RecordSeen { record, version });
+        }
+    }
+}
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -50,6 +50,7 @@
                     self.take_worker_news(news);
                 }
             }
+            Table::KeptJobs => self.take_records(rows),
             Table::EntryVms => {
                 if self.roster.take_members(is_whole, rows) {
                     self.make_cells(now);
@@ -154,6 +155,7 @@
             Table::Configuration => "configuration",
             Table::Workers => "workers",
             Table::EntryVms => "entry-vms",
+            Table::KeptJobs => "kept-jobs",
         };
         if is_healthy {
             self.sick_tables.remove(name);
--- a/crates/geraniumrelay/src/leased/intake.rs
+++ b/crates/geraniumrelay/src/leased/intake.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use geraniumrelay_adapter::ingress::{self, JobError, PATIENCE};
 use geraniumrelay_core::leased::routes::Route;
-use geraniumrelay_core::leased::{JobId, JobOutcome, RefusalReason};
+use geraniumrelay_core::leased::{JobId, JobOutcome, JobState, RecordState, RefusalReason};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
@@ -19,6 +19,7 @@
 use super::Routes;
 use super::balance::Readiness;
 use super::input::{Input, InputTx};
+use super::kept::KeptJobs;
 use super::metrics::LeasedMetrics;
 
 /// Patience of a caller that names none, where its route sets no limit either.
@@ -41,6 +42,7 @@
 /// Serves callers' requests.
 #[derive(Debug)]
 pub(super) struct Intake {
+    kept: KeptJobs,
     routes: Routes,
     readiness: Rc<Readiness>,
     tx: InputTx,
@@ -64,12 +66,14 @@
 
 impl Intake {
     pub(super) fn new(
+        kept: KeptJobs,
         routes: Routes,
         readiness: Rc<Readiness>,
         tx: InputTx,
         metrics: Arc<LeasedMetrics>,
     ) -> Self {
         Self {
+            kept,
             routes,
             readiness,
             tx,
@@ -172,20 +176,36 @@
     async fn state(&self, id: JobId) -> Reply {
         let (reply, answer) = oneshot::channel();
         self.tx.tell(Input::StateOf { id, reply });
-        match answer.await {
-            Ok(Some(state)) => with_body(ingress::state_body(state)),
-            Ok(None) => status(StatusCode::GONE),
-            Err(_) => refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON),
+        let known = answer.await.unwrap_or(None);
+        match self.kept.state(id).await {
+            Ok(Some(RecordState::Open)) if known.is_some() => {
+                with_body(ingress::state_body(known.unwrap_or(JobState::Running)))
+            }
+            Ok(Some(state)) => with_body(ingress::record_body(state)),
+            Ok(None) => known.map_or_else(
+                || status(StatusCode::GONE),
+                |state| with_body(ingress::state_body(state)),
+            ),
+            Err(e) => {
+                info!(id:% = id, reason:% = e; "state_unknown");
+                refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON)
+            }
         }
     }
 
     async fn cancel(&self, id: JobId) -> Reply {
         let (reply, answer) = oneshot::channel();
         self.tx.tell(Input::Cancel { id, reply });
-        match answer.await {
+        if answer.await.unwrap_or(false) {
+            return status(StatusCode::OK);
+        }
+        match self.kept.cancel(id).await {
             Ok(true) => status(StatusCode::OK),
             Ok(false) => status(StatusCode::GONE),
-            Err(_) => refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON),
+            Err(e) => {
+                info!(id:% = id, reason:% = e; "cancel_unknown");
+                refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON)
+            }
         }
     }
 
@@ -232,6 +252,7 @@
         }
         JobOutcome::TimedOut => status(StatusCode::GATEWAY_TIMEOUT),
         JobOutcome::Cancelled => status(StatusCode::GONE),
+        JobOutcome::Accepted => status(StatusCode::OK),
     }
 }
 
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/kept.rs
@@ -0,0 +1,178 @@
+//! Records of kept jobs in the platform's store.
+
+use geraniumrelay_adapter::{Change as Row, ExpectedRow, StoreClient, StoreError, Table, Write};
+use geraniumrelay_core::leased::{JobId, JobRecord, RecordReply, RecordState};
+use geraniumrelay_wire::leased::JobRecord as StoredRecord;
+use log::{info, warn};
+use prost::Message as _;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use super::convert;
+
+/// Attempts at a cancel that meets changes of the scheduler.
+const CANCEL_ATTEMPTS: u32 = 4;
+
+/// Records of one transaction at most; the store takes 100 entries, and each record is two.
+const BATCH: usize = 45;
+
+/// Bytes of one transaction at most; the store takes 1 MB, and encoding adds a third.
+const BATCH_BYTES: usize = 512 * 1024;
+
+/// Records that wait for the store at most; each scheduler has one change of a job under way.
+const RING: usize = 4_096;
+
+/// A change that waits for the store.
+#[derive(Debug)]
+struct Change {
+    record: JobRecord,
+    expected: u64,
+    reply: oneshot::Sender<RecordReply>,
+}
+
+/// Records in the store.
+#[derive(Debug, Clone)]
+pub(super) struct KeptJobs {
+    store: StoreClient,
+    tx: flume::Sender<Change>,
+}
+
+impl KeptJobs {
+    /// Starts the task that writes the records: what comes while one transaction is under way goes
+    /// into the next.
+    pub(super) fn start(store: StoreClient) -> Self {
+        let (tx, rx) = flume::bounded(RING);
+        let kept = Self { store, tx };
+        let writer = kept.clone();
+        spawn_local(async move {
+            while let Ok(first) = rx.recv_async().await {
+                let mut batch = vec![first];
+                let mut bytes = 0;
+                while batch.len() < BATCH && bytes < BATCH_BYTES {
+                    let Ok(next) = rx.try_recv() else { break };
+                    bytes += next.record.spec.payload.len();
+                    // A record stands once in a transaction.
+                    let is_same = |c: &Change| c.record.spec.id == next.record.spec.id;
+                    if batch.iter().any(is_same) {
+                        // Whoever asked sends it again.
+                        let _ = next.reply.send(RecordReply::Refused);
+                        continue;
+                    }
+                    batch.push(next);
+                }
+                writer.write(batch).await;
+            }
+        });
+        kept
+    }
+
+    /// Stores a record where the version `expected` is stored.
+    pub(super) async fn store(&self, record: &JobRecord, expected: u64) -> RecordReply {
+        let (reply, replied) = oneshot::channel();
+        let change = Change {
+            record: record.clone(),
+            expected,
+            reply,
+        };
+        // The writer only ends with the process.
+        let _ = self.tx.send_async(change).await;
+        replied.await.unwrap_or(RecordReply::Unanswered)
+    }
+
+    /// Writes changes in one transaction, and one by one where one of them meets another version.
+    async fn write(&self, batch: Vec<Change>) {
+        let rows: Vec<ExpectedRow> = batch.iter().map(row).collect();
+        let written = self.store.put_if(Table::KeptJobs, &rows).await;
+        if batch.len() > 1 && matches!(written, Ok(Write::Conflict { .. })) {
+            for change in batch {
+                let written = self.store.put_if(Table::KeptJobs, &[row(&change)]).await;
+                answer(change, &written);
+            }
+            return;
+        }
+        for change in batch {
+            answer(change, &written);
+        }
+    }
+
+    /// All records.
+    pub(super) async fn all(&self) -> Result<Vec<(JobRecord, u64)>, StoreError> {
+        let listing = self.store.list(Table::KeptJobs).await?;
+        Ok(listing.rows.iter().filter_map(decode).collect())
+    }
+
+    /// Where a job is; `None` where it was never accepted, or ended long ago.
+    pub(super) async fn state(&self, id: JobId) -> Result<Option<RecordState>, StoreError> {
+        let row = self.store.row(Table::KeptJobs, &id.to_string()).await?;
+        let record = row.as_ref().and_then(decode);
+        Ok(record.map(|(record, _)| record.state))
+    }
+
+    /// Cancels a job; `false` where there is none.
+    pub(super) async fn cancel(&self, id: JobId) -> Result<bool, StoreError> {
+        let row = self.store.row(Table::KeptJobs, &id.to_string()).await?;
+        let mut stored = row.as_ref().and_then(decode);
+        for _ in 0..CANCEL_ATTEMPTS {
+            let Some((mut record, version)) = stored else {
+                return Ok(false);
+            };
+            if record.state != RecordState::Open {
+                return Ok(true);
+            }
+            record.state = RecordState::Cancelled;
+            match self.store(&record, version).await {
+                RecordReply::Stored { version } => {
+                    info!(id:% = id, version; "job_cancelled");
+                    return Ok(true);
+                }
+                RecordReply::Conflict { stored: newer } => stored = newer,
+                RecordReply::Refused | RecordReply::Unanswered => break,
+            }
+        }
+        Err(StoreError::Unanswered)
+    }
+
+    /// Removes the record of a job that ended long ago.
+    pub(super) async fn forget(&self, id: JobId) {
+        if let Err(e) = self.store.remove(Table::KeptJobs, &id.to_string()).await {
+            warn!(id:% = id, reason:% = e; "record_not_removed");
+        }
+    }
+}
+
+fn row(change: &Change) -> ExpectedRow {
+    ExpectedRow {
+        key: change.record.spec.id.to_string(),
+        value: convert::record_to(&change.record).encode_to_vec(),
+        expected: change.expected,
+    }
+}
+
+fn answer(change: Change, written: &Result<Write, StoreError>) {
+    let id = change.record.spec.id;
+    let reply = match written {
+        Ok(Write::Done { version }) => RecordReply::Stored { version: *version },
+        Ok(Write::Conflict { stored }) => RecordReply::Conflict {
+            stored: stored.last().and_then(decode),
+        },
+        Err(e) => {
+            warn!(id:% = id, expected = change.expected, reason:% = e; "record_not_stored");
+            match e {
+                StoreError::Unanswered | StoreError::Unreadable => RecordReply::Unanswered,
+                _ => RecordReply::Refused,
+            }
+        }
+    };
+    // A scheduler that was replaced does not wait any more.
+    let _ = change.reply.send(reply);
+}
+
+/// The record in a row; one that can't be read is left out.
+pub(super) fn decode(row: &Row) -> Option<(JobRecord, u64)> {
+    let stored = StoredRecord::decode(row.value.as_deref()?);
+    if let Ok(Some(record)) = stored.map(convert::record_from) {
+        return Some((record, row.version));
+    }
+    warn!(id = row.key.as_str(), version = row.version; "record_unreadable");
+    None
+}
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -104,6 +104,7 @@
             }
             JobOutcome::TimedOut => self.note_request("timed-out"),
             JobOutcome::Cancelled => self.note_request("cancelled"),
+            JobOutcome::Accepted => self.note_request("accepted"),
         }
     }
 
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -12,6 +12,7 @@
 mod hub;
 mod input;
 mod intake;
+mod kept;
 mod links;
 mod metrics;
 mod notes;
@@ -38,6 +39,7 @@
 use hub::Hub;
 use input::{Input, InputTx};
 use intake::Intake;
+use kept::KeptJobs;
 use metrics::LeasedMetrics;
 use orders::Orders;
 
@@ -93,7 +95,9 @@
 
     let listener = links::listen(settings.peer_listen()).context("peer_listen")?;
     spawn_local(links::accept_all(listener, tx.clone()));
+    let kept = KeptJobs::start(store.clone());
     let intake = Rc::new(Intake::new(
+        kept.clone(),
         Rc::clone(&routes),
         Rc::clone(&readiness),
         tx.clone(),
@@ -118,6 +122,7 @@
         cpu_tenths: settings.cpu_tenths(),
         cfg: leased_config(&settings),
         store: store.clone(),
+        kept,
         orders,
         routes,
         readiness: Rc::clone(&readiness),
--- a/crates/geraniumrelay/src/leased/tests/convert.rs
+++ b/crates/geraniumrelay/src/leased/tests/convert.rs
@@ -4,7 +4,7 @@
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, RefusalReason, Submission,
+    EntryVm, FencingToken, JobId, JobOutcome, JobRecord, RecordState, RefusalReason, Submission,
 };
 
 use super::{MS, spec};
@@ -31,6 +31,25 @@
     assert!(same.may_have_started);
 }
 
+#[test]
+fn a_record_is_the_same_when_it_is_read() {
+    for state in [
+        RecordState::Open,
+        RecordState::Completed,
+        RecordState::Failed,
+        RecordState::Cancelled,
+    ] {
+        let record = JobRecord {
+            spec: spec(7),
+            cell: CellName("z/1".into()),
+            done: vec![0, 1],
+            state,
+        };
+        let stored = convert::record_to(&record);
+        assert_eq!(convert::record_from(stored), Some(record));
+    }
+}
+
 #[test]
 fn every_outcome_is_the_same_on_the_other_side() {
     let reasons = [
@@ -50,6 +69,7 @@
         JobOutcome::Failed,
         JobOutcome::TimedOut,
         JobOutcome::Cancelled,
+        JobOutcome::Accepted,
     ];
     for outcome in refused.into_iter().chain(others) {
         let answer = convert::answer_to(JobId(7), outcome, &CellName::single(), FencingToken(5));
--- a/crates/geraniumrelay/src/leased/tests/roster.rs
+++ b/crates/geraniumrelay/src/leased/tests/roster.rs
@@ -19,6 +19,7 @@
     Change {
         key: name.to_owned(),
         value: Some(value.into_bytes()),
+        version: 1,
     }
 }
 
@@ -26,6 +27,7 @@
     Change {
         key: name.to_owned(),
         value: None,
+        version: 1,
     }
 }
 
@@ -33,6 +35,7 @@
     Change {
         key: name.to_owned(),
         value: Some(value.into()),
+        version: 1,
     }
 }
 
