--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -136,15 +136,25 @@
         /// The reply.
         reply: RecordReply,
     },
-    /// A record is stored that this scheduler may not know.
+    /// A record that was stored when this scheduler took over.
+    RecordListed {
+        /// The record.
+        record: JobRecord,
+        /// Its version.
+        version: u64,
+    },
+    /// A record has been stored since, by whomever.
     RecordSeen {
         /// The record.
         record: JobRecord,
         /// Its version.
         version: u64,
     },
-    /// All records have been told.
-    RecordsKnown,
+    /// All records have been told that were stored at this version of the store.
+    RecordsKnown {
+        /// The version.
+        version: u64,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -18,6 +18,9 @@
 /// Time after which a change is sent again that was refused, or not answered.
 const REPEAT: Duration = Duration::from_millis(250);
 
+/// Added to the latest start of a job that has missed its objective: longer than any job waits.
+const LATE_JOBS_BEHIND: Duration = Duration::from_hours(24);
+
 /// Time for which the record of an ended job is kept; its state may be asked for two minutes.
 const ENDED_TTL: Duration = Duration::from_secs(150);
 
@@ -134,7 +137,7 @@
         }
         self.accept(key, out);
         if is_new {
-            self.admit(key);
+            self.admit(cx, key);
         }
         if is_dirty {
             self.send_record(cx, key, out);
@@ -165,8 +168,22 @@
         }
     }
 
+    /// Puts a job that has missed its objective behind those that can still meet theirs: served in
+    /// order, a backlog would make every job late that follows.
+    pub(super) fn put_back(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        self.checks.remove(&(job.check_at, key));
+        let was_waiting = self.waiting.remove(&(job.rank, key));
+        job.rank.latest_start += LATE_JOBS_BEHIND;
+        if was_waiting {
+            self.waiting.insert((job.rank, key));
+        }
+    }
+
     /// Lets the tasks of an accepted job start.
-    fn admit(&mut self, key: JobKey) {
+    fn admit(&mut self, cx: &Context<'_>, key: JobKey) {
+        self.note_demand(cx.now, key);
+        self.plan_check(cx, key);
         let job = &self.jobs[key];
         if !job.ready.is_empty() {
             self.waiting.insert((job.rank, key));
@@ -202,13 +219,13 @@
         let is_new = !std::mem::replace(&mut keeping.is_accepted, true);
         self.accept(key, out);
         if is_new {
-            self.admit(key);
+            self.admit(cx, key);
         }
         self.send_record(cx, key, out);
     }
 
     /// Takes a record that another scheduler has stored, or an entry VM has changed.
-    pub(super) fn record_seen(
+    pub(super) fn record_listed(
         &mut self,
         cx: &Context<'_>,
         record: &JobRecord,
@@ -251,7 +268,8 @@
     }
 
     /// Takes note that all records have been told: ends that were passed over are asked for again.
-    pub(super) fn records_known(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+    pub(super) fn records_known(&mut self, cx: &Context<'_>, version: u64, out: &mut Vec<Effect>) {
+        self.records_version = version;
         if std::mem::replace(&mut self.knows_records, true) {
             return;
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -144,11 +144,12 @@
         report: &WorkerReport,
         out: &mut Vec<Effect>,
     ) {
+        // An end that is passed over for now is read again.
         let is_listed = |name: TaskName, run: u32| {
-            report
-                .running
-                .iter()
-                .any(|row| row.task == name && row.run == run)
+            let mut running = report.running.iter();
+            let mut ended = report.ended.iter();
+            running.any(|row| row.task == name && row.run == run)
+                || ended.any(|end| end.task == name && end.run == run)
         };
         let worker = &mut self.workers[key];
         worker.orphans.retain(|o| is_listed(o.name, o.run));
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -52,6 +52,8 @@
     cell: CellName,
     /// Whether all records of kept jobs are known.
     knows_records: bool,
+    /// Version of the store at which they were listed.
+    records_version: u64,
     /// Ended kept jobs, and since when.
     ended_records: VecDeque<(Instant, JobId)>,
     ended: BTreeSet<JobId>,
@@ -100,6 +102,7 @@
             lost_entries: Vec::new(),
             cell: CellName::single(),
             knows_records: true,
+            records_version: 0,
             ended_records: VecDeque::new(),
             ended: BTreeSet::new(),
             knows_departed: true,
@@ -181,10 +184,16 @@
                 reply,
             } => self.looked(cx, worker, sent, reply, out),
             Command::RecordReplied { id, reply } => self.record_replied(cx, id, reply, out),
+            Command::RecordListed { record, version } => {
+                self.record_listed(cx, &record, version, out);
+            }
             Command::RecordSeen { record, version } => {
-                self.record_seen(cx, &record, version, out);
+                // What is older has been listed, in its newest version.
+                if self.knows_records && version > self.records_version {
+                    self.record_listed(cx, &record, version, out);
+                }
             }
-            Command::RecordsKnown => self.records_known(cx, out),
+            Command::RecordsKnown { version } => self.records_known(cx, version, out),
             Command::Tick => self.tick(cx, out),
         }
         if self.has_new_room && !self.is_deposed {
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -69,6 +69,16 @@
             return;
         }
         let key = self.insert_job(cx, spec, origin, (waited, patience), may_have_started);
+        // A job that may have been accepted before must not be refused.
+        let is_new = !self.jobs[key].has_started && !may_have_started && self.knows_records;
+        if is_kept
+            && is_new
+            && !self.ended.contains(&id)
+            && let Some(reason) = self.refusal(cx, key)
+        {
+            self.refuse(cx, key, reason, out);
+            return;
+        }
         if is_kept {
             self.keep(key);
             self.send_record(cx, key, out);
@@ -242,7 +252,7 @@
     }
 
     #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    fn note_demand(&mut self, now: Instant, key: JobKey) {
+    pub(super) fn note_demand(&mut self, now: Instant, key: JobKey) {
         let job = &self.jobs[key];
         let tasks = (0..).zip(&job.tasks);
         let cpu: u64 = tasks.map(|(p, _)| job.step(p).size.cpu_milli).sum();
@@ -271,7 +281,9 @@
     pub(super) fn plan_check(&mut self, _cx: &Context<'_>, key: JobKey) {
         let job = &mut self.jobs[key];
         self.checks.remove(&(job.check_at, key));
-        job.check_at = if job.may_have_run() {
+        job.check_at = if job.keeping.is_some() {
+            job.rank.latest_start
+        } else if job.may_have_run() {
             job.times.give_up
         } else {
             job.rank.latest_start.min(job.times.give_up)
--- a/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -77,7 +77,9 @@
                 return;
             }
             let job = &self.jobs[key];
-            if job.may_have_run() {
+            if job.keeping.is_some() {
+                self.put_back(key);
+            } else if job.may_have_run() {
                 self.finish(cx, key, JobOutcome::TimedOut, out);
             } else {
                 self.refuse(cx, key, RefusalReason::WaitedTooLong, out);
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -65,7 +65,8 @@
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
             .with_departed_known(knows_departed);
-        let scheduler = if self.has_kept_jobs {
+        let must_read_records = self.has_kept_jobs || !self.knows_kept_jobs;
+        let scheduler = if must_read_records {
             scheduler.with_records(name.clone())
         } else {
             scheduler.with_cell(name.clone())
@@ -79,7 +80,7 @@
             self.command(name, Command::WorkerSeen(entry));
             self.command(name, Command::WorkerGone(worker));
         }
-        if self.has_kept_jobs {
+        if must_read_records {
             self.read_records(name, token);
         }
         self.beat(None);
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -94,6 +94,8 @@
     no_scheduler_since: Instant,
     /// Whether there are jobs that must be kept.
     has_kept_jobs: bool,
+    /// Whether their records have been read, so that it is known if there are none.
+    knows_kept_jobs: bool,
     is_stopping: bool,
 }
 
@@ -115,6 +117,7 @@
             next_plan: now,
             no_scheduler_since: now,
             has_kept_jobs: false,
+            knows_kept_jobs: false,
             is_stopping: false,
         };
         hub.make_cells(now);
--- a/crates/geraniumrelay/src/leased/hub/records.rs
+++ b/crates/geraniumrelay/src/leased/hub/records.rs
@@ -1,5 +1,6 @@
 //! Records of kept jobs.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use geraniumrelay_adapter::Change;
@@ -11,7 +12,7 @@
 
 use super::Hub;
 use crate::leased::input::Input;
-use crate::leased::kept;
+use crate::leased::kept::{self, Records};
 
 /// Pause before the records are read again that a new scheduler needs.
 const READ_PAUSE: Duration = Duration::from_millis(200);
@@ -50,11 +51,12 @@
                 }
                 sleep(READ_PAUSE).await;
             };
-            info!(cell:% = cell, records = records.len(); "records_read");
-            let seen = records
+            let Records { records, version } = records;
+            info!(cell:% = cell, records = records.len(), version; "records_read");
+            let listed = records
                 .into_iter()
-                .map(|(record, version)| Command::RecordSeen { record, version });
-            for command in seen.chain([Command::RecordsKnown]) {
+                .map(|(record, version)| Command::RecordListed { record, version });
+            for command in listed.chain([Command::RecordsKnown { version }]) {
                 let cell = cell.clone();
                 tx.send(Input::Worker {
                     cell,
@@ -68,7 +70,9 @@
 
     /// Takes records that have changed.
     pub(super) fn take_records(&mut self, rows: &[Change]) {
-        for (record, version) in rows.iter().filter_map(kept::decode) {
+        // Only the newest change of each row holds.
+        let newest: BTreeMap<&str, &Change> = rows.iter().map(|r| (r.key.as_str(), r)).collect();
+        for (record, version) in newest.into_values().filter_map(kept::decode) {
             self.has_kept_jobs = true;
             let cell = record.cell.clone();
             self.command(&cell, Command::RecordSeen { record, version });
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -50,7 +50,10 @@
                     self.take_worker_news(news);
                 }
             }
-            Table::KeptJobs => self.take_records(rows),
+            Table::KeptJobs => {
+                self.knows_kept_jobs = true;
+                self.take_records(rows);
+            }
             Table::EntryVms => {
                 if self.roster.take_members(is_whole, rows) {
                     self.make_cells(now);
--- a/crates/geraniumrelay/src/leased/kept.rs
+++ b/crates/geraniumrelay/src/leased/kept.rs
@@ -22,6 +22,15 @@
 /// Records that wait for the store at most; each scheduler has one change of a job under way.
 const RING: usize = 4_096;
 
+/// All records, as of a version of the store.
+#[derive(Debug)]
+pub(super) struct Records {
+    /// The records with their versions.
+    pub(super) records: Vec<(JobRecord, u64)>,
+    /// The version of the store.
+    pub(super) version: u64,
+}
+
 /// A change that waits for the store.
 #[derive(Debug)]
 struct Change {
@@ -79,26 +88,37 @@
         replied.await.unwrap_or(RecordReply::Unanswered)
     }
 
-    /// Writes changes in one transaction, and one by one where one of them meets another version.
-    async fn write(&self, batch: Vec<Change>) {
-        let rows: Vec<ExpectedRow> = batch.iter().map(row).collect();
-        let written = self.store.put_if(Table::KeptJobs, &rows).await;
-        if batch.len() > 1 && matches!(written, Ok(Write::Conflict { .. })) {
-            for change in batch {
-                let written = self.store.put_if(Table::KeptJobs, &[row(&change)]).await;
-                answer(change, &written);
+    /// Writes changes in one transaction. Those that meet another version are taken out, and the
+    /// rest is tried again: a cancel of an entry VM must not hold up all other jobs.
+    async fn write(&self, mut batch: Vec<Change>) {
+        while !batch.is_empty() {
+            let rows: Vec<ExpectedRow> = batch.iter().map(row).collect();
+            let written = match self.store.put_if(Table::KeptJobs, &rows).await {
+                Ok(Write::Conflict { stored }) => {
+                    let before = batch.len();
+                    batch = take_conflicts(batch, &stored);
+                    if batch.len() < before {
+                        continue;
+                    }
+                    // The store names no row that differs.
+                    Err(StoreError::Unreadable)
+                }
+                Ok(Write::Done { version }) => Ok(version),
+                Err(e) => Err(e),
+            };
+            for change in batch.drain(..) {
+                answer(change, written);
             }
-            return;
-        }
-        for change in batch {
-            answer(change, &written);
         }
     }
 
     /// All records.
-    pub(super) async fn all(&self) -> Result<Vec<(JobRecord, u64)>, StoreError> {
+    pub(super) async fn all(&self) -> Result<Records, StoreError> {
         let listing = self.store.list(Table::KeptJobs).await?;
-        Ok(listing.rows.iter().filter_map(decode).collect())
+        Ok(Records {
+            records: listing.rows.iter().filter_map(decode).collect(),
+            version: listing.revision,
+        })
     }
 
     /// Where a job is; `None` where it was never accepted, or ended long ago.
@@ -148,13 +168,27 @@
     }
 }
 
-fn answer(change: Change, written: &Result<Write, StoreError>) {
+/// Answers the changes that met another version, and returns the others.
+fn take_conflicts(batch: Vec<Change>, stored: &[Row]) -> Vec<Change> {
+    let mut others = Vec::new();
+    for change in batch {
+        let key = change.record.spec.id.to_string();
+        let row = stored.iter().find(|r| r.key == key);
+        if row.map_or(0, |r| r.version) == change.expected {
+            others.push(change);
+            continue;
+        }
+        let stored = row.and_then(decode);
+        // A scheduler that was replaced does not wait any more.
+        let _ = change.reply.send(RecordReply::Conflict { stored });
+    }
+    others
+}
+
+fn answer(change: Change, written: Result<u64, StoreError>) {
     let id = change.record.spec.id;
     let reply = match written {
-        Ok(Write::Done { version }) => RecordReply::Stored { version: *version },
-        Ok(Write::Conflict { stored }) => RecordReply::Conflict {
-            stored: stored.last().and_then(decode),
-        },
+        Ok(version) => RecordReply::Stored { version },
         Err(e) => {
             warn!(id:% = id, expected = change.expected, reason:% = e; "record_not_stored");
             match e {
