test(entry): the soak's workers turn orders away that are meant for another life

The stand-in let a new life of a worker take orders and looks that name the old one, which the platform answers with 421, so looks for the old life acknowledged and stopped what the new one ran.

--- a/crates/geraniumrelay/tests/leased_soak/platform.rs
+++ b/crates/geraniumrelay/tests/leased_soak/platform.rs
@@ -59,6 +59,14 @@
 
 type Reply = (StatusCode, Value);
 
+/// A call, as a stand-in sees it.
+struct Req {
+    /// Path and query.
+    path: String,
+    /// The worker that it is meant for.
+    expected: Option<String>,
+}
+
 impl Platform {
     pub(crate) async fn start(workers: usize) -> Rc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -77,9 +85,9 @@
         });
         platform.configure();
         let own = Rc::clone(&platform);
-        serve(listener, move |path, body| {
+        serve(listener, move |req, body| {
             let own = Rc::clone(&own);
-            async move { own.store_call(&path, &body).await }
+            async move { own.store_call(&req.path, &body).await }
         });
         for worker in 0..workers {
             platform.start_worker(worker).await;
@@ -99,9 +107,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let own = Rc::clone(self);
-        serve(listener, move |path, body| {
+        serve(listener, move |req, body| {
             let own = Rc::clone(&own);
-            async move { own.worker_call(worker, &path, &body).await }
+            async move { own.worker_call(worker, &req, &body).await }
         });
         let proxy = Proxy::start(address).await;
         self.proxies.borrow_mut().push(proxy);
@@ -242,13 +250,16 @@
         )
     }
 
-    async fn worker_call(&self, worker: usize, path: &str, body: &Value) -> Reply {
+    async fn worker_call(&self, worker: usize, req: &Req, body: &Value) -> Reply {
+        if req.expected.as_deref() != Some(&*self.names.borrow()[worker]) {
+            return (StatusCode::MISDIRECTED_REQUEST, Value::Null);
+        }
         let token = FencingToken(body["fencing_token"].as_u64().unwrap_or(0));
         let run = || {
             let task: TaskName = body["task"].as_str().unwrap().parse().unwrap();
             (task, u32::try_from(body["run"].as_u64().unwrap()).unwrap())
         };
-        match path.rsplit('/').next() {
+        match req.path.rsplit('/').next() {
             Some("run-start") => self.start_task(worker, run(), token, body),
             Some("run-stop") => {
                 let reply = self.workers.borrow_mut()[worker].stop(Instant::now(), run(), token);
@@ -296,10 +307,15 @@
         let reply = workers[worker].start(now, (task, run), size, work, (lease, token));
         if reply == StartReply::Accepted && !was_running {
             self.begun.borrow_mut().insert(task.job.0);
-            let runs = workers.iter().flat_map(FakeWorker::running);
-            let runs: Vec<_> = runs.filter(|r| r.0 == task).map(|r| r.1).collect();
+            let names = self.names.borrow();
+            let runs = workers.iter().zip(names.iter());
+            let runs = runs.flat_map(|(w, name)| w.running().map(move |r| (r, name)));
+            let runs: Vec<_> = runs
+                .filter(|((t, _), _)| *t == task)
+                .map(|((_, run), name)| (run, name.clone()))
+                .collect();
             if runs.len() > 1 {
-                let line = format!("{task} runs twice at a time: {runs:?}");
+                let line = format!("{task} runs twice at a time: {runs:?}, token {token}");
                 self.twice.borrow_mut().push(line);
             }
         }
@@ -352,7 +368,7 @@
 /// Serves JSON calls: path and query, body.
 fn serve<F, R>(listener: TcpListener, call: F)
 where
-    F: Fn(String, Value) -> R + Clone + 'static,
+    F: Fn(Req, Value) -> R + Clone + 'static,
     R: Future<Output = Reply> + 'static,
 {
     spawn_local(async move {
@@ -371,16 +387,18 @@
 
 async fn answer<F, R>(req: Request<Incoming>, call: F) -> Result<Response<Full<Bytes>>, Infallible>
 where
-    F: Fn(String, Value) -> R,
+    F: Fn(Req, Value) -> R,
     R: Future<Output = Reply>,
 {
+    let expected = req.headers().get("Geraniumrelay-Expected-Instance");
+    let expected = expected.and_then(|v| v.to_str().ok()).map(str::to_owned);
     let path = req.uri().to_string();
     let body = req.into_body().collect().await;
     let body = body
         .map(http_body_util::Collected::to_bytes)
         .unwrap_or_default();
     let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-    let (status, body) = call(path, body).await;
+    let (status, body) = call(Req { path, expected }, body).await;
     let mut res = Response::new(Full::from(body.to_string()));
     *res.status_mut() = status;
     Ok(res)
