--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -80,7 +80,7 @@
             )?,
             configuration: gauge("configuration_version", "Version of the configuration")?,
             token: gauge(
-                "fencing_token",
+                "scheduler_token",
                 "Fencing token of the scheduler that is followed",
             )?,
             store_errors: counters("store_errors_total", "Failed reads by table", "table")?,
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -8,6 +8,7 @@
 
 mod callers;
 mod fleet;
+#[path = "../../../../platform/tests/stand_in/platform.rs"]
 mod platform;
 mod proxy;
 #[path = "../../../geraniumrelay-core/tests/leased/worker.rs"]
