--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -142,7 +142,17 @@
 }
 /// Nested message and enum types in `JobRecord`.
 pub mod job_record {
-    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
     #[repr(i32)]
     pub enum State {
         Open = 0,
@@ -212,7 +222,17 @@
 }
 /// Nested message and enum types in `Answer`.
 pub mod answer {
-    #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
     #[repr(i32)]
     pub enum Outcome {
         TimedOut = 0,
--- a/crates/geraniumrelay-wire/src/lib.rs
+++ b/crates/geraniumrelay-wire/src/lib.rs
@@ -4,6 +4,8 @@
 //! generator. `tests/generated.rs` generates them again and compares.
 
 mod generated;
+// As the generator formats it.
+#[rustfmt::skip]
 pub mod leased;
 
 pub use generated::*;
