fix(entry): a new scheduler reads the workers anew

Ruled out: a partition (none at that time), departed workers. Change: each takeover reads the workers, and jobs of the scheduler before wait for it.

--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -96,6 +96,12 @@
     WorkerSeen(WorkerEntry),
     /// A worker's entry is gone.
     WorkerGone(WorkerName),
+    /// All workers have been told that are listed since this scheduler took over, and, where it is
+    /// said so, those that had departed before.
+    WorkersKnown {
+        /// Whether the departed ones are known.
+        knows_departed: bool,
+    },
     /// A worker replied to a start.
     StartReplied {
         /// The worker.
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -164,6 +164,7 @@
             Command::EntryLost(vm) => self.lost_entries.push((vm, cx.now)),
             Command::EntryLeft(vm) => self.drop_entry(cx, vm, cx.now, out),
             Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
+            Command::WorkersKnown { knows_departed } => self.knows_departed = knows_departed,
             Command::WorkerGone(name) => self.worker_gone(cx, &name),
             Command::StartReplied {
                 worker,
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -172,3 +172,25 @@
     world.run_for(Duration::from_secs(5));
     assert!(world.twice.is_empty(), "{}", world.trace_of(JobId(1)));
 }
+
+/// A VM that stands by learns of a new worker only some time after the scheduler that uses it.
+#[test]
+fn a_successor_first_learns_of_the_newest_workers() {
+    let mut world = World::new(4, 1);
+    let job = TestJob::new(1, 8, Duration::from_secs(2));
+    world.submit(0, MS, job.clone());
+    world.run_for(100 * MS);
+    world.kill(0);
+    let newest = world.workers.pop().unwrap();
+    let next = world.add_host_with(2, &BTreeSet::new(), false);
+    world.workers.push(newest);
+    pass_on(&mut world, next, &job);
+    world.run_for(100 * MS);
+    let entry = world.entry(3);
+    world.tell(next, Command::WorkerSeen(entry));
+    let knows_departed = true;
+    world.tell(next, Command::WorkersKnown { knows_departed });
+    world.run_for(Duration::from_secs(6));
+    assert!(world.twice.is_empty(), "{:?}", world.twice);
+    assert!(world.starts.values().all(|&n| n == 1), "{:?}", world.starts);
+}
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -64,7 +64,7 @@
         };
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
-            .with_departed_known(knows_departed);
+            .with_departed_known(false);
         let must_read_records = self.has_kept_jobs || !self.knows_kept_jobs;
         let scheduler = if must_read_records {
             scheduler.with_records(name.clone())
@@ -80,6 +80,7 @@
             self.command(name, Command::WorkerSeen(entry));
             self.command(name, Command::WorkerGone(worker));
         }
+        self.read_workers(name, token, knows_departed);
         if must_read_records {
             self.read_records(name, token);
         }
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -6,7 +6,7 @@
 use geraniumrelay_adapter::store::configuration;
 use geraniumrelay_adapter::{Change, Table};
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{Command, EntryVm};
+use geraniumrelay_core::leased::{Command, EntryVm, FencingToken};
 use geraniumrelay_wire::leased::Configuration;
 use geraniumrelay_wire::leased::peer_message::Body;
 use log::{info, warn};
@@ -14,6 +14,7 @@
 
 use super::Hub;
 use crate::leased::cell::Cell;
+use crate::leased::input::Input;
 use crate::leased::links::Link;
 use crate::leased::roster::{PLAN_KEY, WorkerNews};
 
@@ -76,6 +77,40 @@
         }
     }
 
+    /// Reads the workers anew for a new scheduler: a VM that only stands by reads them rarely, and
+    /// the scheduler before it may have used one that is not known here yet.
+    pub(super) fn read_workers(&self, cell: &CellName, token: FencingToken, knows_departed: bool) {
+        let (store, tx, cell) = (
+            self.parts.store.clone(),
+            self.parts.tx.clone(),
+            cell.clone(),
+        );
+        spawn_local(async move {
+            let listing = match store.list(Table::Workers).await {
+                Ok(listing) => listing,
+                Err(e) => {
+                    // Jobs of the scheduler before wait until its leases have lapsed.
+                    warn!(cell:% = cell, reason:% = e; "workers_not_read");
+                    return;
+                }
+            };
+            tx.send(Input::Rows {
+                table: Table::Workers,
+                is_whole: true,
+                rows: listing.rows,
+                revision: listing.revision,
+            })
+            .await;
+            let command = Command::WorkersKnown { knows_departed };
+            tx.send(Input::Worker {
+                cell,
+                token,
+                command,
+            })
+            .await;
+        });
+    }
+
     /// Starts anew with the cells of the present plan; what runs is found again by takeover.
     pub(super) fn make_cells(&mut self, now: Instant) {
         for name in self.names() {
