--- a/crates/geraniumrelay/src/leased/hub/records.rs
+++ b/crates/geraniumrelay/src/leased/hub/records.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use super::Hub;
-use crate::leased::input::Input;
 use crate::leased::kept::{self, Records};
 
 /// Pause before the records are read again that a new scheduler needs.
@@ -31,12 +30,7 @@
             let id = record.spec.id;
             let reply = kept.store(&record, expected).await;
             let command = Command::RecordReplied { id, reply };
-            tx.send(Input::Worker {
-                cell,
-                token,
-                command,
-            })
-            .await;
+            tx.reply(cell, token, command).await;
         });
     }
 
@@ -57,13 +51,7 @@
                 .into_iter()
                 .map(|(record, version)| Command::RecordListed { record, version });
             for command in listed.chain([Command::RecordsKnown { version }]) {
-                let cell = cell.clone();
-                tx.send(Input::Worker {
-                    cell,
-                    token,
-                    command,
-                })
-                .await;
+                tx.reply(cell.clone(), token, command).await;
             }
         });
     }
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -102,12 +102,7 @@
             })
             .await;
             let command = Command::WorkersKnown { knows_departed };
-            tx.send(Input::Worker {
-                cell,
-                token,
-                command,
-            })
-            .await;
+            tx.reply(cell, token, command).await;
         });
     }
 
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -87,6 +87,16 @@
         is_taken
     }
 
+    /// Tells the scheduler of `cell` with `token` what it asked for.
+    pub(super) async fn reply(&self, cell: CellName, token: FencingToken, command: Command) {
+        let input = Input::Worker {
+            cell,
+            token,
+            command,
+        };
+        self.send(input).await;
+    }
+
     /// Passes an input on, and waits for room.
     pub(super) async fn send(&self, input: Input) {
         // The hub only ends with the process.
--- a/crates/geraniumrelay/src/leased/orders.rs
+++ b/crates/geraniumrelay/src/leased/orders.rs
@@ -5,13 +5,11 @@
 
 use geraniumrelay_adapter::WorkerClient;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{
-    Command, FencingToken, LookCall, LookReply, StartCall, StartReply, StopCall,
-};
+use geraniumrelay_core::leased::{Command, LookCall, LookReply, StartCall, StartReply, StopCall};
 use log::{debug, info};
 use tokio::task::spawn_local;
 
-use super::input::{Input, InputTx};
+use super::input::InputTx;
 use super::metrics::LeasedMetrics;
 
 /// Where orders are carried out.
@@ -41,7 +39,7 @@
                 reply,
                 clock,
             };
-            orders.reply(cell, token, command).await;
+            orders.tx.reply(cell, token, command).await;
         });
     }
 
@@ -57,7 +55,7 @@
                 run,
                 reply,
             };
-            orders.reply(cell, token, command).await;
+            orders.tx.reply(cell, token, command).await;
         });
     }
 
@@ -72,18 +70,9 @@
                 sent,
                 reply,
             };
-            orders.reply(cell, token, command).await;
+            orders.tx.reply(cell, token, command).await;
         });
     }
-
-    async fn reply(&self, cell: CellName, token: FencingToken, command: Command) {
-        let input = Input::Worker {
-            cell,
-            token,
-            command,
-        };
-        self.tx.send(input).await;
-    }
 }
 
 fn start_label(reply: StartReply) -> &'static str {
