--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -30,6 +30,18 @@
     /// Time within which what an earlier scheduler started has ended, where a worker can't be
     /// asked: the longest lease, on the slowest clock.
     pub takeover_wait: Duration,
+    /// Time for which a scheduler goes on with kept jobs after it last knew that nobody else decides
+    /// on them; covers two reads of a store that is 70 times slower than usual.
+    pub epoch_ttl: Duration,
+    /// Time after which it makes sure again; several times within `epoch_ttl`.
+    pub epoch_refresh: Duration,
+    /// Time after which it asks the store again that has not answered.
+    pub epoch_repeat: Duration,
+    /// Time in which a kept job that can't be stored is refused, where it has not been sent to the
+    /// store; a takeover takes less.
+    pub store_patience: Duration,
+    /// Time for which a worker that lists ends of runs that count as lost may finish what it runs.
+    pub void_drain: Duration,
     /// Time for which a worker that is not listed any more may still run what another scheduler
     /// starts there, behind a partition; longer than partitions that callers sit out.
     pub departed_ttl: Duration,
@@ -64,6 +76,11 @@
             max_paused_percent: 40,
             orphan_grace: Duration::from_millis(250),
             takeover_wait: Duration::from_millis(1100),
+            epoch_ttl: Duration::from_millis(800),
+            epoch_refresh: Duration::from_millis(200),
+            epoch_repeat: Duration::from_millis(250),
+            store_patience: Duration::from_millis(700),
+            void_drain: Duration::from_secs(3),
             departed_ttl: Duration::from_secs(20),
             stop_grace: Duration::from_millis(80),
             entry_grace: Duration::from_millis(500),
--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::epoch::EpochReply;
 use super::names::{EntryVm, JobId, TaskName, WorkerName};
 use super::record::{JobRecord, RecordReply};
 use super::report::WorkerReport;
@@ -135,6 +136,18 @@
         /// The reply.
         reply: LookReply,
     },
+    /// The store replied to the claim of the cell.
+    EpochReplied {
+        /// When it was asked.
+        sent: Instant,
+        /// The reply.
+        reply: EpochReply,
+    },
+    /// All other entry VMs follow this scheduler, and were heard at this time or later.
+    Followed {
+        /// The time.
+        since: Instant,
+    },
     /// The store replied to a change of a record.
     RecordReplied {
         /// The job.
--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -138,7 +138,19 @@
         record: JobRecord,
         /// Version that must be stored now; 0 for none.
         expected: u64,
+        /// Version of the cell's row that must be stored now.
+        epoch: u64,
     },
+    /// Claim the cell for this scheduler in the store, where no higher token has it, and read what
+    /// the row says.
+    ClaimEpoch,
+    /// Another scheduler with this token has claimed the cell.
+    EpochLost {
+        /// Its token.
+        token: FencingToken,
+    },
+    /// Read all records of the cell.
+    ReadRecords,
     /// Remove the record of a job that has ended long ago.
     ForgetRecord {
         /// The job.
--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -179,6 +179,37 @@
         peers.map(|(&vm, _)| vm).collect()
     }
 
+    /// Since when all of `others` have been heard to follow this scheduler; `None` where one of them
+    /// has not.
+    pub fn followed_since(
+        &self,
+        others: impl Iterator<Item = EntryVm>,
+        now: Instant,
+    ) -> Option<Instant> {
+        let (_, token) = self.current.filter(|c| c.0 == self.vm)?;
+        let mut since = now;
+        for vm in others {
+            let peer = self.peers.get(&vm)?;
+            if peer.beat.follows != Some(token) {
+                return None;
+            }
+            since = since.min(peer.heard);
+        }
+        Some(since)
+    }
+
+    /// Whether a scheduler with `token` has been heard lately.
+    pub fn hears(&self, token: FencingToken) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|p| p.beat.token == Some(token) || p.beat.follows == Some(token))
+    }
+
+    /// Stops scheduling, so as to take over with a higher token than `token`.
+    pub fn outrank(&mut self, token: FencingToken, now: Instant) -> Step {
+        self.highest = self.highest.max(token);
+        self.lose(now)
+    }
+
     /// Sets the silence after which another entry VM is passed over.
     pub fn set_peer_fresh(&mut self, peer_fresh: Duration) {
         self.cfg.peer_fresh = peer_fresh;
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -6,7 +6,7 @@
 
 use super::admission::Backlog;
 use super::names::{EntryVm, TaskName};
-use super::record::RecordState;
+use super::record::{RecordState, TaskProgress};
 use super::spec::{JobSpec, StepSpec};
 use super::worker::WorkerKey;
 
@@ -62,6 +62,8 @@
     pub(super) last_run: u32,
     /// Worker of the last run that failed.
     pub(super) failed_on: Option<WorkerKey>,
+    /// Lower runs count as lost.
+    pub(super) first_valid_run: u32,
 }
 
 /// Place of a job in the queue: the lowest goes first.
@@ -93,6 +95,7 @@
 
 /// How much of a kept job is stored.
 #[derive(Debug, Clone, Copy)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(super) struct Keeping {
     /// Version that is stored; 0 for none.
     pub(super) version: u64,
@@ -103,6 +106,24 @@
     pub(super) is_dirty: bool,
     /// When the change that is under way was sent.
     pub(super) out_since: Option<Instant>,
+    /// Earliest time at which the next change is sent, after one that was not answered.
+    pub(super) not_before: Option<Instant>,
+    /// Whether a change has ever been sent: one that was not answered may yet be done.
+    pub(super) was_sent: bool,
+    /// When it came.
+    pub(super) since: Instant,
+    /// Whether tasks wait until it is stored that earlier runs of theirs count as lost.
+    pub(super) holds_starts: bool,
+}
+
+impl Keeping {
+    /// Takes note that the change under way may not have been done: it is sent again, under the same
+    /// condition.
+    pub(super) fn send_again(&mut self, at: Instant) {
+        self.out_since = None;
+        self.is_dirty = true;
+        self.not_before = Some(at);
+    }
 }
 
 /// A job.
@@ -151,6 +172,7 @@
                 failures: 0,
                 last_run: 0,
                 failed_on: None,
+                first_valid_run: 0,
             }));
         }
         let left = spec.steps.iter().map(|s| s.count).collect();
@@ -237,11 +259,60 @@
         self.ready.retain(|&p| p != position);
         self.task_mut(position).state = TaskState::Done;
         self.left[step] -= 1;
-        if self.left[step] == 0 {
+        // Where a job is kept, the next step waits until this end is stored.
+        if self.left[step] == 0 && self.keeping.is_none() {
             self.unblock();
         }
     }
 
+    /// Voids all runs so far of a task: it runs again, whatever becomes of them.
+    pub(super) fn void_runs(&mut self, position: u32) {
+        let task = self.task_mut(position);
+        task.first_valid_run = task.last_run + 1;
+    }
+
+    /// Takes over which of its tasks are stored as done.
+    pub(super) fn take_done(&mut self, done: &[u32]) {
+        for &position in done {
+            if (position as usize) < self.tasks.len() {
+                self.mark_done(position);
+            }
+        }
+    }
+
+    /// Takes over what is stored of its tasks, beside which of them are done.
+    pub(super) fn take_progress(&mut self, progress: &[TaskProgress]) {
+        for stored in progress {
+            let Some(task) = self.tasks.get_mut(stored.position as usize) else {
+                continue;
+            };
+            task.failures = task.failures.max(stored.failures);
+            task.first_valid_run = task.first_valid_run.max(stored.first_valid_run);
+            task.last_run = task.last_run.max(stored.first_valid_run);
+        }
+    }
+
+    /// Tasks some of whose runs count as lost, and the first run that does not.
+    pub(super) fn first_valid_runs(&self) -> Vec<(TaskName, u32)> {
+        let tasks = (0..).zip(&self.tasks);
+        let tasks = tasks.filter(|(_, t)| t.first_valid_run > 0);
+        tasks
+            .map(|(p, t)| (self.name(p), t.first_valid_run))
+            .collect()
+    }
+
+    /// What lasts of its tasks, beside which of them are done.
+    pub(super) fn progress(&self) -> Vec<TaskProgress> {
+        let tasks = (0..).zip(&self.tasks);
+        let tasks = tasks.filter(|(_, t)| t.failures > 0 || t.first_valid_run > 0);
+        let progress = tasks.map(|(position, t)| TaskProgress {
+            position,
+            failures: t.failures,
+            first_valid_run: t.first_valid_run,
+        });
+        progress.collect()
+    }
+
     /// Puts a task whose run is over back among those that can start, before the others.
     pub(super) fn requeue(&mut self, position: u32) {
         if self.task(position).state == TaskState::Placed {
@@ -257,7 +328,7 @@
     }
 
     /// Lets the tasks start whose earlier steps are done.
-    fn unblock(&mut self) {
+    pub(super) fn unblock(&mut self) {
         for (position, task) in (0..).zip(&mut self.tasks) {
             let step = &self.spec.steps[usize::from(task.step)];
             let is_open = step.after.iter().all(|&s| self.left[usize::from(s)] == 0);
--- a/crates/geraniumrelay-core/src/leased/note.rs
+++ b/crates/geraniumrelay-core/src/leased/note.rs
@@ -24,6 +24,9 @@
     /// An earlier scheduler started it, and nobody has asked for it.
     #[display("orphan")]
     Orphan,
+    /// It is not certain any more that this scheduler decides on its job.
+    #[display("epoch-unconfirmed")]
+    EpochUnconfirmed,
 }
 
 /// What is believed of a worker.
@@ -41,6 +44,9 @@
     /// It has started anew.
     #[display("new-life")]
     NewLife,
+    /// It lists ends of runs that count as lost; its leases must lapse before they are acknowledged.
+    #[display("void-ends")]
+    VoidEnds,
 }
 
 /// A line for the log.
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -36,6 +36,8 @@
     pub(super) respects_pauses: bool,
     /// Whether slow workers only get what they can end in time.
     pub(super) respects_slowness: bool,
+    /// Whether leases of kept tasks may be renewed, as a start does.
+    pub(super) may_renew_kept: bool,
 }
 
 /// The best worker for a task; `None` where it has to wait.
@@ -76,6 +78,7 @@
     // A start renews the leases of all that runs there, also of what is to be stopped.
     if worker.is_full(wish.now)
         || !worker.orphans.is_empty()
+        || (!wish.may_renew_kept && worker.has_kept_runs())
         || !free.has_room_for(&step.size)
         || !worker.is_usable()
         || !could_run(worker, job, position)
--- a/crates/geraniumrelay-core/src/leased/record.rs
+++ b/crates/geraniumrelay-core/src/leased/record.rs
@@ -1,6 +1,7 @@
 //! What lasts of a job that must be kept.
 
 use super::cells::CellName;
+use super::names::TaskName;
 use super::spec::JobSpec;
 
 /// Where a kept job is.
@@ -20,6 +21,17 @@
     Cancelled,
 }
 
+/// What lasts of a task beside whether it is done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TaskProgress {
+    /// Position of the task, in the order of steps and indexes.
+    pub position: u32,
+    /// Runs that ended as failed.
+    pub failures: u32,
+    /// Lower runs count as lost: the task runs again, and their ends are of no account.
+    pub first_valid_run: u32,
+}
+
 /// A kept job, as it is stored.
 #[derive(Debug, Clone, PartialEq)]
 pub struct JobRecord {
@@ -29,10 +41,25 @@
     pub cell: CellName,
     /// Positions of the tasks that are done, in the order of steps and indexes.
     pub done: Vec<u32>,
+    /// What lasts of tasks beside, where there is anything.
+    pub progress: Vec<TaskProgress>,
     /// Where it is.
     pub state: RecordState,
 }
 
+impl JobRecord {
+    /// Tasks some of whose runs count as lost, and the first run that does not.
+    pub fn first_valid_runs(&self) -> Vec<(TaskName, u32)> {
+        let names: Vec<TaskName> = self.spec.task_names().collect();
+        let voided = self.progress.iter().filter(|p| p.first_valid_run > 0);
+        let runs = voided.filter_map(|p| {
+            let name = names.get(p.position as usize)?;
+            Some((*name, p.first_valid_run))
+        });
+        runs.collect()
+    }
+}
+
 /// Reply of the store to a change of a record.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RecordReply {
@@ -46,6 +73,8 @@
         /// What is stored, and its version.
         stored: Option<(JobRecord, u64)>,
     },
+    /// The cell belongs to another scheduler, or was claimed anew; nothing was done.
+    EpochOver,
     /// Refused; nothing was done.
     Refused,
     /// No answer; it may have been done, or may yet be.
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/epochs.rs
@@ -0,0 +1,119 @@
+//! The claim to the cell, without which kept jobs stand still.
+
+use std::time::Instant;
+
+use super::Scheduler;
+use crate::context::Context;
+use crate::leased::effect::{Effect, JobOutcome};
+use crate::leased::epoch::{Epoch, EpochReply};
+use crate::leased::job::JobKey;
+use crate::leased::names::TaskName;
+use crate::leased::note::StopCause;
+use crate::leased::worker::{RunState, WorkerKey};
+
+impl Scheduler {
+    /// Starts to claim the cell, as there may be kept jobs. Their records are read after the claim:
+    /// from then on nobody else changes them.
+    pub(super) fn begin_epoch(&mut self) {
+        if self.epoch.is_none() {
+            self.epoch = Some(Epoch::default());
+            self.knows_records = false;
+        }
+    }
+
+    pub(super) fn is_epoch_lost(&self) -> bool {
+        self.epoch.as_ref().is_some_and(Epoch::is_lost)
+    }
+
+    /// Whether kept tasks may start and go on.
+    pub(super) fn is_epoch_confirmed(&self, cx: &Context<'_>) -> bool {
+        let epoch = self.epoch.as_ref();
+        epoch.is_some_and(|e| e.is_confirmed(cx.now, &cx.cfg.leased))
+    }
+
+    /// Whether nothing can be stored at present.
+    pub(super) fn is_store_away(&self) -> bool {
+        let epoch = self.epoch.as_ref();
+        epoch.is_some_and(|e| e.is_lost() || e.is_store_silent())
+    }
+
+    pub(super) fn epoch_replied(
+        &mut self,
+        cx: &Context<'_>,
+        sent: Instant,
+        reply: EpochReply,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(epoch) = &mut self.epoch else {
+            return;
+        };
+        match reply {
+            EpochReply::Held { version } => {
+                if !epoch.hold(version, sent) {
+                    return;
+                }
+                if !self.knows_records {
+                    out.push(Effect::ReadRecords);
+                }
+                let keys: Vec<JobKey> = self.jobs.keys().collect();
+                for key in keys {
+                    self.send_record(cx, key, out);
+                }
+                self.has_new_room = true;
+            }
+            EpochReply::Taken { token } => {
+                if !epoch.is_lost() {
+                    self.lose_epoch(cx, out);
+                    out.push(Effect::EpochLost { token });
+                }
+            }
+            EpochReply::Unanswered => epoch.store_silent(),
+        }
+    }
+
+    pub(super) fn followed(&mut self, since: Instant) {
+        if let Some(epoch) = &mut self.epoch {
+            epoch.followed(since);
+        }
+    }
+
+    /// Leaves all kept jobs to the scheduler that has claimed the cell. What they run here is
+    /// stopped, and what ended is not acknowledged.
+    fn lose_epoch(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        if let Some(epoch) = &mut self.epoch {
+            epoch.lose();
+        }
+        self.knows_records = false;
+        let jobs = self.jobs.iter().filter(|(_, j)| j.keeping.is_some());
+        let keys: Vec<JobKey> = jobs.map(|(key, _)| key).collect();
+        for key in keys {
+            self.finish(cx, key, JobOutcome::TimedOut, out);
+        }
+    }
+
+    /// Asks the store whether the claim stands, and stops kept tasks while that is not certain.
+    pub(super) fn watch_epoch(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let has_kept_jobs = self.jobs.values().any(|j| j.keeping.is_some());
+        let Some(epoch) = &mut self.epoch else {
+            return;
+        };
+        if epoch.ask(cx.now, has_kept_jobs, &cx.cfg.leased) {
+            out.push(Effect::ClaimEpoch);
+        }
+        if has_kept_jobs && !self.is_epoch_confirmed(cx) {
+            self.stop_kept_runs(cx, out);
+        }
+    }
+
+    fn stop_kept_runs(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let mut due: Vec<(WorkerKey, TaskName, u32)> = Vec::new();
+        for (key, worker) in &self.workers {
+            let runs = worker.runs.iter().filter(|r| r.is_kept);
+            let runs = runs.filter(|r| r.state != RunState::Stopping);
+            due.extend(runs.map(|r| (key, r.name, r.run)));
+        }
+        for (key, name, run) in due {
+            self.stop_for(cx, key, (name, run), StopCause::EpochUnconfirmed, out);
+        }
+    }
+}
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -27,7 +27,7 @@
         self.by_id.remove(&job.spec.id);
         self.waiting.remove(&(job.rank, key));
         self.checks.remove(&(job.check_at, key));
-        if job.keeping.is_some() {
+        if job.keeping.is_some() && !self.is_epoch_lost() {
             self.release_ends(job.spec.id);
         }
         self.outcomes.insert(job.spec.id, (cx.now, outcome));
@@ -199,12 +199,33 @@
             Some(earlier) if before != Some(on) => earlier.health.forgive(),
             _ => self.note_fault(cx, on, out),
         }
-        if failures >= max_attempts {
-            if !self.changed(cx, task.job, RecordState::Failed, out) {
-                self.finish(cx, task.job, JobOutcome::Failed, out);
-            }
-        } else {
+        if failures < max_attempts {
             self.requeue(task.job, task.position);
+            self.changed(cx, task.job, RecordState::Open, out);
+        } else if !self.changed(cx, task.job, RecordState::Failed, out) {
+            self.finish(cx, task.job, JobOutcome::Failed, out);
+        }
+    }
+
+    /// Takes note that a run is out of sight. Where its job is kept, it is stored before the task
+    /// runs again that this run counts as lost, so that no later scheduler takes its end for that of
+    /// the task.
+    pub(super) fn run_lost(
+        &mut self,
+        cx: &Context<'_>,
+        on: WorkerKey,
+        run: &Run,
+        kind: EndKind,
+        out: &mut Vec<Effect>,
+    ) {
+        let TaskKey { job: key, position } = run.task;
+        self.run_ended(cx, on, run, kind, out);
+        if let Some(job) = self.jobs.get_mut(key)
+            && let Some(keeping) = &mut job.keeping
+        {
+            keeping.holds_starts = true;
+            job.void_runs(position);
+            self.changed(cx, key, RecordState::Open, out);
         }
     }
 
@@ -243,7 +264,10 @@
         worker.fenced = None;
         worker.lease = None;
         worker.last_seen = 0;
+        worker.taken_ends.clear();
         worker.held_ends.clear();
+        worker.first_unknown_end = None;
+        worker.void_end = None;
         worker.owes_ack = false;
         worker.orphans.clear();
         worker.looking.out_since = None;
--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -9,9 +9,10 @@
 use super::Scheduler;
 use super::submit::KEPT_PATIENCE;
 use crate::context::Context;
-use crate::leased::effect::{Effect, JobOutcome};
+use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
+use crate::leased::epoch::Epoch;
 use crate::leased::job::{JobKey, Keeping, TaskState};
-use crate::leased::names::{EntryVm, JobId};
+use crate::leased::names::{EntryVm, JobId, TaskName};
 use crate::leased::record::{JobRecord, RecordReply, RecordState};
 use crate::leased::worker::WorkerKey;
 
@@ -25,14 +26,18 @@
 const ENDED_TTL: Duration = Duration::from_secs(150);
 
 impl Scheduler {
-    /// Stores a kept job that has just come in.
-    pub(super) fn keep(&mut self, key: JobKey) {
+    /// Takes note that a job must be kept.
+    pub(super) fn keep(&mut self, cx: &Context<'_>, key: JobKey) {
         self.jobs[key].keeping = Some(Keeping {
             version: 0,
             is_accepted: false,
             state: RecordState::Open,
             is_dirty: true,
             out_since: None,
+            not_before: None,
+            was_sent: false,
+            since: cx.now,
+            holds_starts: false,
         });
     }
 
@@ -65,16 +70,27 @@
 
     /// Sends the next change of a record, where none is under way.
     pub(super) fn send_record(&mut self, cx: &Context<'_>, key: JobKey, out: &mut Vec<Effect>) {
+        let Some(epoch) = self.epoch.as_ref().and_then(Epoch::version) else {
+            return;
+        };
+        // Another scheduler may have stored it.
+        if !self.knows_records {
+            return;
+        }
         let cell = self.cell.clone();
         let job = &mut self.jobs[key];
         let Some(keeping) = &mut job.keeping else {
             return;
         };
-        if !keeping.is_dirty || keeping.out_since.is_some() {
+        // Two changes under way at a time would make it unclear which of them a reply is to.
+        let is_early = keeping.not_before.is_some_and(|at| cx.now < at);
+        if !keeping.is_dirty || keeping.out_since.is_some() || is_early {
             return;
         }
         keeping.is_dirty = false;
+        keeping.not_before = None;
         keeping.out_since = Some(cx.now);
+        keeping.was_sent = true;
         let (expected, state) = (keeping.version, keeping.state);
         let done = (0..).zip(&job.tasks);
         let done = done.filter(|(_, t)| t.state == TaskState::Done);
@@ -82,9 +98,14 @@
             spec: job.spec.clone(),
             cell,
             done: done.map(|(position, _)| position).collect(),
+            progress: job.progress(),
             state,
         };
-        out.push(Effect::Record { record, expected });
+        out.push(Effect::Record {
+            record,
+            expected,
+            epoch,
+        });
     }
 
     pub(super) fn record_replied(
@@ -97,13 +118,15 @@
         let Some(&key) = self.by_id.get(&id) else {
             return;
         };
-        let Some(keeping) = &mut self.jobs[key].keeping else {
+        let (Some(keeping), Some(epoch)) = (&mut self.jobs[key].keeping, &mut self.epoch) else {
             return;
         };
         match reply {
             RecordReply::Stored { version } => {
+                if let Some(sent) = keeping.out_since.take() {
+                    epoch.store_answered(sent);
+                }
                 keeping.version = version;
-                keeping.out_since = None;
                 self.record_stored(cx, key, out);
             }
             RecordReply::Conflict { stored: None } => {
@@ -113,13 +136,22 @@
             RecordReply::Conflict {
                 stored: Some((record, version)),
             } => {
+                // Where none was stored before, it is an earlier change that was not answered.
                 keeping.version = version;
                 keeping.out_since = None;
                 keeping.is_dirty = true;
                 self.merge(cx, key, &record, out);
             }
-            // It is sent again after a while, under the same condition.
-            RecordReply::Refused | RecordReply::Unanswered => keeping.is_dirty = true,
+            RecordReply::EpochOver => {
+                keeping.out_since = None;
+                keeping.is_dirty = true;
+                epoch.doubt();
+            }
+            RecordReply::Refused => keeping.send_again(cx.now + REPEAT),
+            RecordReply::Unanswered => {
+                keeping.send_again(cx.now + REPEAT);
+                epoch.store_silent();
+            }
         }
     }
 
@@ -133,7 +165,9 @@
         let is_new = !std::mem::replace(&mut keeping.is_accepted, true);
         let (is_dirty, state) = (keeping.is_dirty, keeping.state);
         if !is_dirty {
+            keeping.holds_starts = false;
             self.release_ends(id);
+            self.open_steps(key);
         }
         self.accept(key, out);
         if is_new {
@@ -149,12 +183,42 @@
             RecordState::Failed => JobOutcome::Failed,
             RecordState::Cancelled => JobOutcome::Cancelled,
         };
-        self.note_ended(cx, id);
+        let voided = self.jobs[key].first_valid_runs();
+        self.note_ended(cx, id, voided);
         self.finish(cx, key, outcome, out);
     }
 
-    fn note_ended(&mut self, cx: &Context<'_>, id: JobId) {
-        if self.ended.insert(id) {
+    /// Lets the tasks of steps start whose earlier steps are done, and stored.
+    fn open_steps(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        job.unblock();
+        if !job.ready.is_empty() {
+            self.waiting.insert((job.rank, key));
+        }
+        self.has_new_room = true;
+    }
+
+    /// Voids what earlier schedulers may have started of a job and nobody has found: it is stored
+    /// before the tasks run again.
+    pub(super) fn void_earlier_runs(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        out: &mut Vec<Effect>,
+    ) {
+        let job = &mut self.jobs[key];
+        job.earlier_runs_until = None;
+        for position in job.ready.clone() {
+            job.void_runs(position);
+        }
+        if let Some(keeping) = &mut job.keeping {
+            keeping.holds_starts = true;
+        }
+        self.changed(cx, key, RecordState::Open, out);
+    }
+
+    fn note_ended(&mut self, cx: &Context<'_>, id: JobId, voided: Vec<(TaskName, u32)>) {
+        if self.ended.insert(id, voided).is_none() {
             self.ended_records.push_back((cx.now, id));
         }
     }
@@ -194,11 +258,8 @@
     /// Takes over what is stored of a job.
     fn merge(&mut self, cx: &Context<'_>, key: JobKey, record: &JobRecord, out: &mut Vec<Effect>) {
         let rank = self.jobs[key].rank;
-        for &position in &record.done {
-            if (position as usize) < self.jobs[key].tasks.len() {
-                self.jobs[key].mark_done(position);
-            }
-        }
+        self.jobs[key].take_done(&record.done);
+        self.jobs[key].take_progress(&record.progress);
         if self.jobs[key].ready.is_empty() {
             self.waiting.remove(&(rank, key));
         }
@@ -215,8 +276,12 @@
         }
         if is_done {
             keeping.state = RecordState::Completed;
+            keeping.is_dirty = true;
         }
         let is_new = !std::mem::replace(&mut keeping.is_accepted, true);
+        if !keeping.is_dirty {
+            self.open_steps(key);
+        }
         self.accept(key, out);
         if is_new {
             self.admit(cx, key);
@@ -237,33 +302,57 @@
         }
         let id = record.spec.id;
         if let Some(&key) = self.by_id.get(&id) {
-            let keeping = self.jobs[key].keeping;
-            if keeping.is_some_and(|k| k.version < version && k.out_since.is_none()) {
-                if let Some(keeping) = &mut self.jobs[key].keeping {
-                    keeping.version = version;
+            match self.jobs[key].keeping {
+                Some(k) if k.version == 0 => {
+                    self.take_record_over(cx, key, record, version, out);
+                }
+                Some(k) if k.version < version && k.out_since.is_none() => {
+                    if let Some(keeping) = &mut self.jobs[key].keeping {
+                        keeping.version = version;
+                    }
+                    self.merge(cx, key, record, out);
                 }
-                self.merge(cx, key, record, out);
+                _ => {}
             }
             return;
         }
         // What is told of a job that has ended here meanwhile is out of date.
-        if self.ended.contains(&id) {
+        if self.ended.contains_key(&id) {
             return;
         }
         if record.state != RecordState::Open {
-            self.note_ended(cx, id);
+            self.note_ended(cx, id, record.first_valid_runs());
             return;
         }
         let nobody = EntryVm([0, 0, 0, 0].into());
         let times = (Duration::ZERO, KEPT_PATIENCE);
-        let key = self.insert_job(cx, record.spec.clone(), nobody, times, true);
-        self.keep(key);
+        let key = self.add_job(cx, record.spec.clone(), nobody, times);
+        self.keep(cx, key);
         self.jobs[key].origins.clear();
-        if let Some(keeping) = &mut self.jobs[key].keeping {
+        self.take_record_over(cx, key, record, version, out);
+    }
+
+    /// Goes on with a job whose record was stored by another scheduler.
+    fn take_record_over(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        record: &JobRecord,
+        version: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let job = &mut self.jobs[key];
+        if let Some(keeping) = &mut job.keeping {
             keeping.version = version;
             keeping.is_dirty = false;
             keeping.out_since = None;
+            keeping.was_sent = true;
         }
+        // Before its runs are looked for: those that count as lost are not among them.
+        job.take_progress(&record.progress);
+        job.take_done(&record.done);
+        job.unblock();
+        self.find_earlier_runs(cx, key, true);
         self.merge(cx, key, record, out);
     }
 
@@ -273,6 +362,10 @@
         if std::mem::replace(&mut self.knows_records, true) {
             return;
         }
+        let jobs: Vec<JobKey> = self.jobs.keys().collect();
+        for key in jobs {
+            self.send_record(cx, key, out);
+        }
         let workers: Vec<WorkerKey> = self.workers.keys().collect();
         for key in workers {
             let worker = &mut self.workers[key];
@@ -289,9 +382,14 @@
             let Some(keeping) = &mut self.jobs[key].keeping else {
                 continue;
             };
-            let is_old = |at| cx.now.saturating_duration_since(at) >= REPEAT;
-            if keeping.is_dirty && keeping.out_since.is_some_and(is_old) {
-                keeping.out_since = None;
+            let age = |at| cx.now.saturating_duration_since(at);
+            if !keeping.was_sent && age(keeping.since) >= cx.cfg.leased.store_patience {
+                if self.jobs[key].may_have_run() {
+                    self.finish(cx, key, JobOutcome::TimedOut, out);
+                } else {
+                    self.refuse(cx, key, RefusalReason::NoScheduler, out);
+                }
+                continue;
             }
             self.send_record(cx, key, out);
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -7,7 +7,6 @@
 use crate::context::Context;
 use crate::leased::effect::{Effect, LookCall};
 use crate::leased::health::doubled;
-use crate::leased::job::TaskKey;
 use crate::leased::names::TaskName;
 use crate::leased::note::{Belief, StopCause};
 use crate::leased::report::{EndKind, WorkerReport};
@@ -39,7 +38,7 @@
         worker.looking.out_since = None;
         worker.looking.misses = 0;
         // Ends that can't be acknowledged yet come again at once.
-        let is_held = !worker.held_ends.is_empty() || !self.knows_records;
+        let is_held = !worker.held_ends.is_empty() || worker.first_unknown_end.is_some();
         worker.looking.not_before = is_held.then(|| cx.now + HELD_PAUSE);
         worker.clock = Some(WorkerClock::new(report.clock, cx.now));
         if worker.fenced.is_none() {
@@ -53,57 +52,6 @@
         self.judge_paces(cx, key, out);
     }
 
-    fn take_ends(
-        &mut self,
-        cx: &Context<'_>,
-        key: WorkerKey,
-        report: &WorkerReport,
-        out: &mut Vec<Effect>,
-    ) {
-        for end in &report.ended {
-            let job = self.by_id.get(&end.task.job);
-            if job.is_none() && !self.knows_records {
-                // It may belong to a kept job whose record is still to come.
-                break;
-            }
-            let is_kept = job.is_some_and(|&job| self.jobs[job].keeping.is_some());
-            let worker = &mut self.workers[key];
-            worker.full_until = None;
-            if end.number > worker.last_seen {
-                worker.last_seen = end.number;
-                worker.owes_ack = true;
-                if is_kept && end.kind == EndKind::Done {
-                    worker.held_ends.push((end.number, end.task.job));
-                }
-            }
-            let is_ended = |o: &Orphan| o.name == end.task && o.run == end.run;
-            worker.orphans.retain(|o| !is_ended(o));
-            if let Some(position) = worker.run_position(end.task, end.run) {
-                let run = worker.remove_run(position);
-                self.run_ended(cx, key, &run, end.kind, out);
-            } else if end.kind == EndKind::Done {
-                self.done_elsewhere(cx, end.task, out);
-            }
-        }
-    }
-
-    /// Takes note of a success that an earlier scheduler had ordered.
-    fn done_elsewhere(&mut self, cx: &Context<'_>, name: TaskName, out: &mut Vec<Effect>) {
-        let Some(&job) = self.by_id.get(&name.job) else {
-            self.early_ends.insert(name, cx.now);
-            return;
-        };
-        if self.jobs[job].earlier_runs_until.is_none() {
-            return;
-        }
-        let Some(position) = self.jobs[job].position(name) else {
-            return;
-        };
-        if self.jobs[job].ready.contains(&position) {
-            self.task_done(cx, TaskKey { job, position }, out);
-        }
-    }
-
     fn take_running(&mut self, cx: &Context<'_>, key: WorkerKey, report: &WorkerReport) {
         for row in &report.running {
             let worker = &mut self.workers[key];
@@ -159,7 +107,7 @@
             let is_settled = run.settled.is_some_and(|at| at < sent);
             if is_settled && !is_listed(run.name, run.run) {
                 let run = self.workers[key].remove_run(position);
-                self.run_ended(cx, key, &run, EndKind::Stopped, out);
+                self.run_lost(cx, key, &run, EndKind::Stopped, out);
             } else {
                 position += 1;
             }
@@ -220,9 +168,11 @@
 
     /// Sends a look where one is due and none is under way.
     pub(super) fn plan_look(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let is_confirmed = self.is_epoch_confirmed(cx);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        let may_go_on = is_confirmed || !worker.has_kept_runs();
         let is_early = worker.looking.not_before.is_some_and(|t| cx.now < t);
         if worker.looking.out_since.is_some() || is_early || !needs_look(worker) {
             return;
@@ -232,6 +182,7 @@
             .clock
             // What a silent worker may or may not have heard must not prolong the wait for its tasks.
             .filter(|_| has_runs && worker.fenced.is_some() && !worker.is_doubtful())
+            .filter(|_| may_go_on && !worker.must_rest(cx.now, cx.cfg.leased.void_drain))
             .map(|clock| clock.at(cx.now).after(cx.cfg.leased.lease));
         if let Some(until) = lease_until {
             worker.note_lease(until);
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -1,5 +1,7 @@
 //! The scheduler: takes commands, decides, and pushes effects.
 
+mod ends;
+mod epochs;
 mod finish;
 mod keep;
 mod look;
@@ -18,6 +20,7 @@
 use super::cells::CellName;
 use super::command::{Command, LookReply};
 use super::effect::{Effect, JobOutcome};
+use super::epoch::Epoch;
 use super::estimates::Estimates;
 use super::job::{Job, JobKey, JobState, Rank};
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
@@ -50,13 +53,17 @@
     /// Entry VMs whose links have broken, and when.
     lost_entries: Vec<(EntryVm, Instant)>,
     cell: CellName,
+    /// The claim to the cell; absent while there are no kept jobs.
+    epoch: Option<Epoch>,
     /// Whether all records of kept jobs are known.
     knows_records: bool,
     /// Version of the store at which they were listed.
     records_version: u64,
     /// Ended kept jobs, and since when.
     ended_records: VecDeque<(Instant, JobId)>,
-    ended: BTreeSet<JobId>,
+    /// Ended kept jobs, with those of their tasks some of whose runs count as lost, and the first run
+    /// that does not.
+    ended: BTreeMap<JobId, Vec<(TaskName, u32)>>,
     /// Whether all workers are known on which an earlier scheduler may have started tasks.
     knows_departed: bool,
     sequence: u64,
@@ -101,10 +108,11 @@
             outcome_ages: VecDeque::new(),
             lost_entries: Vec::new(),
             cell: CellName::single(),
+            epoch: None,
             knows_records: true,
             records_version: 0,
             ended_records: VecDeque::new(),
-            ended: BTreeSet::new(),
+            ended: BTreeMap::new(),
             knows_departed: true,
             sequence: 0,
             has_new_room: false,
@@ -131,7 +139,7 @@
     #[must_use]
     pub fn with_records(mut self, cell: CellName) -> Self {
         self.cell = cell;
-        self.knows_records = false;
+        self.begin_epoch();
         self
     }
 
@@ -184,6 +192,8 @@
                 sent,
                 reply,
             } => self.looked(cx, worker, sent, reply, out),
+            Command::EpochReplied { sent, reply } => self.epoch_replied(cx, sent, reply, out),
+            Command::Followed { since } => self.followed(since),
             Command::RecordReplied { id, reply } => self.record_replied(cx, id, reply, out),
             Command::RecordListed { record, version } => {
                 self.record_listed(cx, &record, version, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -15,6 +15,7 @@
         let grace = cx.cfg.leased.stop_grace;
         let mut workers = self.workers.values();
         let are_all_listed = self.knows_departed && workers.all(|w| w.lists_all(cx.now, grace));
+        let is_epoch_confirmed = self.is_epoch_confirmed(cx);
         let mut misses = 0;
         let order: Vec<_> = self.waiting.iter().copied().collect();
         for (rank, key) in order {
@@ -22,6 +23,15 @@
             if !are_all_listed && earlier.is_some_and(|until| cx.now < until) {
                 continue;
             }
+            if let Some(keeping) = &self.jobs[key].keeping {
+                if keeping.holds_starts || !is_epoch_confirmed || !self.knows_records {
+                    continue;
+                }
+                if earlier.is_some() {
+                    self.void_earlier_runs(cx, key, out);
+                    continue;
+                }
+            }
             if !self.place_job(cx, key, (respects_pauses, respects_slowness), out) {
                 misses += 1;
             }
@@ -51,6 +61,7 @@
                 data_centre: &self.data_centre,
                 respects_pauses,
                 respects_slowness,
+                may_renew_kept: self.is_epoch_confirmed(cx),
             };
             let Some(worker) = placement::choose(&cx.cfg.leased, &self.workers, wish) else {
                 return false;
@@ -94,6 +105,7 @@
             sent: cx.now,
             settled: None,
             expected: job.expected_run(task.position),
+            is_kept: job.keeping.is_some(),
             percent: 0,
             moved: cx.now,
             is_adopted: false,
@@ -128,7 +140,8 @@
         let Some(position) = job.position(name) else {
             return;
         };
-        if job.task(position).state != TaskState::Waiting {
+        let task = job.task(position);
+        if task.state != TaskState::Waiting || run < task.first_valid_run {
             return;
         }
         job.mark_placed(position);
@@ -149,6 +162,7 @@
             sent: cx.now,
             settled: stop_sent.is_none().then_some(cx.now),
             expected: job.expected_run(position),
+            is_kept: job.keeping.is_some(),
             percent: 0,
             moved: cx.now,
             is_adopted: true,
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -24,7 +24,7 @@
 pub(super) const KEPT_PATIENCE: Duration = Duration::from_hours(24 * 365);
 
 /// Runs that an earlier scheduler may have made of a task, so that later numbers are higher.
-const RUNS_BEFORE_TAKEOVER: u32 = 100;
+const RUNS_BEFORE_TAKEOVER: u32 = 10_000;
 
 impl Scheduler {
     pub(super) fn submit(
@@ -55,12 +55,7 @@
         }
         let id = spec.id;
         let is_kept = spec.is_kept;
-        if let Some(outcome) = self.known_outcome(id, may_have_started) {
-            let outcome = if is_kept {
-                JobOutcome::Accepted
-            } else {
-                outcome
-            };
+        if let Some(outcome) = self.known_outcome(id, is_kept, may_have_started) {
             out.push(Effect::Answer {
                 origin,
                 id,
@@ -68,20 +63,13 @@
             });
             return;
         }
-        let key = self.insert_job(cx, spec, origin, (waited, patience), may_have_started);
-        // A job that may have been accepted before must not be refused.
-        let is_new = !self.jobs[key].has_started && !may_have_started && self.knows_records;
-        if is_kept
-            && is_new
-            && !self.ended.contains(&id)
-            && let Some(reason) = self.refusal(cx, key)
-        {
-            self.refuse(cx, key, reason, out);
-            return;
+        let key = self.add_job(cx, spec, origin, (waited, patience));
+        if is_kept {
+            self.keep(cx, key);
         }
+        self.find_earlier_runs(cx, key, may_have_started);
         if is_kept {
-            self.keep(key);
-            self.send_record(cx, key, out);
+            self.submit_kept(cx, key, may_have_started, out);
             return;
         }
         if self.jobs[key].is_done() {
@@ -103,29 +91,70 @@
         self.has_new_room = true;
     }
 
-    /// Adds a job, with the runs of it that are known already.
-    pub(super) fn insert_job(
+    /// Stores a kept job that has just come in, or refuses it.
+    fn submit_kept(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        may_have_started: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        self.begin_epoch();
+        let job = &self.jobs[key];
+        let is_ended = self.ended.contains_key(&job.spec.id);
+        // A job that may have been accepted before must not be refused.
+        let may_refuse = !job.has_started && !may_have_started && !is_ended;
+        if self.is_epoch_lost() && !may_refuse {
+            self.finish(cx, key, JobOutcome::TimedOut, out);
+        } else if may_refuse && self.is_store_away() {
+            self.refuse(cx, key, RefusalReason::NoScheduler, out);
+        } else if may_refuse
+            && self.knows_records
+            && let Some(reason) = self.refusal(cx, key)
+        {
+            self.refuse(cx, key, reason, out);
+        } else {
+            self.send_record(cx, key, out);
+        }
+    }
+
+    /// Adds a job.
+    pub(super) fn add_job(
         &mut self,
         cx: &Context<'_>,
         spec: JobSpec,
         origin: EntryVm,
         (waited, patience): (Duration, Duration),
-        may_have_started: bool,
     ) -> JobKey {
         let id = spec.id;
         let job = self.new_job(cx, spec, origin, waited, patience);
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
+        key
+    }
+
+    /// Gives a new job the runs of it that are known already.
+    pub(super) fn find_earlier_runs(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        may_have_started: bool,
+    ) {
         self.inherit_runs(key);
         self.adopt_orphans(cx, key);
+        if !may_have_started {
+            return;
+        }
         let job = &mut self.jobs[key];
-        if may_have_started {
-            job.earlier_runs_until = Some(cx.now + cx.cfg.leased.takeover_wait);
-            for task in &mut job.tasks {
-                task.last_run = task.last_run.max(RUNS_BEFORE_TAKEOVER);
-            }
+        let mut wait = cx.cfg.leased.takeover_wait;
+        if job.keeping.is_some() {
+            wait += cx.cfg.leased.epoch_ttl;
+        }
+        job.earlier_runs_until = Some(cx.now + wait);
+        for task in &mut job.tasks {
+            let before = task.first_valid_run + RUNS_BEFORE_TAKEOVER;
+            task.last_run = task.last_run.max(before);
         }
-        key
     }
 
     fn new_job(
@@ -309,11 +338,20 @@
     }
 
     /// How a job ended that comes again.
-    fn known_outcome(&self, id: JobId, is_passed_on_again: bool) -> Option<JobOutcome> {
+    fn known_outcome(
+        &self,
+        id: JobId,
+        is_kept: bool,
+        is_passed_on_again: bool,
+    ) -> Option<JobOutcome> {
         let &(_, outcome) = self.outcomes.get(&id)?;
         match outcome {
-            JobOutcome::Completed | JobOutcome::Failed => Some(outcome),
             // A caller who comes back after a refusal is judged anew.
+            JobOutcome::Refused { .. } | JobOutcome::TimedOut => {
+                (is_passed_on_again && !is_kept).then_some(outcome)
+            }
+            _ if is_kept => Some(JobOutcome::Accepted),
+            JobOutcome::Completed | JobOutcome::Failed => Some(outcome),
             _ => is_passed_on_again.then_some(outcome),
         }
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -20,6 +20,11 @@
 /// Time for which ends of unknown jobs are kept.
 const EARLY_END_TTL: Duration = Duration::from_secs(2);
 
+/// Time that runs of an earlier scheduler may go on while it is not known whether they belong to
+/// kept jobs. A scheduler on the other side of a partition starts them again no sooner than 0.98 s
+/// after its beginning, and this one takes over within 0.55 s; a stop takes up to 0.05 s.
+const UNKNOWN_ORPHAN_GRACE: Duration = Duration::from_millis(350);
+
 /// Time without progress, as a multiple of the expected run time, from which a task stands still.
 const STALL_FACTOR: f64 = 1.0;
 
@@ -34,6 +39,7 @@
         for key in keys {
             self.watch(cx, key, out);
         }
+        self.watch_epoch(cx, out);
         self.watch_records(cx, out);
         self.drop_lost_entries(cx, out);
         self.forget_outcomes(cx);
@@ -93,6 +99,7 @@
         if worker.has_lapsed(cx.now) && worker.looking.misses > 0 {
             self.lapse(cx, key, out);
         }
+        self.settle_void_end(cx, key);
         self.stop_orphans(cx, key, out);
         self.repeat_stops(cx, key, out);
         self.move_stalled(cx, key, out);
@@ -111,16 +118,35 @@
         self.workers[key].orphans.clear();
         while !self.workers[key].runs.is_empty() {
             let run = self.workers[key].remove_run(0);
-            self.run_ended(cx, key, &run, EndKind::Lapsed, out);
+            self.run_lost(cx, key, &run, EndKind::Lapsed, out);
+        }
+    }
+
+    /// Lets ends of lost runs be acknowledged, once the worker's leases have lapsed since.
+    fn settle_void_end(&mut self, cx: &Context<'_>, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        let Some((_, since)) = worker.void_end else {
+            return;
+        };
+        let rest = cx.cfg.leased.takeover_wait;
+        let is_old = |at| cx.now.saturating_duration_since(at) >= rest;
+        if is_old(since) && worker.fenced.is_some_and(is_old) && worker.has_lapsed(cx.now) {
+            worker.void_end = None;
+            worker.owes_ack = true;
+            self.has_new_room = true;
         }
     }
 
     fn stop_orphans(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
-        let grace = cx.cfg.leased.orphan_grace;
+        // Until the records are known, a run may belong to a kept job.
+        let grace = if self.knows_records {
+            cx.cfg.leased.orphan_grace
+        } else {
+            UNKNOWN_ORPHAN_GRACE
+        };
         let mut due: Vec<(TaskName, u32)> = Vec::new();
         for orphan in &mut self.workers[key].orphans {
             let is_old = cx.now.saturating_duration_since(orphan.since) >= grace;
-            let is_old = is_old && self.knows_records;
             if is_old && is_stop_due(orphan.stop_sent, cx.now) {
                 orphan.stop_sent = Some(cx.now);
                 due.push((orphan.name, orphan.run));
--- a/crates/geraniumrelay-core/src/leased/spec.rs
+++ b/crates/geraniumrelay-core/src/leased/spec.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::names::JobId;
+use super::names::{JobId, TaskName};
 
 /// Most tasks that are counted on one worker, for tasks that ask for nothing.
 const MAX_COUNT: u64 = 1_000;
@@ -107,6 +107,19 @@
 }
 
 impl JobSpec {
+    /// Names of its tasks, in the order of steps and indexes.
+    pub fn task_names(&self) -> impl Iterator<Item = TaskName> {
+        let steps = (0..).zip(&self.steps);
+        steps
+            .flat_map(|(step, s)| (0..s.count).map(move |index| (step, index)))
+            .map(|(step, index)| TaskName {
+                job: self.id,
+                occurrence: 0,
+                step,
+                index,
+            })
+    }
+
     /// Number of its tasks.
     pub fn task_count(&self) -> usize {
         self.steps.iter().map(|s| usize::from(s.count)).sum()
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -1,5 +1,6 @@
 //! A worker, as the scheduler sees it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -78,6 +79,8 @@
     /// From when on a look that does not list it proves that it is over; unknown until the worker
     /// has confirmed the start, or the stop.
     pub(super) settled: Option<Instant>,
+    /// Whether its job must be kept.
+    pub(super) is_kept: bool,
     pub(super) expected: Duration,
     pub(super) percent: u8,
     /// When `percent` last grew.
@@ -128,9 +131,17 @@
     pub(super) runs: Vec<Run>,
     pub(super) orphans: Vec<Orphan>,
     pub(super) used: Resources,
+    /// Highest end that has been taken note of.
     pub(super) last_seen: u64,
+    /// Ends that have been taken note of and are listed still.
+    pub(super) taken_ends: BTreeSet<u64>,
     /// Ends of kept jobs that are not stored yet, and must not be acknowledged before.
     pub(super) held_ends: Vec<(u64, JobId)>,
+    /// First end of a job that may be a kept one whose record is still to come.
+    pub(super) first_unknown_end: Option<u64>,
+    /// First successful end of a run that counts as lost, and since when it is known. It is
+    /// acknowledged only after the worker's leases have lapsed.
+    pub(super) void_end: Option<(u64, Instant)>,
     /// Whether `last_seen` has grown since it was last sent.
     pub(super) owes_ack: bool,
     pub(super) looking: Looking,
@@ -152,7 +163,10 @@
             orphans: Vec::new(),
             used: Resources::default(),
             last_seen: 0,
+            taken_ends: BTreeSet::new(),
             held_ends: Vec::new(),
+            first_unknown_end: None,
+            void_end: None,
             owes_ack: false,
             looking: Looking::default(),
             full_until: None,
@@ -170,6 +184,7 @@
             && self.entry.state == WorkerState::Ready
             && self.fenced.is_some()
             && self.clock.is_some()
+            && self.void_end.is_none()
             && self.looking.misses < MAX_MISSES
     }
 
@@ -184,6 +199,17 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it holds runs of kept jobs.
+    pub(super) fn has_kept_runs(&self) -> bool {
+        self.runs.iter().any(|r| r.is_kept)
+    }
+
+    /// Whether its leases must not be renewed, so that ends of lost runs can be acknowledged.
+    pub(super) fn must_rest(&self, now: Instant, drain: Duration) -> bool {
+        let is_drained = |since| now.saturating_duration_since(since) >= drain;
+        self.void_end.is_some_and(|(_, since)| is_drained(since))
+    }
+
     /// Whether its last call was not answered.
     pub(super) fn is_doubtful(&self) -> bool {
         self.looking.misses > 0
@@ -227,8 +253,10 @@
 
     /// The last end that may be acknowledged.
     pub(super) fn acknowledged(&self) -> u64 {
-        let first_held = self.held_ends.iter().map(|h| h.0).min();
-        first_held.map_or(self.last_seen, |first| first - 1)
+        let held = self.held_ends.iter().map(|h| h.0);
+        let void = self.void_end.map(|v| v.0);
+        let first = held.chain(self.first_unknown_end).chain(void).min();
+        first.map_or(self.last_seen, |first| first - 1)
     }
 
     /// Says that something else is believed of it.
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -57,6 +57,10 @@
     next_end: u64,
     token: FencingToken,
     lease: WorkerTime,
+    /// Tasks that ended as done, and when, where the end was acknowledged before a lease lapsed.
+    pub(crate) noted: Vec<(TaskName, Instant)>,
+    /// Ends as done that are not acknowledged yet: their number, task and time.
+    open_ends: Vec<(u64, TaskName, Instant)>,
     /// Highest run that ended or was stopped, by task.
     past: Vec<(TaskName, u32)>,
 }
@@ -79,6 +83,8 @@
             next_end: 1,
             token: FencingToken::default(),
             lease: WorkerTime(0),
+            noted: Vec::new(),
+            open_ends: Vec::new(),
             past: Vec::new(),
         }
     }
@@ -113,11 +119,19 @@
             match kind {
                 Some(kind) => {
                     let run = self.runs.remove(position);
+                    if kind == EndKind::Done {
+                        let at = run.ends.unwrap_or(now);
+                        self.open_ends.push((self.next_end, run.task, at));
+                    }
                     self.list_end(run.task, run.run, kind);
                 }
                 None => position += 1,
             }
         }
+        if has_lapsed {
+            // Whoever acknowledges these now has not relied on them.
+            self.open_ends.clear();
+        }
     }
 
     fn list_end(&mut self, task: TaskName, run: u32, kind: EndKind) {
@@ -229,6 +243,9 @@
             self.extend(now, lease);
         }
         self.ended.retain(|e| e.number > last_seen);
+        let noted = self.open_ends.iter().filter(|e| e.0 <= last_seen);
+        self.noted.extend(noted.map(|&(_, task, at)| (task, at)));
+        self.open_ends.retain(|e| e.0 > last_seen);
         if self.ended.is_empty() && may_wait {
             return None;
         }
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -129,6 +129,19 @@
     #[prost(bool, tag = "14")]
     pub is_kept: bool,
 }
+/// What lasts of a task of a kept job, beside whether it is done.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TaskProgress {
+    /// Position of the task, in the order of steps and indexes.
+    #[prost(uint32, tag = "1")]
+    pub position: u32,
+    /// Runs that ended as failed.
+    #[prost(uint32, tag = "2")]
+    pub failures: u32,
+    /// Lower runs count as lost.
+    #[prost(uint32, tag = "3")]
+    pub first_valid_run: u32,
+}
 /// A kept job, as it is stored.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct JobRecord {
@@ -139,6 +152,8 @@
     pub done: ::prost::alloc::vec::Vec<u32>,
     #[prost(enumeration = "job_record::State", tag = "3")]
     pub state: i32,
+    #[prost(message, repeated, tag = "4")]
+    pub progress: ::prost::alloc::vec::Vec<TaskProgress>,
 }
 /// Nested message and enum types in `JobRecord`.
 pub mod job_record {
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -1,17 +1,20 @@
 //! A cell, as this process sees it.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::election::{Election, ElectionConfig};
+use geraniumrelay_core::leased::election::{Election, ElectionConfig, Step};
 use geraniumrelay_core::leased::estimates::Estimates;
-use geraniumrelay_core::leased::{EntryVm, Scheduler};
+use geraniumrelay_core::leased::{EntryVm, FencingToken, Scheduler};
 use geraniumrelay_wire::leased::{CellBeat, QueueCount};
 
 use super::convert;
 
+/// Time after which the holder of a cell is taken for gone; longer than a takeover.
+const HOLDER_SILENCE: Duration = Duration::from_secs(1);
+
 /// A cell.
 #[derive(Debug)]
 pub(super) struct Cell {
@@ -21,6 +24,9 @@
     pub(super) scheduler: Option<Scheduler>,
     /// Run times learnt while this process scheduled.
     pub(super) estimates: Estimates,
+    /// The scheduler that has claimed the cell in the store, where it is not the one here, and since
+    /// when that is known.
+    pub(super) epoch_lost: Option<(FencingToken, Instant)>,
     /// Load of the cell, as its scheduler told, in percent of its room.
     pub(super) load: u32,
     /// Waiting jobs of each queue, as the scheduler told.
@@ -34,6 +40,7 @@
             election: Election::new(ElectionConfig::default(), vm, now),
             scheduler: None,
             estimates: Estimates::default(),
+            epoch_lost: None,
             load: 0,
             pending: Map::default(),
         }
@@ -69,6 +76,18 @@
         pending.get(queue).copied().unwrap_or(0)
     }
 
+    /// Gives up, so as to take over with a higher token, where nobody has heard for a while of the
+    /// scheduler that has claimed the cell: its kept jobs would stand still.
+    pub(super) fn outrank_holder(&mut self, now: Instant) -> Option<Step> {
+        let (holder, since) = self.epoch_lost?;
+        let is_silent = now.saturating_duration_since(since) >= HOLDER_SILENCE;
+        if !is_silent || self.election.hears(holder) {
+            return None;
+        }
+        self.epoch_lost = None;
+        Some(self.election.outrank(holder, now))
+    }
+
     /// Stops scheduling.
     pub(super) fn drop_scheduler(&mut self) {
         if let Some(scheduler) = self.scheduler.take() {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -10,12 +10,13 @@
 use geraniumrelay_core::leased::election::{Beat as OwnBeat, Fitness};
 use geraniumrelay_core::leased::{
     EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, RecordState, RefusalReason,
-    Resources, StepSpec, Submission,
+    Resources, StepSpec, Submission, TaskProgress,
 };
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::job_record::State as StoredState;
 use geraniumrelay_wire::leased::{
     Answer, Beat, CellBeat, JobRecord as StoredRecord, QueueCount, Step, Submit,
+    TaskProgress as StoredProgress,
 };
 
 /// Reasons that a refusal may have.
@@ -148,6 +149,7 @@
         job: Some(submit_to(&submission, &record.cell)),
         done: record.done.clone(),
         state: state.into(),
+        progress: record.progress.iter().map(progress_to).collect(),
     }
 }
 
@@ -165,10 +167,27 @@
         spec: submit_from(job, vm_from(0)).spec,
         cell,
         done: stored.done,
+        progress: stored.progress.iter().map(progress_from).collect(),
         state,
     })
 }
 
+fn progress_to(progress: &TaskProgress) -> StoredProgress {
+    StoredProgress {
+        position: progress.position,
+        failures: progress.failures,
+        first_valid_run: progress.first_valid_run,
+    }
+}
+
+fn progress_from(stored: &StoredProgress) -> TaskProgress {
+    TaskProgress {
+        position: stored.position,
+        failures: stored.failures,
+        first_valid_run: stored.first_valid_run,
+    }
+}
+
 fn step_to(step: &StepSpec) -> Step {
     let text = |t: &Option<Arc<str>>| t.as_deref().unwrap_or_default().to_owned();
     Step {
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -72,6 +72,7 @@
             scheduler.with_cell(name.clone())
         };
         cell.scheduler = Some(scheduler);
+        cell.epoch_lost = None;
         for entry in workers {
             self.command(name, Command::WorkerSeen(entry));
         }
@@ -81,9 +82,8 @@
             self.command(name, Command::WorkerGone(worker));
         }
         self.read_workers(name, token, knows_departed);
-        if must_read_records {
-            self.read_records(name, token);
-        }
+        // The claim of its cell is sent at once.
+        self.command(name, Command::Tick);
         self.beat(None);
         self.desk.mark_unsent(name);
         self.pass_jobs_on();
@@ -116,7 +116,12 @@
         let Some(cell) = self.cells.get_mut(name) else {
             return;
         };
-        let step = cell.election.tick(now, SystemTime::now());
+        let step = match cell.outrank_holder(now) {
+            Some(step) => step,
+            None => cell.election.tick(now, SystemTime::now()),
+        };
+        let others = self.roster.peers(self.parts.vm);
+        let followed = cell.election.followed_since(others.keys().copied(), now);
         let silent = cell.election.silent_peers(now);
         let has_scheduler = cell.scheduler.is_some();
         if step != Step::Stay {
@@ -127,6 +132,9 @@
             for vm in silent {
                 self.command(name, Command::EntryLeft(vm));
             }
+            if let Some(since) = followed {
+                self.command(name, Command::Followed { since });
+            }
             self.command(name, Command::Tick);
         }
     }
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -401,9 +401,19 @@
                     self.send(origin, Body::Answer(answer));
                 }
             }
-            Effect::Record { record, expected } => {
-                self.store_record(name, token, record, expected);
+            Effect::Record {
+                record,
+                expected,
+                epoch,
+            } => self.store_record((name, token), record, expected, epoch),
+            Effect::ClaimEpoch => self.claim_epoch(name, token),
+            Effect::EpochLost { token: holder } => {
+                info!(cell:% = name, token:% = token, holder:% = holder; "epoch_lost");
+                if let Some(cell) = self.cells.get_mut(name) {
+                    cell.epoch_lost = Some((holder, Instant::now()));
+                }
             }
+            Effect::ReadRecords => self.read_records(name, token),
             Effect::ForgetRecord { id } => {
                 let kept = self.parts.kept.clone();
                 spawn_local(async move { kept.forget(id).await });
--- a/crates/geraniumrelay/src/leased/hub/records.rs
+++ b/crates/geraniumrelay/src/leased/hub/records.rs
@@ -1,7 +1,7 @@
 //! Records of kept jobs.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumrelay_adapter::Change;
 use geraniumrelay_core::leased::cells::CellName;
@@ -20,20 +20,31 @@
     /// Stores a record, and tells the scheduler the reply.
     pub(super) fn store_record(
         &self,
-        cell: &CellName,
-        token: FencingToken,
+        (cell, token): (&CellName, FencingToken),
         record: JobRecord,
         expected: u64,
+        epoch: u64,
     ) {
         let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
         spawn_local(async move {
             let id = record.spec.id;
-            let reply = kept.store(&record, expected).await;
+            let reply = kept.store(&record, expected, Some(epoch)).await;
             let command = Command::RecordReplied { id, reply };
             tx.reply(cell, token, command).await;
         });
     }
 
+    /// Claims a cell in the store for its scheduler here, and tells it the reply.
+    pub(super) fn claim_epoch(&self, cell: &CellName, token: FencingToken) {
+        let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
+        spawn_local(async move {
+            let sent = Instant::now();
+            let reply = kept.claim(&cell, token).await;
+            let command = Command::EpochReplied { sent, reply };
+            tx.reply(cell, token, command).await;
+        });
+    }
+
     /// Reads all records for a new scheduler.
     pub(super) fn read_records(&self, cell: &CellName, token: FencingToken) {
         let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -55,6 +55,8 @@
                 self.knows_kept_jobs = true;
                 self.take_records(rows);
             }
+            // Read where a cell is claimed.
+            Table::Epochs => {}
             Table::EntryVms => {
                 if self.roster.take_members(is_whole, rows) {
                     self.make_cells(now);
@@ -189,6 +191,7 @@
             Table::Workers => "workers",
             Table::EntryVms => "entry-vms",
             Table::KeptJobs => "kept-jobs",
+            Table::Epochs => "cell-epochs",
         };
         if is_healthy {
             self.sick_tables.remove(name);
--- a/crates/geraniumrelay/src/leased/kept.rs
+++ b/crates/geraniumrelay/src/leased/kept.rs
@@ -1,7 +1,10 @@
 //! Records of kept jobs in the platform's store.
 
 use geraniumrelay_adapter::{Change as Row, ExpectedRow, StoreClient, StoreError, Table, Write};
-use geraniumrelay_core::leased::{JobId, JobRecord, RecordReply, RecordState};
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{
+    EpochReply, FencingToken, JobId, JobRecord, RecordReply, RecordState,
+};
 use geraniumrelay_wire::leased::JobRecord as StoredRecord;
 use log::{info, warn};
 use prost::Message as _;
@@ -36,6 +39,8 @@
 struct Change {
     record: JobRecord,
     expected: u64,
+    /// Version of the cell's row that must be stored, where a scheduler makes the change.
+    epoch: Option<u64>,
     reply: oneshot::Sender<RecordReply>,
 }
 
@@ -67,6 +72,10 @@
                         let _ = next.reply.send(RecordReply::Refused);
                         continue;
                     }
+                    if !is_of_epoch(&batch[0], &next) {
+                        writer.write(std::mem::take(&mut batch)).await;
+                        bytes = 0;
+                    }
                     batch.push(next);
                 }
                 writer.write(batch).await;
@@ -75,12 +84,19 @@
         kept
     }
 
-    /// Stores a record where the version `expected` is stored.
-    pub(super) async fn store(&self, record: &JobRecord, expected: u64) -> RecordReply {
+    /// Stores a record where the version `expected` is stored, and the cell's row has the version
+    /// `epoch`, where one is given.
+    pub(super) async fn store(
+        &self,
+        record: &JobRecord,
+        expected: u64,
+        epoch: Option<u64>,
+    ) -> RecordReply {
         let (reply, replied) = oneshot::channel();
         let change = Change {
             record: record.clone(),
             expected,
+            epoch,
             reply,
         };
         // The writer only ends with the process.
@@ -92,8 +108,16 @@
     /// rest is tried again: a cancel of an entry VM must not hold up all other jobs.
     async fn write(&self, mut batch: Vec<Change>) {
         while !batch.is_empty() {
-            let rows: Vec<ExpectedRow> = batch.iter().map(row).collect();
-            let written = match self.store.put_if(Table::KeptJobs, &rows).await {
+            let epoch = batch.first().and_then(epoch_row);
+            let rows: Vec<ExpectedRow> = batch.iter().map(row).chain(epoch.clone()).collect();
+            let written = match self.store.put_if(&rows).await {
+                Ok(Write::Conflict { stored }) if is_over(epoch.as_ref(), &stored) => {
+                    for change in batch.drain(..) {
+                        // A scheduler that was replaced does not wait any more.
+                        let _ = change.reply.send(RecordReply::EpochOver);
+                    }
+                    return;
+                }
                 Ok(Write::Conflict { stored }) => {
                     let before = batch.len();
                     batch = take_conflicts(batch, &stored);
@@ -112,6 +136,46 @@
         }
     }
 
+    /// Claims a cell for the scheduler with `token`, where no higher one has it.
+    pub(super) async fn claim(&self, cell: &CellName, token: FencingToken) -> EpochReply {
+        let claimed = self.try_claim(cell, token).await;
+        claimed.unwrap_or_else(|e| {
+            warn!(cell:% = cell, token:% = token, reason:% = e; "cell_not_claimed");
+            EpochReply::Unanswered
+        })
+    }
+
+    async fn try_claim(
+        &self,
+        cell: &CellName,
+        token: FencingToken,
+    ) -> Result<EpochReply, StoreError> {
+        let stored = self.store.row(Table::Epochs, &cell.0).await?;
+        let version = stored.as_ref().map_or(0, |r| r.version);
+        match stored.as_ref().and_then(token_of) {
+            Some(holder) if holder > token => {
+                info!(cell:% = cell, token:% = token, holder:% = holder, version; "cell_taken");
+                return Ok(EpochReply::Taken { token: holder });
+            }
+            Some(holder) if holder == token => return Ok(EpochReply::Held { version }),
+            _ => {}
+        }
+        let row = ExpectedRow {
+            table: Table::Epochs,
+            key: cell.to_string(),
+            value: Some(token.to_string().into_bytes()),
+            expected: version,
+        };
+        match self.store.put_if(&[row]).await? {
+            Write::Done { version } => {
+                info!(cell:% = cell, token:% = token, version; "cell_claimed");
+                Ok(EpochReply::Held { version })
+            }
+            // Another one was faster; the next attempt shows which.
+            Write::Conflict { .. } => Ok(EpochReply::Unanswered),
+        }
+    }
+
     /// All records.
     pub(super) async fn all(&self) -> Result<Records, StoreError> {
         let listing = self.store.list(Table::KeptJobs).await?;
@@ -140,13 +204,13 @@
                 return Ok(true);
             }
             record.state = RecordState::Cancelled;
-            match self.store(&record, version).await {
+            match self.store(&record, version, None).await {
                 RecordReply::Stored { version } => {
                     info!(id:% = id, version; "job_cancelled");
                     return Ok(true);
                 }
                 RecordReply::Conflict { stored: newer } => stored = newer,
-                RecordReply::Refused | RecordReply::Unanswered => break,
+                RecordReply::Refused | RecordReply::Unanswered | RecordReply::EpochOver => break,
             }
         }
         Err(StoreError::Unanswered)
@@ -162,12 +226,42 @@
 
 fn row(change: &Change) -> ExpectedRow {
     ExpectedRow {
+        table: Table::KeptJobs,
         key: change.record.spec.id.to_string(),
-        value: convert::record_to(&change.record).encode_to_vec(),
+        value: Some(convert::record_to(&change.record).encode_to_vec()),
         expected: change.expected,
     }
 }
 
+/// The condition that a scheduler's cell is still its own.
+fn epoch_row(change: &Change) -> Option<ExpectedRow> {
+    Some(ExpectedRow {
+        table: Table::Epochs,
+        key: change.record.cell.to_string(),
+        value: None,
+        expected: change.epoch?,
+    })
+}
+
+/// Whether two changes stand under the same condition.
+fn is_of_epoch(one: &Change, other: &Change) -> bool {
+    one.epoch == other.epoch && one.record.cell == other.record.cell
+}
+
+/// Whether the cell has been claimed anew.
+fn is_over(epoch: Option<&ExpectedRow>, stored: &[Row]) -> bool {
+    epoch.is_some_and(|epoch| {
+        let row = stored.iter().find(|r| r.key == epoch.key);
+        row.map_or(0, |r| r.version) != epoch.expected
+    })
+}
+
+/// The token in a cell's row.
+fn token_of(row: &Row) -> Option<FencingToken> {
+    let text = String::from_utf8_lossy(row.value.as_deref()?);
+    text.parse().ok().map(FencingToken)
+}
+
 /// Answers the changes that met another version, and returns the others.
 fn take_conflicts(batch: Vec<Change>, stored: &[Row]) -> Vec<Change> {
     let mut others = Vec::new();
--- a/crates/geraniumrelay/src/leased/tests/convert.rs
+++ b/crates/geraniumrelay/src/leased/tests/convert.rs
@@ -5,6 +5,7 @@
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
     EntryVm, FencingToken, JobId, JobOutcome, JobRecord, RecordState, RefusalReason, Submission,
+    TaskProgress,
 };
 
 use super::{MS, spec};
@@ -43,6 +44,11 @@
             spec: spec(7),
             cell: CellName("z/1".into()),
             done: vec![0, 1],
+            progress: vec![TaskProgress {
+                position: 1,
+                failures: 2,
+                first_valid_run: 10_001,
+            }],
             state,
         };
         let stored = convert::record_to(&record);
