feat(core): a scheduler on a slow VM hands over, and one that shares the workers goes on

Ruled out for (1): queues inside the process (a probe behind all that waits arrived within 6 ms); the lateness of the tick tells: 0.6 ms as usual, 8 to 11 ms when slow, 1 ms on the other VMs.

Change: beats tell a VM's lag; a scheduler that lags by 6 ms and three times as much as its successor hands over, at most every 1.5 s. A worker that obeys a higher token counts as taken; the scheduler goes on with the rest unless most are taken, or one for 2 s. A VM that was cut off from the store waits 0.7 s for the scheduler that others follow; a fenced one pauses for 0.2 s.

Tests: a_scheduler_that_lags_hands_over_to_one_that_does_not and its counterpart, a_scheduler_goes_on_without_the_workers_that_another_one_has, a_vm_that_was_cut_off_waits_for_the_scheduler_that_others_follow.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -40,6 +40,9 @@
     /// Time in which a kept job that can't be stored is refused, where it has not been sent to the
     /// store; a takeover takes less.
     pub store_patience: Duration,
+    /// Time after which a scheduler gives up of which single workers have seen a higher token; longer
+    /// than entry VMs take to hear of each other after a partition.
+    pub taken_patience: Duration,
     /// Time for which a worker that lists ends of runs that count as lost may finish what it runs.
     pub void_drain: Duration,
     /// Time for which a worker that is not listed any more may still run what another scheduler
@@ -80,6 +83,7 @@
             epoch_refresh: Duration::from_millis(200),
             epoch_repeat: Duration::from_millis(250),
             store_patience: Duration::from_millis(700),
+            taken_patience: Duration::from_secs(2),
             void_drain: Duration::from_secs(3),
             departed_ttl: Duration::from_secs(20),
             stop_grace: Duration::from_millis(80),
--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -15,6 +15,9 @@
 /// restart of all entry VMs.
 const ROUND_EPOCH: Duration = Duration::from_hours(438_288);
 
+/// Lag of the scheduler over that of its successor from which it hands over.
+const LAG_RATIO: u32 = 3;
+
 /// Rounds skipped when workers turn out to have seen a higher token than anybody here knows.
 const FENCED_STEP: u64 = 2;
 
@@ -33,6 +36,26 @@
     pub turn: Duration,
     /// Time without the platform's store after which the scheduler hands over to a VM that has it.
     pub store_patience: Duration,
+    /// Time for which a VM that was cut off waits to hear of the scheduler that others follow; entry
+    /// VMs connect again within 0.4 s.
+    pub rejoin_patience: Duration,
+    /// Time for which a scheduler that workers have fenced leaves them to the other one: it will hear
+    /// of it, where the links between them work again.
+    pub fenced_pause: Duration,
+    /// Lag from which a VM counts as overloaded.
+    pub lag_limit: Duration,
+    /// Time for which the scheduler must lag before it hands over; longer than a pause that ends a
+    /// used-up share of a core.
+    pub lag_patience: Duration,
+    /// Time for which a scheduler does not hand over for its lag: where the load is too much for any
+    /// VM, each change would only add to it.
+    pub lag_tenure: Duration,
+}
+
+impl ElectionConfig {
+    /// The usual `lag_limit`: a job passes through some six turns of its scheduler, which has 60 ms
+    /// beside the run time. A sound VM is 1 ms late, one that is five times slower 8 to 11 ms.
+    pub const LAG_LIMIT: Duration = Duration::from_millis(6);
 }
 
 impl Default for ElectionConfig {
@@ -44,6 +67,11 @@
             start_grace: Duration::from_millis(300),
             turn: Duration::from_millis(150),
             store_patience: Duration::from_millis(1_500),
+            rejoin_patience: Duration::from_millis(700),
+            fenced_pause: Duration::from_millis(200),
+            lag_limit: Self::LAG_LIMIT,
+            lag_patience: Duration::from_millis(200),
+            lag_tenure: Duration::from_millis(1_500),
         }
     }
 }
@@ -63,6 +91,8 @@
     pub follows: Option<FencingToken>,
     /// Whether it knows the workers that have departed lately.
     pub knows_departed: bool,
+    /// How much later than planned it gets to its work, smoothed.
+    pub lag: Duration,
     /// How well its VM suits.
     pub fitness: Fitness,
 }
@@ -113,7 +143,14 @@
     current: Option<(EntryVm, FencingToken)>,
     /// Since when there is none.
     lost_at: Instant,
+    /// Until when it leaves the workers to the scheduler that has fenced it.
+    fenced_until: Option<Instant>,
+    /// When this process last took over.
+    took_over_at: Instant,
     store_lost_at: Option<Instant>,
+    lag: Duration,
+    /// Since when it lags.
+    lagging_since: Option<Instant>,
     is_barred: bool,
     knows_departed: bool,
     fitness: Fitness,
@@ -131,7 +168,11 @@
             highest: FencingToken::default(),
             current: None,
             lost_at: now,
+            fenced_until: None,
+            took_over_at: now,
             store_lost_at: Some(now),
+            lag: Duration::ZERO,
+            lagging_since: None,
             is_barred: true,
             knows_departed: false,
             fitness: Fitness::default(),
@@ -164,6 +205,16 @@
         }
     }
 
+    /// Notes how much later than planned this process gets to its work.
+    pub fn set_lag(&mut self, lag: Duration, now: Instant) {
+        self.lag = lag;
+        if lag < self.cfg.lag_limit {
+            self.lagging_since = None;
+        } else {
+            self.lagging_since.get_or_insert(now);
+        }
+    }
+
     /// Notes whether this process knows the workers that have departed lately, and how well its VM
     /// suits.
     pub fn set_fitness(&mut self, knows_departed: bool, fitness: Fitness) {
@@ -224,6 +275,7 @@
             successor,
             follows: self.current.map(|c| c.1),
             knows_departed: self.knows_departed,
+            lag: self.lag,
             fitness: self.fitness,
         }
     }
@@ -270,6 +322,7 @@
     /// Takes note that workers have seen a higher token than this scheduler's.
     pub fn fenced(&mut self, now: Instant) -> Step {
         self.highest = FencingToken::new(self.highest.round() + FENCED_STEP, self.vm);
+        self.fenced_until = Some(now + self.cfg.fenced_pause);
         self.lose(now)
     }
 
@@ -292,7 +345,7 @@
     /// Names the VM that takes over when this one stops.
     pub fn successor(&self, now: Instant) -> Option<EntryVm> {
         let live = self.live_peers(now);
-        live.min_by_key(|&(vm, peer)| order(vm, &peer.beat))
+        live.min_by_key(|&(vm, peer)| order(vm, &peer.beat, self.cfg.lag_limit))
             .map(|(vm, _)| vm)
     }
 
@@ -322,17 +375,39 @@
         if is_long && successor.as_ref().is_some_and(has_store) {
             return self.resign(now);
         }
+        if successor.is_some_and(|vm| self.is_outpaced_by(vm, now)) {
+            return self.resign(now);
+        }
         Step::Stay
     }
 
+    /// Whether this scheduler has been lagging for a while and `vm` does not. Load pattern: the
+    /// scheduler's VM turns several times slower, so that all answers of all workers wait there.
+    fn is_outpaced_by(&self, vm: EntryVm, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        let is_lagging = self
+            .lagging_since
+            .is_some_and(|at| age(at) >= self.cfg.lag_patience);
+        let is_lagging = is_lagging && age(self.took_over_at) >= self.cfg.lag_tenure;
+        let peer = self.peers.get(&vm).map(|p| p.beat);
+        let is_better = |beat: Beat| {
+            beat.lag * LAG_RATIO < self.lag && (beat.has_store || self.store_lost_at.is_some())
+        };
+        is_lagging && peer.is_some_and(is_better)
+    }
+
     fn claim(&mut self, now: Instant, wall: SystemTime) -> Step {
-        if self.is_barred {
+        if self.is_barred || self.fenced_until.is_some_and(|until| now < until) {
             return Step::Stay;
         }
-        let own = order(self.vm, &self.own_beat(None));
+        if self.is_led_elsewhere(now) {
+            return Step::Stay;
+        }
+        let limit = self.cfg.lag_limit;
+        let own = order(self.vm, &self.own_beat(None), limit);
         let before = self
             .live_peers(now)
-            .filter(|&(vm, peer)| order(vm, &peer.beat) < own)
+            .filter(|&(vm, peer)| order(vm, &peer.beat, limit) < own)
             .count();
         let turns = u32::try_from(before).unwrap_or(u32::MAX);
         let start = (self.started + self.cfg.start_grace).max(self.lost_at);
@@ -346,9 +421,20 @@
         let token = FencingToken::new(round, self.vm);
         self.highest = token;
         self.current = Some((self.vm, token));
+        self.took_over_at = now;
         Step::TakeOver(token)
     }
 
+    /// Whether this VM is about to hear of a scheduler: it has been cut off from the store, and a VM
+    /// that was not follows one.
+    fn is_led_elsewhere(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        let is_led = |(_, p): (EntryVm, &Peer)| p.beat.has_store && p.beat.follows.is_some();
+        self.store_lost_at.is_some()
+            && age(self.lost_at) < self.cfg.rejoin_patience
+            && self.live_peers(now).any(is_led)
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = (EntryVm, &Peer)> {
         let limit = self.cfg.peer_fresh;
         self.peers
@@ -360,14 +446,15 @@
     }
 }
 
-/// Order in which entry VMs take over: those first that the store answers and that know the workers,
-/// then near and large ones that schedule nothing else.
-fn order(vm: EntryVm, beat: &Beat) -> impl Ord + use<> {
+/// Order in which entry VMs take over: those first that the store answers, that do not lag and that
+/// know the workers, then near and large ones that schedule nothing else.
+fn order(vm: EntryVm, beat: &Beat, lag_limit: Duration) -> impl Ord + use<> {
     let Fitness {
         is_local,
         cpu_tenths,
         other_cells,
     } = beat.fitness;
-    let is_weak = (!beat.has_store, !beat.knows_departed, !is_local);
+    let is_lagging = beat.lag >= lag_limit;
+    let is_weak = (!beat.has_store, is_lagging, !beat.knows_departed, !is_local);
     (is_weak, Reverse(cpu_tenths), other_cells, vm)
 }
--- a/crates/geraniumrelay-core/src/leased/note.rs
+++ b/crates/geraniumrelay-core/src/leased/note.rs
@@ -44,6 +44,9 @@
     /// It has started anew.
     #[display("new-life")]
     NewLife,
+    /// It obeys a scheduler with a higher token.
+    #[display("taken")]
+    Taken,
     /// It lists ends of runs that count as lost; its leases must lapse before they are acknowledged.
     #[display("void-ends")]
     VoidEnds,
--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -37,6 +37,7 @@
         }
         worker.looking.out_since = None;
         worker.looking.misses = 0;
+        worker.taken_since = None;
         // Ends that can't be acknowledged yet come again at once.
         let is_held = !worker.held_ends.is_empty() || worker.first_unknown_end.is_some();
         worker.looking.not_before = is_held.then(|| cx.now + HELD_PAUSE);
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -13,7 +13,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
 
@@ -24,7 +24,8 @@
 use super::estimates::Estimates;
 use super::job::{Job, JobKey, JobState, Rank};
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
-use super::worker::{Looking, Worker, WorkerEntry, WorkerKey, WorkerState};
+use super::note::Belief;
+use super::worker::{Looking, MAX_MISSES, Worker, WorkerEntry, WorkerKey, WorkerState};
 use crate::collections::Map;
 use crate::context::Context;
 use crate::modules::decayed::Decayed;
@@ -278,7 +279,7 @@
         }
         match reply {
             LookReply::Report(report) => self.take_report(cx, key, sent, &report, out),
-            LookReply::Fenced => self.depose(key, out),
+            LookReply::Fenced => self.met_higher_token(cx, key, out),
             LookReply::OtherLife => self.met_other_life(cx, key, out),
             LookReply::Unanswered => self.look_failed(cx, key, out),
         }
@@ -323,10 +324,31 @@
         }
     }
 
-    fn depose(&mut self, key: WorkerKey, out: &mut Vec<Effect>) {
-        self.is_deposed = true;
-        out.push(Effect::Deposed {
-            worker: self.workers[key].entry.name.clone(),
-        });
+    /// Takes note that a worker has seen a higher token: another scheduler gives it orders. Load
+    /// pattern: where a partition has just healed, the one on its other side has only some of the
+    /// workers, and the others are served on until the two hear of each other.
+    fn met_higher_token(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let worker = &mut self.workers[key];
+        let since = *worker.taken_since.get_or_insert(cx.now);
+        worker.fenced = None;
+        worker.looking.misses = worker.looking.misses.max(MAX_MISSES - 1);
+        if since == cx.now {
+            out.push(worker.believed(Belief::Taken, Duration::ZERO));
+        }
+        self.look_failed(cx, key, out);
+        let workers = self.workers.values().filter(|w| w.is_listed);
+        let (mut listed, mut taken) = (0, 0);
+        for worker in workers {
+            listed += 1;
+            taken += usize::from(worker.taken_since.is_some());
+        }
+        let patience = cx.cfg.leased.taken_patience;
+        let is_old = cx.now.saturating_duration_since(since) >= patience;
+        if taken * 2 > listed || is_old {
+            self.is_deposed = true;
+            out.push(Effect::Deposed {
+                worker: self.workers[key].entry.name.clone(),
+            });
+        }
     }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -52,7 +52,11 @@
                 }
                 worker.looking.misses = worker.looking.misses.max(1);
             }
-            StartReply::Fenced => return self.depose(key, out),
+            StartReply::Fenced => {
+                let run = worker.remove_run(position);
+                self.run_ended(cx, key, &run, EndKind::Stopped, out);
+                self.met_higher_token(cx, key, out);
+            }
             StartReply::OtherLife => self.met_other_life(cx, key, out),
             refusal => self.start_refused(cx, key, position, refusal, out),
         }
@@ -102,7 +106,7 @@
                     worker.runs[position].state = RunState::Stopping;
                 }
             }
-            StopReply::Fenced => return self.depose(key, out),
+            StopReply::Fenced => self.met_higher_token(cx, key, out),
             StopReply::Unanswered => {}
         }
         self.plan_look(cx, key, out);
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -126,6 +126,8 @@
     pub(super) clock: Option<WorkerClock>,
     /// When it answered to this scheduler's token: no other one gives it orders since.
     pub(super) fenced: Option<Instant>,
+    /// Since when it obeys another scheduler.
+    pub(super) taken_since: Option<Instant>,
     /// When the longest lease given to it lapses, and on its own clock.
     pub(super) lease: Option<(Instant, WorkerTime)>,
     pub(super) runs: Vec<Run>,
@@ -158,6 +160,7 @@
             departed: None,
             clock: None,
             fenced: None,
+            taken_since: None,
             lease: None,
             runs: Vec::new(),
             orphans: Vec::new(),
--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use assert_matches::assert_matches;
-use geraniumrelay_core::leased::EntryVm;
 use geraniumrelay_core::leased::election::{Beat, Election, ElectionConfig, Fitness, Step};
+use geraniumrelay_core::leased::{EntryVm, FencingToken};
 
 use crate::world::vm;
 
@@ -25,6 +25,7 @@
         successor: None,
         follows: None,
         knows_departed: true,
+        lag: Duration::ZERO,
         fitness: Fitness::default(),
     }
 }
@@ -181,3 +182,87 @@
     assert_matches!(step, Step::Follow(v, _) if v == vm(2));
     assert_eq!(tick(&mut restarted, known + 350 * MS), Step::Stay);
 }
+
+/// Its VM has turned several times slower, which costs all jobs of all VMs.
+#[test]
+fn a_scheduler_that_lags_hands_over_to_one_that_does_not() {
+    let start = Instant::now();
+    let mut first = ready(1, start);
+    let now = start + 500 * MS;
+    first.hear(vm(2), idle(), now);
+    lead(&mut first, now);
+    let now = now + Duration::from_secs(2);
+    let slow = Beat {
+        lag: 200 * MS,
+        ..idle()
+    };
+    first.hear(vm(2), slow, now);
+    first.hear(vm(3), idle(), now);
+    first.set_lag(200 * MS, now);
+    assert_eq!(tick(&mut first, now), Step::Stay, "a single pause is none");
+    let now = now + 250 * MS;
+    first.set_lag(200 * MS, now);
+    assert_eq!(tick(&mut first, now), Step::HandOver(vm(3)));
+}
+
+/// More than any VM can do: changing the scheduler would only add to it.
+#[test]
+fn a_scheduler_does_not_hand_over_where_all_lag_or_it_has_just_taken_over() {
+    let start = Instant::now();
+    let mut first = ready(1, start);
+    let mut now = start + 500 * MS;
+    lead(&mut first, now);
+    for step in 0..40 {
+        now += 25 * MS;
+        first.set_lag(200 * MS, now);
+        first.hear(vm(2), idle(), now);
+        assert_eq!(tick(&mut first, now), Step::Stay, "step {step}");
+    }
+    now += Duration::from_secs(2);
+    let slow = Beat {
+        lag: 90 * MS,
+        ..idle()
+    };
+    first.hear(vm(2), slow, now);
+    assert_eq!(tick(&mut first, now), Step::Stay);
+}
+
+/// After a partition, beats arrive before this VM can be heard itself.
+#[test]
+fn a_vm_that_was_cut_off_waits_for_the_scheduler_that_others_follow() {
+    let start = Instant::now();
+    let (mut other, mut cut) = (ready(2, start), ready(1, start));
+    let now = start + Duration::from_secs(1);
+    let beat = lead(&mut other, now);
+    cut.set_own(false, false, now);
+    lead(&mut cut, now);
+    let now = now + Duration::from_secs(3);
+    let follower = Beat {
+        follows: beat.token,
+        ..idle()
+    };
+    cut.hear(vm(3), follower, now);
+    assert_eq!(tick(&mut cut, now), Step::HandOver(vm(3)));
+    let now = now + 300 * MS;
+    cut.hear(vm(3), follower, now);
+    assert_eq!(tick(&mut cut, now), Step::Stay);
+    assert_matches!(cut.hear(vm(2), beat, now), Step::Follow(v, _) if v == vm(2));
+}
+
+#[test]
+fn a_vm_that_nobody_leads_takes_over_in_the_end() {
+    let start = Instant::now();
+    let mut cut = ready(1, start);
+    let mut now = start + Duration::from_secs(1);
+    cut.set_own(false, false, now);
+    let follower = Beat {
+        follows: Some(FencingToken(7)),
+        ..idle()
+    };
+    let took_over = (0..60).any(|_| {
+        now += 25 * MS;
+        cut.hear(vm(3), follower, now);
+        matches!(tick(&mut cut, now), Step::TakeOver(_))
+    });
+    assert!(took_over);
+}
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -194,3 +194,25 @@
     assert!(world.twice.is_empty(), "{:?}", world.twice);
     assert!(world.starts.values().all(|&n| n == 1), "{:?}", world.starts);
 }
+
+/// Right after a partition the scheduler of its smaller side still has its workers, with a higher
+/// token. The other one serves on with the rest until the two hear of each other.
+#[test]
+fn a_scheduler_goes_on_without_the_workers_that_another_one_has() {
+    let mut world = World::new(6, 1);
+    world.hosts[0].cut = BTreeSet::from([0]);
+    world.run_for(500 * MS);
+    let others = (1..6).collect();
+    let next = world.add_host_with(2, &others, true);
+    world.run_for(3 * Duration::from_secs(1));
+    world.hosts[0].cut.clear();
+    for number in 0..20 {
+        let job = TestJob::new(100 + number, 2, 60 * MS);
+        world.submit(0, Duration::from_millis(10 * number), job);
+    }
+    world.run_for(Duration::from_secs(1));
+    assert!(!world.hosts[0].is_deposed && !world.hosts[next].is_deposed);
+    assert_eq!(world.in_time(|_| true), 20);
+    world.run_for(3 * Duration::from_secs(1));
+    assert!(world.hosts[0].is_deposed, "it must get a higher token then");
+}
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -70,6 +70,9 @@
     /// There are kept jobs, as far as it knows.
     #[prost(bool, tag = "8")]
     pub has_kept_jobs: bool,
+    /// How much later than planned it gets to its work.
+    #[prost(uint32, tag = "9")]
+    pub lag_us: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -67,6 +67,7 @@
         successor: of_cell.and_then(|c| (c.successor > 0).then(|| vm_from(c.successor))),
         follows: of_cell.and_then(|c| token(c.follows)),
         knows_departed: beat.knows_departed,
+        lag: Duration::from_micros(beat.lag_us.into()),
         fitness: Fitness {
             is_local: is_local(cell, &beat.data_centre),
             cpu_tenths: beat.cpu_tenths,
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -107,6 +107,7 @@
                 other_cells: u32::try_from(other_cells).unwrap_or(u32::MAX),
             };
             cell.election.set_own(is_barred, has_store, now);
+            cell.election.set_lag(self.lag.mean(), now);
             cell.election.set_fitness(knows_departed, fitness);
             cell.election.set_peer_fresh(peer_fresh);
         }
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -30,6 +30,7 @@
 use crate::leased::desk::Desk;
 use crate::leased::input::{Input, InputTx};
 use crate::leased::kept::KeptJobs;
+use crate::leased::lag::Lag;
 use crate::leased::links::{self, Link};
 use crate::leased::metrics::LeasedMetrics;
 use crate::leased::notes;
@@ -92,6 +93,7 @@
     next_beat: Instant,
     next_plan: Instant,
     no_scheduler_since: Instant,
+    lag: Lag,
     /// Whether there are jobs that must be kept.
     has_kept_jobs: bool,
     /// Whether their records have been read, so that it is known if there are none.
@@ -116,6 +118,7 @@
             next_beat: now,
             next_plan: now,
             no_scheduler_since: now,
+            lag: Lag::default(),
             has_kept_jobs: false,
             knows_kept_jobs: false,
             is_stopping: false,
@@ -135,6 +138,7 @@
             }
             let now = Instant::now();
             if now >= self.next_tick {
+                self.lag.note(now.saturating_duration_since(self.next_tick));
                 self.tick(now);
                 self.next_tick = now + TICK;
             }
@@ -268,6 +272,7 @@
             config_version: self.config_version(),
             cells,
             has_kept_jobs: self.has_kept_jobs,
+            lag_us: u32::try_from(self.lag.mean().as_micros()).unwrap_or(u32::MAX),
         };
         let message = links::frame(Body::Beat(beat));
         for link in self.links.values() {
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -13,6 +13,7 @@
 mod input;
 mod intake;
 mod kept;
+mod lag;
 mod links;
 mod metrics;
 mod notes;
