feat(entry): a start or a look that is not answered is sent again after 20 ms

Ruled out: the dark workers of the same seconds (10 lapsed runs), capacity alone (refusals fell as well).

Change: the same run is ordered again, which is the same order; only if both calls were refused does it count as not started. A look is repeated without a wait.

Tests: tests/repeat.rs on what two replies together tell.

--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod notes;
 mod orders;
+mod repeat;
 mod roster;
 mod server;
 #[cfg(test)]
--- a/crates/geraniumrelay/src/leased/orders.rs
+++ b/crates/geraniumrelay/src/leased/orders.rs
@@ -11,6 +11,7 @@
 
 use super::input::InputTx;
 use super::metrics::LeasedMetrics;
+use super::repeat;
 
 /// Where orders are carried out.
 #[derive(Debug, Clone)]
@@ -27,7 +28,7 @@
         spawn_local(async move {
             let (worker, task, run, token) = (order.worker, order.task, order.run, order.token);
             let name = order.name.clone();
-            let (reply, clock) = orders.workers.start(order).await;
+            let (reply, clock) = repeat::start(&orders.workers, order).await;
             orders.metrics.note_start(start_label(reply));
             if reply != StartReply::Accepted {
                 info!(task:% = task, run, worker:% = name, reply:? = reply; "start_not_accepted");
@@ -63,7 +64,7 @@
         let orders = self.clone();
         spawn_local(async move {
             let (worker, token, sent) = (order.worker, order.token, Instant::now());
-            let reply = orders.workers.look(order).await;
+            let reply = repeat::look(&orders.workers, order).await;
             orders.metrics.note_look(look_label(&reply));
             let command = Command::Looked {
                 worker,
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -3,6 +3,7 @@
 mod convert;
 mod desk;
 mod links;
+mod repeat;
 mod roster;
 
 use std::time::Duration;
