fix(core): replies of the store belong to one change, and a failed run counts once

Change: changes of a job are numbered and replies name the number; failed runs are stored by number; tasks of a job whose end is under way to the store do not start; a transaction counts as unanswered after 0.4 s in place of 1 s, as the changes of all jobs wait behind it.

Tests: unanswered_changes_lose_no_end, a_failed_run_counts_once; the stand-in now tells changes to all schedulers as the feed does.

--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -152,6 +152,8 @@
     RecordReplied {
         /// The job.
         id: JobId,
+        /// Number of the change.
+        attempt: u32,
         /// The reply.
         reply: RecordReply,
     },
--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -134,6 +134,8 @@
     },
     /// Store a kept job, where the version that is given is the one that is stored.
     Record {
+        /// Number of the change, among those of the job.
+        attempt: u32,
         /// What to store.
         record: JobRecord,
         /// Version that must be stored now; 0 for none.
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -51,13 +51,13 @@
 }
 
 /// A task.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct Task {
     pub(super) step: u16,
     pub(super) index: u16,
     pub(super) state: TaskState,
     /// Runs that ended as failed.
-    pub(super) failures: u32,
+    pub(super) failed_runs: Vec<u32>,
     /// Number of the last run.
     pub(super) last_run: u32,
     /// Worker of the last run that failed.
@@ -66,6 +66,20 @@
     pub(super) first_valid_run: u32,
 }
 
+impl Task {
+    /// Takes note that a run has failed.
+    pub(super) fn note_failed(&mut self, run: u32) {
+        if !self.failed_runs.contains(&run) {
+            self.failed_runs.push(run);
+        }
+    }
+
+    /// Whether it has failed as often as it may.
+    pub(super) fn is_failed(&self, max_attempts: u32) -> bool {
+        self.failed_runs.len() >= max_attempts as usize
+    }
+}
+
 /// Place of a job in the queue: the lowest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -106,6 +120,8 @@
     pub(super) is_dirty: bool,
     /// When the change that is under way was sent.
     pub(super) out_since: Option<Instant>,
+    /// Number of the last change that was sent.
+    pub(super) attempt: u32,
     /// Earliest time at which the next change is sent, after one that was not answered.
     pub(super) not_before: Option<Instant>,
     /// Whether a change has ever been sent: one that was not answered may yet be done.
@@ -169,7 +185,7 @@
                 step,
                 index,
                 state: TaskState::Blocked,
-                failures: 0,
+                failed_runs: Vec::new(),
                 last_run: 0,
                 failed_on: None,
                 first_valid_run: 0,
@@ -286,7 +302,9 @@
             let Some(task) = self.tasks.get_mut(stored.position as usize) else {
                 continue;
             };
-            task.failures = task.failures.max(stored.failures);
+            for &run in &stored.failed_runs {
+                task.note_failed(run);
+            }
             task.first_valid_run = task.first_valid_run.max(stored.first_valid_run);
             task.last_run = task.last_run.max(stored.first_valid_run);
         }
@@ -304,10 +322,10 @@
     /// What lasts of its tasks, beside which of them are done.
     pub(super) fn progress(&self) -> Vec<TaskProgress> {
         let tasks = (0..).zip(&self.tasks);
-        let tasks = tasks.filter(|(_, t)| t.failures > 0 || t.first_valid_run > 0);
+        let tasks = tasks.filter(|(_, t)| !t.failed_runs.is_empty() || t.first_valid_run > 0);
         let progress = tasks.map(|(position, t)| TaskProgress {
             position,
-            failures: t.failures,
+            failed_runs: t.failed_runs.clone(),
             first_valid_run: t.first_valid_run,
         });
         progress.collect()
--- a/crates/geraniumrelay-core/src/leased/record.rs
+++ b/crates/geraniumrelay-core/src/leased/record.rs
@@ -22,12 +22,12 @@
 }
 
 /// What lasts of a task beside whether it is done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TaskProgress {
     /// Position of the task, in the order of steps and indexes.
     pub position: u32,
-    /// Runs that ended as failed.
-    pub failures: u32,
+    /// Runs that ended as failed; by number, as a later scheduler may see their ends again.
+    pub failed_runs: Vec<u32>,
     /// Lower runs count as lost: the task runs again, and their ends are of no account.
     pub first_valid_run: u32,
 }
@@ -61,22 +61,27 @@
 }
 
 /// Reply of the store to a change of a record.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, derive_more::Display)]
 pub enum RecordReply {
     /// It is stored.
+    #[display("stored as {version}")]
     Stored {
         /// Version of the record now.
         version: u64,
     },
     /// Another version is stored, or none.
+    #[display("conflict with {}", stored.as_ref().map_or(0, |s| s.1))]
     Conflict {
         /// What is stored, and its version.
         stored: Option<(JobRecord, u64)>,
     },
     /// The cell belongs to another scheduler, or was claimed anew; nothing was done.
+    #[display("epoch over")]
     EpochOver,
     /// Refused; nothing was done.
+    #[display("refused")]
     Refused,
     /// No answer; it may have been done, or may yet be.
+    #[display("unanswered")]
     Unanswered,
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -75,7 +75,7 @@
         } else if end.kind == EndKind::Done && standing != Standing::Void {
             self.done_elsewhere(cx, end.task, out);
         } else if end.kind == EndKind::Failed {
-            self.failed_elsewhere(cx, end.task, out);
+            self.failed_elsewhere(cx, (end.task, end.run), out);
         }
     }
 
@@ -124,7 +124,12 @@
     }
 
     /// Counts a failed run that an earlier scheduler had ordered, or that counts as lost.
-    fn failed_elsewhere(&mut self, cx: &Context<'_>, name: TaskName, out: &mut Vec<Effect>) {
+    fn failed_elsewhere(
+        &mut self,
+        cx: &Context<'_>,
+        (name, run): (TaskName, u32),
+        out: &mut Vec<Effect>,
+    ) {
         let Some(&key) = self.by_id.get(&name.job) else {
             return;
         };
@@ -134,11 +139,11 @@
         };
         let max_attempts = job.spec.max_attempts;
         let task = job.task_mut(position);
-        task.failures += 1;
-        let state = if task.failures < max_attempts {
-            RecordState::Open
-        } else {
+        task.note_failed(run);
+        let state = if task.is_failed(max_attempts) {
             RecordState::Failed
+        } else {
+            RecordState::Open
         };
         self.changed(cx, key, state, out);
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -129,7 +129,7 @@
         }
         match kind {
             EndKind::Done => self.task_done(cx, run.task, out),
-            EndKind::Failed => self.task_failed(cx, run.task, on, out),
+            EndKind::Failed => self.task_failed(cx, run.task, (on, run.run), out),
             EndKind::Stopped | EndKind::Lapsed | EndKind::GangBroken => {
                 self.requeue(key, position);
             }
@@ -187,19 +187,20 @@
         &mut self,
         cx: &Context<'_>,
         task: TaskKey,
-        on: WorkerKey,
+        (on, run): (WorkerKey, u32),
         out: &mut Vec<Effect>,
     ) {
         let max_attempts = self.jobs[task.job].spec.max_attempts;
         let entry = self.jobs[task.job].task_mut(task.position);
-        entry.failures += 1;
-        let (failures, before) = (entry.failures, entry.failed_on.replace(on));
+        entry.note_failed(run);
+        let is_failed = entry.is_failed(max_attempts);
+        let before = entry.failed_on.replace(on);
         // A task that fails on a second worker as well is more likely at fault than both workers.
         match before.and_then(|b| self.workers.get_mut(b)) {
             Some(earlier) if before != Some(on) => earlier.health.forgive(),
             _ => self.note_fault(cx, on, out),
         }
-        if failures < max_attempts {
+        if !is_failed {
             self.requeue(task.job, task.position);
             self.changed(cx, task.job, RecordState::Open, out);
         } else if !self.changed(cx, task.job, RecordState::Failed, out) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -34,6 +34,7 @@
             state: RecordState::Open,
             is_dirty: true,
             out_since: None,
+            attempt: 0,
             not_before: None,
             was_sent: false,
             since: cx.now,
@@ -91,7 +92,8 @@
         keeping.not_before = None;
         keeping.out_since = Some(cx.now);
         keeping.was_sent = true;
-        let (expected, state) = (keeping.version, keeping.state);
+        keeping.attempt += 1;
+        let (attempt, expected, state) = (keeping.attempt, keeping.version, keeping.state);
         let done = (0..).zip(&job.tasks);
         let done = done.filter(|(_, t)| t.state == TaskState::Done);
         let record = JobRecord {
@@ -102,6 +104,7 @@
             state,
         };
         out.push(Effect::Record {
+            attempt,
             record,
             expected,
             epoch,
@@ -112,6 +115,7 @@
         &mut self,
         cx: &Context<'_>,
         id: JobId,
+        attempt: u32,
         reply: RecordReply,
         out: &mut Vec<Effect>,
     ) {
@@ -121,6 +125,10 @@
         let (Some(keeping), Some(epoch)) = (&mut self.jobs[key].keeping, &mut self.epoch) else {
             return;
         };
+        // What was sent since tells more.
+        if keeping.attempt != attempt || keeping.out_since.is_none() {
+            return;
+        }
         match reply {
             RecordReply::Stored { version } => {
                 if let Some(sent) = keeping.out_since.take() {
@@ -265,6 +273,8 @@
         }
         let job = &mut self.jobs[key];
         let is_done = job.is_done();
+        let max_attempts = job.spec.max_attempts;
+        let is_failed = job.tasks.iter().any(|t| t.is_failed(max_attempts));
         let Some(keeping) = &mut job.keeping else {
             return;
         };
@@ -274,8 +284,12 @@
             self.record_stored(cx, key, out);
             return;
         }
-        if is_done {
-            keeping.state = RecordState::Completed;
+        if is_done || is_failed {
+            keeping.state = if is_done {
+                RecordState::Completed
+            } else {
+                RecordState::Failed
+            };
             keeping.is_dirty = true;
         }
         let is_new = !std::mem::replace(&mut keeping.is_accepted, true);
@@ -303,7 +317,7 @@
         let id = record.spec.id;
         if let Some(&key) = self.by_id.get(&id) {
             match self.jobs[key].keeping {
-                Some(k) if k.version == 0 => {
+                Some(k) if k.version == 0 && !self.knows_records => {
                     self.take_record_over(cx, key, record, version, out);
                 }
                 Some(k) if k.version < version && k.out_since.is_none() => {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -195,7 +195,9 @@
             } => self.looked(cx, worker, sent, reply, out),
             Command::EpochReplied { sent, reply } => self.epoch_replied(cx, sent, reply, out),
             Command::Followed { since } => self.followed(since),
-            Command::RecordReplied { id, reply } => self.record_replied(cx, id, reply, out),
+            Command::RecordReplied { id, attempt, reply } => {
+                self.record_replied(cx, id, attempt, reply, out);
+            }
             Command::RecordListed { record, version } => {
                 self.record_listed(cx, &record, version, out);
             }
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -5,6 +5,7 @@
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, TaskKey, TaskState};
 use crate::leased::placement::{self, Wish};
+use crate::leased::record::RecordState;
 use crate::leased::worker::{Orphan, Run, RunState, Worker, WorkerKey};
 
 impl Scheduler {
@@ -24,7 +25,8 @@
                 continue;
             }
             if let Some(keeping) = &self.jobs[key].keeping {
-                if keeping.holds_starts || !is_epoch_confirmed || !self.knows_records {
+                let is_open = keeping.state == RecordState::Open && !keeping.holds_starts;
+                if !is_open || !is_epoch_confirmed || !self.knows_records {
                     continue;
                 }
                 if earlier.is_some() {
--- a/crates/geraniumrelay-core/tests/leased/kept.rs
+++ b/crates/geraniumrelay-core/tests/leased/kept.rs
@@ -341,6 +341,31 @@
     assert!(world.starts.values().all(|&n| n == 1), "{:?}", world.starts);
 }
 
+/// The end of a failed run is stored, and seen again by the next scheduler before it is
+/// acknowledged.
+#[test]
+fn a_failed_run_counts_once() {
+    let mut world = World::new(1, 1);
+    world.workers[0].mood = crate::worker::Mood::Failing;
+    let job = TestJob::new(1, 1, 50 * MS).with_slack().kept();
+    world.submit(0, MS, job);
+    world.run_for(20 * MS);
+    // The failed run is stored while its worker can't be told.
+    world.hosts[0].cut.insert(0);
+    world.run_for(20 * MS);
+    for round in 2..8 {
+        world.workers[0].mood = crate::worker::Mood::Hanging;
+        take_over(&mut world, round);
+        let last = world.hosts.len() - 1;
+        world.hosts[last].cut.insert(0);
+    }
+    let failed = world.records[&JobId(1)].0.progress.clone();
+    let failed: usize = failed.iter().map(|p| p.failed_runs.len()).sum();
+    let ends = world.workers[0].failed_ends();
+    assert!(failed <= ends, "{failed} failed runs are stored, of {ends}");
+    assert_eq!(state(&world, 1), RecordState::Open);
+}
+
 /// Changes of one job overtake each other in a store that is seventy times slower than usual.
 #[test]
 fn a_slow_store_loses_no_end() {
@@ -372,3 +397,41 @@
         assert_eq!(open, 0, "seed {seed}");
     }
 }
+
+/// The store carries changes out and does not answer, some of them seconds later, while schedulers
+/// follow one another.
+#[test]
+fn unanswered_changes_lose_no_end() {
+    for seed in 0..40 {
+        let mut world = World::new(12, seed);
+        world.store_lost = 0.35;
+        world.store_late = if seed % 2 == 0 { 0.2 } else { 0.0 };
+        let load = |world: &mut World, host: usize, from: u64| {
+            for number in 0..60 {
+                let at = Duration::from_millis(40 * number);
+                let work = Duration::from_millis(30 + 30 * (number % 7));
+                let mut job = TestJob::new(from + number, 3, work).with_slack().kept();
+                job.may_have_started = number % 3 == 0;
+                world.submit(host, at, job);
+            }
+        };
+        let mut host = 0;
+        for round in 2..5 {
+            load(&mut world, host, round * 1_000);
+            world.run_for(Duration::from_millis(2_500 + 30 * seed));
+            host = take_over(&mut world, round);
+        }
+        world.store_lost = 0.0;
+        world.store_late = 0.0;
+        world.run_for(Duration::from_secs(12));
+        take_over(&mut world, 9);
+        world.run_for(Duration::from_secs(6));
+        let again = world.started_again();
+        assert!(again.is_empty(), "seed {seed}: {again:?}");
+        assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
+        let kept = world.records.values();
+        let open = kept.filter(|r| r.0.state == RecordState::Open).count();
+        assert_eq!(open, 0, "seed {seed}");
+        assert!(world.false_refusals().is_empty(), "seed {seed}");
+    }
+}
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -61,6 +61,7 @@
     pub(crate) noted: Vec<(TaskName, Instant)>,
     /// Ends as done that are not acknowledged yet: their number, task and time.
     open_ends: Vec<(u64, TaskName, Instant)>,
+    failed: usize,
     /// Highest run that ended or was stopped, by task.
     past: Vec<(TaskName, u32)>,
 }
@@ -85,6 +86,7 @@
             lease: WorkerTime(0),
             noted: Vec::new(),
             open_ends: Vec::new(),
+            failed: 0,
             past: Vec::new(),
         }
     }
@@ -104,6 +106,11 @@
         self.runs.iter().map(|r| r.size.cpu_milli).sum()
     }
 
+    /// Runs that have failed so far.
+    pub(crate) fn failed_ends(&self) -> usize {
+        self.failed
+    }
+
     /// Ends what is over by `now`.
     pub(crate) fn advance(&mut self, now: Instant) {
         let has_lapsed = self.clock(now) >= self.lease;
@@ -135,6 +142,7 @@
     }
 
     fn list_end(&mut self, task: TaskName, run: u32, kind: EndKind) {
+        self.failed += usize::from(kind == EndKind::Failed);
         self.past.push((task, run));
         self.ended.push(EndedRun {
             number: self.next_end,
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -24,7 +24,10 @@
 const STORE_TIME: Duration = Duration::from_millis(4);
 
 /// Time after which a call to the store counts as unanswered.
-const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+const STORE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest time between two reads of what has changed.
+const FEED_GAP: Duration = Duration::from_millis(500);
 
 /// Time after which a call counts as unanswered, beside its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(60);
@@ -66,6 +69,7 @@
     },
     Record {
         host: usize,
+        attempt: u32,
         record: JobRecord,
         expected: u64,
         epoch: u64,
@@ -213,6 +217,10 @@
     pub(crate) is_store_down: bool,
     /// Time that a call to the store takes.
     pub(crate) store_time: Duration,
+    /// Share of the calls to the store that are carried out and not answered.
+    pub(crate) store_lost: f64,
+    /// Share of the calls to the store that are carried out seconds later and not answered.
+    pub(crate) store_late: f64,
     /// Share of the calls whose answer is lost.
     pub(crate) lost_answers: f64,
     /// Share of the orders that are lost, and carried out seconds later.
@@ -247,6 +255,8 @@
             epoch: (FencingToken::default(), 0),
             is_store_down: false,
             store_time: STORE_TIME,
+            store_lost: 0.0,
+            store_late: 0.0,
             lost_answers: 0.0,
             late_orders: 0.0,
             events: BTreeMap::new(),
@@ -451,6 +461,7 @@
             }
             Event::Record {
                 host,
+                attempt,
                 record,
                 expected,
                 epoch,
@@ -458,7 +469,12 @@
             } => {
                 let id = record.spec.id;
                 let reply = self.store(record, (expected, epoch));
-                self.reply(host, is_heard, Command::RecordReplied { id, reply });
+                let is_stored = matches!(reply, RecordReply::Stored { .. });
+                let cmd = Command::RecordReplied { id, attempt, reply };
+                self.reply(host, is_heard, cmd);
+                if is_stored {
+                    self.feed(id);
+                }
             }
             Event::Claim {
                 host,
@@ -552,10 +568,11 @@
             Effect::Note(_) | Effect::EpochLost { .. } => {}
             Effect::ForgetRecord { id } => drop(self.records.remove(&id)),
             Effect::Record {
+                attempt,
                 record,
                 expected,
                 epoch,
-            } => self.send_record(host, record, (expected, epoch)),
+            } => self.send_record(host, attempt, record, (expected, epoch)),
             Effect::ClaimEpoch => self.send_claim(host),
             Effect::ReadRecords => {
                 let at = self.now + self.store_time;
@@ -632,20 +649,27 @@
         self.is_store_down || self.hosts[host].is_store_cut
     }
 
-    fn send_record(&mut self, host: usize, record: JobRecord, (expected, epoch): (u64, u64)) {
+    fn send_record(
+        &mut self,
+        host: usize,
+        attempt: u32,
+        record: JobRecord,
+        (expected, epoch): (u64, u64),
+    ) {
         let id = record.spec.id;
-        let is_heard = self.is_heard();
+        let is_late = self.random() < self.store_late || self.is_late();
+        let is_heard = self.random() >= self.store_lost && self.is_heard() && !is_late;
         let is_away = self.is_store_away(host);
         if !is_heard || is_away {
             let reply = RecordReply::Unanswered;
-            let cmd = Command::RecordReplied { id, reply };
+            let cmd = Command::RecordReplied { id, attempt, reply };
             self.at(self.now + STORE_TIMEOUT, Event::Tell { host, cmd });
         }
         if !is_away {
-            let is_late = self.is_late();
             let at = self.now + self.store_time + self.delay(is_late);
             let event = Event::Record {
                 host,
+                attempt,
                 record,
                 expected,
                 epoch,
@@ -672,6 +696,20 @@
         RecordReply::Stored { version }
     }
 
+    /// Tells all schedulers what is stored of a job, as those that follow the records hear it.
+    fn feed(&mut self, id: JobId) {
+        let (record, version) = self.records[&id].clone();
+        for host in 0..self.hosts.len() {
+            if self.is_store_away(host) {
+                continue;
+            }
+            let record = record.clone();
+            let cmd = Command::RecordSeen { record, version };
+            let at = self.now + FEED_GAP.mul_f64(self.random());
+            self.at(at, Event::Tell { host, cmd });
+        }
+    }
+
     fn send_claim(&mut self, host: usize) {
         let sent = self.now;
         let is_heard = self.is_heard();
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -133,14 +133,14 @@
     pub is_kept: bool,
 }
 /// What lasts of a task of a kept job, beside whether it is done.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TaskProgress {
     /// Position of the task, in the order of steps and indexes.
     #[prost(uint32, tag = "1")]
     pub position: u32,
     /// Runs that ended as failed.
-    #[prost(uint32, tag = "2")]
-    pub failures: u32,
+    #[prost(uint32, repeated, tag = "2")]
+    pub failed_runs: ::prost::alloc::vec::Vec<u32>,
     /// Lower runs count as lost.
     #[prost(uint32, tag = "3")]
     pub first_valid_run: u32,
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -176,7 +176,7 @@
 fn progress_to(progress: &TaskProgress) -> StoredProgress {
     StoredProgress {
         position: progress.position,
-        failures: progress.failures,
+        failed_runs: progress.failed_runs.clone(),
         first_valid_run: progress.first_valid_run,
     }
 }
@@ -184,7 +184,7 @@
 fn progress_from(stored: &StoredProgress) -> TaskProgress {
     TaskProgress {
         position: stored.position,
-        failures: stored.failures,
+        failed_runs: stored.failed_runs.clone(),
         first_valid_run: stored.first_valid_run,
     }
 }
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -407,10 +407,11 @@
                 }
             }
             Effect::Record {
+                attempt,
                 record,
                 expected,
                 epoch,
-            } => self.store_record((name, token), record, expected, epoch),
+            } => self.store_record((name, token), (record, attempt), expected, epoch),
             Effect::ClaimEpoch => self.claim_epoch(name, token),
             Effect::EpochLost { token: holder } => {
                 info!(cell:% = name, token:% = token, holder:% = holder; "epoch_lost");
--- a/crates/geraniumrelay/src/leased/hub/records.rs
+++ b/crates/geraniumrelay/src/leased/hub/records.rs
@@ -21,7 +21,7 @@
     pub(super) fn store_record(
         &self,
         (cell, token): (&CellName, FencingToken),
-        record: JobRecord,
+        (record, attempt): (JobRecord, u32),
         expected: u64,
         epoch: u64,
     ) {
@@ -29,7 +29,12 @@
         spawn_local(async move {
             let id = record.spec.id;
             let reply = kept.store(&record, expected, Some(epoch)).await;
-            let command = Command::RecordReplied { id, reply };
+            info!(
+                cell:% = cell, id:% = id, state:% = record.state, done = record.done.len(),
+                attempt, expected, epoch, reply:% = reply;
+                "record_sent"
+            );
+            let command = Command::RecordReplied { id, attempt, reply };
             tx.reply(cell, token, command).await;
         });
     }
--- a/crates/geraniumrelay/src/leased/tests/convert.rs
+++ b/crates/geraniumrelay/src/leased/tests/convert.rs
@@ -46,7 +46,7 @@
             done: vec![0, 1],
             progress: vec![TaskProgress {
                 position: 1,
-                failures: 2,
+                failed_runs: vec![1, 3],
                 first_valid_run: 10_001,
             }],
             state,
