fix(entry): a count of waiting jobs is given only where it is whole

Change: such a scheduler, and a VM that has not heard of one for 1.5 s, answer 503 with Retry-After.

--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -226,6 +226,11 @@
         })
     }
 
+    /// Whether it knows all jobs of its cell.
+    pub fn knows_jobs(&self) -> bool {
+        self.knows_records
+    }
+
     /// Jobs of each queue none of whose tasks has started.
     pub fn pending(&self) -> Map<Arc<str>, u32> {
         let mut pending = Map::default();
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -45,6 +45,9 @@
     /// Only from its scheduler.
     #[prost(message, repeated, tag = "6")]
     pub pending: ::prost::alloc::vec::Vec<QueueCount>,
+    /// Its scheduler knows all jobs of the cell, so that the counts are whole.
+    #[prost(bool, tag = "7")]
+    pub knows_jobs: bool,
 }
 /// What an entry VM says of itself, several times a second.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -15,6 +15,9 @@
 /// Time after which the holder of a cell is taken for gone; longer than a takeover.
 const HOLDER_SILENCE: Duration = Duration::from_secs(1);
 
+/// Time for which a count of waiting jobs holds; the platform takes one that is 2 s old.
+const PENDING_TTL: Duration = Duration::from_millis(1_500);
+
 /// A cell.
 #[derive(Debug)]
 pub(super) struct Cell {
@@ -29,8 +32,8 @@
     pub(super) epoch_lost: Option<(FencingToken, Instant)>,
     /// Load of the cell, as its scheduler told, in percent of its room.
     pub(super) load: u32,
-    /// Waiting jobs of each queue, as the scheduler told.
-    pending: Map<Arc<str>, u32>,
+    /// Waiting jobs of each queue, as the scheduler told, and when; absent where it does not know them.
+    pending: Option<(Map<Arc<str>, u32>, Instant)>,
 }
 
 impl Cell {
@@ -42,7 +45,7 @@
             estimates: Estimates::default(),
             epoch_lost: None,
             load: 0,
-            pending: Map::default(),
+            pending: None,
         }
     }
 
@@ -50,30 +53,37 @@
     pub(super) fn beat(&mut self, successor: Option<EntryVm>) -> CellBeat {
         let own = self.election.own_beat(successor);
         let mut counts = Vec::new();
+        let mut knows_jobs = false;
         if let Some(scheduler) = &self.scheduler {
             self.load = scheduler.load_percent();
-            self.pending = scheduler.pending();
-            let count = |(queue, &pending): (&Arc<str>, &u32)| QueueCount {
+            knows_jobs = scheduler.knows_jobs();
+            let count = |(queue, pending): (Arc<str>, u32)| QueueCount {
                 queue: queue.to_string(),
                 pending,
             };
-            counts = self.pending.iter().map(count).collect();
+            counts = scheduler.pending().into_iter().map(count).collect();
         }
-        convert::cell_beat_to(&self.name, &own, self.load, counts)
+        convert::cell_beat_to(&self.name, &own, self.load, (knows_jobs, counts))
     }
 
     /// Takes what the cell's scheduler said.
-    pub(super) fn take_figures(&mut self, beat: &CellBeat) {
+    pub(super) fn take_figures(&mut self, beat: &CellBeat, now: Instant) {
         self.load = beat.load_percent;
         let count = |c: &QueueCount| (c.queue.as_str().into(), c.pending);
-        self.pending = beat.pending.iter().map(count).collect();
+        let counts = beat.pending.iter().map(count).collect();
+        self.pending = beat.knows_jobs.then_some((counts, now));
     }
 
-    /// Jobs of a queue none of whose tasks has started.
-    pub(super) fn pending_of(&self, queue: &str) -> u32 {
-        let own = self.scheduler.as_ref().map(Scheduler::pending);
-        let pending = own.as_ref().unwrap_or(&self.pending);
-        pending.get(queue).copied().unwrap_or(0)
+    /// Jobs of a queue none of whose tasks has started; `None` where that is not known at present.
+    pub(super) fn pending_of(&self, queue: &str, now: Instant) -> Option<u32> {
+        if let Some(scheduler) = &self.scheduler {
+            let pending = scheduler.pending();
+            let pending = pending.get(queue).copied().unwrap_or(0);
+            return scheduler.knows_jobs().then_some(pending);
+        }
+        let (pending, told) = self.pending.as_ref()?;
+        let is_fresh = now.saturating_duration_since(*told) < PENDING_TTL;
+        is_fresh.then(|| pending.get(queue).copied().unwrap_or(0))
     }
 
     /// Gives up, so as to take over with a higher token, where nobody has heard for a while of the
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -42,7 +42,7 @@
     cell: &CellName,
     beat: &OwnBeat,
     load_percent: u32,
-    pending: Vec<QueueCount>,
+    (knows_jobs, pending): (bool, Vec<QueueCount>),
 ) -> CellBeat {
     CellBeat {
         cell: cell.to_string(),
@@ -51,6 +51,7 @@
         successor: beat.successor.map_or(0, vm_to),
         load_percent,
         pending,
+        knows_jobs,
     }
 }
 
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -168,7 +168,8 @@
                 let _ = reply.send(self.state_of(id));
             }
             Input::Pending { queue, reply } => {
-                let pending = self.cells.values().map(|c| c.pending_of(&queue));
+                let now = Instant::now();
+                let pending = self.cells.values().map(|c| c.pending_of(&queue, now));
                 let _ = reply.send(pending.sum());
             }
             Input::Rows {
@@ -337,7 +338,7 @@
             let is_scheduler = cell.election.current().is_some_and(|(vm, _)| vm == from);
             let of_cell = beat.cells.iter().find(|c| c.cell == *name.0);
             if let Some(of_cell) = of_cell.filter(|_| is_scheduler) {
-                cell.take_figures(of_cell);
+                cell.take_figures(of_cell, now);
             }
             self.follow(&name, step);
             if self
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -39,10 +39,10 @@
         id: JobId,
         reply: oneshot::Sender<Option<JobState>>,
     },
-    /// A caller asks how many jobs of a queue wait.
+    /// A caller asks how many jobs of a queue wait; the reply is absent where that is not known.
     Pending {
         queue: Arc<str>,
-        reply: oneshot::Sender<u32>,
+        reply: oneshot::Sender<Option<u32>>,
     },
     /// Rows of a table: all of them, or those that changed.
     Rows {
--- a/crates/geraniumrelay/src/leased/intake.rs
+++ b/crates/geraniumrelay/src/leased/intake.rs
@@ -223,8 +223,8 @@
         let queue = Arc::clone(&route.name);
         self.tx.tell(Input::Pending { queue, reply });
         match answer.await {
-            Ok(pending) => with_body(ingress::pending_body(pending)),
-            Err(_) => refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON),
+            Ok(Some(pending)) => with_body(ingress::pending_body(pending)),
+            Ok(None) | Err(_) => refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON),
         }
     }
 }
