feat(core): after a start of all, schedule at once, and serve what has waited while there is room

By the logs: 0.3 s of grace for a scheduler that all others deny; links to a VM that was dark were made up to 0.5 s later, so that two schedulers fenced each other; jobs that had waited were refused with all workers free; the wait was estimated by the run time of the new job in place of those before it.

Ruled out: reading the tables (15 to 30 ms), leases of what ran before (lapsed by then).

Change: 40 ms of grace where half of the VMs are heard and none knows of a scheduler; a VM that has connected is connected to at once, and told a beat; a job past its latest start starts behind the others while there is room that nobody waits for, up to three times its objective; what starts of the jobs ahead is counted by their own run times.

Tests: nobody_waits_for_a_scheduler_that_the_others_deny, a_link_is_made_at_once_when_its_peer_has_connected, jobs_that_have_waited_for_a_scheduler_are_served_while_there_is_room (fails without the change).

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -6,6 +6,7 @@
 //! tens of milliseconds at most.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use super::names::{EntryVm, FencingToken};
@@ -32,6 +33,8 @@
     pub peer_fresh: Duration,
     /// Time in which a scheduler may make itself heard, from when a process could take over itself.
     pub start_grace: Duration,
+    /// The same where half of the entry VMs know of none: in which they hear of each other.
+    pub common_start_grace: Duration,
     /// Head start of each entry VM over the next in line; covers a takeover and one beat.
     pub turn: Duration,
     /// Time without the platform's store after which the scheduler hands over to a VM that has it.
@@ -65,6 +68,7 @@
             peer_silence: Duration::from_millis(700),
             peer_fresh: Duration::from_millis(350),
             start_grace: Duration::from_millis(300),
+            common_start_grace: Duration::from_millis(40),
             turn: Duration::from_millis(150),
             store_patience: Duration::from_millis(1_500),
             rejoin_patience: Duration::from_millis(700),
@@ -138,6 +142,8 @@
     cfg: ElectionConfig,
     started: Instant,
     peers: Map<EntryVm, Peer>,
+    /// All other entry VMs that have entered themselves.
+    members: Arc<[EntryVm]>,
     highest: FencingToken,
     /// The scheduler that is followed, or this one.
     current: Option<(EntryVm, FencingToken)>,
@@ -165,6 +171,7 @@
             cfg,
             started: now,
             peers: Map::default(),
+            members: Arc::default(),
             highest: FencingToken::default(),
             current: None,
             lost_at: now,
@@ -205,6 +212,11 @@
         }
     }
 
+    /// Sets the other entry VMs that have entered themselves.
+    pub fn set_members(&mut self, members: Arc<[EntryVm]>) {
+        self.members = members;
+    }
+
     /// Notes how much later than planned this process gets to its work.
     pub fn set_lag(&mut self, lag: Duration, now: Instant) {
         self.lag = lag;
@@ -230,17 +242,13 @@
         peers.map(|(&vm, _)| vm).collect()
     }
 
-    /// Since when all of `others` have been heard to follow this scheduler; `None` where one of them
-    /// has not.
-    pub fn followed_since(
-        &self,
-        others: impl Iterator<Item = EntryVm>,
-        now: Instant,
-    ) -> Option<Instant> {
+    /// Since when all other entry VMs have been heard to follow this scheduler; `None` where one of
+    /// them has not.
+    pub fn followed_since(&self, now: Instant) -> Option<Instant> {
         let (_, token) = self.current.filter(|c| c.0 == self.vm)?;
         let mut since = now;
-        for vm in others {
-            let peer = self.peers.get(&vm)?;
+        for vm in self.members.iter() {
+            let peer = self.peers.get(vm)?;
             if peer.beat.follows != Some(token) {
                 return None;
             }
@@ -249,6 +257,23 @@
         Some(since)
     }
 
+    /// Whether half of the other entry VMs are heard, and none of them knows of a scheduler, as after
+    /// a start of all: those that are missing start as well, or will follow.
+    fn is_nobody_leading(&self, now: Instant) -> bool {
+        let mut heard = 0;
+        for vm in self.members.iter() {
+            let Some(peer) = self.peers.get(vm) else {
+                continue;
+            };
+            let is_fresh = now.saturating_duration_since(peer.heard) < self.cfg.peer_fresh;
+            if peer.beat.follows.is_some() || peer.beat.token.is_some() {
+                return false;
+            }
+            heard += usize::from(is_fresh);
+        }
+        heard > 0 && heard * 2 >= self.members.len()
+    }
+
     /// Whether a scheduler with `token` has been heard lately.
     pub fn hears(&self, token: FencingToken) -> bool {
         let mut peers = self.peers.values();
@@ -410,7 +435,12 @@
             .filter(|&(vm, peer)| order(vm, &peer.beat, limit) < own)
             .count();
         let turns = u32::try_from(before).unwrap_or(u32::MAX);
-        let start = (self.started + self.cfg.start_grace).max(self.lost_at);
+        let grace = if self.is_nobody_leading(now) {
+            self.cfg.common_start_grace
+        } else {
+            self.cfg.start_grace
+        };
+        let start = (self.started + grace).max(self.lost_at);
         if !self.named && now < start + self.cfg.turn * turns {
             return Step::Stay;
         }
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -26,6 +26,9 @@
 /// are off by some tens of percent either way.
 const TOO_LONG_FACTOR: f64 = 0.8;
 
+/// Times the objective within which a late answer is still of use.
+const LATE_FACTOR: u32 = 3;
+
 /// Where a job is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum JobState {
@@ -149,6 +152,8 @@
     pub(super) origins: Vec<Origin>,
     pub(super) times: Times,
     pub(super) rank: Rank,
+    /// Expected run time of its longest chain of steps, where it ends in time.
+    pub(super) chain: Duration,
     /// Expected run time of a task of each step.
     pub(super) expected: Vec<Duration>,
     pub(super) tasks: Vec<Task>,
@@ -169,6 +174,8 @@
     pub(super) reruns: u32,
     /// When it must be looked at again.
     pub(super) check_at: Instant,
+    /// Whether it stands behind those that can still end in time.
+    pub(super) is_put_back: bool,
 }
 
 impl Job {
@@ -192,8 +199,10 @@
             }));
         }
         let left = spec.steps.iter().map(|s| s.count).collect();
+        let chain = times.objective.saturating_duration_since(rank.latest_start);
         let mut job = Self {
             spec,
+            chain,
             origins: vec![origin],
             times,
             rank,
@@ -208,6 +217,7 @@
             first_start: None,
             reruns: 0,
             check_at: times.give_up,
+            is_put_back: false,
         };
         job.unblock();
         job
@@ -251,11 +261,16 @@
         Arc::clone(&self.spec.payload)
     }
 
+    /// Latest start at which a late answer is still of use.
+    pub(super) fn last_useful_start(&self) -> Instant {
+        let objective = self.times.objective - self.times.arrived;
+        self.times.arrived + (objective * LATE_FACTOR).saturating_sub(self.chain)
+    }
+
     /// Whether it ends after its caller's patience even if it starts at once. Estimates are rough,
     /// so that it must be so by a margin.
     pub(super) fn is_too_long(&self, now: Instant) -> bool {
-        let chain = self.times.objective - self.rank.latest_start;
-        now + chain.mul_f64(TOO_LONG_FACTOR) > self.times.give_up
+        now + self.chain.mul_f64(TOO_LONG_FACTOR) > self.times.give_up
     }
 
     /// Whether it can't be said that none of its tasks has started.
--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -247,6 +247,7 @@
         self.checks.remove(&(job.check_at, key));
         let was_waiting = self.waiting.remove(&(job.rank, key));
         job.rank.latest_start += LATE_JOBS_BEHIND;
+        job.is_put_back = true;
         if was_waiting {
             self.waiting.insert((job.rank, key));
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -268,8 +268,21 @@
             }
         }
         // What starts now is free again after one run.
-        let started = backlog.free.min(backlog.ahead + own) as f64;
-        backlog.freed_per_s += started / expected.as_secs_f64().max(0.001);
+        let mut room = backlog.free;
+        let ahead = self.waiting.range(..(job.rank, key));
+        let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
+        let ahead = ahead.filter(|j| j.spec.service == *service && !is_held(j));
+        for other in ahead {
+            if room == 0 {
+                break;
+            }
+            let started = needs(other).min(room);
+            room -= started;
+            let first = other.ready.front().copied().unwrap_or(0);
+            let run = other.expected_run(first).as_secs_f64();
+            backlog.freed_per_s += started as f64 / run.max(0.001);
+        }
+        backlog.freed_per_s += own.min(room) as f64 / expected.as_secs_f64().max(0.001);
         backlog
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -5,7 +5,9 @@
 use super::Scheduler;
 use crate::configs::leased::LeasedConfig;
 use crate::context::Context;
+use crate::leased::admission;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
+use crate::leased::job::JobKey;
 use crate::leased::names::{EntryVm, TaskName};
 use crate::leased::note::StopCause;
 use crate::leased::report::EndKind;
@@ -17,6 +19,10 @@
 /// Time after which a slow worker is tried again.
 const SLOW_RETRY: Duration = Duration::from_secs(2);
 
+/// Time between two looks at whether a late job still finds room; room that nobody waits for is taken
+/// within a few milliseconds.
+const LATE_CHECK: Duration = Duration::from_millis(30);
+
 /// Time for which ends of unknown jobs are kept.
 const EARLY_END_TTL: Duration = Duration::from_secs(2);
 
@@ -87,12 +93,34 @@
                 self.put_back(key);
             } else if job.may_have_run() {
                 self.finish(cx, key, JobOutcome::TimedOut, out);
+            } else if self.is_worth_starting_late(cx, key) {
+                self.start_late(cx, key);
             } else {
                 self.refuse(cx, key, RefusalReason::WaitedTooLong, out);
             }
         }
     }
 
+    /// Whether a job that can't end in time any more can still end while its answer is of use, with
+    /// room that nobody else waits for. Load pattern: a new scheduler is given jobs that have waited
+    /// for it, and finds all workers free.
+    fn is_worth_starting_late(&self, cx: &Context<'_>, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        let is_useful = cx.now < job.last_useful_start() && !job.is_too_long(cx.now);
+        is_useful && admission::expected_wait(&self.backlog(cx, key)) == Some(Duration::ZERO)
+    }
+
+    /// Lets a late job wait a little longer, behind those that can still end in time.
+    fn start_late(&mut self, cx: &Context<'_>, key: JobKey) {
+        if !self.jobs[key].is_put_back {
+            self.put_back(key);
+        }
+        let job = &mut self.jobs[key];
+        self.checks.remove(&(job.check_at, key));
+        job.check_at = cx.now + LATE_CHECK;
+        self.checks.insert((job.check_at, key));
+    }
+
     fn watch(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let worker = &mut self.workers[key];
         worker.health.refresh(cx.now, SLOW_RETRY, &cx.cfg.leased);
--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -266,3 +266,26 @@
     });
     assert!(took_over);
 }
+
+/// All VMs have lost power at once and start again: those that are back know that none leads.
+#[test]
+fn nobody_waits_for_a_scheduler_that_the_others_deny() {
+    let start = Instant::now();
+    let mut first = ready(1, start);
+    first.set_members([vm(2), vm(3), vm(4)].into());
+    let now = start + 50 * MS;
+    first.hear(vm(2), idle(), now);
+    assert_eq!(tick(&mut first, now), Step::Stay, "too few are heard");
+    first.hear(vm(3), idle(), now);
+    assert_matches!(tick(&mut first, now), Step::TakeOver(_));
+    let mut late = ready(1, start);
+    late.set_members([vm(2), vm(3), vm(4)].into());
+    let follower = Beat {
+        follows: Some(FencingToken(7)),
+        ..idle()
+    };
+    late.hear(vm(2), idle(), now);
+    late.hear(vm(3), idle(), now);
+    late.hear(vm(4), follower, now);
+    assert_eq!(tick(&mut late, now), Step::Stay);
+}
--- a/crates/geraniumrelay-core/tests/leased/load.rs
+++ b/crates/geraniumrelay-core/tests/leased/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geraniumrelay_core::leased::JobOutcome;
+use geraniumrelay_core::leased::{Command, JobOutcome};
 
 use crate::worker::Mood;
 use crate::world::{TestJob, World};
@@ -182,3 +182,28 @@
     let share = share_in_time(&world, None);
     assert!(share >= 0.95, "{share}");
 }
+
+/// All entry VMs were without power. The jobs that came since have waited for the first scheduler,
+/// most of them for longer than they may, and all workers are free.
+#[test]
+fn jobs_that_have_waited_for_a_scheduler_are_served_while_there_is_room() {
+    let mut world = World::new(48, 1);
+    world.kill(0);
+    let host = world.add_host(2);
+    for (number, kind) in (0..40).zip([0, 1, 1, 2].into_iter().cycle()) {
+        let (tasks, ms, _) = KINDS[kind];
+        let mut job = TestJob::new(number + 1, tasks.min(3), Duration::from_millis(ms));
+        job.waited = Duration::from_millis(10 * number);
+        job.patience = Duration::from_millis(1_500) - job.waited;
+        world.submit(host, Duration::ZERO, job);
+    }
+    // No worker has answered the new scheduler yet.
+    world.run_for(Duration::ZERO);
+    world.tell(host, Command::Tick);
+    world.run_for(Duration::from_secs(5));
+    assert_rules(&world);
+    let done = |j: &&TestJob| world.outcome(j.spec.id.0) == Some(JobOutcome::Completed);
+    let done = world.jobs.values().filter(done).count();
+    // 40 jobs of about 100 tasks, for 96 places.
+    assert!(done >= 36, "{done} of 40");
+}
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -111,6 +111,8 @@
     /// True run time of each task.
     pub(crate) work: Duration,
     pub(crate) patience: Duration,
+    /// How long it had waited when the scheduler was given it.
+    pub(crate) waited: Duration,
     pub(crate) arrived: Instant,
     pub(crate) may_have_started: bool,
 }
@@ -147,6 +149,7 @@
             spec,
             work,
             patience: Duration::from_secs(4),
+            waited: Duration::ZERO,
             arrived: Instant::now(),
             may_have_started: false,
         }
@@ -501,7 +504,7 @@
         let submission = Submission {
             spec: job.spec.clone(),
             origin: vm(100),
-            waited: Duration::ZERO,
+            waited: job.waited,
             patience: job.patience,
             may_have_started: job.may_have_started,
         };
--- a/crates/geraniumrelay/src/leased/hub/election.rs
+++ b/crates/geraniumrelay/src/leased/hub/election.rs
@@ -107,6 +107,7 @@
                 other_cells: u32::try_from(other_cells).unwrap_or(u32::MAX),
             };
             cell.election.set_own(is_barred, has_store, now);
+            cell.election.set_members(Arc::clone(&self.members));
             cell.election.set_lag(self.lag.mean(), now);
             cell.election.set_fitness(knows_departed, fitness);
             cell.election.set_peer_fresh(peer_fresh);
@@ -121,8 +122,7 @@
             Some(step) => step,
             None => cell.election.tick(now, SystemTime::now()),
         };
-        let others = self.roster.peers(self.parts.vm);
-        let followed = cell.election.followed_since(others.keys().copied(), now);
+        let followed = cell.election.followed_since(now);
         let silent = cell.election.silent_peers(now);
         let has_scheduler = cell.scheduler.is_some();
         if step != Step::Stay {
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -85,6 +85,8 @@
     roster: Roster,
     desk: Desk,
     links: Map<EntryVm, Link>,
+    /// The other entry VMs that have entered themselves.
+    members: Arc<[EntryVm]>,
     /// The configuration's row, to pass on.
     configuration: Change,
     sent_configuration: Map<EntryVm, Instant>,
@@ -111,6 +113,7 @@
             roster,
             desk: Desk::default(),
             links: Map::default(),
+            members: Arc::default(),
             configuration: convert::configuration_from(Vec::new()),
             sent_configuration: Map::default(),
             sick_tables: Set::default(),
@@ -322,7 +325,11 @@
                 let change = convert::configuration_from(configuration.row);
                 self.take_configuration(change, "peer");
             }
-            Body::Hello(_) => {}
+            Body::Hello(hello) => {
+                if let Some(link) = self.links.get(&from) {
+                    link.peer_connected(hello.incarnation);
+                }
+            }
         }
     }
 
@@ -372,6 +379,8 @@
             }
         }
         self.pass_jobs_on();
+        // A VM that has just started learns from it whether there is a scheduler.
+        self.next_beat = Instant::now();
     }
 
     /// Hands a command to a cell's scheduler, if it is here, and carries out what it decides.
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -176,6 +176,7 @@
     pub(super) fn link_to_peers(&mut self) {
         let peers = self.roster.peers(self.parts.vm);
         self.links.retain(|vm, _| peers.contains_key(vm));
+        self.members = peers.keys().copied().collect();
         let (own, incarnation) = (self.parts.vm, self.parts.incarnation);
         for (vm, address) in peers {
             let tx = self.parts.tx.clone();
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -3,8 +3,10 @@
 //! TCP in place of QUIC: when a process is killed its kernel resets the connection, so that the
 //! scheduler's death is known within a round trip. A QUIC peer would only be silent.
 
+use std::cell::Cell;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -17,6 +19,8 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::select;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -67,6 +71,8 @@
         return;
     }
     info!(vm:% = from, incarnation = hello.incarnation; "link_in_up");
+    let body = Body::Hello(hello);
+    tx.send(Input::Peer { from, body }).await;
     while let Some(body) = read_message(&mut stream, &mut buf).await {
         tx.send(Input::Peer { from, body }).await;
     }
@@ -124,6 +130,17 @@
 #[derive(Debug)]
 pub(super) struct Link {
     tx: Sender<Bytes>,
+    shared: Rc<Shared>,
+}
+
+/// What a link shares with the task that serves it.
+#[derive(Debug, Default)]
+struct Shared {
+    /// Tells the task to connect anew.
+    renew: Notify,
+    is_connected: Cell<bool>,
+    /// The peer's process, as it last named itself.
+    incarnation: Cell<Option<u64>>,
 }
 
 impl Link {
@@ -139,26 +156,58 @@
             address: vm_to(own),
             incarnation,
         }));
+        let shared = Rc::new(Shared::default());
+        let link = Rc::clone(&shared);
         spawn_local(async move {
             while !rx.is_disconnected() {
-                if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect(own, to)).await {
-                    // What waited for the broken connection is out of date.
-                    rx.drain().for_each(drop);
-                    inputs.send(Input::LinkUp { to: vm }).await;
-                    if let Err(e) = send_all(stream, &hello, &rx).await {
-                        info!(to:% = to, reason = e.to_string().as_str(); "link_out_down");
-                    }
+                let is_renewed = select! {
+                    () = serve(own, (vm, to), &hello, &rx, &inputs, &link) => false,
+                    () = link.renew.notified() => true,
+                };
+                link.is_connected.set(false);
+                if !is_renewed {
+                    tokio::time::sleep(RECONNECT_PAUSE).await;
                 }
-                tokio::time::sleep(RECONNECT_PAUSE).await;
             }
         });
-        Self { tx }
+        Self { tx, shared }
     }
 
     /// Sends a message; `false` where the peer does not read.
     pub(super) fn send(&self, message: Bytes) -> bool {
         self.tx.try_send(message).is_ok()
     }
+
+    /// Takes note that the peer has just connected, so that it can be reached: an attempt that is
+    /// under way, or a connection to an earlier process of its, is given up.
+    pub(super) fn peer_connected(&self, incarnation: u64) {
+        let before = self.shared.incarnation.replace(Some(incarnation));
+        let is_other = before.is_some_and(|b| b != incarnation);
+        if is_other || !self.shared.is_connected.get() {
+            self.shared.renew.notify_one();
+        }
+    }
+}
+
+/// Makes one connection, and sends until it breaks.
+async fn serve(
+    own: EntryVm,
+    (vm, to): (EntryVm, SocketAddr),
+    hello: &Bytes,
+    rx: &Receiver<Bytes>,
+    inputs: &InputTx,
+    link: &Shared,
+) {
+    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connect(own, to)).await else {
+        return;
+    };
+    link.is_connected.set(true);
+    // What waited for the broken connection is out of date.
+    rx.drain().for_each(drop);
+    inputs.send(Input::LinkUp { to: vm }).await;
+    if let Err(e) = send_all(stream, hello, rx).await {
+        info!(to:% = to, reason = e.to_string().as_str(); "link_out_down");
+    }
 }
 
 /// Connects from the VM's own address, by which its peer knows it.
--- a/crates/geraniumrelay/src/leased/tests/links.rs
+++ b/crates/geraniumrelay/src/leased/tests/links.rs
@@ -33,7 +33,19 @@
 }
 
 async fn next(rx: &flume::Receiver<Input>) -> Input {
-    timeout(WAIT, rx.recv_async()).await.unwrap().unwrap()
+    loop {
+        let input = timeout(WAIT, rx.recv_async()).await.unwrap().unwrap();
+        let is_hello = matches!(
+            input,
+            Input::Peer {
+                body: Body::Hello(_),
+                ..
+            }
+        );
+        if !is_hello {
+            return input;
+        }
+    }
 }
 
 #[test]
@@ -73,3 +85,34 @@
         assert!(sent < 10_000);
     });
 }
+
+/// An attempt to connect hangs, as the peer was without power; the peer is back and has connected
+/// itself.
+#[test]
+fn a_link_is_made_at_once_when_its_peer_has_connected() {
+    run(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (tx, rx) = input::ring(metrics);
+        let vm = EntryVm(Ipv4Addr::LOCALHOST);
+        // Nobody listens there, so that each attempt is refused and a pause follows.
+        let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = free.local_addr().unwrap();
+        drop(free);
+        let link = Link::start(vm, 1, (vm, address), tx.clone());
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let listener = TcpListener::bind(address).await.unwrap();
+        let accepting = spawn_local(links::accept_all(listener, tx));
+        link.peer_connected(7);
+        assert_matches!(next(&rx).await, Input::LinkUp { to } if to == vm);
+        // The peer has started anew: the connection to its former process is made again.
+        link.peer_connected(7);
+        link.peer_connected(8);
+        loop {
+            match next(&rx).await {
+                Input::LinkUp { .. } => break,
+                other => assert_matches!(other, Input::LinkLost { .. }),
+            }
+        }
+        accepting.abort();
+    });
+}
