fix(core): ends of a job that its caller repeats during a takeover wait for its record

Ruled out: the change of record under way (the stored records were right), leases.

Change: until the records are read, ends of such a job are as good as unknown. Test: a_repeat_during_a_takeover_hides_no_end, fails first.

--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -98,6 +98,10 @@
             };
         };
         let job = &self.jobs[key];
+        // It has come from its caller, and its record may still be to come.
+        if !self.knows_records && job.keeping.is_some_and(|k| k.version == 0) {
+            return Standing::Unknown;
+        }
         let position = job.position(end.task).filter(|_| job.keeping.is_some());
         match (end.kind, position) {
             (EndKind::Done, Some(p)) if end.run < job.task(p).first_valid_run => Standing::Void,
--- a/crates/geraniumrelay-core/tests/leased/kept.rs
+++ b/crates/geraniumrelay-core/tests/leased/kept.rs
@@ -435,3 +435,23 @@
         assert!(world.false_refusals().is_empty(), "seed {seed}");
     }
 }
+
+/// The caller repeats its job just after a takeover: the new scheduler has the job from the caller
+/// before it has its record, and sees ends of its tasks in between.
+#[test]
+fn a_repeat_during_a_takeover_hides_no_end() {
+    for gap in 0..12 {
+        let mut world = World::new(4, gap);
+        let job = TestJob::new(1, 4, 100 * MS).with_slack().kept();
+        world.submit(0, MS, job.clone());
+        world.run_for(Duration::from_millis(105 + 2 * gap));
+        world.kill(0);
+        let host = world.add_keeping_host(2, &BTreeSet::new());
+        world.submit(host, MS, job.clone());
+        world.run_for(Duration::from_secs(4));
+        let again = world.started_again();
+        assert!(again.is_empty(), "gap {gap}: {again:?}");
+        assert_eq!(state(&world, 1), RecordState::Completed);
+        assert!(world.starts.values().all(|&n| n == 1), "gap {gap}");
+    }
+}
