feat(entry): ended kept jobs move to a table of their own; kept jobs are on

Removing each took a transaction of its own.

A new job expects to stand in neither table.

Tests: tests/archive.rs in place of records_of_ended_jobs_are_forgotten_after_a_while (the scheduler does not remove records any more; the same age is checked).

--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -153,11 +153,6 @@
     },
     /// Read all records of the cell.
     ReadRecords,
-    /// Remove the record of a job that has ended long ago.
-    ForgetRecord {
-        /// The job.
-        id: JobId,
-    },
     /// Say what was decided.
     Note(Note),
     /// A worker has seen a higher fencing token: another scheduler has taken over.
--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -22,7 +22,7 @@
 /// Added to the latest start of a job that has missed its objective: longer than any job waits.
 const LATE_JOBS_BEHIND: Duration = Duration::from_hours(24);
 
-/// Time for which the record of an ended job is kept; its state may be asked for two minutes.
+/// Time for which it is known of a job that it has ended; its state may be asked for two minutes.
 const ENDED_TTL: Duration = Duration::from_secs(150);
 
 impl Scheduler {
@@ -414,7 +414,6 @@
             }
             self.ended_records.pop_front();
             self.ended.remove(&id);
-            out.push(Effect::ForgetRecord { id });
         }
     }
 }
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -160,6 +160,10 @@
     pub state: i32,
     #[prost(message, repeated, tag = "4")]
     pub progress: ::prost::alloc::vec::Vec<TaskProgress>,
+    /// When it ended, in Unix milliseconds by the clock of the VM that moved it; only in the table of
+    /// ended jobs.
+    #[prost(uint64, tag = "5")]
+    pub ended_unix_ms: u64,
 }
 /// Nested message and enum types in `JobRecord`.
 pub mod job_record {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -152,6 +152,7 @@
         done: record.done.clone(),
         state: state.into(),
         progress: record.progress.iter().map(progress_to).collect(),
+        ended_unix_ms: 0,
     }
 }
 
--- a/crates/geraniumrelay/src/leased/hub/mod.rs
+++ b/crates/geraniumrelay/src/leased/hub/mod.rs
@@ -20,10 +20,10 @@
 use geraniumrelay_wire::leased::Beat;
 use geraniumrelay_wire::leased::peer_message::Body;
 use log::info;
-use tokio::task::spawn_local;
 use tokio::time::timeout_at;
 
 use crate::leased::Routes;
+use crate::leased::archive::Archive;
 use crate::leased::balance::Readiness;
 use crate::leased::cell::Cell;
 use crate::leased::convert;
@@ -69,6 +69,7 @@
     pub(super) cfg: Config,
     pub(super) store: StoreClient,
     pub(super) kept: KeptJobs,
+    pub(super) archive: Archive,
     pub(super) orders: Orders,
     pub(super) routes: Routes,
     pub(super) readiness: Rc<Readiness>,
@@ -430,10 +431,6 @@
                 }
             }
             Effect::ReadRecords => self.read_records(name, token),
-            Effect::ForgetRecord { id } => {
-                let kept = self.parts.kept.clone();
-                spawn_local(async move { kept.forget(id).await });
-            }
             Effect::Note(note) => notes::write(name, &note),
             Effect::Deposed { worker } => {
                 info!(cell:% = name, worker:% = worker, token:% = token; "scheduler_deposed");
--- a/crates/geraniumrelay/src/leased/hub/records.rs
+++ b/crates/geraniumrelay/src/leased/hub/records.rs
@@ -5,12 +5,13 @@
 
 use geraniumrelay_adapter::Change;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{Command, FencingToken, JobRecord};
+use geraniumrelay_core::leased::{Command, FencingToken, JobRecord, RecordReply, RecordState};
 use log::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::Hub;
+use crate::leased::archive;
 use crate::leased::kept::{self, Records};
 
 /// Pause before the records are read again that a new scheduler needs.
@@ -26,6 +27,7 @@
         epoch: u64,
     ) {
         let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
+        let archive = self.parts.archive.clone();
         spawn_local(async move {
             let id = record.spec.id;
             let reply = kept.store(&record, expected, Some(epoch)).await;
@@ -34,6 +36,11 @@
                 attempt, expected, epoch, reply:% = reply;
                 "record_sent"
             );
+            if let RecordReply::Stored { version } = reply
+                && archive::is_ended(&record)
+            {
+                archive.add(&record, version);
+            }
             let command = Command::RecordReplied { id, attempt, reply };
             tx.reply(cell, token, command).await;
         });
@@ -53,6 +60,7 @@
     /// Reads all records for a new scheduler.
     pub(super) fn read_records(&self, cell: &CellName, token: FencingToken) {
         let (kept, tx, cell) = (self.parts.kept.clone(), self.parts.tx.clone(), cell.clone());
+        let archive = self.parts.archive.clone();
         spawn_local(async move {
             let records = loop {
                 match kept.all().await {
@@ -62,6 +70,9 @@
                 sleep(READ_PAUSE).await;
             };
             let Records { records, version } = records;
+            for (record, version) in records.iter().filter(|r| archive::is_ended(&r.0)) {
+                archive.add(record, *version);
+            }
             info!(cell:% = cell, records = records.len(), version; "records_read");
             let listed = records
                 .into_iter()
@@ -79,6 +90,10 @@
         for (record, version) in newest.into_values().filter_map(kept::decode) {
             self.has_kept_jobs = true;
             let cell = record.cell.clone();
+            // Cancelled by an entry VM; what the scheduler ends itself is moved once it is stored.
+            if record.state == RecordState::Cancelled && self.own_token(&cell).is_some() {
+                self.parts.archive.add(&record, version);
+            }
             self.command(&cell, Command::RecordSeen { record, version });
         }
     }
--- a/crates/geraniumrelay/src/leased/hub/tables.rs
+++ b/crates/geraniumrelay/src/leased/hub/tables.rs
@@ -55,8 +55,8 @@
                 self.knows_kept_jobs = true;
                 self.take_records(rows);
             }
-            // Read where a cell is claimed.
-            Table::Epochs => {}
+            // Read where a cell is claimed, or a job is asked for.
+            Table::Epochs | Table::EndedJobs => {}
             Table::EntryVms => {
                 if self.roster.take_members(is_whole, rows) {
                     self.make_cells(now);
@@ -192,6 +192,7 @@
             Table::Workers => "workers",
             Table::EntryVms => "entry-vms",
             Table::KeptJobs => "kept-jobs",
+            Table::EndedJobs => "ended-jobs",
             Table::Epochs => "cell-epochs",
         };
         if is_healthy {
--- a/crates/geraniumrelay/src/leased/intake.rs
+++ b/crates/geraniumrelay/src/leased/intake.rs
@@ -43,8 +43,6 @@
 #[derive(Debug)]
 pub(super) struct Intake {
     kept: KeptJobs,
-    /// Whether jobs that must be kept are taken.
-    keep_jobs: bool,
     routes: Routes,
     readiness: Rc<Readiness>,
     tx: InputTx,
@@ -69,7 +67,6 @@
 impl Intake {
     pub(super) fn new(
         kept: KeptJobs,
-        keep_jobs: bool,
         routes: Routes,
         readiness: Rc<Readiness>,
         tx: InputTx,
@@ -77,7 +74,6 @@
     ) -> Self {
         Self {
             kept,
-            keep_jobs,
             routes,
             readiness,
             tx,
@@ -157,11 +153,6 @@
                 };
             }
         };
-        if spec.is_kept && !self.keep_jobs {
-            info!(id:% = id, queue = &*route.name, reason = "jobs that must be kept are not taken"; "job_rejected");
-            self.metrics.note_request("rejected");
-            return refused(StatusCode::SERVICE_UNAVAILABLE, RETRY_MUCH_LATER);
-        }
         let (reply, answer) = oneshot::channel();
         let is_taken = self.tx.tell(Input::Job {
             spec,
--- a/crates/geraniumrelay/src/leased/kept.rs
+++ b/crates/geraniumrelay/src/leased/kept.rs
@@ -1,6 +1,8 @@
 //! Records of kept jobs in the platform's store.
 
-use geraniumrelay_adapter::{Change as Row, ExpectedRow, StoreClient, StoreError, Table, Write};
+use geraniumrelay_adapter::{
+    Change as Row, ExpectedRow, RowChange, StoreClient, StoreError, Table, Write,
+};
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
     EpochReply, FencingToken, JobId, JobRecord, RecordReply, RecordState,
@@ -16,8 +18,8 @@
 /// Attempts at a cancel that meets changes of the scheduler.
 const CANCEL_ATTEMPTS: u32 = 4;
 
-/// Records of one transaction at most; the store takes 100 entries, and each record is two.
-const BATCH: usize = 45;
+/// Records of one transaction at most; the store takes 100 entries, and a new record is three.
+const BATCH: usize = 32;
 
 /// Bytes of one transaction at most; the store takes 1 MB, and encoding adds a third.
 const BATCH_BYTES: usize = 512 * 1024;
@@ -109,7 +111,8 @@
     async fn write(&self, mut batch: Vec<Change>) {
         while !batch.is_empty() {
             let epoch = batch.first().and_then(epoch_row);
-            let rows: Vec<ExpectedRow> = batch.iter().map(row).chain(epoch.clone()).collect();
+            let rows = batch.iter().map(row).chain(epoch.clone());
+            let rows: Vec<ExpectedRow> = rows.chain(batch.iter().filter_map(absent_end)).collect();
             let written = match self.store.put_if(&rows).await {
                 Ok(Write::Conflict { stored }) if is_over(epoch.as_ref(), &stored) => {
                     for change in batch.drain(..) {
@@ -163,7 +166,7 @@
         let row = ExpectedRow {
             table: Table::Epochs,
             key: cell.to_string(),
-            value: Some(token.to_string().into_bytes()),
+            change: RowChange::Set(token.to_string().into_bytes()),
             expected: version,
         };
         match self.store.put_if(&[row]).await? {
@@ -187,7 +190,11 @@
 
     /// Where a job is; `None` where it was never accepted, or ended long ago.
     pub(super) async fn state(&self, id: JobId) -> Result<Option<RecordState>, StoreError> {
-        let row = self.store.row(Table::KeptJobs, &id.to_string()).await?;
+        let key = id.to_string();
+        let mut row = self.store.row(Table::KeptJobs, &key).await?;
+        if row.is_none() {
+            row = self.store.row(Table::EndedJobs, &key).await?;
+        }
         let record = row.as_ref().and_then(decode);
         Ok(record.map(|(record, _)| record.state))
     }
@@ -198,7 +205,7 @@
         let mut stored = row.as_ref().and_then(decode);
         for _ in 0..CANCEL_ATTEMPTS {
             let Some((mut record, version)) = stored else {
-                return Ok(false);
+                return Ok(self.state(id).await?.is_some());
             };
             if record.state != RecordState::Open {
                 return Ok(true);
@@ -215,30 +222,33 @@
         }
         Err(StoreError::Unanswered)
     }
-
-    /// Removes the record of a job that ended long ago.
-    pub(super) async fn forget(&self, id: JobId) {
-        if let Err(e) = self.store.remove(Table::KeptJobs, &id.to_string()).await {
-            warn!(id:% = id, reason:% = e; "record_not_removed");
-        }
-    }
 }
 
 fn row(change: &Change) -> ExpectedRow {
     ExpectedRow {
         table: Table::KeptJobs,
         key: change.record.spec.id.to_string(),
-        value: Some(convert::record_to(&change.record).encode_to_vec()),
+        change: RowChange::Set(convert::record_to(&change.record).encode_to_vec()),
         expected: change.expected,
     }
 }
 
+/// The condition that a new job has not ended before.
+fn absent_end(change: &Change) -> Option<ExpectedRow> {
+    (change.expected == 0).then(|| ExpectedRow {
+        table: Table::EndedJobs,
+        key: change.record.spec.id.to_string(),
+        change: RowChange::Keep,
+        expected: 0,
+    })
+}
+
 /// The condition that a scheduler's cell is still its own.
 fn epoch_row(change: &Change) -> Option<ExpectedRow> {
     Some(ExpectedRow {
         table: Table::Epochs,
         key: change.record.cell.to_string(),
-        value: None,
+        change: RowChange::Keep,
         expected: change.epoch?,
     })
 }
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -4,6 +4,7 @@
 //! threads costs more than a request's decision. The hub alone owns the decisions; intake, links,
 //! feeds and worker calls are tasks that reach it through one bounded ring.
 
+mod archive;
 mod balance;
 mod cell;
 mod convert;
@@ -38,6 +39,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
+use archive::Archive;
 use hub::Hub;
 use input::{Input, InputTx};
 use intake::Intake;
@@ -66,12 +68,11 @@
     Ok(())
 }
 
-/// Runs the process until it is told to stop and everything in flight has ended. Jobs that must be
-/// kept are taken where `keep_jobs` is set.
+/// Runs the process until it is told to stop and everything in flight has ended.
 ///
 /// # Errors
 /// Settings that are not usable, addresses that can't be listened on.
-pub fn run(keep_jobs: bool) -> anyhow::Result<()> {
+pub fn run() -> anyhow::Result<()> {
     let logs = crate::logging::init_ring();
     let path = NodeSettings::path()?;
     let settings = match NodeSettings::read(&path) {
@@ -86,13 +87,13 @@
         .enable_all()
         .build()
         .context("runtime")?;
-    let result = LocalSet::new().block_on(&runtime, serve(path, settings, keep_jobs));
+    let result = LocalSet::new().block_on(&runtime, serve(path, settings));
     info!("stopped");
     logs.flush();
     result
 }
 
-async fn serve(path: PathBuf, settings: NodeSettings, keep_jobs: bool) -> anyhow::Result<()> {
+async fn serve(path: PathBuf, settings: NodeSettings) -> anyhow::Result<()> {
     let vm = EntryVm(settings.address);
     let http = Rc::new(HttpClient::new());
     let store = StoreClient::new(Rc::clone(&http), settings.store);
@@ -112,7 +113,6 @@
     let kept = KeptJobs::start(store.clone());
     let intake = Rc::new(Intake::new(
         kept.clone(),
-        keep_jobs,
         Rc::clone(&routes),
         Rc::clone(&readiness),
         tx.clone(),
@@ -126,9 +126,11 @@
     spawn_local(watch_settings(path, settings.clone()));
     info!(
         vm = settings.vm.as_str(), data_centre = settings.data_centre.as_str(),
-        keep_jobs, listen:% = settings.listen, peers:% = settings.peer_listen(), store:% = settings.store;
+        listen:% = settings.listen, peers:% = settings.peer_listen(), store:% = settings.store;
         "started"
     );
+    let schedules = Rc::clone(&is_scheduler);
+    let archive = Archive::start(store.clone(), move || schedules.get());
     let hub = Hub::new(hub::Parts {
         vm,
         incarnation: rand::random(),
@@ -138,6 +140,7 @@
         cfg: leased_config(&settings),
         store: store.clone(),
         kept,
+        archive,
         orders,
         routes,
         readiness: Rc::clone(&readiness),
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the parts that no other package sees.
 
+mod archive;
 mod convert;
 mod desk;
 mod links;
--- a/crates/geraniumrelay/src/main.rs
+++ b/crates/geraniumrelay/src/main.rs
@@ -19,11 +19,6 @@
     /// Runs on VMs whose workers take tasks under leases; the settings stand in the file that
     /// `GERANIUMRELAY_BOOT` names.
     Leased {
-        /// Take jobs that must be kept as well. Off, as a task of such a job may run again after a
-        /// partition though it had ended; see docs/design/platform.md.
-        #[arg(long, env = "GERANIUMRELAY_KEEP_JOBS")]
-        keep_jobs: bool,
-
         /// Only check the settings, and name every fault.
         #[arg(long)]
         check: bool,
@@ -33,8 +28,8 @@
 fn main() -> anyhow::Result<()> {
     let cli = Cli::parse();
     match (cli.mode, cli.settings) {
-        (Some(Mode::Leased { check: true, .. }), _) => geraniumrelay::check_leased(),
-        (Some(Mode::Leased { keep_jobs, .. }), _) => geraniumrelay::run_leased(keep_jobs),
+        (Some(Mode::Leased { check: true }), _) => geraniumrelay::check_leased(),
+        (Some(Mode::Leased { check: false }), _) => geraniumrelay::run_leased(),
         (None, Some(settings)) => geraniumrelay::run(&settings),
         (None, None) => anyhow::bail!("settings are missing; see --help"),
     }
