--- a/crates/geraniumrelay-core/tests/leased/kept.rs
+++ b/crates/geraniumrelay-core/tests/leased/kept.rs
@@ -23,6 +23,16 @@
     host
 }
 
+/// Every job has ended, and no task ran again.
+fn assert_kept(world: &World, seed: u64) {
+    let again = world.started_again();
+    assert!(again.is_empty(), "seed {seed}: {again:?}");
+    assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
+    let kept = world.records.values();
+    let open = kept.filter(|r| r.0.state == RecordState::Open).count();
+    assert_eq!(open, 0, "seed {seed}");
+}
+
 #[test]
 fn a_job_is_accepted_once_it_is_stored_and_runs_on_without_its_caller() {
     let mut world = World::new(4, 1);
@@ -379,12 +389,7 @@
         world.run_for(Duration::from_secs(3));
         take_over(&mut world, 3);
         world.run_for(Duration::from_secs(5));
-        let again = world.started_again();
-        assert!(again.is_empty(), "seed {seed}: {again:?}");
-        assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
-        let kept = world.records.values();
-        let open = kept.filter(|r| r.0.state == RecordState::Open).count();
-        assert_eq!(open, 0, "seed {seed}");
+        assert_kept(&world, seed);
     }
 }
 
@@ -416,12 +421,7 @@
         world.run_for(Duration::from_secs(12));
         take_over(&mut world, 9);
         world.run_for(Duration::from_secs(6));
-        let again = world.started_again();
-        assert!(again.is_empty(), "seed {seed}: {again:?}");
-        assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
-        let kept = world.records.values();
-        let open = kept.filter(|r| r.0.state == RecordState::Open).count();
-        assert_eq!(open, 0, "seed {seed}");
+        assert_kept(&world, seed);
         assert!(world.false_refusals().is_empty(), "seed {seed}");
     }
 }
--- a/crates/geraniumrelay-testkit/src/cluster.rs
+++ b/crates/geraniumrelay-testkit/src/cluster.rs
@@ -255,14 +255,27 @@
     pub fn wait_ready(&self) {
         let caller = Caller::new();
         let until = Instant::now() + READY_TIMEOUT;
-        let is_ready = |entry: SocketAddr| {
-            caller.get(entry, "/readyz").0 == 200
-                && gauge(&caller, entry, "geraniumrelay_peers_heard") >= self.entries.len() - 1
-                && gauge(&caller, entry, "geraniumrelay_targets") >= self.plan.targets
+        let figures = |entry: SocketAddr| {
+            let status = caller.get(entry, "/readyz").0;
+            let peers = gauge(&caller, entry, "geraniumrelay_peers_heard");
+            (
+                status,
+                peers,
+                gauge(&caller, entry, "geraniumrelay_targets"),
+            )
         };
         for entry in &self.entries {
-            while !is_ready(entry.address) {
-                assert!(Instant::now() < until, "{} is not ready in time", entry.vm);
+            loop {
+                let (status, peers, targets) = figures(entry.address);
+                let hears_all = peers >= self.entries.len() - 1;
+                if status == 200 && hears_all && targets >= self.plan.targets {
+                    break;
+                }
+                assert!(
+                    Instant::now() < until,
+                    "{} is not ready in time: status {status}, {peers} peers, {targets} targets",
+                    entry.vm
+                );
                 std::thread::sleep(READY_STEP);
             }
         }
