fix(core): ends of unknown jobs are read with a pause

Cause: while the store is away after a start of all VMs, ends that may be those of kept jobs can't be acknowledged, and each worker was looked at again every 10 ms. Change: 50 ms between such looks.

--- a/crates/geraniumrelay-core/src/leased/scheduler/look.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/look.rs
@@ -17,6 +17,10 @@
 /// a few milliseconds.
 const HELD_PAUSE: Duration = Duration::from_millis(10);
 
+/// The same where it is not known whether an end is one of a kept job, as while the store is away: as
+/// many looks as tasks end on a busy worker.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(50);
+
 impl Scheduler {
     pub(super) fn take_report(
         &mut self,
@@ -38,15 +42,21 @@
         worker.looking.out_since = None;
         worker.looking.misses = 0;
         worker.taken_since = None;
-        // Ends that can't be acknowledged yet come again at once.
-        let is_held = !worker.held_ends.is_empty() || worker.first_unknown_end.is_some();
-        worker.looking.not_before = is_held.then(|| cx.now + HELD_PAUSE);
+        worker.looking.not_before = None;
         worker.clock = Some(WorkerClock::new(report.clock, cx.now));
         if worker.fenced.is_none() {
             worker.fenced = Some(cx.now);
             self.has_new_room = true;
         }
         self.take_ends(cx, key, report, out);
+        // Ends that can't be acknowledged yet come again at once.
+        let worker = &mut self.workers[key];
+        let pause = if worker.first_unknown_end.is_some() {
+            Some(UNKNOWN_PAUSE)
+        } else {
+            (!worker.held_ends.is_empty()).then_some(HELD_PAUSE)
+        };
+        worker.looking.not_before = pause.map(|p| cx.now + p);
         self.take_running(cx, key, report);
         self.drop_missing(cx, key, sent, report, out);
         self.stop_unsure(cx, key, sent, out);
--- a/crates/geraniumrelay-core/tests/leased/kept.rs
+++ b/crates/geraniumrelay-core/tests/leased/kept.rs
@@ -445,3 +445,25 @@
         assert!(world.starts.values().all(|&n| n == 1), "gap {gap}");
     }
 }
+
+/// All VMs have started again while the store is away, and workers list ends of jobs that nobody
+/// knows: they must not be looked at without a pause.
+#[test]
+fn unknown_ends_are_not_read_over_and_over() {
+    let mut world = World::new(4, 1);
+    world.submit(0, MS, TestJob::new(1, 8, 60 * MS));
+    world.run_for(50 * MS);
+    world.kill(0);
+    world.run_for(50 * MS);
+    world.is_store_down = true;
+    let host = world.add_keeping_host(2, &BTreeSet::new());
+    let job = TestJob::new(2, 8, Duration::from_secs(2)).with_slack();
+    world.submit(host, MS, job);
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.outcome(2), None);
+    let looks: u32 = world.workers.iter().map(|w| w.looks).sum();
+    assert!(looks <= 4 * 30, "{looks} looks in a second");
+    world.is_store_down = false;
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.outcome(2), Some(JobOutcome::Completed));
+}
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -263,6 +263,7 @@
             run: r.run,
             percent: percent(r, now),
         });
+        self.looks += 1;
         Some(LookReply::Report(WorkerReport {
             born: None,
             clock: self.clock(now),
