--- a/crates/geraniumrelay-core/src/leased/epoch.rs
+++ b/crates/geraniumrelay-core/src/leased/epoch.rs
@@ -74,7 +74,8 @@
         true
     }
 
-    /// Takes the store's word that the row names this scheduler; `true` where that was not known.
+    /// Takes note that the row names this scheduler, by a reply to a call sent at `sent`; `true` where
+    /// that was not known.
     pub(super) fn hold(&mut self, version: u64, sent: Instant) -> bool {
         if self.is_lost {
             return false;
@@ -93,7 +94,8 @@
         self.is_store_silent = true;
     }
 
-    /// Takes note that nobody else had claimed the cell at `at`, by the word of all entry VMs.
+    /// Takes note that all entry VMs followed this scheduler at `at`, so that nobody else had claimed
+    /// the cell.
     pub(super) fn followed(&mut self, at: Instant) {
         if self.version.is_some() {
             self.confirmed = self.confirmed.max(Some(at));
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -296,7 +296,7 @@
         }
     }
 
-    /// Voids all runs so far of a task: it runs again, whatever becomes of them.
+    /// Voids all runs so far of a task: it runs again, and their ends are ignored.
     pub(super) fn void_runs(&mut self, position: u32) {
         let task = self.task_mut(position);
         task.first_valid_run = task.last_run + 1;
--- a/crates/geraniumrelay-core/src/leased/record.rs
+++ b/crates/geraniumrelay-core/src/leased/record.rs
@@ -28,7 +28,7 @@
     pub position: u32,
     /// Runs that ended as failed; by number, as a later scheduler may see their ends again.
     pub failed_runs: Vec<u32>,
-    /// Lower runs count as lost: the task runs again, and their ends are of no account.
+    /// Lower runs count as lost: the task runs again, and their ends are ignored.
     pub first_valid_run: u32,
 }
 
