refactor(core): what waits is walked once, and one copy of each rule on kept jobs

Found: the jobs ahead of a new one were walked and added up twice at each submission; the claim to a cell was looked up for each task that is placed; all jobs were scanned at each tick where there are no kept ones; the time of the next look at a job was set in two places; which runs count as lost was told by two functions, and the age of ended jobs by two constants; the stand-in sent starts and stops by two copies of the same lines. Ruled out: the frequent shapes of generated messages and of signatures, which are no logic.

Change: one of each.

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -274,7 +274,7 @@
         heard > 0 && heard * 2 >= self.members.len()
     }
 
-    /// Whether a scheduler with `token` has been heard lately.
+    /// Whether a scheduler with `token`, or a VM that follows it, has been heard on a link that stands.
     pub fn hears(&self, token: FencingToken) -> bool {
         let mut peers = self.peers.values();
         peers.any(|p| p.beat.token == Some(token) || p.beat.follows == Some(token))
--- a/crates/geraniumrelay-core/src/leased/epoch.rs
+++ b/crates/geraniumrelay-core/src/leased/epoch.rs
@@ -50,7 +50,7 @@
         self.is_lost
     }
 
-    /// Whether nothing can be stored at present.
+    /// Whether the store did not answer the last call.
     pub(super) fn is_store_silent(&self) -> bool {
         self.is_store_silent
     }
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -325,15 +325,6 @@
         }
     }
 
-    /// Tasks some of whose runs count as lost, and the first run that does not.
-    pub(super) fn first_valid_runs(&self) -> Vec<(TaskName, u32)> {
-        let tasks = (0..).zip(&self.tasks);
-        let tasks = tasks.filter(|(_, t)| t.first_valid_run > 0);
-        tasks
-            .map(|(p, t)| (self.name(p), t.first_valid_run))
-            .collect()
-    }
-
     /// What lasts of its tasks, beside which of them are done.
     pub(super) fn progress(&self) -> Vec<TaskProgress> {
         let tasks = (0..).zip(&self.tasks);
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -31,7 +31,7 @@
 pub use job::JobState;
 pub use names::{EntryVm, FencingToken, JobId, NameError, TaskName, WorkerName};
 pub use note::{Belief, Note, StopCause};
-pub use record::{JobRecord, RecordReply, RecordState, TaskProgress};
+pub use record::{ENDED_TTL, JobRecord, RecordReply, RecordState, TaskProgress};
 pub use report::{EndKind, EndedRun, RunningTask, WorkerReport};
 pub use scheduler::{Scheduler, Snapshot};
 pub use spec::{JobSpec, Resources, StepSpec};
--- a/crates/geraniumrelay-core/src/leased/record.rs
+++ b/crates/geraniumrelay-core/src/leased/record.rs
@@ -1,9 +1,15 @@
 //! What lasts of a job that must be kept.
 
+use std::time::Duration;
+
 use super::cells::CellName;
 use super::names::TaskName;
 use super::spec::JobSpec;
 
+/// Time for which it is known of a kept job that it has ended; its state may be asked for two
+/// minutes.
+pub const ENDED_TTL: Duration = Duration::from_secs(150);
+
 /// Where a kept job is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum RecordState {
@@ -47,17 +53,15 @@
     pub state: RecordState,
 }
 
-impl JobRecord {
-    /// Tasks some of whose runs count as lost, and the first run that does not.
-    pub fn first_valid_runs(&self) -> Vec<(TaskName, u32)> {
-        let names: Vec<TaskName> = self.spec.task_names().collect();
-        let voided = self.progress.iter().filter(|p| p.first_valid_run > 0);
-        let runs = voided.filter_map(|p| {
-            let name = names.get(p.position as usize)?;
-            Some((*name, p.first_valid_run))
-        });
-        runs.collect()
-    }
+/// Tasks of a job some of whose runs count as lost, and the first run that does not.
+pub(super) fn first_valid_runs(spec: &JobSpec, progress: &[TaskProgress]) -> Vec<(TaskName, u32)> {
+    let names: Vec<TaskName> = spec.task_names().collect();
+    let voided = progress.iter().filter(|p| p.first_valid_run > 0);
+    let runs = voided.filter_map(|p| {
+        let name = names.get(p.position as usize)?;
+        Some((*name, p.first_valid_run))
+    });
+    runs.collect()
 }
 
 /// Reply of the store to a change of a record.
--- a/crates/geraniumrelay-core/src/leased/scheduler/epochs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/epochs.rs
@@ -93,10 +93,10 @@
 
     /// Asks the store whether the claim stands, and stops kept tasks while that is not certain.
     pub(super) fn watch_epoch(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
-        let has_kept_jobs = self.jobs.values().any(|j| j.keeping.is_some());
         let Some(epoch) = &mut self.epoch else {
             return;
         };
+        let has_kept_jobs = self.jobs.values().any(|j| j.keeping.is_some());
         if epoch.ask(cx.now, has_kept_jobs, &cx.cfg.leased) {
             out.push(Effect::ClaimEpoch);
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/keep.rs
@@ -13,7 +13,7 @@
 use crate::leased::epoch::Epoch;
 use crate::leased::job::{JobKey, Keeping, TaskState};
 use crate::leased::names::{EntryVm, JobId, TaskName};
-use crate::leased::record::{JobRecord, RecordReply, RecordState};
+use crate::leased::record::{ENDED_TTL, JobRecord, RecordReply, RecordState, first_valid_runs};
 use crate::leased::worker::WorkerKey;
 
 /// Time after which a change is sent again that was refused, or not answered.
@@ -22,9 +22,6 @@
 /// Added to the latest start of a job that has missed its objective: longer than any job waits.
 const LATE_JOBS_BEHIND: Duration = Duration::from_hours(24);
 
-/// Time for which it is known of a job that it has ended; its state may be asked for two minutes.
-const ENDED_TTL: Duration = Duration::from_secs(150);
-
 impl Scheduler {
     /// Takes note that a job must be kept.
     pub(super) fn keep(&mut self, cx: &Context<'_>, key: JobKey) {
@@ -191,7 +188,8 @@
             RecordState::Failed => JobOutcome::Failed,
             RecordState::Cancelled => JobOutcome::Cancelled,
         };
-        let voided = self.jobs[key].first_valid_runs();
+        let job = &self.jobs[key];
+        let voided = first_valid_runs(&job.spec, &job.progress());
         self.note_ended(cx, id, voided);
         self.finish(cx, key, outcome, out);
     }
@@ -256,7 +254,7 @@
     /// Lets the tasks of an accepted job start.
     fn admit(&mut self, cx: &Context<'_>, key: JobKey) {
         self.note_demand(cx.now, key);
-        self.plan_check(cx, key);
+        self.plan_check(key);
         let job = &self.jobs[key];
         if !job.ready.is_empty() {
             self.waiting.insert((job.rank, key));
@@ -336,7 +334,7 @@
             return;
         }
         if record.state != RecordState::Open {
-            self.note_ended(cx, id, record.first_valid_runs());
+            self.note_ended(cx, id, first_valid_runs(&record.spec, &record.progress));
             return;
         }
         let nobody = EntryVm([0, 0, 0, 0].into());
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -34,7 +34,12 @@
                     continue;
                 }
             }
-            if !self.place_job(cx, key, (respects_pauses, respects_slowness), out) {
+            if !self.place_job(
+                cx,
+                key,
+                (respects_pauses, respects_slowness, is_epoch_confirmed),
+                out,
+            ) {
                 misses += 1;
             }
             if self.jobs[key].ready.is_empty() {
@@ -51,7 +56,7 @@
         &mut self,
         cx: &Context<'_>,
         key: JobKey,
-        (respects_pauses, respects_slowness): (bool, bool),
+        (respects_pauses, respects_slowness, may_renew_kept): (bool, bool, bool),
         out: &mut Vec<Effect>,
     ) -> bool {
         while let Some(&position) = self.jobs[key].ready.front() {
@@ -63,7 +68,7 @@
                 data_centre: &self.data_centre,
                 respects_pauses,
                 respects_slowness,
-                may_renew_kept: self.is_epoch_confirmed(cx),
+                may_renew_kept,
             };
             let Some(worker) = placement::choose(&cx.cfg.leased, &self.workers, wish) else {
                 return false;
@@ -126,7 +131,7 @@
             token: self.token,
         }));
         if !was_started {
-            self.plan_check(cx, task.job);
+            self.plan_check(task.job);
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -84,7 +84,7 @@
             return;
         }
         self.note_demand(cx.now, key);
-        self.plan_check(cx, key);
+        self.plan_check(key);
         if !self.jobs[key].ready.is_empty() {
             self.waiting.insert((self.jobs[key].rank, key));
         }
@@ -235,12 +235,13 @@
         let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
         let is_held = |j: &Job| j.earlier_runs_until.is_some_and(|until| cx.now < until);
         let ahead = ahead.filter(|j| j.spec.service == *service && !is_held(j));
+        let ahead: Vec<(&Job, u64)> = ahead.map(|j| (j, needs(j))).collect();
         let own = needs(job);
         let position = job.ready.front().copied().unwrap_or(0);
         let (size, expected) = (job.step(position).size, job.expected_run(position));
         let mut backlog = Backlog {
             free: 0,
-            ahead: ahead.map(needs).sum(),
+            ahead: ahead.iter().map(|&(_, needed)| needed).sum(),
             own,
             freed_per_s: 0.0,
             urgent_per_s: self.urgent_demand(cx.now, job.spec.priority),
@@ -269,14 +270,11 @@
         }
         // What starts now is free again after one run.
         let mut room = backlog.free;
-        let ahead = self.waiting.range(..(job.rank, key));
-        let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
-        let ahead = ahead.filter(|j| j.spec.service == *service && !is_held(j));
-        for other in ahead {
+        for (other, needed) in ahead {
             if room == 0 {
                 break;
             }
-            let started = needs(other).min(room);
+            let started = needed.min(room);
             room -= started;
             let first = other.ready.front().copied().unwrap_or(0);
             let run = other.expected_run(first).as_secs_f64();
@@ -320,17 +318,24 @@
     }
 
     /// Sets the time at which a job is looked at next.
-    pub(super) fn plan_check(&mut self, _cx: &Context<'_>, key: JobKey) {
-        let job = &mut self.jobs[key];
-        self.checks.remove(&(job.check_at, key));
-        job.check_at = if job.keeping.is_some() {
+    pub(super) fn plan_check(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let at = if job.keeping.is_some() {
             job.rank.latest_start
         } else if job.may_have_run() {
             job.times.give_up
         } else {
             job.rank.latest_start.min(job.times.give_up)
         };
-        self.checks.insert((job.check_at, key));
+        self.check_at(key, at);
+    }
+
+    /// Has a job looked at next at `at`.
+    pub(super) fn check_at(&mut self, key: JobKey, at: Instant) {
+        let job = &mut self.jobs[key];
+        self.checks.remove(&(job.check_at, key));
+        job.check_at = at;
+        self.checks.insert((at, key));
     }
 
     pub(super) fn withdraw(
--- a/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/watch.rs
@@ -115,10 +115,7 @@
         if !self.jobs[key].is_put_back {
             self.put_back(key);
         }
-        let job = &mut self.jobs[key];
-        self.checks.remove(&(job.check_at, key));
-        job.check_at = cx.now + LATE_CHECK;
-        self.checks.insert((job.check_at, key));
+        self.check_at(key, cx.now + LATE_CHECK);
     }
 
     fn watch(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -521,23 +521,12 @@
                     run: call.run,
                     reply: StopReply::Unanswered,
                 };
-                let is_cut = self.is_cut(host, &call.name);
-                let is_late = self.is_late();
-                let is_heard = self.is_heard() && !is_late;
-                if !is_heard || is_cut {
-                    self.at(self.now + CALL_TIMEOUT, Event::Tell { host, cmd: timeout });
-                }
-                if !is_cut {
-                    let at = self.now + self.delay(is_late);
-                    self.at(
-                        at,
-                        Event::Stop {
-                            host,
-                            call,
-                            is_heard,
-                        },
-                    );
-                }
+                let name = call.name.clone();
+                self.send_order(host, &name, timeout, |is_heard| Event::Stop {
+                    host,
+                    call,
+                    is_heard,
+                });
             }
             Effect::Look(call) => {
                 let sent = self.now;
@@ -592,7 +581,23 @@
             reply: StartReply::Unanswered,
             clock: None,
         };
-        let is_cut = self.is_cut(host, &call.name);
+        let name = call.name.clone();
+        self.send_order(host, &name, timeout, |is_heard| Event::Start {
+            host,
+            call,
+            is_heard,
+        });
+    }
+
+    /// Sends an order to a worker. Where no answer comes, the scheduler is told `timeout`.
+    fn send_order(
+        &mut self,
+        host: usize,
+        to: &WorkerName,
+        timeout: Command,
+        order: impl FnOnce(bool) -> Event,
+    ) {
+        let is_cut = self.is_cut(host, to);
         let is_late = self.is_late();
         let is_heard = self.is_heard() && !is_late;
         if !is_heard || is_cut {
@@ -600,14 +605,7 @@
         }
         if !is_cut {
             let at = self.now + self.delay(is_late);
-            self.at(
-                at,
-                Event::Start {
-                    host,
-                    call,
-                    is_heard,
-                },
-            );
+            self.at(at, order(is_heard));
         }
     }
 
--- a/crates/geraniumrelay/src/leased/archive.rs
+++ b/crates/geraniumrelay/src/leased/archive.rs
@@ -10,7 +10,7 @@
 use geraniumrelay_adapter::{
     Change, ExpectedRow, RowChange, StoreClient, StoreError, Table, Write,
 };
-use geraniumrelay_core::leased::{JobId, JobRecord, RecordState};
+use geraniumrelay_core::leased::{ENDED_TTL, JobId, JobRecord, RecordState};
 use geraniumrelay_wire::leased::JobRecord as StoredRecord;
 use log::{info, warn};
 use prost::Message as _;
@@ -34,9 +34,6 @@
 /// Pause before a move is tried again.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Time for which an ended job is kept; its state may be asked for two minutes.
-const TTL: Duration = Duration::from_secs(150);
-
 /// Pause between two pages of the search for jobs that ended long ago.
 const PAGE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -187,7 +184,7 @@
 pub(super) fn removal(row: &Change, now: SystemTime) -> Option<ExpectedRow> {
     let stored = StoredRecord::decode(row.value.as_deref()?).unwrap_or_default();
     let age = unix_ms(now).saturating_sub(stored.ended_unix_ms);
-    (Duration::from_millis(age) >= TTL).then(|| ExpectedRow {
+    (Duration::from_millis(age) >= ENDED_TTL).then(|| ExpectedRow {
         table: Table::EndedJobs,
         key: row.key.clone(),
         change: RowChange::Remove,
