feat(metrics): bytes of links by kind, memory, and reads of the store

Change: link_bytes_total by direction and kind, link_queued_bytes with the bytes in the sending tasks' buffers, link_messages_dropped_total, resident_bytes (read at a scrape), and reads, time and row bytes by table. New lines configuration_sent and link_queue_full; configuration_in_force names the peer and the bytes, store_read_failed how long the read took. What is sent, and when, is unchanged.

The effect on CPU time is not measured.

--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -334,7 +334,7 @@
             }
             Body::Configuration(configuration) => {
                 let change = convert::configuration_change(configuration.row);
-                self.apply_configuration(change, "peer");
+                self.apply_configuration(change, Some(from));
             }
             Body::Hello(hello) => {
                 if let Some(link) = self.links.get(&from) {
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -44,7 +44,7 @@
         match table {
             Table::Configuration => {
                 for change in rows {
-                    self.apply_configuration(change.clone(), "store");
+                    self.apply_configuration(change.clone(), None);
                 }
             }
             Table::Workers => {
@@ -144,8 +144,10 @@
         });
     }
 
-    /// Puts a configuration in force if it is readable and newer; `source` is for the log line.
-    pub(super) fn apply_configuration(&mut self, change: Change, source: &str) {
+    /// Puts a configuration in force if it is readable and newer; `from` is the peer that sent it,
+    /// for the log line.
+    pub(super) fn apply_configuration(&mut self, change: Change, from: Option<EntryVm>) {
+        let source = if from.is_some() { "peer" } else { "store" };
         let routes = match configuration(&change) {
             Some(Ok(routes)) => routes,
             Some(Err(e)) => {
@@ -158,7 +160,13 @@
         if routes.version <= known {
             return;
         }
-        info!(version = routes.version, previous = known, routes = routes.len(), source; "configuration_in_force");
+        let from = from.map_or_else(|| source.to_owned(), |vm| vm.to_string());
+        let bytes = change.value.as_ref().map_or(0, Vec::len);
+        info!(
+            version = routes.version, previous = known, routes = routes.len(), source,
+            from = from.as_str(), bytes;
+            "configuration_in_force"
+        );
         self.components.metrics.set_configuration(routes.version);
         self.configuration = change;
         *self.components.routes.borrow_mut() = Some(Rc::new(routes));
@@ -177,6 +185,10 @@
         }
         self.configuration_sent_at.insert(to, now);
         let row = self.configuration.value.clone().unwrap_or_default();
+        info!(
+            to:% = to, version = self.config_version(), peer_version = version, bytes = row.len();
+            "configuration_sent"
+        );
         self.send(to, Body::Configuration(Configuration { row }));
     }
 
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -89,6 +89,11 @@
         is_queued
     }
 
+    /// Metrics of the process.
+    pub(super) fn metrics(&self) -> &Arc<LeasedMetrics> {
+        &self.metrics
+    }
+
     /// Queues the reply to a request of the scheduler of `cell` with `token`.
     pub(super) async fn reply(&self, cell: CellName, token: FencingToken, command: Command) {
         let input = Input::SchedulerReply {
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -0,0 +1,118 @@
+//! Accounts for the messages of an outgoing link until the kernel has taken them.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use geraniumrelay_wire::leased::peer_message::Body;
+use log::warn;
+
+use super::metrics::LeasedMetrics;
+
+/// Name of the message's kind in metrics.
+pub(super) fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Hello(_) => "hello",
+        Body::Beat(_) => "beat",
+        Body::Submit(_) => "submit",
+        Body::Withdraw(_) => "withdraw",
+        Body::Cancel(_) => "cancel",
+        Body::Answer(_) => "answer",
+        Body::Configuration(_) => "configuration",
+    }
+}
+
+/// Bytes that one link holds: queued messages and those in the buffer of its sending task.
+#[derive(Debug)]
+pub(super) struct LinkLoad {
+    to: SocketAddr,
+    queued_bytes: Cell<usize>,
+    is_full: Cell<bool>,
+    metrics: Arc<LeasedMetrics>,
+}
+
+impl LinkLoad {
+    pub(super) fn new(to: SocketAddr, metrics: Arc<LeasedMetrics>) -> Self {
+        Self {
+            to,
+            queued_bytes: Cell::new(0),
+            is_full: Cell::new(false),
+            metrics,
+        }
+    }
+
+    /// Counts a message that the queue has accepted.
+    pub(super) fn accepted(&self, kind: &str, bytes: usize) {
+        self.metrics.count_link_bytes("out", kind, bytes);
+        self.queued_bytes.set(self.queued_bytes.get() + bytes);
+        self.metrics.add_link_queued(bytes);
+    }
+
+    /// Counts a message that the full queue has refused; logged once until the queue is
+    /// [drained](Self::drained).
+    pub(super) fn refused(&self) {
+        self.metrics.count_link_message_dropped();
+        if !self.is_full.replace(true) {
+            warn!(to:% = self.to, queued = self.queued_bytes.get(); "link_queue_full");
+        }
+    }
+
+    /// Reports that the sending task has emptied the queue.
+    pub(super) fn drained(&self) {
+        self.is_full.set(false);
+    }
+
+    /// Counts bytes that were sent or discarded.
+    pub(super) fn released(&self, bytes: usize) {
+        let queued = self.queued_bytes.get();
+        self.queued_bytes.set(queued.saturating_sub(bytes));
+        self.metrics.sub_link_queued(bytes.min(queued));
+    }
+}
+
+impl Drop for LinkLoad {
+    fn drop(&mut self) {
+        self.released(self.queued_bytes.get());
+    }
+}
+
+/// Buffer of a sending task; bytes are released as they are written, or when the buffer is dropped.
+#[derive(Debug)]
+pub(super) struct SendBuf<'a> {
+    buf: BytesMut,
+    load: &'a LinkLoad,
+}
+
+impl<'a> SendBuf<'a> {
+    pub(super) fn new(load: &'a LinkLoad) -> Self {
+        let buf = BytesMut::new();
+        Self { buf, load }
+    }
+
+    /// Appends a message taken from the queue.
+    pub(super) fn put(&mut self, message: Bytes) {
+        self.buf.put(message);
+    }
+}
+
+impl Buf for SendBuf<'_> {
+    fn remaining(&self) -> usize {
+        self.buf.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.buf.chunk()
+    }
+
+    fn advance(&mut self, count: usize) {
+        self.buf.advance(count);
+        self.load.released(count);
+    }
+}
+
+impl Drop for SendBuf<'_> {
+    fn drop(&mut self) {
+        self.load.released(self.buf.len());
+    }
+}
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -27,6 +28,8 @@
 
 use super::convert::{vm_from_address, vm_to_address};
 use super::input::{Input, InputTx};
+use super::link_load::{LinkLoad, SendBuf, kind};
+use super::metrics::LeasedMetrics;
 use super::server;
 
 /// Capacity of the queue of one link, in messages; a full queue means that the peer does not read.
@@ -62,7 +65,8 @@
 
 async fn receive(mut stream: TcpStream, tx: InputTx) {
     let mut buf = BytesMut::new();
-    let Some(Body::Hello(hello)) = read_message(&mut stream, &mut buf).await else {
+    let metrics = Arc::clone(tx.metrics());
+    let Some(Body::Hello(hello)) = read_message(&mut stream, &mut buf, &metrics).await else {
         return;
     };
     let from = vm_from_address(hello.address);
@@ -74,17 +78,22 @@
     info!(vm:% = from, incarnation = hello.incarnation; "link_in_up");
     let body = Body::Hello(hello);
     tx.send(Input::Peer { from, body }).await;
-    while let Some(body) = read_message(&mut stream, &mut buf).await {
+    while let Some(body) = read_message(&mut stream, &mut buf, &metrics).await {
         tx.send(Input::Peer { from, body }).await;
     }
+    metrics.count_link_bytes("in", "incomplete", buf.len());
     info!(vm:% = from, incarnation = hello.incarnation; "link_in_down");
     tx.send(Input::LinkLost { from }).await;
 }
 
 /// Reads the next message; `None` if the link has ended, is idle too long or sends invalid data.
-async fn read_message(stream: &mut TcpStream, buf: &mut BytesMut) -> Option<Body> {
+async fn read_message(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    metrics: &LeasedMetrics,
+) -> Option<Body> {
     loop {
-        if let Some(body) = take_message(buf)? {
+        if let Some(body) = take_message(buf, metrics)? {
             return Some(body);
         }
         match timeout(READ_TIMEOUT, stream.read_buf(buf)).await {
@@ -97,7 +106,7 @@
 /// Removes one complete message from the buffer; `Some(None)` if more bytes are needed, `None` if
 /// the link sends invalid data.
 #[expect(clippy::option_option, reason = "incomplete message, or invalid data")]
-fn take_message(buf: &mut BytesMut) -> Option<Option<Body>> {
+fn take_message(buf: &mut BytesMut, metrics: &LeasedMetrics) -> Option<Option<Body>> {
     loop {
         let Some(head) = buf.first_chunk::<4>() else {
             return Some(None);
@@ -111,6 +120,8 @@
         }
         buf.advance(4);
         let message = PeerMessage::decode(buf.split_to(size)).ok()?;
+        let kind = message.body.as_ref().map_or("unknown", kind);
+        metrics.count_link_bytes("in", kind, 4 + size);
         // Skips a message of a kind that only a newer version knows.
         if message.body.is_some() {
             return Some(message.body);
@@ -118,14 +129,23 @@
     }
 }
 
+/// An encoded message with its length prefix.
+#[derive(Debug, Clone)]
+pub(super) struct Frame {
+    kind: &'static str,
+    bytes: Bytes,
+}
+
 /// Encodes a message with its length prefix: 4 bytes, big-endian.
-pub(super) fn frame(body: Body) -> Bytes {
+pub(super) fn frame(body: Body) -> Frame {
+    let kind = kind(&body);
     let message = PeerMessage { body: Some(body) };
     let size = message.encoded_len();
     let mut buf = BytesMut::with_capacity(4 + size);
     buf.put_u32(u32::try_from(size).unwrap_or(u32::MAX));
     message.encode_raw(&mut buf);
-    buf.freeze()
+    let bytes = buf.freeze();
+    Frame { kind, bytes }
 }
 
 /// Outgoing link to one entry VM.
@@ -136,13 +156,14 @@
 }
 
 /// State that a link shares with its sending task.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct LinkState {
     /// Makes the task reconnect at once.
     reconnect: Notify,
     is_connected: Cell<bool>,
     /// Incarnation of the peer's process, as of its last hello.
     incarnation: Cell<Option<u64>>,
+    load: LinkLoad,
 }
 
 impl Link {
@@ -158,7 +179,12 @@
             address: vm_to_address(own),
             incarnation,
         }));
-        let state = Rc::new(LinkState::default());
+        let state = Rc::new(LinkState {
+            reconnect: Notify::new(),
+            is_connected: Cell::new(false),
+            incarnation: Cell::new(None),
+            load: LinkLoad::new(to, Arc::clone(inputs.metrics())),
+        });
         let task_state = Rc::clone(&state);
         spawn_local(async move {
             while !rx.is_disconnected() {
@@ -176,8 +202,15 @@
     }
 
     /// Queues a message; `false` if the queue is full because the peer does not read.
-    pub(super) fn send(&self, message: Bytes) -> bool {
-        self.tx.try_send(message).is_ok()
+    pub(super) fn send(&self, Frame { kind, bytes }: Frame) -> bool {
+        let (size, load) = (bytes.len(), &self.state.load);
+        let is_queued = self.tx.try_send(bytes).is_ok();
+        if is_queued {
+            load.accepted(kind, size);
+        } else {
+            load.refused();
+        }
+        is_queued
     }
 
     /// Reports that the peer has just connected, and so can be reached. Reconnects at once in place
@@ -195,7 +228,7 @@
 async fn serve(
     own: EntryVm,
     (vm, to): (EntryVm, SocketAddr),
-    hello: &Bytes,
+    hello: &Frame,
     rx: &Receiver<Bytes>,
     inputs: &InputTx,
     state: &LinkState,
@@ -205,9 +238,10 @@
     };
     state.is_connected.set(true);
     // Messages queued for the previous connection are out of date.
-    rx.drain().for_each(drop);
+    rx.drain().for_each(|m| state.load.released(m.len()));
+    state.load.drained();
     inputs.send(Input::LinkUp { to: vm }).await;
-    if let Err(e) = send_all(stream, hello, rx).await {
+    if let Err(e) = send_all(stream, hello, rx, &state.load).await {
         info!(to:% = to, reason = e.to_string().as_str(); "link_out_down");
     }
 }
@@ -219,16 +253,24 @@
     socket.connect(to).await
 }
 
-async fn send_all(mut stream: TcpStream, hello: &Bytes, rx: &Receiver<Bytes>) -> io::Result<()> {
+async fn send_all(
+    mut stream: TcpStream,
+    hello: &Frame,
+    rx: &Receiver<Bytes>,
+    load: &LinkLoad,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    stream.write_all(hello).await?;
-    let mut buf = BytesMut::new();
+    load.accepted(hello.kind, hello.bytes.len());
+    let mut buf = SendBuf::new(load);
+    buf.put(hello.bytes.clone());
+    stream.write_all_buf(&mut buf).await?;
     while let Ok(message) = rx.recv_async().await {
         buf.put(message);
         for message in rx.drain() {
             buf.put(message);
         }
+        load.drained();
         stream.write_all_buf(&mut buf).await?;
     }
     Ok(())
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -13,8 +13,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    CounterVec, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use tokio::task::spawn_local;
 
@@ -45,16 +45,25 @@
     configuration: IntGauge,
     token: IntGauge,
     store_errors: IntCounterVec,
+    store_reads: IntCounterVec,
+    store_read_seconds: CounterVec,
+    store_read_bytes: IntCounterVec,
+    link_bytes: IntCounterVec,
+    link_queued: IntGauge,
+    link_dropped: IntCounter,
+    resident: IntGauge,
 }
 
 impl LeasedMetrics {
     pub(super) fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
+        let counters_by =
+            |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
+                let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+                registry.register(Box::new(counter.clone()))?;
+                Ok(counter)
+            };
+        let counters = |name: &str, help: &str, label: &str| counters_by(name, help, &[label]);
         let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
             let counter = IntCounter::new(name, help)?;
             registry.register(Box::new(counter.clone()))?;
@@ -74,7 +83,40 @@
         let latency = histogram("request_seconds", "Time from a job's arrival to its answer")?;
         let state = IntGaugeVec::new(Opts::new("scheduler", "Figures of the scheduler"), &["of"])?;
         registry.register(Box::new(state.clone()))?;
+        let store_read_seconds = CounterVec::new(
+            Opts::new(
+                "store_read_seconds_total",
+                "Time of reads by table and result, with the wait for changes",
+            ),
+            &["table", "result"],
+        )?;
+        registry.register(Box::new(store_read_seconds.clone()))?;
         Ok(Self {
+            store_reads: counters_by(
+                "store_reads_total",
+                "Reads of the watched tables by result",
+                &["table", "result"],
+            )?,
+            store_read_bytes: counters(
+                "store_read_bytes_total",
+                "Bytes of the rows read, by table; without failed reads",
+                "table",
+            )?,
+            store_read_seconds,
+            link_bytes: counters_by(
+                "link_bytes_total",
+                "Bytes received on links (in) or queued for them (out), by kind of message",
+                &["direction", "kind"],
+            )?,
+            link_queued: gauge(
+                "link_queued_bytes",
+                "Bytes for all links that the kernel has not taken yet",
+            )?,
+            link_dropped: counter(
+                "link_messages_dropped_total",
+                "Messages refused as the queue of a link was full",
+            )?,
+            resident: gauge("resident_bytes", "Resident memory; 0 if unknown")?,
             requests: counters("requests_total", "Jobs by outcome", "outcome")?,
             starts: counters("starts_total", "Orders to start by reply", "reply")?,
             polls: counters("looks_total", "Looks at workers by reply", "reply")?,
@@ -149,6 +191,35 @@
         self.store_errors.with_label_values(&[table]).inc();
     }
 
+    /// Counts a read of a watched table: its result, its time, and the bytes of its rows.
+    pub(super) fn observe_store_read(&self, table: &str, result: &str, took: Duration, bytes: u64) {
+        let labels = [table, result];
+        self.store_reads.with_label_values(&labels).inc();
+        let seconds = self.store_read_seconds.with_label_values(&labels);
+        seconds.inc_by(took.as_secs_f64());
+        self.store_read_bytes
+            .with_label_values(&[table])
+            .inc_by(bytes);
+    }
+
+    /// Counts bytes of messages by direction (`in`, `out`) and kind.
+    pub(super) fn count_link_bytes(&self, direction: &str, kind: &str, bytes: usize) {
+        let counter = self.link_bytes.with_label_values(&[direction, kind]);
+        counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
+    pub(super) fn add_link_queued(&self, bytes: usize) {
+        self.link_queued.add(i64::try_from(bytes).unwrap_or(0));
+    }
+
+    pub(super) fn sub_link_queued(&self, bytes: usize) {
+        self.link_queued.sub(i64::try_from(bytes).unwrap_or(0));
+    }
+
+    pub(super) fn count_link_message_dropped(&self) {
+        self.link_dropped.inc();
+    }
+
     pub(super) fn set_configuration(&self, version: u64) {
         self.configuration
             .set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -173,7 +244,8 @@
         }
     }
 
-    fn encode(&self) -> Vec<u8> {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        self.resident.set(resident_bytes().unwrap_or(0));
         let mut text = Vec::new();
         // Encoding into a `Vec` does not fail.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
@@ -181,6 +253,14 @@
     }
 }
 
+/// Resident memory of this process; `None` where the kernel's file can't be read.
+fn resident_bytes() -> Option<i64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kib: i64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+    Some(kib * 1_024)
+}
+
 /// Binds the metrics port of `address` and serves the metrics under every path.
 pub(super) fn start(address: Ipv4Addr, metrics: Arc<LeasedMetrics>) -> std::io::Result<()> {
     let listener = server::bind(SocketAddr::new(IpAddr::V4(address), PORT))?;
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -14,6 +14,7 @@
 mod event_loop;
 mod input;
 mod lag;
+mod link_load;
 mod links;
 mod metrics;
 mod pending_jobs;
--- a/crates/geraniumrelay/src/leased/table_watch.rs
+++ b/crates/geraniumrelay/src/leased/table_watch.rs
@@ -2,14 +2,15 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use geraniumrelay_adapter::{NodeSettings, StoreClient, StoreError, Table};
+use geraniumrelay_adapter::{Change, Listing, NodeSettings, StoreClient, StoreError, Table};
 use log::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::input::{Input, InputTx};
+use super::metrics::LeasedMetrics;
 
 /// Maximum duration of a long poll for changes. A dead connection is noticed only at its end, so it
 /// is shorter than the 2 s within which a configuration must be in force.
@@ -102,10 +103,13 @@
     let mut pause = FIRST_PAUSE;
     let mut was_healthy = true;
     loop {
+        let began = Instant::now();
         let read = match revision {
             None => store.list(table).await,
             Some(after) => store.changes(table, after, LONG_POLL_WAIT).await,
         };
+        let took = began.elapsed();
+        observe(tx.metrics(), table, &read, took);
         let is_healthy = matches!(read, Ok(_) | Err(StoreError::HistoryGone));
         if is_healthy != was_healthy {
             was_healthy = is_healthy;
@@ -134,10 +138,34 @@
                 revision = None;
             }
             Err(e) => {
-                warn!(table:% = table, reason:% = e, revision = revision.unwrap_or(0); "store_read_failed");
+                let took_ms = took.as_millis();
+                warn!(
+                    table:% = table, reason:% = e, revision = revision.unwrap_or(0), took_ms;
+                    "store_read_failed"
+                );
                 sleep(pause).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
         }
     }
 }
+
+/// Counts a read with its time and the bytes of its rows.
+fn observe(
+    metrics: &LeasedMetrics,
+    table: Table,
+    read: &Result<Listing, StoreError>,
+    took: Duration,
+) {
+    let (result, bytes) = match read {
+        Ok(listing) if listing.rows.is_empty() => ("unchanged", 0),
+        Ok(listing) => {
+            let size = |c: &Change| c.key.len() + c.value.as_ref().map_or(0, Vec::len);
+            ("rows", listing.rows.iter().map(size).sum())
+        }
+        Err(StoreError::HistoryGone) => ("history-gone", 0),
+        Err(_) => ("failed", 0),
+    };
+    let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+    metrics.observe_store_read(&table.to_string(), result, took, bytes);
+}
--- a/crates/geraniumrelay/src/leased/tests/links.rs
+++ b/crates/geraniumrelay/src/leased/tests/links.rs
@@ -6,14 +6,14 @@
 
 use assert_matches::assert_matches;
 use geraniumrelay_core::leased::EntryVm;
-use geraniumrelay_wire::leased::Withdraw;
 use geraniumrelay_wire::leased::peer_message::Body;
+use geraniumrelay_wire::leased::{Configuration, Withdraw};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
 
 use crate::leased::input::{self, Input};
-use crate::leased::links::{self, Link};
+use crate::leased::links::{self, Frame, Link};
 use crate::leased::metrics::LeasedMetrics;
 
 /// Longest wait for an input.
@@ -27,11 +27,25 @@
     LocalSet::new().block_on(&runtime, test);
 }
 
-fn withdraw(id: u64) -> bytes::Bytes {
+fn withdraw(id: u64) -> Frame {
     let cell = "all".to_owned();
     links::frame(Body::Withdraw(Withdraw { id, cell }))
 }
 
+fn configuration(bytes: usize) -> Frame {
+    let row = vec![7; bytes];
+    links::frame(Body::Configuration(Configuration { row }))
+}
+
+/// Value of a metric by its name and labels, as served; 0 if it is not served.
+fn value(metrics: &LeasedMetrics, name: &str) -> u64 {
+    let text = String::from_utf8(metrics.encode()).unwrap();
+    let value = text
+        .lines()
+        .find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+    value.map_or(0, |v| v.parse().unwrap())
+}
+
 /// The next input that is not a hello.
 async fn next_input(rx: &flume::Receiver<Input>) -> Input {
     loop {
@@ -120,3 +134,85 @@
         accepting.abort();
     });
 }
+
+#[test]
+fn bytes_are_counted_by_direction_and_kind() {
+    block_on(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (tx, rx) = input::channel(Arc::clone(&metrics));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let accepting = spawn_local(links::accept_all(listener, tx.clone()));
+        let vm = EntryVm(Ipv4Addr::LOCALHOST);
+        let link = Link::start(vm, 1, (vm, address), tx);
+        assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+        for id in 1..=3 {
+            assert!(link.send(withdraw(id)));
+        }
+        assert!(link.send(configuration(100_000)));
+        for _ in 0..4 {
+            assert_matches!(next_input(&rx).await, Input::Peer { .. });
+        }
+        // Length, keys and lengths of the message and its fields, the id, and the cell's name.
+        let withdraw_bytes = 3 * (4 + 2 + 2 + 5);
+        let configuration_bytes = 4 + 4 + 4 + 100_000;
+        for direction in ["in", "out"] {
+            let bytes = |kind| {
+                let labels = format!("{{direction=\"{direction}\",kind=\"{kind}\"}}");
+                value(&metrics, &format!("link_bytes_total{labels}"))
+            };
+            assert_eq!(bytes("withdraw"), withdraw_bytes);
+            assert_eq!(bytes("configuration"), configuration_bytes);
+            assert!(bytes("hello") > 0);
+            assert_eq!(bytes("beat"), 0);
+        }
+        assert_eq!(value(&metrics, "link_queued_bytes"), 0);
+        assert_eq!(value(&metrics, "link_messages_dropped_total"), 0);
+        accepting.abort();
+    });
+}
+
+#[test]
+fn queued_bytes_rise_with_a_peer_that_does_not_read_and_end_with_the_link() {
+    const ROW_BYTES: usize = 1 << 20;
+    block_on(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (tx, rx) = input::channel(Arc::clone(&metrics));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let vm = EntryVm(Ipv4Addr::LOCALHOST);
+        let link = Link::start(vm, 1, (vm, address), tx);
+        assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+        for _ in 0..32 {
+            assert!(link.send(configuration(ROW_BYTES)));
+        }
+        // Time for the sending task to move the messages into its buffer.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let queued = value(&metrics, "link_queued_bytes");
+        let (least, most) = (16 * ROW_BYTES as u64, 33 * ROW_BYTES as u64);
+        assert!((least..most).contains(&queued), "{queued}");
+        drop(link);
+        let is_released = async {
+            while value(&metrics, "link_queued_bytes") > 0 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(INPUT_TIMEOUT, is_released).await.unwrap();
+    });
+}
+
+#[test]
+fn messages_that_a_full_queue_refuses_are_counted() {
+    block_on(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (tx, _rx) = input::channel(Arc::clone(&metrics));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let vm = EntryVm(Ipv4Addr::LOCALHOST);
+        let link = Link::start(vm, 1, (vm, address), tx);
+        let refused = (0..10_000).filter(|&id| !link.send(withdraw(id))).count();
+        let counted = value(&metrics, "link_messages_dropped_total");
+        assert_eq!(usize::try_from(counted).unwrap(), refused);
+        assert!(refused > 0);
+    });
+}
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -5,6 +5,7 @@
 mod convert;
 mod directory;
 mod links;
+mod metrics;
 mod pending_jobs;
 
 use std::time::Duration;
