test(leased): copies of the configuration fill slow links and the memory

The stand-in platform can set a large configuration, and a fleet starts with given numbers, so that the tests of one file run in parallel.

--- /dev/null
+++ b/crates/geraniumrelay/tests/leased_links/main.rs
@@ -0,0 +1,154 @@
+//! Links of a real entry process to slow peers that report an old version of a large configuration.
+
+#[path = "../leased_soak/fleet.rs"]
+#[allow(dead_code, reason = "shared with the tests under external faults")]
+mod fleet;
+mod peer;
+#[path = "../../../../platform/tests/stand_in/platform.rs"]
+#[allow(dead_code, reason = "shared with the tests under external faults")]
+mod platform;
+#[path = "../leased_soak/proxy.rs"]
+#[allow(dead_code, reason = "shared with the tests under external faults")]
+mod proxy;
+#[path = "../../../geraniumrelay-core/tests/leased/worker.rs"]
+#[allow(dead_code, reason = "shared with the tests in virtual time")]
+mod worker;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+use fleet::Fleet;
+use peer::{NEW_VERSION, OLD_VERSION, Peer};
+use platform::Platform;
+
+/// Routes of the incident's configuration.
+const ROUTES: usize = 4_245;
+
+/// Peers of the process.
+const PEERS: u8 = 16;
+
+/// Maximum time until the process is ready.
+const MAX_START: Duration = Duration::from_secs(12);
+
+/// Time for the process and its peers to connect to each other.
+const CONNECT_TIME: Duration = Duration::from_millis(700);
+
+/// Time that is measured after the version has risen.
+const MEASURED_TIME: Duration = Duration::from_secs(6);
+
+/// Target for the memory of the control on a node, in kB.
+const MAX_MEMORY_KB: u64 = 64 << 10;
+
+/// Shortest election time-out.
+const MAX_HEARTBEAT_GAP: Duration = Duration::from_millis(700);
+
+/// Maximum size of the length prefixes and tags around the row.
+const MESSAGE_OVERHEAD: usize = 1_024;
+
+/// A ready entry process with the large configuration, and its peers.
+struct Setup {
+    fleet: Fleet,
+    peers: Vec<Rc<Peer>>,
+    /// Size of the row of the configuration that the peers don't have.
+    row_bytes: usize,
+}
+
+impl Setup {
+    /// Starts all, and raises the version of the configuration.
+    async fn start(test: u8, read_bytes_per_s: usize) -> Self {
+        let platform = Platform::start(1).await;
+        platform.configure(OLD_VERSION, ROUTES);
+        let fleet = Fleet::start(test + 1..=test + 1, &platform, u64::from(test)).await;
+        fleet.wait_until_ready(MAX_START).await;
+        println!("ready: peak {} kB", peak_memory_kb(&fleet));
+        let process = peer::peer_listen(fleet.addresses()[0].ip());
+        let mut peers = Vec::new();
+        for number in 0..PEERS {
+            let ip = peer::peer_ip(test, number);
+            let peer = Peer::start(ip, process, read_bytes_per_s);
+            let entry = STANDARD.encode(peer.address.to_string());
+            platform.set_text("entry-vms", &format!("peer-{number}"), Some(entry));
+            peers.push(peer);
+        }
+        sleep(CONNECT_TIME).await;
+        for peer in &peers {
+            assert!(peer.received().beats > 0, "{} has no link", peer.address);
+        }
+        println!("connected: peak {} kB", peak_memory_kb(&fleet));
+        let row_bytes = platform.configure(NEW_VERSION, ROUTES);
+        println!("row: {row_bytes} bytes");
+        Self {
+            fleet,
+            peers,
+            row_bytes,
+        }
+    }
+}
+
+/// Peak of the resident memory of the process.
+fn peak_memory_kb(fleet: &Fleet) -> u64 {
+    let path = format!("/proc/{}/status", fleet.pid(0).as_raw_nonzero());
+    let status = std::fs::read_to_string(path).unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    line.unwrap().trim_end_matches("kB").trim().parse().unwrap()
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Unsent copies of the configuration filled the memory of VMs with slow links.
+#[test]
+fn configuration_sends_to_slow_peers_do_not_exhaust_memory() {
+    run(async {
+        let setup = Setup::start(0, 200_000).await;
+        sleep(MEASURED_TIME).await;
+        let peak = peak_memory_kb(&setup.fleet);
+        println!("peak {peak} kB");
+        assert!(peak < MAX_MEMORY_KB, "peak memory of {peak} kB");
+        setup.fleet.stop().await;
+    });
+}
+
+/// Heartbeats with an old version caused more copies while the first was on its way.
+#[test]
+fn a_peer_receives_a_configuration_at_most_once_while_it_has_not_reported_it() {
+    run(async {
+        let setup = Setup::start(1, 1_000_000).await;
+        sleep(MEASURED_TIME).await;
+        let bytes = setup.peers.iter().map(|p| p.received().other_bytes);
+        let bytes: Vec<_> = bytes.collect();
+        let max = setup.row_bytes + MESSAGE_OVERHEAD;
+        assert!(
+            bytes.iter().all(|&b| b <= max),
+            "row of {} bytes, received by each peer: {bytes:?}",
+            setup.row_bytes
+        );
+        setup.fleet.stop().await;
+    });
+}
+
+/// Heartbeats waited behind copies of the configuration, so that live VMs counted as failed.
+#[test]
+fn heartbeats_are_not_delayed_by_a_configuration_transfer() {
+    run(async {
+        let setup = Setup::start(2, 400_000).await;
+        sleep(MEASURED_TIME).await;
+        let gaps = setup.peers.iter().map(|p| p.received().longest_gap);
+        let gaps: Vec<_> = gaps.collect();
+        assert!(
+            gaps.iter().all(|&gap| gap <= MAX_HEARTBEAT_GAP),
+            "longest time without a heartbeat at each peer: {gaps:?}"
+        );
+        setup.fleet.stop().await;
+    });
+}
--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -1,6 +1,7 @@
 //! Entry processes that are killed, stopped, paused and resumed by signals.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -21,7 +22,7 @@
 /// Ports of every process; each process has its own IP address.
 const FRONT_PORT: u16 = 28_161;
 const READINESS_PORT: u16 = 28_167;
-const FIRST_PEER_PORT: u16 = 28_720;
+pub(crate) const FIRST_PEER_PORT: u16 = 28_720;
 
 struct Vm {
     address: Ipv4Addr,
@@ -38,12 +39,13 @@
 }
 
 impl Fleet {
-    pub(crate) async fn start(count: u8, platform: &Platform, seed: u64) -> Self {
+    /// Starts one process for each number; fleets of one test process need different numbers.
+    pub(crate) async fn start(numbers: RangeInclusive<u8>, platform: &Platform, seed: u64) -> Self {
         let pid = std::process::id();
         let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{pid}-{seed}"));
         std::fs::create_dir_all(&dir).unwrap();
         let mut vms = Vec::new();
-        for number in 1..=count {
+        for number in numbers {
             // Addresses differ between runs, because several runs may go on at the same time.
             let third_octet = u8::try_from(pid % 200).unwrap() + 20;
             let address = Ipv4Addr::new(127, 44, third_octet, number);
@@ -167,7 +169,7 @@
         let _ = kill_process(self.pid(vm), signal);
     }
 
-    fn pid(&self, vm: usize) -> Pid {
+    pub(crate) fn pid(&self, vm: usize) -> Pid {
         let id = i32::try_from(self.vms[vm].child.id()).unwrap();
         Pid::from_raw(id).unwrap()
     }
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -69,7 +69,7 @@
 async fn soak(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let platform = Platform::start(WORKERS).await;
-    let mut fleet = Fleet::start(VMS, &platform, seed).await;
+    let mut fleet = Fleet::start(1..=VMS, &platform, seed).await;
     fleet.wait_until_ready(MAX_RECOVERY).await;
     let callers = Callers::start(&fleet.addresses(), seed);
     let started = tokio::time::Instant::now();
