fix(leased): send the configuration in parts on request

Callers' connections were closed without an answer, as processes ended with memory over the limit while a configuration of 4,245 routes spread.

Cause: each VM answered each heartbeat of a peer with an older version by the whole row, again every 0.5 s, whether or not the peer was still receiving the copy before. With 34 VMs that is up to 33 copies a link, more than links of 25 Mbit/s carry; unsent copies filled the senders' memory, received ones the receivers', and heartbeats waited behind them, so that peers seemed to be behind for longer and elections lost their schedulers.

Ruled out as the first cause: reads of the store that time out, and pending jobs while elections change.

Change: a VM that lacks a version waits for the store, and if the store does not provide it, downloads it from one peer at a time, in parts of 64 kB with one part in flight. A VM uploads to two peers at a time. Nothing is sent that was not requested, so the rate follows the receiver's link, and a message on a link waits for one part at most. The former message is still accepted.

--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod claim_table;
+pub mod config_transfer;
 pub mod handover;
 pub mod headroom;
 pub mod health;
@@ -15,6 +16,7 @@
 
 use admission::AdmissionConfig;
 use claim_table::ClaimTableConfig;
+use config_transfer::ConfigTransferConfig;
 use handover::HandOverConfig;
 use headroom::HeadroomConfig;
 use health::HealthConfig;
@@ -33,6 +35,8 @@
     pub admission: AdmissionConfig,
     /// Retention limits of the claim table.
     pub claim_table: ClaimTableConfig,
+    /// Transfer of configurations between entry VMs.
+    pub config_transfer: ConfigTransferConfig,
     /// Limits and time-outs of the hand-over during a graceful stop.
     pub handover: HandOverConfig,
     /// Limits of the journal buffer.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod cells;
 mod command;
+pub mod config_transfer;
 mod effect;
 pub mod election;
 mod epoch;
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -298,16 +298,41 @@
         }
     }
 }
-/// Latest configuration, sent to an entry VM with an older version.
+/// Whole configuration. Not sent any more; entry VMs before the transfer in parts send it unasked.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Configuration {
     /// Row as stored in the platform's store.
     #[prost(bytes = "vec", tag = "1")]
     pub row: ::prost::alloc::vec::Vec<u8>,
 }
+/// Requests a part of the receiver's configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchConfiguration {
+    /// Version that is being downloaded; 0 for the newest.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Offset of the part, in bytes.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
+/// Part of a configuration: the requested one, or the first part of a newer version.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ConfigurationPart {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Size of the whole row, in bytes.
+    #[prost(uint64, tag = "2")]
+    pub total: u64,
+    /// Offset of this part, in bytes.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+    /// Bytes of the row as stored in the platform's store.
+    #[prost(bytes = "vec", tag = "4")]
+    pub data: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "peer_message::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: ::core::option::Option<peer_message::Body>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -328,5 +353,9 @@
         Answer(super::Answer),
         #[prost(message, tag = "7")]
         Configuration(super::Configuration),
+        #[prost(message, tag = "8")]
+        FetchConfiguration(super::FetchConfiguration),
+        #[prost(message, tag = "9")]
+        ConfigurationPart(super::ConfigurationPart),
     }
 }
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -7,6 +7,7 @@
 use geraniumrelay_adapter::Change;
 use geraniumrelay_adapter::store::CONFIGURATION_KEY;
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::config_transfer::{Part, PartRequest};
 use geraniumrelay_core::leased::election::{Fitness, Heartbeat};
 use geraniumrelay_core::leased::{
     EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, RecordState, RefusalReason,
@@ -15,8 +16,8 @@
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::job_record::State as StoredState;
 use geraniumrelay_wire::leased::{
-    Answer, Beat, CellBeat, JobRecord as StoredRecord, QueueCount, Step, Submit,
-    TaskProgress as StoredProgress,
+    Answer, Beat, CellBeat, ConfigurationPart, FetchConfiguration, JobRecord as StoredRecord,
+    QueueCount, Step, Submit, TaskProgress as StoredProgress,
 };
 
 /// All refusal reasons, to look one up by its text.
@@ -92,6 +93,41 @@
     }
 }
 
+pub(super) fn part_request_to_wire(request: PartRequest) -> FetchConfiguration {
+    FetchConfiguration {
+        version: request.version,
+        offset: request.offset as u64,
+    }
+}
+
+/// Requested version and offset.
+pub(super) fn part_request_from_wire(fetch: &FetchConfiguration) -> (u64, usize) {
+    (fetch.version, to_usize(fetch.offset))
+}
+
+pub(super) fn part_to_wire(part: Part) -> ConfigurationPart {
+    ConfigurationPart {
+        version: part.version,
+        total: part.total as u64,
+        offset: part.offset as u64,
+        data: part.data,
+    }
+}
+
+pub(super) fn part_from_wire(part: ConfigurationPart) -> Part {
+    Part {
+        version: part.version,
+        total: to_usize(part.total),
+        offset: to_usize(part.offset),
+        data: part.data,
+    }
+}
+
+/// A size or offset in memory; one that is out of range matches no row.
+fn to_usize(value: u64) -> usize {
+    usize::try_from(value).unwrap_or(usize::MAX)
+}
+
 pub(super) fn submission_to_wire(submission: &Submission, cell: &CellName) -> Submit {
     let spec = &submission.spec;
     Submit {
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop: owns the elections, the schedulers and the pending jobs of this process, and
 //! executes the effects of their decisions.
 
+mod configuration;
 mod election;
 mod jobs;
 mod records;
@@ -16,6 +17,7 @@
 use geraniumrelay_adapter::{Change, StoreClient};
 use geraniumrelay_core::collections::{Map, Set};
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::config_transfer::{ConfigDownload, ConfigUploads};
 use geraniumrelay_core::leased::{Command, Effect, EntryVm, FencingToken, JobId, Scheduler};
 use geraniumrelay_core::{Config, Context};
 use geraniumrelay_wire::leased::Beat;
@@ -90,9 +92,10 @@
     links: Map<EntryVm, Link>,
     /// The other entry VMs that are registered in the store.
     members: Arc<[EntryVm]>,
-    /// The row of the configuration in force, for forwarding to peers.
+    /// The row of the configuration in force, for peers that the store does not serve.
     configuration: Change,
-    configuration_sent_at: Map<EntryVm, Instant>,
+    config_download: ConfigDownload,
+    config_uploads: ConfigUploads,
     failing_tables: Set<&'static str>,
     next_tick: Instant,
     next_heartbeat: Instant,
@@ -109,6 +112,7 @@
 impl EventLoop {
     pub(super) fn new(components: Components) -> Self {
         let now = Instant::now();
+        let vm = components.vm;
         let directory = Directory::new(
             components.cfg.leased.departed_ttl,
             components.is_first_start,
@@ -121,7 +125,8 @@
             links: Map::default(),
             members: Arc::default(),
             configuration: convert::configuration_change(Vec::new()),
-            configuration_sent_at: Map::default(),
+            config_download: ConfigDownload::new(vm),
+            config_uploads: ConfigUploads::default(),
             failing_tables: Set::default(),
             next_tick: now,
             next_heartbeat: now,
@@ -226,6 +231,7 @@
             self.answer(id, outcome);
         }
         self.send_unsent_jobs();
+        self.tick_configuration(now);
         self.set_readiness(now);
         self.propose_plan(now);
         let is_scheduler = self.cells.values().any(|c| c.scheduler.is_some());
@@ -299,12 +305,6 @@
         }
     }
 
-    /// Version of the configuration in force; 0 where there is none.
-    fn config_version(&self) -> u64 {
-        let routes = self.components.routes.borrow();
-        routes.as_ref().map_or(0, |routes| routes.version)
-    }
-
     fn on_peer_message(&mut self, from: EntryVm, body: Body) {
         match body {
             Body::Beat(heartbeat) => self.on_heartbeat(from, &heartbeat),
@@ -336,6 +336,8 @@
                 let change = convert::configuration_change(configuration.row);
                 self.apply_configuration(change, Some(from));
             }
+            Body::FetchConfiguration(fetch) => self.on_part_request(from, &fetch),
+            Body::ConfigurationPart(part) => self.on_part(from, part),
             Body::Hello(hello) => {
                 if let Some(link) = self.links.get(&from) {
                     link.peer_connected(hello.incarnation);
@@ -366,10 +368,11 @@
                 self.handle_command(&name, Command::EntryLeft(from));
             }
         }
-        self.forward_configuration(from, heartbeat.config_version);
+        self.on_peer_version(from, heartbeat);
     }
 
     fn on_link_lost(&mut self, from: EntryVm) {
+        self.config_download.remove_peer(from);
         for name in self.cell_names() {
             let Some(cell) = self.cells.get_mut(&name) else {
                 continue;
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -1,14 +1,10 @@
 //! Applies rows of the platform's store: configuration, workers, entry VMs, plan of cells.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use geraniumrelay_adapter::store::configuration;
 use geraniumrelay_adapter::{Change, Table};
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{Command, EntryVm, FencingToken};
-use geraniumrelay_wire::leased::Configuration;
-use geraniumrelay_wire::leased::peer_message::Body;
+use geraniumrelay_core::leased::{Command, FencingToken};
 use log::{info, warn};
 use tokio::task::spawn_local;
 
@@ -25,9 +21,6 @@
 /// Pause before the plan of cells is proposed again.
 const PLAN_RETRY_PAUSE: Duration = Duration::from_secs(2);
 
-/// Minimum interval between two sends of the configuration to the same peer.
-const CONFIGURATION_RESEND_INTERVAL: Duration = Duration::from_millis(500);
-
 impl EventLoop {
     /// Applies rows of one table: a snapshot, or the changes since the last read.
     pub(super) fn apply_rows(
@@ -144,54 +137,6 @@
         });
     }
 
-    /// Puts a configuration in force if it is readable and newer; `from` is the peer that sent it,
-    /// for the log line.
-    pub(super) fn apply_configuration(&mut self, change: Change, from: Option<EntryVm>) {
-        let source = if from.is_some() { "peer" } else { "store" };
-        let routes = match configuration(&change) {
-            Some(Ok(routes)) => routes,
-            Some(Err(e)) => {
-                warn!(reason:% = e, source; "configuration_refused");
-                return;
-            }
-            None => return,
-        };
-        let known = self.config_version();
-        if routes.version <= known {
-            return;
-        }
-        let from = from.map_or_else(|| source.to_owned(), |vm| vm.to_string());
-        let bytes = change.value.as_ref().map_or(0, Vec::len);
-        info!(
-            version = routes.version, previous = known, routes = routes.len(), source,
-            from = from.as_str(), bytes;
-            "configuration_in_force"
-        );
-        self.components.metrics.set_configuration(routes.version);
-        self.configuration = change;
-        *self.components.routes.borrow_mut() = Some(Rc::new(routes));
-    }
-
-    /// Sends the configuration to a peer whose version is older.
-    pub(super) fn forward_configuration(&mut self, to: EntryVm, version: u64) {
-        if version >= self.config_version() {
-            return;
-        }
-        let now = Instant::now();
-        let last = self.configuration_sent_at.get(&to);
-        if last.is_some_and(|&at| now.saturating_duration_since(at) < CONFIGURATION_RESEND_INTERVAL)
-        {
-            return;
-        }
-        self.configuration_sent_at.insert(to, now);
-        let row = self.configuration.value.clone().unwrap_or_default();
-        info!(
-            to:% = to, version = self.config_version(), peer_version = version, bytes = row.len();
-            "configuration_sent"
-        );
-        self.send(to, Body::Configuration(Configuration { row }));
-    }
-
     /// Starts links to new entry VMs, and drops the links to removed ones.
     pub(super) fn update_links(&mut self) {
         let peers = self.directory.peers(self.components.vm);
--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -20,6 +20,8 @@
         Body::Cancel(_) => "cancel",
         Body::Answer(_) => "answer",
         Body::Configuration(_) => "configuration",
+        Body::FetchConfiguration(_) => "fetch-configuration",
+        Body::ConfigurationPart(_) => "configuration-part",
     }
 }
 
