fix(leased): limit the bytes that links hold

A link's queue was limited by its number of messages only, 2,048, and its sending task moved all of them into one buffer, so that the queue was never full while a peer read slowly.

Change: a link holds at most 512 kB, with the bytes in the buffer of its sending task, and all links of a process hold at most 16 MB. A batch is written from 64 kB on. A refused submission stays unsent and is sent again with the next tick, as with a full queue before.

--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -34,6 +34,7 @@
 use crate::leased::durable_jobs::DurableJobStore;
 use crate::leased::input::{Input, InputTx};
 use crate::leased::lag::Lag;
+use crate::leased::link_load::TotalLoad;
 use crate::leased::links::{self, Link};
 use crate::leased::metrics::LeasedMetrics;
 use crate::leased::pending_jobs::PendingJobs;
@@ -90,6 +91,7 @@
     directory: Directory,
     pending_jobs: PendingJobs,
     links: Map<EntryVm, Link>,
+    link_load: TotalLoad,
     /// The other entry VMs that are registered in the store.
     members: Arc<[EntryVm]>,
     /// The row of the configuration in force, for peers that the store does not serve.
@@ -123,6 +125,7 @@
             directory,
             pending_jobs: PendingJobs::default(),
             links: Map::default(),
+            link_load: TotalLoad::default(),
             members: Arc::default(),
             configuration: convert::configuration_change(Vec::new()),
             config_download: ConfigDownload::new(vm),
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -144,10 +144,10 @@
         self.members = peers.keys().copied().collect();
         let (own, incarnation) = (self.components.vm, self.components.incarnation);
         for (vm, address) in peers {
-            let tx = self.components.tx.clone();
+            let (total, tx) = (self.link_load.clone(), self.components.tx.clone());
             self.links
                 .entry(vm)
-                .or_insert_with(|| Link::start(own, incarnation, (vm, address), tx));
+                .or_insert_with(|| Link::start(own, incarnation, (vm, address), total, tx));
         }
     }
 
--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -10,6 +11,17 @@
 
 use super::metrics::LeasedMetrics;
 
+/// Maximum number of bytes that one link holds. What a slow link holds beyond that is out of date
+/// when it arrives.
+pub(super) const MAX_LINK_BYTES: usize = 512 << 10;
+
+/// Maximum number of bytes that all links of the process hold.
+pub(super) const MAX_TOTAL_BYTES: usize = 16 << 20;
+
+/// Bytes that all links of the process hold.
+#[derive(Debug, Clone, Default)]
+pub(super) struct TotalLoad(Rc<Cell<usize>>);
+
 /// Name of the message's kind in metrics.
 pub(super) fn kind(body: &Body) -> &'static str {
     match body {
@@ -30,24 +42,33 @@
 pub(super) struct LinkLoad {
     to: SocketAddr,
     queued_bytes: Cell<usize>,
+    total: TotalLoad,
     is_full: Cell<bool>,
     metrics: Arc<LeasedMetrics>,
 }
 
 impl LinkLoad {
-    pub(super) fn new(to: SocketAddr, metrics: Arc<LeasedMetrics>) -> Self {
+    pub(super) fn new(to: SocketAddr, total: TotalLoad, metrics: Arc<LeasedMetrics>) -> Self {
         Self {
             to,
             queued_bytes: Cell::new(0),
+            total,
             is_full: Cell::new(false),
             metrics,
         }
     }
 
+    /// Whether the link may hold so many bytes more.
+    pub(super) fn has_room(&self, bytes: usize) -> bool {
+        self.queued_bytes.get() + bytes <= MAX_LINK_BYTES
+            && self.total.0.get() + bytes <= MAX_TOTAL_BYTES
+    }
+
     /// Counts a message that the queue has accepted.
     pub(super) fn accepted(&self, kind: &str, bytes: usize) {
         self.metrics.count_link_bytes("out", kind, bytes);
         self.queued_bytes.set(self.queued_bytes.get() + bytes);
+        self.total.0.set(self.total.0.get() + bytes);
         self.metrics.add_link_queued(bytes);
     }
 
@@ -67,9 +88,10 @@
 
     /// Counts bytes that were sent or discarded.
     pub(super) fn released(&self, bytes: usize) {
-        let queued = self.queued_bytes.get();
-        self.queued_bytes.set(queued.saturating_sub(bytes));
-        self.metrics.sub_link_queued(bytes.min(queued));
+        let bytes = bytes.min(self.queued_bytes.get());
+        self.queued_bytes.set(self.queued_bytes.get() - bytes);
+        self.total.0.set(self.total.0.get() - bytes);
+        self.metrics.sub_link_queued(bytes);
     }
 }
 
@@ -92,6 +114,10 @@
         Self { buf, load }
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Appends a message taken from the queue.
     pub(super) fn put(&mut self, message: Bytes) {
         self.buf.put(message);
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -28,13 +28,16 @@
 
 use super::convert::{vm_from_address, vm_to_address};
 use super::input::{Input, InputTx};
-use super::link_load::{LinkLoad, SendBuf, kind};
+use super::link_load::{LinkLoad, SendBuf, TotalLoad, kind};
 use super::metrics::LeasedMetrics;
 use super::server;
 
-/// Capacity of the queue of one link, in messages; a full queue means that the peer does not read.
+/// Capacity of the queue of one link, in messages; its size in bytes is limited as well.
 const QUEUE_CAPACITY: usize = 2_048;
 
+/// Size from which a batch of messages is written before more are added to it.
+const MAX_BATCH_BYTES: usize = 64 << 10;
+
 /// Longest wait for a connection: a few round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -172,6 +175,7 @@
         own: EntryVm,
         incarnation: u64,
         (vm, to): (EntryVm, SocketAddr),
+        total: TotalLoad,
         inputs: InputTx,
     ) -> Self {
         let (tx, rx) = flume::bounded(QUEUE_CAPACITY);
@@ -183,7 +187,7 @@
             reconnect: Notify::new(),
             is_connected: Cell::new(false),
             incarnation: Cell::new(None),
-            load: LinkLoad::new(to, Arc::clone(inputs.metrics())),
+            load: LinkLoad::new(to, total, Arc::clone(inputs.metrics())),
         });
         let task_state = Rc::clone(&state);
         spawn_local(async move {
@@ -201,10 +205,11 @@
         Self { tx, state }
     }
 
-    /// Queues a message; `false` if the queue is full because the peer does not read.
+    /// Queues a message; `false` if the queue is full, because the peer does not read or its link
+    /// does not carry what is sent.
     pub(super) fn send(&self, Frame { kind, bytes }: Frame) -> bool {
         let (size, load) = (bytes.len(), &self.state.load);
-        let is_queued = self.tx.try_send(bytes).is_ok();
+        let is_queued = load.has_room(size) && self.tx.try_send(bytes).is_ok();
         if is_queued {
             load.accepted(kind, size);
         } else {
@@ -267,10 +272,14 @@
     stream.write_all_buf(&mut buf).await?;
     while let Ok(message) = rx.recv_async().await {
         buf.put(message);
-        for message in rx.drain() {
+        while buf.len() < MAX_BATCH_BYTES
+            && let Ok(message) = rx.try_recv()
+        {
             buf.put(message);
         }
-        load.drained();
+        if rx.is_empty() {
+            load.drained();
+        }
         stream.write_all_buf(&mut buf).await?;
     }
     Ok(())
