test(leased): heartbeats and downloads while a VM has no store

Real process: 16 peers that read 400 kB/s ask for a configuration of 1.7 MB. Two of them download it whole within 6 s, and none waits longer than 0.7 s for a heartbeat. A process whose store resets its connections has the peers' version within 3 s, with each part requested once.

--- a/crates/geraniumrelay/tests/leased_links/main.rs
+++ b/crates/geraniumrelay/tests/leased_links/main.rs
@@ -25,6 +25,7 @@
 use fleet::Fleet;
 use peer::{NEW_VERSION, OLD_VERSION, Peer};
 use platform::Platform;
+use proxy::Mode;
 
 /// Routes of the incident's configuration.
 const ROUTES: usize = 4_245;
@@ -50,8 +51,12 @@
 /// Maximum size of the length prefixes and tags around the row.
 const MESSAGE_OVERHEAD: usize = 1_024;
 
+/// Maximum time until a VM without the store has a version that its peers have.
+const MAX_DOWNLOAD_TIME: Duration = Duration::from_secs(3);
+
 /// A ready entry process with the large configuration, and its peers.
 struct Setup {
+    platform: Rc<Platform>,
     fleet: Fleet,
     peers: Vec<Rc<Peer>>,
     /// Size of the row of the configuration that the peers don't have.
@@ -61,14 +66,22 @@
 impl Setup {
     /// Starts all, and raises the version of the configuration.
     async fn start(test: u8, read_bytes_per_s: usize) -> Self {
+        let mut setup = Self::connect(test, PEERS, read_bytes_per_s).await;
+        setup.row_bytes = setup.platform.configure(NEW_VERSION, ROUTES);
+        println!("row: {} bytes", setup.row_bytes);
+        setup
+    }
+
+    /// Starts all, with the old version of the configuration.
+    async fn connect(test: u8, peer_count: u8, read_bytes_per_s: usize) -> Self {
         let platform = Platform::start(1).await;
-        platform.configure(OLD_VERSION, ROUTES);
+        let row_bytes = platform.configure(OLD_VERSION, ROUTES);
         let fleet = Fleet::start(test + 1..=test + 1, &platform, u64::from(test)).await;
         fleet.wait_until_ready(MAX_START).await;
         println!("ready: peak {} kB", peak_memory_kb(&fleet));
         let process = peer::peer_listen(fleet.addresses()[0].ip());
         let mut peers = Vec::new();
-        for number in 0..PEERS {
+        for number in 0..peer_count {
             let ip = peer::peer_ip(test, number);
             let peer = Peer::start(ip, process, read_bytes_per_s);
             let entry = STANDARD.encode(peer.address.to_string());
@@ -80,9 +93,8 @@
             assert!(peer.received().beats > 0, "{} has no link", peer.address);
         }
         println!("connected: peak {} kB", peak_memory_kb(&fleet));
-        let row_bytes = platform.configure(NEW_VERSION, ROUTES);
-        println!("row: {row_bytes} bytes");
         Self {
+            platform,
             fleet,
             peers,
             row_bytes,
@@ -152,3 +164,50 @@
         setup.fleet.stop().await;
     });
 }
+
+/// As above, while some of the peers download the configuration.
+#[test]
+fn heartbeats_are_not_delayed_by_parts_of_a_configuration() {
+    run(async {
+        let setup = Setup::connect(3, PEERS, 400_000).await;
+        let (row_bytes, peers) = (setup.row_bytes, &setup.peers);
+        for peer in peers {
+            peer.received();
+            peer.download();
+        }
+        sleep(MEASURED_TIME).await;
+        let sizes: Vec<_> = peers.iter().map(|p| p.downloaded().len()).collect();
+        let whole = sizes.iter().filter(|&&size| size == row_bytes).count();
+        let none = sizes.iter().filter(|&&size| size == 0).count();
+        assert_eq!((whole, none), (2, peers.len() - 2), "{sizes:?}");
+        let gaps = peers.iter().map(|p| p.received().longest_gap);
+        let gaps: Vec<_> = gaps.collect();
+        assert!(
+            gaps.iter().all(|&gap| gap <= MAX_HEARTBEAT_GAP),
+            "longest time without a heartbeat at each peer: {gaps:?}"
+        );
+        setup.fleet.stop().await;
+    });
+}
+
+#[test]
+fn a_vm_without_the_store_downloads_the_configuration_from_one_peer() {
+    run(async {
+        let setup = Setup::connect(4, 4, 10_000_000).await;
+        setup.fleet.store_proxy(0).set(Mode::Reset);
+        let row = platform::configuration(NEW_VERSION, ROUTES).to_string();
+        for peer in &setup.peers {
+            peer.serve(row.as_bytes());
+        }
+        sleep(MAX_DOWNLOAD_TIME).await;
+        let received = setup.peers.iter().map(|p| p.received());
+        let received: Vec<_> = received.collect();
+        assert!(
+            received.iter().all(|r| r.version == NEW_VERSION),
+            "{received:?}"
+        );
+        let requests: usize = received.iter().map(|r| r.part_requests).sum();
+        assert_eq!(requests, row.len().div_ceil(peer::PART_BYTES));
+        setup.fleet.stop().await;
+    });
+}
--- a/crates/geraniumrelay/tests/leased_links/peer.rs
+++ b/crates/geraniumrelay/tests/leased_links/peer.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, BytesMut};
+use flume::{Receiver, Sender};
 use geraniumrelay_wire::leased::peer_message::Body;
-use geraniumrelay_wire::leased::{Beat, Hello, PeerMessage};
+use geraniumrelay_wire::leased::{Beat, ConfigurationPart, FetchConfiguration, Hello, PeerMessage};
 use prost::Message as _;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -36,6 +37,9 @@
 const BEAT_TAG: u8 = 0x12;
 const CONFIGURATION_TAG: u8 = 0x3a;
 
+/// Size of the parts that a peer sends.
+pub(crate) const PART_BYTES: usize = 64 << 10;
+
 /// Versions that a peer reports before and after it has received the configuration.
 pub(crate) const OLD_VERSION: u64 = 1;
 pub(crate) const NEW_VERSION: u64 = 2;
@@ -46,6 +50,10 @@
     /// Bytes of all messages but hellos and heartbeats, also of incomplete messages.
     pub(crate) other_bytes: usize,
     pub(crate) beats: u32,
+    /// Configuration version of the process in the last heartbeat.
+    pub(crate) version: u64,
+    /// Number of requests for a part of the configuration.
+    pub(crate) part_requests: usize,
     /// Longest time without a heartbeat.
     pub(crate) longest_gap: Duration,
     last_beat: Instant,
@@ -60,6 +68,12 @@
     version: Cell<u64>,
     read_bytes_per_s: usize,
     received: RefCell<Received>,
+    /// Configuration that the peer sends in parts.
+    row: RefCell<Vec<u8>>,
+    /// Parts of the configuration that the peer has requested and received.
+    downloaded: RefCell<Vec<u8>>,
+    /// Messages to the process, beside the heartbeats.
+    messages: (Sender<Body>, Receiver<Body>),
 }
 
 impl Peer {
@@ -72,6 +86,9 @@
             version: Cell::new(OLD_VERSION),
             read_bytes_per_s,
             received: RefCell::new(Received::new()),
+            row: RefCell::default(),
+            downloaded: RefCell::default(),
+            messages: flume::unbounded(),
         });
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_reuseaddr(true).unwrap();
@@ -106,6 +123,31 @@
         received
     }
 
+    /// Reports the new version, and sends `row` to the process on request.
+    pub(crate) fn serve(&self, row: &[u8]) {
+        *self.row.borrow_mut() = row.to_vec();
+        self.version.set(NEW_VERSION);
+    }
+
+    /// Requests the configuration of the process from its beginning, and then each next part.
+    pub(crate) fn download(&self) {
+        self.request_part(0, 0);
+    }
+
+    /// Parts of the configuration that the peer has downloaded.
+    pub(crate) fn downloaded(&self) -> Vec<u8> {
+        self.downloaded.borrow().clone()
+    }
+
+    fn request_part(&self, version: u64, offset: u64) {
+        let fetch = FetchConfiguration { version, offset };
+        self.send(Body::FetchConfiguration(fetch));
+    }
+
+    fn send(&self, body: Body) {
+        self.messages.0.send(body).unwrap();
+    }
+
     async fn send_heartbeats(&self, process: SocketAddr) -> std::io::Result<()> {
         let socket = TcpSocket::new_v4()?;
         socket.bind(SocketAddr::from((self.ip, 0)))?;
@@ -118,7 +160,13 @@
         stream.write_all(&frame(Body::Hello(hello))).await?;
         let mut ticks = interval(HEARTBEAT_INTERVAL);
         loop {
-            ticks.tick().await;
+            tokio::select! {
+                message = self.messages.1.recv_async() => {
+                    stream.write_all(&frame(message.unwrap())).await?;
+                    continue;
+                }
+                _ = ticks.tick() => {}
+            }
             let beat = Beat {
                 has_store: true,
                 is_barred: true,
@@ -149,6 +197,35 @@
         }
     }
 
+    /// Sends the requested part, or requests the next one.
+    fn answer(&self, body: Body, received: &mut Received) {
+        match body {
+            Body::Beat(beat) => received.version = beat.config_version,
+            Body::FetchConfiguration(fetch) => {
+                received.part_requests += 1;
+                let row = self.row.borrow();
+                let offset = usize::try_from(fetch.offset).unwrap();
+                let end = row.len().min(offset + PART_BYTES);
+                self.send(Body::ConfigurationPart(ConfigurationPart {
+                    version: NEW_VERSION,
+                    total: row.len() as u64,
+                    offset: fetch.offset,
+                    data: row[offset..end].to_vec(),
+                }));
+            }
+            Body::ConfigurationPart(part) => {
+                let mut downloaded = self.downloaded.borrow_mut();
+                assert_eq!(part.offset, downloaded.len() as u64);
+                downloaded.extend(part.data);
+                let size = downloaded.len() as u64;
+                if size < part.total {
+                    self.request_part(part.version, size);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Counts the bytes of a link, also those of its incomplete message.
     fn count(&self, link: &mut IncomingLink, bytes: &[u8]) {
         let mut received = self.received.borrow_mut();
@@ -163,6 +240,8 @@
                 BEAT_TAG => received.on_beat(),
                 _ => complete += size,
             }
+            let message = PeerMessage::decode(&link.buf[4..size]).unwrap();
+            self.answer(message.body.unwrap(), &mut received);
             if tag == CONFIGURATION_TAG {
                 self.version.set(NEW_VERSION);
             }
@@ -200,6 +279,8 @@
         Self {
             other_bytes: 0,
             beats: 0,
+            version: 0,
+            part_requests: 0,
             longest_gap: Duration::ZERO,
             last_beat: Instant::now(),
         }
