fix(adapter): a read of the store goes on while its response arrives

Cause: READ_TIMEOUT of 1 s and the wait plus 0.5 s of a long poll were limits for the whole response. A VM on a slow or busy link that needs longer for the configuration's row never received it, threw all bytes away and requested the row again from its start, without end; the log shows store_read_failed table=op revision=0 reason="no response" again and again. Each failure also counts against the VM in the elections, as its store seems to be away. Change: a call has three limits, for the begin of the response, for a pause within its body and for the whole. Reads must begin within the same time as before, a pause is limited to 1 s (0.5 s in a long poll), and the body may take 10 s. Writes and calls to workers keep one limit for the whole call. Responses that stop in the middle, that never begin, or that pass the total limit are given up still.

--- a/crates/geraniumrelay/tests/leased_soak/callers.rs
+++ b/crates/geraniumrelay/tests/leased_soak/callers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use geraniumrelay_adapter::HttpClient;
-use geraniumrelay_adapter::http::Call;
+use geraniumrelay_adapter::http::{Call, Limits};
 use hyper::Method;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -115,7 +115,7 @@
                 ANSWER_TIMEOUT.as_millis().to_string(),
             )],
             body: body.to_string().into(),
-            timeout: ANSWER_TIMEOUT,
+            limits: Limits::whole(ANSWER_TIMEOUT),
         };
         match http.call(call).await.map(|res| res.status.as_u16()) {
             Ok(200) => {
