fix(leased): queued ended jobs don't keep their payloads in memory

Cause: the queue of ended jobs that wait for their move is bounded by 16,384 jobs and not by bytes. Each entry kept the job's payload of up to 4,000 bytes, 65 MB in a full queue while the store does not answer, although the move stores the record without it. A takeover queues all ended records at once. Change: the payload is dropped when the job is queued, not when it is moved. Result: the test held 2 references to the payload after the record was dropped, and holds 1 now.

--- a/crates/geraniumrelay/src/leased/archive.rs
+++ b/crates/geraniumrelay/src/leased/archive.rs
@@ -40,7 +40,8 @@
 /// Pause between two sweeps, and between two checks while this VM schedules no cell.
 const SWEEP_PAUSE: Duration = Duration::from_secs(10);
 
-/// An ended job whose record is still in the table of open jobs, with the row's version.
+/// An ended job whose record is still in the table of open jobs, without its payload, and the version
+/// of its row.
 #[derive(Debug)]
 struct EndedRecord {
     record: JobRecord,
@@ -65,12 +66,13 @@
 
     /// Queues the record of an ended job for the move; with a full queue the record stays.
     pub(super) fn add(&self, record: &JobRecord, version: u64) {
-        let ended = EndedRecord {
-            record: record.clone(),
-            version,
-        };
+        let mut record = record.clone();
+        let id = record.spec.id;
+        // No task of an ended job is started again, so the payload is not needed.
+        record.spec.payload = "".into();
+        let ended = EndedRecord { record, version };
         if self.tx.try_send(ended).is_err() {
-            info!(id:% = record.spec.id, size = QUEUE_CAPACITY; "ended_job_left");
+            info!(id:% = id, size = QUEUE_CAPACITY; "ended_job_left");
         }
     }
 }
@@ -115,12 +117,9 @@
 /// The two row changes that move a record.
 fn move_rows(ended: &EndedRecord, now: SystemTime) -> [ExpectedRow; 2] {
     let key = ended.record.spec.id.to_string();
-    let mut record = ended.record.clone();
-    // No task of an ended job is started again, so the payload is not needed.
-    record.spec.payload = "".into();
     let stored = StoredRecord {
         ended_unix_ms: unix_ms(now),
-        ..convert::record_to_stored(&record)
+        ..convert::record_to_stored(&ended.record)
     };
     [
         ExpectedRow {
--- a/crates/geraniumrelay/src/leased/tests/archive.rs
+++ b/crates/geraniumrelay/src/leased/tests/archive.rs
@@ -1,12 +1,19 @@
-//! Removal of the records of ended durable jobs.
+//! Move and removal of the records of ended durable jobs.
 
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use geraniumrelay_adapter::{Change, RowChange};
+use geraniumrelay_adapter::{Change, HttpClient, RowChange, StoreClient};
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{JobRecord, JobSpec, RecordState};
 use geraniumrelay_wire::leased::JobRecord as StoredRecord;
 use prost::Message as _;
+use tokio::task::LocalSet;
 
-use crate::leased::archive;
+use super::spec;
+use crate::leased::archive::{self, Archive};
 
 /// Row of a job that ended `age` before `now`, at version 7.
 fn ended_row(age: Duration, now: SystemTime) -> Change {
@@ -48,3 +55,35 @@
         None
     );
 }
+
+/// Client of a store that can't be reached.
+fn unreachable_store() -> StoreClient {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    StoreClient::new(Rc::new(HttpClient::new()), address)
+}
+
+// While the store was away, queued jobs kept their payloads in memory, up to 64 MB.
+#[test]
+fn a_queued_ended_job_does_not_keep_its_payload() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let archive = Archive::start(unreachable_store(), || true);
+        let payload: Arc<str> = "x".repeat(4_000).into();
+        let record = JobRecord {
+            spec: JobSpec {
+                payload: Arc::clone(&payload),
+                ..spec(1)
+            },
+            cell: CellName::single(),
+            done: vec![0, 1],
+            progress: Vec::new(),
+            state: RecordState::Completed,
+        };
+        archive.add(&record, 7);
+        drop(record);
+        assert_eq!(Arc::strong_count(&payload), 1);
+    });
+}
