fix(leased): the read of the records ends with its scheduler

Cause: each takeover started a task that reads all records of durable jobs, and repeats the whole read every 0.2 s until it succeeds, also after its scheduler has ended. With elections that change all the time (221 takeovers in 16 s of the incident's log) the tasks add up, share the VM's link, and make one another fail. Change: the read belongs to the cell; it is aborted when the scheduler is dropped or another read starts.

--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -9,6 +9,7 @@
 use geraniumrelay_core::leased::estimates::Estimates;
 use geraniumrelay_core::leased::{EntryVm, FencingToken, Scheduler};
 use geraniumrelay_wire::leased::{CellBeat, QueueCount};
+use tokio::task::JoinSet;
 
 use super::convert;
 
@@ -33,6 +34,8 @@
     pub(super) epoch_lost: Option<(FencingToken, Instant)>,
     /// Load of the cell in percent of its capacity, as reported by its scheduler.
     pub(super) load_percent: u32,
+    /// The task that reads the records of durable jobs for the scheduler here.
+    record_read: JoinSet<()>,
     /// Pending jobs by queue, as reported by the scheduler, and the time of the report; `None`
     /// while the scheduler has not read all jobs.
     pending: Option<(Map<Arc<str>, u32>, Instant)>,
@@ -47,6 +50,7 @@
             estimates: Estimates::default(),
             epoch_lost: None,
             load_percent: 0,
+            record_read: JoinSet::new(),
             pending: None,
         }
     }
@@ -102,8 +106,16 @@
         Some(self.election.outrank(holder, now))
     }
 
+    /// Starts the read of the records for the scheduler here, in place of an earlier one.
+    pub(super) fn start_record_read(&mut self, read: impl Future<Output = ()> + 'static) {
+        // A dropped set aborts its tasks.
+        self.record_read = JoinSet::new();
+        self.record_read.spawn_local(read);
+    }
+
     /// Drops the scheduler, and keeps its estimated run times for a later takeover.
     pub(super) fn drop_scheduler(&mut self) {
+        self.record_read.abort_all();
         if let Some(scheduler) = self.scheduler.take() {
             self.estimates = scheduler.estimates().clone();
         }
--- a/crates/geraniumrelay/src/leased/event_loop/records.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/records.rs
@@ -70,15 +70,15 @@
         });
     }
 
-    /// Reads all records for a new scheduler; retried until the store answers.
-    pub(super) fn read_records(&self, cell: &CellName, token: FencingToken) {
+    /// Reads all records for a new scheduler; retried until the store answers or the scheduler ends.
+    pub(super) fn read_records(&mut self, name: &CellName, token: FencingToken) {
         let (durable_jobs, tx, cell) = (
             self.components.durable_jobs.clone(),
             self.components.tx.clone(),
-            cell.clone(),
+            name.clone(),
         );
         let archive = self.components.archive.clone();
-        spawn_local(async move {
+        let read = async move {
             let records = loop {
                 match durable_jobs.all().await {
                     Ok(records) => break records,
@@ -97,7 +97,10 @@
             for command in listed.chain([Command::RecordsKnown { version }]) {
                 tx.reply(cell.clone(), token, command).await;
             }
-        });
+        };
+        if let Some(cell) = self.cells.get_mut(name) {
+            cell.start_record_read(read);
+        }
     }
 
     /// Passes changed records to the schedulers here.
--- a/crates/geraniumrelay/src/leased/tests/directory.rs
+++ b/crates/geraniumrelay/src/leased/tests/directory.rs
@@ -11,7 +11,7 @@
 
 const TTL: Duration = Duration::from_secs(20);
 
-fn worker(name: &str, state: &str) -> Change {
+pub(super) fn worker(name: &str, state: &str) -> Change {
     let value = format!(
         r#"{{"service":"s","address":"10.1.2.3:80","zone":"z","state":"{state}",
             "capacity":{{"cpu":64000,"mem_mb":1,"gpu":0}},"labels":[],"born":1}}"#
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod links;
 mod pending_jobs;
+mod record_reads;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/tests/record_reads.rs
@@ -0,0 +1,179 @@
+//! Reads of the records of durable jobs by an event loop, from a store that refuses them.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use geraniumrelay_adapter::{Change, HttpClient, StoreClient, Table, WorkerClient};
+use geraniumrelay_core::Config;
+use geraniumrelay_core::leased::EntryVm;
+use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_wire::leased::peer_message::Body;
+use geraniumrelay_wire::leased::{Beat, CellBeat};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use super::directory::worker;
+use crate::leased::archive::Archive;
+use crate::leased::durable_jobs::DurableJobStore;
+use crate::leased::event_loop::{Components, EventLoop};
+use crate::leased::input::{self, Input, InputTx};
+use crate::leased::metrics::LeasedMetrics;
+use crate::leased::worker_calls::WorkerCalls;
+
+const OWN: EntryVm = EntryVm(Ipv4Addr::LOCALHOST);
+const PEER: EntryVm = EntryVm(Ipv4Addr::new(127, 0, 0, 2));
+
+/// Longest wait for the reads of a new scheduler.
+const READS_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Starts a store with one worker that refuses reads of the records, and counts these reads.
+async fn start_store(reads: Rc<Cell<u32>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let reads = Rc::clone(&reads);
+            spawn_local(async move {
+                let service = service_fn(|req| {
+                    let res = respond(&req, &reads);
+                    async move { Ok::<_, Infallible>(res) }
+                });
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    address
+}
+
+fn respond(req: &Request<Incoming>, reads: &Cell<u32>) -> Response<Full<Bytes>> {
+    let query = req.uri().query().unwrap_or_default();
+    let mut res = Response::default();
+    if query.starts_with("table=kept-jobs") {
+        reads.set(reads.get() + 1);
+        *res.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+        return res;
+    }
+    let rows = if query.starts_with("table=servers") {
+        let value = STANDARD.encode(worker("w", "ready").value.unwrap());
+        format!(r#"{{"key":"w","value":"{value}","row_version":1}}"#)
+    } else {
+        String::new()
+    };
+    *res.body_mut() = Full::from(format!(r#"{{"rows":[{rows}],"row_version":1}}"#));
+    res
+}
+
+/// Starts the event loop of a VM whose only peer can't be reached.
+fn start_event_loop(store: SocketAddr) -> InputTx {
+    let http = Rc::new(HttpClient::new());
+    let store = StoreClient::new(Rc::clone(&http), store);
+    let metrics = Arc::new(LeasedMetrics::new().unwrap());
+    let (tx, rx) = input::channel(Arc::clone(&metrics));
+    let worker_calls = WorkerCalls {
+        workers: WorkerClient::new(http),
+        tx: tx.clone(),
+        metrics: Arc::clone(&metrics),
+    };
+    let event_loop = EventLoop::new(Components {
+        vm: OWN,
+        incarnation: 1,
+        is_first_start: true,
+        data_centre: "z".into(),
+        cpu_tenths: 10,
+        cfg: Config::default(),
+        store: store.clone(),
+        durable_jobs: DurableJobStore::start(store.clone()),
+        archive: Archive::start(store, || false),
+        worker_calls,
+        routes: Rc::default(),
+        readiness: Rc::default(),
+        is_scheduler: Rc::default(),
+        tx: tx.clone(),
+        metrics,
+    });
+    spawn_local(event_loop.run(rx));
+    tx
+}
+
+async fn send_rows(tx: &InputTx, table: Table, rows: Vec<Change>) {
+    let rows = Input::Rows {
+        table,
+        is_snapshot: true,
+        rows,
+        revision: 1,
+    };
+    tx.send(rows).await;
+}
+
+fn entry_vm(vm: EntryVm) -> Change {
+    Change {
+        key: vm.to_string(),
+        value: Some(format!("{vm}:1").into_bytes()),
+        version: 1,
+    }
+}
+
+/// Heartbeat of a peer that schedules the cell, with a token above that of any other VM.
+fn scheduler_heartbeat() -> Input {
+    let token = 1 << 52;
+    let cell = CellBeat {
+        cell: CellName::single().to_string(),
+        token,
+        follows: token,
+        ..CellBeat::default()
+    };
+    let body = Body::Beat(Beat {
+        has_store: true,
+        knows_departed: true,
+        data_centre: "z".to_owned(),
+        cpu_tenths: 10,
+        cells: vec![cell],
+        ..Beat::default()
+    });
+    Input::Peer { from: PEER, body }
+}
+
+// Each takeover added a task that read all records again and again, even after its scheduler ended.
+#[test]
+fn the_records_are_not_read_for_a_scheduler_that_has_ended() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let reads = Rc::new(Cell::new(0));
+        let tx = start_event_loop(start_store(Rc::clone(&reads)).await);
+        send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+        send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
+        let has_begun = async {
+            while reads.get() < 2 {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(READS_TIMEOUT, has_begun).await.unwrap();
+        tx.send(scheduler_heartbeat()).await;
+        sleep(Duration::from_millis(50)).await;
+        let reads_before = reads.get();
+        for _ in 0..20 {
+            tx.send(scheduler_heartbeat()).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(reads.get(), reads_before);
+    });
+}
