fix(leased): a job that finds the queue of its scheduler full counts as not sent

Cause: a job is marked as sent before its message is queued for the link, and the mark stayed where the queue was full. Such a job was never refused, as its tasks might have started: its caller waited until its maximum wait, while the job was encoded again each 25 ms. Change: a message that could not be queued reverts the assignment of the job.

--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -50,7 +50,7 @@
         let is_sent = self.links.get(&to).is_some_and(|link| link.send(message));
         if !is_sent {
             warn!(id:% = id, to:% = to; "job_not_passed_on");
-            self.pending_jobs.mark_job_unsent(id);
+            self.pending_jobs.unassign(&submission);
         }
     }
 
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -156,10 +156,11 @@
         }
     }
 
-    /// Marks a job as unsent after the send to its scheduler failed.
-    pub(super) fn mark_job_unsent(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
+    /// Reverts the assignment of a job whose submission could not be queued for its scheduler.
+    pub(super) fn unassign(&mut self, submission: &Submission) {
+        if let Some(job) = self.jobs.get_mut(&submission.spec.id) {
             job.sent_to = None;
+            job.was_sent = submission.may_have_started;
         }
     }
 
--- a/crates/geraniumrelay/src/leased/tests/record_reads.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -1,4 +1,5 @@
-//! Reads of the records of durable jobs by an event loop, from a store that refuses them.
+//! An event loop beside a peer that can't be reached, and a store that refuses the records of durable
+//! jobs.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -7,13 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use geraniumrelay_adapter::{Change, HttpClient, StoreClient, Table, WorkerClient};
 use geraniumrelay_core::Config;
-use geraniumrelay_core::leased::EntryVm;
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{EntryVm, JobId, JobOutcome, JobSpec, RefusalReason};
 use geraniumrelay_wire::leased::peer_message::Body;
 use geraniumrelay_wire::leased::{Beat, CellBeat};
 use http_body_util::Full;
@@ -23,10 +25,12 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use super::directory::worker;
+use super::spec;
 use crate::leased::archive::Archive;
 use crate::leased::durable_jobs::DurableJobStore;
 use crate::leased::event_loop::{Components, EventLoop};
@@ -149,14 +153,18 @@
     Input::Peer { from: PEER, body }
 }
 
-// Each takeover added a task that read all records again and again, even after its scheduler ended.
-#[test]
-fn the_records_are_not_read_for_a_scheduler_that_has_ended() {
+fn block_on<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .unwrap();
-    LocalSet::new().block_on(&runtime, async {
+    LocalSet::new().block_on(&runtime, test);
+}
+
+// Each takeover added a task that read all records again and again, even after its scheduler ended.
+#[test]
+fn the_records_are_not_read_for_a_scheduler_that_has_ended() {
+    block_on(async {
         let reads = Rc::new(Cell::new(0));
         let tx = start_event_loop(start_store(Rc::clone(&reads)).await);
         send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
@@ -177,3 +185,46 @@
         assert_eq!(reads.get(), reads_before);
     });
 }
+
+// A job whose message found the link's queue full counted as sent, and its caller waited to the end.
+#[test]
+fn jobs_that_do_not_fit_into_the_queue_of_their_scheduler_are_refused() {
+    block_on(async {
+        let tx = start_event_loop(start_store(Rc::default()).await);
+        send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+        let heartbeats = tx.clone();
+        spawn_local(async move {
+            loop {
+                heartbeats.send(scheduler_heartbeat()).await;
+                sleep(Duration::from_millis(50)).await;
+            }
+        });
+        sleep(Duration::from_millis(100)).await;
+        let payload: Arc<str> = "x".repeat(4_000).into();
+        let mut answers = Vec::new();
+        for id in 1..=3_000 {
+            let (reply, answer) = oneshot::channel();
+            let spec = JobSpec {
+                id: JobId(id),
+                payload: Arc::clone(&payload),
+                ..spec(id)
+            };
+            let max_wait = Duration::from_secs(30);
+            let job = Input::Job {
+                spec,
+                max_wait,
+                reply,
+            };
+            tx.send(job).await;
+            answers.push(answer);
+        }
+        let last = timeout(Duration::from_secs(5), answers.pop().unwrap()).await;
+        assert_matches!(
+            last,
+            Ok(Ok(JobOutcome::Refused {
+                reason: RefusalReason::NoScheduler,
+                ..
+            }))
+        );
+    });
+}
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -4,10 +4,10 @@
 mod call_retry;
 mod convert;
 mod directory;
+mod event_loop;
 mod links;
 mod metrics;
 mod pending_jobs;
-mod record_reads;
 
 use std::time::Duration;
 
