fix(platform): a read of the platform goes on while its response arrives

Cause: 2 s were the limit for the complete response to any call. A sheet of up to 4 MB, or the list of many VMs, takes longer on a busy link of 25 Mbit/s; the entry VM then threw the bytes away and read the same again from its start each second, without end. Change: reads may take 10 s as long as no pause is longer than the 2 s; a time-out that is set for a client, as for reads on behalf of a waiting caller, still limits the whole response. Writes keep 2 s. A response that stops is still given up after 2 s.

--- a/crates/geraniumrelay-platform/src/client.rs
+++ b/crates/geraniumrelay-platform/src/client.rs
@@ -20,8 +20,11 @@
     pub url: String,
     /// Connection time-out.
     pub connect_timeout: Duration,
-    /// Time-out for the complete response.
+    /// Time-out for the complete response to a write, and longest pause within any response.
     pub timeout: Duration,
+    /// Time-out for the complete response to a read, while parts of it arrive. A sheet or a VM list
+    /// takes seconds on a slow link.
+    pub read_timeout: Duration,
 }
 
 impl PlatformConfig {
@@ -31,13 +34,15 @@
             url: url.into(),
             connect_timeout: Duration::from_millis(500),
             timeout: Duration::from_secs(2),
+            read_timeout: Duration::from_secs(10),
         }
     }
 
-    /// Replaces the time-out for the complete response.
+    /// Replaces the time-outs for the complete response, of reads as well.
     #[must_use]
     pub fn with_timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
+        self.read_timeout = timeout;
         self
     }
 }
@@ -75,10 +80,7 @@
     /// # Errors
     /// Any [`PlatformError`]; nothing is written.
     pub fn row(&self, key: &str) -> Result<TableRow, PlatformError> {
-        let req = self
-            .session
-            .get(self.url("/v1/table/row"))
-            .param("key", key);
+        let req = self.get("/v1/table/row").param("key", key);
         read_json(send(req)?)
     }
 
@@ -87,8 +89,8 @@
     /// # Errors
     /// Any [`PlatformError`]; nothing is written.
     pub fn rows(&self, prefix: &str, after: &str, limit: u32) -> Result<TableRows, PlatformError> {
-        let req = self.session.get(self.url("/v1/table/rows"));
-        let req = req
+        let req = self
+            .get("/v1/table/rows")
             .param("prefix", prefix)
             .param("after", after)
             .param("limit", limit);
@@ -116,10 +118,7 @@
         data_centre: &str,
         known_tag: Option<&str>,
     ) -> Result<Option<VmListing>, PlatformError> {
-        let req = self
-            .session
-            .get(self.url("/v1/vms"))
-            .param("data_centre", data_centre);
+        let req = self.get("/v1/vms").param("data_centre", data_centre);
         let req = match known_tag {
             Some(tag) => req
                 .try_header(IF_NONE_MATCH, tag)
@@ -158,7 +157,7 @@
     /// # Errors
     /// Any [`PlatformError`]; nothing is written.
     pub fn object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        let req = self.session.get(self.url("/v1/object")).param("name", name);
+        let req = self.get("/v1/object").param("name", name);
         match send(req) {
             Ok(res) => res.bytes().map(Some).map_err(|e| unknown_error(&e)),
             Err(PlatformError::Refused { status: 404 }) => Ok(None),
@@ -166,6 +165,12 @@
         }
     }
 
+    /// A read of `path`.
+    fn get(&self, path: &str) -> RequestBuilder {
+        let req = self.session.get(self.url(path));
+        req.timeout(self.cfg.read_timeout)
+    }
+
     fn url(&self, path: &str) -> String {
         format!("{}{path}", self.cfg.url)
     }
