fix(tests): two test processes with entry processes never share addresses

All five tests of leased_links failed once: the entry processes printed "peer_listen: Address already in use", and a process of another test run answered the readiness checks.

Each test process now reserves its octet by a bound port and takes the next one if another process has it.

--- a/crates/geraniumrelay/tests/leased_links/peer.rs
+++ b/crates/geraniumrelay/tests/leased_links/peer.rs
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
-use crate::fleet::FIRST_PEER_PORT;
+use crate::fleet::{FIRST_PEER_PORT, third_octet};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -304,8 +304,7 @@
 
 /// Address of a peer of the test number `test`; differs between processes of the tests.
 pub(crate) fn peer_ip(test: u8, number: u8) -> Ipv4Addr {
-    let third_octet = u8::try_from(std::process::id() % 200).unwrap() + 20;
-    Ipv4Addr::new(127, 64 + test, third_octet, number + 1)
+    Ipv4Addr::new(127, 64 + test, third_octet(), number + 1)
 }
 
 /// Address on which a process at `ip` listens for peers.
--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -1,9 +1,10 @@
 //! Entry processes that are killed, stopped, paused and resumed by signals.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -22,8 +23,26 @@
 /// Ports of every process; each process has its own IP address.
 const FRONT_PORT: u16 = 28_161;
 const READINESS_PORT: u16 = 28_167;
+const RESERVATION_PORT: u16 = 28_799;
 pub(crate) const FIRST_PEER_PORT: u16 = 28_720;
 
+/// Third octet of this test process's addresses. A bound port keeps the octet from other test
+/// processes, because several may run at the same time.
+pub(crate) fn third_octet() -> u8 {
+    static RESERVED: OnceLock<(u8, TcpListener)> = OnceLock::new();
+    let reserve = || {
+        let first = u8::try_from(std::process::id() % 200).unwrap();
+        let octets = (first..200).chain(0..first).map(|n| n + 20);
+        let mut reserved = octets.filter_map(|octet| {
+            let address = Ipv4Addr::new(127, 44, octet, 254);
+            let listener = TcpListener::bind((address, RESERVATION_PORT)).ok()?;
+            Some((octet, listener))
+        });
+        reserved.next().expect("an octet is free")
+    };
+    RESERVED.get_or_init(reserve).0
+}
+
 struct Vm {
     address: Ipv4Addr,
     settings: PathBuf,
@@ -46,9 +65,7 @@
         std::fs::create_dir_all(&dir).unwrap();
         let mut vms = Vec::new();
         for number in numbers {
-            // Addresses differ between runs, because several runs may go on at the same time.
-            let third_octet = u8::try_from(pid % 200).unwrap() + 20;
-            let address = Ipv4Addr::new(127, 44, third_octet, number);
+            let address = Ipv4Addr::new(127, 44, third_octet(), number);
             let store = Proxy::start(platform.store).await;
             let settings = dir.join(format!("vm-{number}.json"));
             let text = json!({"vm": format!("vm-{number}"), "data_centre": "z",
