fix(peers): a sheet of a peer arrives over a slow link

Cause: 1 s was the limit for the whole reply to a control message. A sheet of up to 4 MB takes longer on a link of 25 Mbit/s, or on one with a long round trip; the VM threw the bytes away, dropped the connection and requested the sheet again from its start. It did so each 0.5 s, so that two copies shared the link. Change: the reply to a control message must begin within 1 s and must not pause for longer, and may take 10 s; one sheet is fetched at a time. Forwarded requests keep one limit for the whole exchange.

--- a/crates/geraniumrelay-testkit/tests/sheet_faults.rs
+++ b/crates/geraniumrelay-testkit/tests/sheet_faults.rs
@@ -17,6 +17,7 @@
 use geraniumrelay_testkit::cluster::gauge;
 use geraniumrelay_testkit::entry_process::{EntryPlan, EntryProcess, run_if_entry};
 use geraniumrelay_testkit::operators::{OPERATORS, client, run_ctl};
+use geraniumrelay_testkit::peer_relay::LinkFaults;
 use geraniumrelay_testkit::ports::free_address;
 use geraniumrelay_testkit::{Cluster, ClusterPlan, PlatformFaults};
 use geraniumrelay_wire::{ApplyOutcome, ApplySheet, Transaction};
@@ -414,6 +415,26 @@
     wait_for_revision(&[cut_off], 2);
 }
 
+// A sheet that took longer than 1 s was requested again from its start every 0.5 s, without end.
+#[test]
+fn a_large_sheet_arrives_over_a_slow_link() {
+    let mut plan = ClusterPlan::new(1, 1).with_relay();
+    plan.sheet += &"\n".repeat(3_000_000);
+    let mut cluster = Cluster::start(plan);
+    cluster.platform.set_faults(PlatformFaults {
+        unreachable_vms: vec!["gyor-cut".to_owned()],
+        ..PlatformFaults::default()
+    });
+    cluster.add_entry("gyor-cut", "gyor");
+    let slow = LinkFaults {
+        delay: Duration::from_millis(100),
+        ..LinkFaults::default()
+    };
+    cluster.set_link_faults("szeged", "gyor", slow);
+    cluster.publish_vm_list();
+    wait_for_revision(&[cluster.entries[1].address], 1);
+}
+
 #[test]
 fn a_paused_process_is_reported_and_catches_up() {
     let cluster =
--- a/crates/geraniumrelay/src/peers.rs
+++ b/crates/geraniumrelay/src/peers.rs
@@ -3,7 +3,7 @@
 //! Every exchange has a time-out, and a connection on which an exchange timed out is not reused,
 //! so that a peer that has restarted at the same address is reached at once.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +24,8 @@
 use prost::Message;
 use quinn::{Connection, Endpoint, VarInt};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::error::Elapsed;
+use tokio::time::timeout;
 
 use crate::convert;
 use crate::convert_loans;
@@ -45,9 +47,14 @@
 /// Maximum wait for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum wait for the reply to a control message, such as a heartbeat or a sheet request.
+/// Maximum wait for the reply to a control message, such as a heartbeat or a sheet request, to begin,
+/// and longest pause within the reply.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum wait for the whole reply to a control message, while parts of it arrive. A sheet takes
+/// seconds on a slow link.
+const CONTROL_TOTAL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Retry time given to callers when the owner of their ticket did not reply.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -171,6 +178,34 @@
     }
 }
 
+/// Time limits of an exchange, once connected.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    /// Longest time until the reply begins.
+    begin: Duration,
+    /// Longest time in which no part of the reply arrives.
+    pause: Duration,
+    /// Longest time of the whole exchange.
+    total: Duration,
+}
+
+impl Limits {
+    const CONTROL: Self = Self {
+        begin: CONTROL_TIMEOUT,
+        pause: CONTROL_TIMEOUT,
+        total: CONTROL_TOTAL_TIMEOUT,
+    };
+
+    /// One limit for the whole exchange.
+    fn whole(limit: Duration) -> Self {
+        Self {
+            begin: limit,
+            pause: limit,
+            total: limit,
+        }
+    }
+}
+
 /// Client side of the transport; connections are opened on first use and reused.
 #[derive(Debug)]
 struct Transport {
@@ -179,6 +214,8 @@
     metrics: Arc<PeerMetrics>,
     sheets: Arc<SheetCache>,
     connections: RefCell<Map<SocketAddr, Connection>>,
+    /// Whether a sheet is being fetched; a second copy would only slow the first one down.
+    is_fetching_sheet: Cell<bool>,
 }
 
 impl Transport {
@@ -189,6 +226,7 @@
             metrics: server.metrics,
             sheets: server.sheets,
             connections: RefCell::new(Map::default()),
+            is_fetching_sheet: Cell::new(false),
         }
     }
 
@@ -199,29 +237,28 @@
             return Ok(connection);
         }
         let connecting = self.endpoint.connect(address, PEER_NAME)?;
-        let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+        let connection = timeout(CONNECT_TIMEOUT, connecting).await??;
         self.connections
             .borrow_mut()
             .insert(address, connection.clone());
         Ok(connection)
     }
 
-    /// Sends a request and waits for the reply, at most `timeout` once connected.
+    /// Sends a request and waits for the reply.
     async fn exchange(
         &self,
         address: SocketAddr,
         req: &PeerRequest,
-        timeout: Duration,
+        limits: Limits,
     ) -> anyhow::Result<PeerReply> {
         let connection = self.connection(address).await?;
         let buf = req.encode_to_vec();
         self.metrics.count_sent(buf.len());
-        let reply = tokio::time::timeout(timeout, call(&connection, &buf)).await;
-        let Ok(reply) = reply else {
-            self.drop_connection(address, &connection);
-            bail!("no reply within {timeout:?}");
-        };
-        let reply = reply?;
+        let reply = call(&connection, &buf, limits).await.inspect_err(|e| {
+            if e.is::<Elapsed>() {
+                self.drop_connection(address, &connection);
+            }
+        })?;
         self.metrics.count_received(reply.len());
         Ok(PeerReply::decode(reply.as_slice())?)
     }
@@ -233,7 +270,7 @@
         body: peer_request::Body,
     ) -> anyhow::Result<Option<peer_reply::Body>> {
         let req = PeerRequest { body: Some(body) };
-        let reply = self.exchange(address, &req, CONTROL_TIMEOUT).await?;
+        let reply = self.exchange(address, &req, Limits::CONTROL).await?;
         Ok(reply.body)
     }
 
@@ -248,12 +285,29 @@
     }
 }
 
-/// Sends one request on a stream of its own and reads the reply to its end.
-async fn call(connection: &Connection, req: &[u8]) -> anyhow::Result<Vec<u8>> {
-    let (mut tx, mut rx) = connection.open_bi().await?;
-    tx.write_all(req).await?;
-    tx.finish()?;
-    Ok(rx.read_to_end(MAX_MESSAGE_BYTES).await?)
+/// Sends one request on a stream of its own and reads the reply to its end; the error is [`Elapsed`]
+/// if a time limit has passed.
+async fn call(connection: &Connection, req: &[u8], limits: Limits) -> anyhow::Result<Vec<u8>> {
+    let exchange = async {
+        let begin = async {
+            let (mut tx, mut rx) = connection.open_bi().await?;
+            tx.write_all(req).await?;
+            tx.finish()?;
+            let first = rx.read_chunk(MAX_MESSAGE_BYTES, true).await?;
+            anyhow::Ok((rx, first))
+        };
+        let (mut rx, mut next) = timeout(limits.begin, begin).await??;
+        let mut reply = Vec::new();
+        while let Some(chunk) = next {
+            if reply.len() + chunk.bytes.len() > MAX_MESSAGE_BYTES {
+                bail!("the reply is too long");
+            }
+            reply.extend_from_slice(&chunk.bytes);
+            next = timeout(limits.pause, rx.read_chunk(MAX_MESSAGE_BYTES, true)).await??;
+        }
+        Ok(reply)
+    };
+    timeout(limits.total, exchange).await?
 }
 
 async fn execute(transport: Rc<Transport>, cmd: PeerCommand) {
@@ -282,7 +336,12 @@
             send_heartbeat(&transport, address, heartbeat).await;
         }
         PeerCommand::FetchTargets { address } => fetch_targets(&transport, address).await,
-        PeerCommand::FetchSheet { address } => fetch_sheet(&transport, address).await,
+        PeerCommand::FetchSheet { address } => {
+            if !transport.is_fetching_sheet.replace(true) {
+                fetch_sheet(&transport, address).await;
+                transport.is_fetching_sheet.set(false);
+            }
+        }
         PeerCommand::HandOver { address, message } => {
             hand_over(&transport, address, &message).await;
         }
@@ -302,7 +361,10 @@
     timeout: Duration,
 ) -> Reply {
     let req = convert::peer_request(call);
-    match transport.exchange(address, &req, timeout).await {
+    match transport
+        .exchange(address, &req, Limits::whole(timeout))
+        .await
+    {
         Ok(reply) => convert::read_peer_reply(reply).unwrap_or_else(owner_unreachable),
         Err(e) => {
             let error = e.to_string();
