fix(leased): a full queue of a scheduler is tried with one job at a time

Cause: each new job and each tick (25 ms) encoded every unsent job again and offered it to the link of its scheduler, also when the queue of that link had just refused one. With the limit of 512 kB for a link, about 125 jobs of 4 kB fill the queue. Change: after a refusal, the other jobs for the same scheduler wait for the next attempt. The test for refused jobs no longer reaches the revert of an assignment for the job that it watches, so that the revert has a test of its own, which fails without it.

--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use geraniumrelay_core::collections::Set;
 use geraniumrelay_core::leased::cells::{self, Candidate, CellName};
 use geraniumrelay_core::leased::{
     Command, EntryVm, FencingToken, JobId, JobOutcome, JobState, RefusalReason, Submission,
@@ -17,33 +18,42 @@
 use crate::leased::pending_jobs::UnsentJob;
 
 impl EventLoop {
-    /// Sends each unsent job to the present scheduler of its cell.
+    /// Sends each unsent job to the present scheduler of its cell. Once a scheduler's queue is full,
+    /// its other jobs wait for the next call.
     pub(super) fn send_unsent_jobs(&mut self) {
+        let mut full = Set::default();
         for unsent in self.pending_jobs.unsent() {
-            self.assign_job(&unsent);
+            self.assign_job(&unsent, &mut full);
         }
     }
 
-    /// Assigns a job to a cell with a scheduler, and sends it; unsent where there is no scheduler.
-    pub(super) fn assign_job(&mut self, unsent: &UnsentJob) {
+    /// Assigns a job to a cell with a scheduler, and sends it; unsent where there is no scheduler, or
+    /// its queue is full. Adds such a scheduler to `full`.
+    fn assign_job(&mut self, unsent: &UnsentJob, full: &mut Set<EntryVm>) {
         let id = unsent.id;
         let Some(name) = unsent.cell.clone().or_else(|| self.choose_cell(unsent)) else {
             return;
         };
         let current = self.cells.get(&name).and_then(|c| c.election.current());
         let Some((to, token)) = current else { return };
+        if full.contains(&to) {
+            return;
+        }
         let (own, now) = (self.components.vm, Instant::now());
         let Some(submission) = self.pending_jobs.assign(id, &name, token, own, now) else {
             return;
         };
-        self.send_job(to, &name, submission);
+        if !self.send_job(to, &name, submission) {
+            full.insert(to);
+        }
     }
 
-    /// Sends a submission to a scheduler here or on a peer; a failed send leaves the job unsent.
-    pub(super) fn send_job(&mut self, to: EntryVm, cell: &CellName, submission: Submission) {
+    /// Sends a submission to a scheduler here or on a peer; `false` if the send failed and left the
+    /// job unsent.
+    fn send_job(&mut self, to: EntryVm, cell: &CellName, submission: Submission) -> bool {
         if to == self.components.vm {
             self.handle_command(cell, Command::Submit(submission));
-            return;
+            return true;
         }
         let id = submission.spec.id;
         let message = links::frame(Body::Submit(convert::submission_to_wire(&submission, cell)));
@@ -52,6 +62,7 @@
             warn!(id:% = id, to:% = to; "job_not_passed_on");
             self.pending_jobs.unassign(&submission);
         }
+        is_sent
     }
 
     /// Chooses among the cells that have a scheduler and have not refused the job.
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -15,7 +15,7 @@
 use geraniumrelay_adapter::{Change, HttpClient, StoreClient, Table, WorkerClient};
 use geraniumrelay_core::Config;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{EntryVm, JobId, JobOutcome, JobSpec, RefusalReason};
+use geraniumrelay_core::leased::{EntryVm, JobOutcome, JobSpec, RefusalReason};
 use geraniumrelay_wire::leased::peer_message::Body;
 use geraniumrelay_wire::leased::{Beat, CellBeat};
 use http_body_util::Full;
@@ -186,41 +186,47 @@
     });
 }
 
+/// Starts an event loop whose scheduler is a peer that can't be reached, and submits 3,000 jobs to
+/// it; returns the answer to the last one.
+async fn submit_jobs_to_unreachable_scheduler() -> (InputTx, oneshot::Receiver<JobOutcome>) {
+    let tx = start_event_loop(start_store(Rc::default()).await);
+    send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+    let heartbeats = tx.clone();
+    spawn_local(async move {
+        loop {
+            heartbeats.send(scheduler_heartbeat()).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    sleep(Duration::from_millis(100)).await;
+    let payload: Arc<str> = "x".repeat(4_000).into();
+    let mut answers = Vec::new();
+    for id in 1..=3_000 {
+        let (reply, answer) = oneshot::channel();
+        let spec = JobSpec {
+            payload: Arc::clone(&payload),
+            ..spec(id)
+        };
+        let max_wait = Duration::from_secs(30);
+        let job = Input::Job {
+            spec,
+            max_wait,
+            reply,
+        };
+        tx.send(job).await;
+        answers.push(answer);
+    }
+    (tx, answers.pop().unwrap())
+}
+
 // A job whose message found the link's queue full counted as sent, and its caller waited to the end.
 #[test]
 fn jobs_that_do_not_fit_into_the_queue_of_their_scheduler_are_refused() {
     block_on(async {
-        let tx = start_event_loop(start_store(Rc::default()).await);
-        send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
-        let heartbeats = tx.clone();
-        spawn_local(async move {
-            loop {
-                heartbeats.send(scheduler_heartbeat()).await;
-                sleep(Duration::from_millis(50)).await;
-            }
-        });
-        sleep(Duration::from_millis(100)).await;
-        let payload: Arc<str> = "x".repeat(4_000).into();
-        let mut answers = Vec::new();
-        for id in 1..=3_000 {
-            let (reply, answer) = oneshot::channel();
-            let spec = JobSpec {
-                id: JobId(id),
-                payload: Arc::clone(&payload),
-                ..spec(id)
-            };
-            let max_wait = Duration::from_secs(30);
-            let job = Input::Job {
-                spec,
-                max_wait,
-                reply,
-            };
-            tx.send(job).await;
-            answers.push(answer);
-        }
-        let last = timeout(Duration::from_secs(5), answers.pop().unwrap()).await;
+        let (_tx, answer) = submit_jobs_to_unreachable_scheduler().await;
+        let outcome = timeout(Duration::from_secs(5), answer).await;
         assert_matches!(
-            last,
+            outcome,
             Ok(Ok(JobOutcome::Refused {
                 reason: RefusalReason::NoScheduler,
                 ..
@@ -228,3 +234,18 @@
         );
     });
 }
+
+// All unsent jobs were encoded again at each new job and each tick while the queue was full.
+#[test]
+fn a_full_queue_is_tried_with_one_job_at_a_time() {
+    block_on(async {
+        let (tx, answer) = submit_jobs_to_unreachable_scheduler().await;
+        let _ = timeout(Duration::from_secs(5), answer).await;
+        let text = String::from_utf8(tx.metrics().encode()).unwrap();
+        let dropped = text
+            .lines()
+            .find_map(|l| l.strip_prefix("link_messages_dropped_total "));
+        let dropped: u64 = dropped.unwrap().parse().unwrap();
+        assert!(dropped < 10_000, "{dropped} messages were encoded in vain");
+    });
+}
--- a/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
@@ -125,3 +125,23 @@
     let overdue = jobs.overdue(now + 2_010 * MS);
     assert_eq!(overdue, [(ID, JobOutcome::TimedOut)]);
 }
+
+/// A job whose message could not be queued has not run, unless an earlier scheduler has received it.
+#[test]
+fn a_job_whose_assignment_is_reverted_is_refused_if_no_scheduler_received_it() {
+    let now = Instant::now();
+    let (mut jobs, _rx) = one_pending_job(now);
+    let cell = CellName::single();
+    let submission = jobs.assign(ID, &cell, OLD, vm(), now).unwrap();
+    jobs.unassign(&submission);
+    assert_matches!(
+        jobs.overdue(now + 700 * MS)[..],
+        [(ID, JobOutcome::Refused { .. })]
+    );
+    jobs.assign(ID, &cell, OLD, vm(), now);
+    jobs.mark_unsent(&cell);
+    let submission = jobs.assign(ID, &cell, NEW, vm(), now).unwrap();
+    jobs.unassign(&submission);
+    assert_eq!(jobs.unsent().len(), 1);
+    assert!(jobs.overdue(now + 1_900 * MS).is_empty());
+}
