fix(leased): jobs leave room for heartbeats and answers on a full link

With its 512 kB taken by jobs, a link also refused heartbeats, so that the peer counted a live VM as lost, and answers, so that callers waited until their deadline. Jobs and parts of a configuration, which are sent again, now use three quarters of the limits only. The new test fails without the reserve: the link refuses a heartbeat.

--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -18,6 +18,10 @@
 /// Maximum number of bytes that all links of the process hold.
 pub(super) const MAX_TOTAL_BYTES: usize = 16 << 20;
 
+/// Share of both limits that is kept free of jobs and parts of configurations, in percent. Without
+/// it, they would displace heartbeats, answers and cancellations, which are not sent again.
+const RESERVED_PERCENT: usize = 25;
+
 /// Bytes that all links of the process hold.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TotalLoad(Rc<Cell<usize>>);
@@ -37,6 +41,11 @@
     }
 }
 
+/// Whether the sender repeats a message of this kind that a full link has refused.
+fn is_repeated(kind: &str) -> bool {
+    matches!(kind, "submit" | "configuration-part")
+}
+
 /// Bytes that one link holds: queued messages and those in the buffer of its sending task.
 #[derive(Debug)]
 pub(super) struct LinkLoad {
@@ -58,10 +67,15 @@
         }
     }
 
-    /// Whether the link may hold so many bytes more.
-    pub(super) fn has_room(&self, bytes: usize) -> bool {
-        self.queued_bytes.get() + bytes <= MAX_LINK_BYTES
-            && self.total.0.get() + bytes <= MAX_TOTAL_BYTES
+    /// Whether the link may hold so many bytes more of a kind of message.
+    pub(super) fn has_room(&self, kind: &str, bytes: usize) -> bool {
+        let percent = if is_repeated(kind) {
+            100 - RESERVED_PERCENT
+        } else {
+            100
+        };
+        self.queued_bytes.get() + bytes <= MAX_LINK_BYTES * percent / 100
+            && self.total.0.get() + bytes <= MAX_TOTAL_BYTES * percent / 100
     }
 
     /// Counts a message that the queue has accepted.
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -209,7 +209,7 @@
     /// does not carry what is sent.
     pub(super) fn send(&self, Frame { kind, bytes }: Frame) -> bool {
         let (size, load) = (bytes.len(), &self.state.load);
-        let is_queued = load.has_room(size) && self.tx.try_send(bytes).is_ok();
+        let is_queued = load.has_room(kind, size) && self.tx.try_send(bytes).is_ok();
         if is_queued {
             load.accepted(kind, size);
         } else {
--- a/crates/geraniumrelay/src/leased/tests/links.rs
+++ b/crates/geraniumrelay/src/leased/tests/links.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use geraniumrelay_core::leased::EntryVm;
 use geraniumrelay_wire::leased::peer_message::Body;
-use geraniumrelay_wire::leased::{Configuration, Withdraw};
+use geraniumrelay_wire::leased::{Beat, Configuration, Submit, Withdraw};
 use tokio::net::TcpListener;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
@@ -220,6 +220,35 @@
     });
 }
 
+/// Jobs filled the queue of a slow link, and the peer received no heartbeats.
+#[test]
+fn jobs_leave_room_for_heartbeats_on_a_full_link() {
+    block_on(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (tx, _rx) = input::channel(metrics);
+        let (vm, address, _listener) = peer_that_does_not_read().await;
+        let link = Link::start(vm, 1, (vm, address), TotalLoad::default(), tx);
+        let job = || {
+            let payload = "p".repeat(4_000);
+            links::frame(Body::Submit(Submit {
+                payload,
+                ..Submit::default()
+            }))
+        };
+        let jobs = std::iter::from_fn(|| link.send(job()).then_some(()));
+        assert!(jobs.count() > 64);
+        let data_centre = "z".repeat(200);
+        for _ in 0..100 {
+            let beat = Beat {
+                data_centre: data_centre.clone(),
+                ..Beat::default()
+            };
+            assert!(link.send(links::frame(Body::Beat(beat))));
+        }
+        assert!(!link.send(job()));
+    });
+}
+
 #[test]
 fn all_links_together_hold_a_limited_number_of_bytes() {
     block_on(async {
