test(leased_soak): a configuration that grows and changes on slow links

The soak had one configuration of one route, so that nothing checked what its growth does to the processes. A second test runs six processes, four of them behind links of 8 Mbit/s as most VMs are small ones, while the configuration grows to 2 MB in series of changes with uneven steps of its version, and while processes are killed, stopped and paused and links throttled, stalled, delayed and reset, now also those between VMs. Links between VMs go through proxies, to which the stand-in of the store directs them.

In addition to the checks that were there:

- no process ends by itself, and no connection is closed without an answer while its process lives, in both tests; four callers of the new one wait 10 s for an answer;
- no process goes back to an older version, as seen through a route for each version;
- the newest version is in force everywhere within 15 s of the last fault, as CONTRIBUTING.md states;
- the peak resident memory of a process is at most 160 MB, the memory of the smallest VM.

Faults and seeds of the present test are unchanged.

--- a/crates/geraniumrelay/tests/leased_soak/callers.rs
+++ b/crates/geraniumrelay/tests/leased_soak/callers.rs
@@ -2,19 +2,19 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use geraniumrelay_adapter::HttpClient;
 use geraniumrelay_adapter::http::Call;
+use geraniumrelay_adapter::{CallError, HttpClient};
 use hyper::Method;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+use crate::life::Target;
 use crate::platform::{HOST, PREFIX};
 
 /// Number of concurrent callers.
@@ -23,6 +23,9 @@
 /// Deadline of each job and time-out of the caller's request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time-out of a request whose caller only gives up on a process that never answers.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
 /// Delay before a job without an answer is resent.
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 
@@ -35,6 +38,8 @@
     pub(crate) served: u32,
     /// Jobs all of whose sends were refused.
     pub(crate) refused: BTreeSet<u64>,
+    /// Requests that ended without an answer or a refusal although the process ran on.
+    pub(crate) unanswered: Vec<String>,
 }
 
 /// Running callers.
@@ -45,13 +50,19 @@
 }
 
 impl Callers {
-    pub(crate) fn start(addresses: &[SocketAddr], seed: u64) -> Self {
+    /// Starts the callers, and as many `patient` ones with a time-out long after the deadline.
+    pub(crate) fn start(targets: &[Target], seed: u64, patient: u64) -> Self {
         let is_stopping = Rc::new(RefCell::new(false));
         let outcomes = Rc::new(RefCell::new(Outcomes::default()));
         let mut tasks = JoinSet::new();
-        for caller in 0..CALLERS {
+        for caller in 0..CALLERS + patient {
             let rng = StdRng::seed_from_u64(seed * 1_000 + caller);
-            let (addresses, outcomes) = (addresses.to_vec(), Rc::clone(&outcomes));
+            let (targets, outcomes) = (targets.to_vec(), Rc::clone(&outcomes));
+            let timeout = if caller < CALLERS {
+                ANSWER_TIMEOUT
+            } else {
+                PATIENCE
+            };
             let is_stopping = Rc::clone(&is_stopping);
             tasks.spawn_local(async move {
                 // Each caller reuses its open connections until the process is gone.
@@ -59,7 +70,7 @@
                 let mut rng = rng;
                 while !*is_stopping.borrow() {
                     let id = rng.random();
-                    submit(&http, &addresses, &mut rng, id, &outcomes).await;
+                    submit(&http, &targets, &mut rng, (id, timeout), &outcomes).await;
                     sleep(Duration::from_millis(rng.random_range(5..60))).await;
                 }
             });
@@ -80,12 +91,12 @@
     }
 
     /// Whether at least one of five jobs is served now.
-    pub(crate) async fn probe(addresses: &[SocketAddr], seed: u64) -> bool {
+    pub(crate) async fn probe(targets: &[Target], seed: u64) -> bool {
         let mut rng = StdRng::seed_from_u64(seed + 500_000);
         let outcomes = Rc::new(RefCell::new(Outcomes::default()));
         for _ in 0..5 {
             let (http, id) = (HttpClient::new(), rng.random());
-            submit(&http, addresses, &mut rng, id, &outcomes).await;
+            submit(&http, targets, &mut rng, (id, ANSWER_TIMEOUT), &outcomes).await;
         }
         outcomes.take().served > 0
     }
@@ -94,9 +105,9 @@
 /// Submits one job, and resends the job while it has no answer.
 async fn submit(
     http: &HttpClient,
-    addresses: &[SocketAddr],
+    targets: &[Target],
     rng: &mut StdRng,
-    id: u64,
+    (id, timeout): (u64, Duration),
     outcomes: &Rc<RefCell<Outcomes>>,
 ) {
     let ms = rng.random_range(20..400);
@@ -105,9 +116,9 @@
     let body = json!({"spec": format!("{ms} 27000"), "best_effort": true, "steps": [step]});
     let mut is_only_refused = true;
     for _ in 0..MAX_SENDS {
-        let address = addresses[rng.random_range(0..addresses.len())];
+        let target = &targets[rng.random_range(0..targets.len())];
         let call = Call {
-            address,
+            address: target.address,
             method: Method::POST,
             path: format!("http://{HOST}{PREFIX}{id:016x}"),
             headers: vec![(
@@ -115,16 +126,26 @@
                 ANSWER_TIMEOUT.as_millis().to_string(),
             )],
             body: body.to_string().into(),
-            timeout: ANSWER_TIMEOUT,
+            timeout,
         };
-        match http.call(call).await.map(|res| res.status.as_u16()) {
+        let (moment, sent) = (target.life.now(), Instant::now());
+        let answer = http.call(call).await;
+        // An impatient caller may give up before the answer reaches it.
+        let is_judged = timeout > ANSWER_TIMEOUT || sent.elapsed() < timeout;
+        let is_unanswered = matches!(answer, Err(CallError::Unanswered)) && is_judged;
+        if is_unanswered && moment.is_some_and(|m| target.life.has_run_since(m)) {
+            let (address, took) = (target.address, sent.elapsed());
+            let line = format!("{id:016x} at {address} for {took:?}");
+            outcomes.borrow_mut().unanswered.push(line);
+        }
+        match answer.map(|res| res.status.as_u16()) {
             Ok(200) => {
                 outcomes.borrow_mut().served += 1;
                 return;
             }
             Ok(429 | 503) => break,
             // The process was down: nothing was sent.
-            Err(geraniumrelay_adapter::CallError::NotSent) => {}
+            Err(CallError::NotSent) => {}
             _ => is_only_refused = false,
         }
         sleep(RESEND_DELAY).await;
--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -12,6 +13,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::life::{Life, Target};
 use crate::platform::Platform;
 use crate::proxy::{Mode, Proxy};
 
@@ -22,13 +24,30 @@
 const FRONT_PORT: u16 = 28_161;
 const READINESS_PORT: u16 = 28_167;
 const FIRST_PEER_PORT: u16 = 28_720;
+const PEER_PROXY_PORT: u16 = 28_730;
+
+/// Number and surroundings of the entry processes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FleetOptions {
+    /// Name of the test, for the directory of settings and logs.
+    pub(crate) name: &'static str,
+    pub(crate) vms: u8,
+    pub(crate) max_row_bytes: usize,
+    /// Whether links between VMs go through proxies.
+    pub(crate) has_peer_proxies: bool,
+}
 
 struct Vm {
     address: Ipv4Addr,
     settings: PathBuf,
     log: PathBuf,
     store: Proxy,
+    /// Proxy of the links from other VMs.
+    peers: Option<Proxy>,
     child: Child,
+    life: Rc<Life>,
+    /// Largest resident memory of its processes so far, in kB.
+    peak_kb: u64,
 }
 
 /// The entry processes and the directory of their settings and logs.
@@ -38,75 +57,128 @@
 }
 
 impl Fleet {
-    pub(crate) async fn start(count: u8, platform: &Platform, seed: u64) -> Self {
+    pub(crate) async fn start(options: FleetOptions, platform: &Platform, seed: u64) -> Self {
         let pid = std::process::id();
-        let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{pid}-{seed}"));
+        let name = options.name;
+        let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{name}-{pid}-{seed}"));
         std::fs::create_dir_all(&dir).unwrap();
         let mut vms = Vec::new();
-        for number in 1..=count {
+        for number in 1..=options.vms {
             // Addresses differ between runs, because several runs may go on at the same time.
             let third_octet = u8::try_from(pid % 200).unwrap() + 20;
             let address = Ipv4Addr::new(127, 44, third_octet, number);
             let store = Proxy::start(platform.store).await;
+            let peers = options.has_peer_proxies.then(|| {
+                let [at, to] = [PEER_PROXY_PORT, FIRST_PEER_PORT]
+                    .map(|port| SocketAddr::from((address, port)));
+                platform.advertise(to, at);
+                Proxy::start_between_vms(at, to)
+            });
             let settings = dir.join(format!("vm-{number}.json"));
             let text = json!({"vm": format!("vm-{number}"), "data_centre": "z",
                 "address": address, "listen": format!("{address}:{FRONT_PORT}"),
                 "readiness_listen": format!("{address}:{READINESS_PORT}"),
                 "peer_ports": [FIRST_PEER_PORT, FIRST_PEER_PORT + 5], "cores": 0.25,
-                "is_first_start": false, "store": store.address, "max_row_bytes": 65536,
+                "is_first_start": false, "store": store.address, "max_row_bytes": options.max_row_bytes,
                 "stop_grace_s": STOP_GRACE.as_secs_f64(),
                 "max_lease_ms": 1000, "resend_ms": 1300});
             std::fs::write(&settings, text.to_string()).unwrap();
             let log = dir.join(format!("vm-{number}.log"));
             let child = spawn(&settings, &log);
+            let life = Rc::new(Life::default());
+            life.started();
             vms.push(Vm {
                 address,
                 settings,
                 log,
                 store,
+                peers,
                 child,
+                life,
+                peak_kb: 0,
             });
         }
         Self { vms, dir }
     }
 
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        let addresses = self.vms.iter().map(|vm| vm.address);
-        addresses
-            .map(|ip| SocketAddr::from((ip, FRONT_PORT)))
-            .collect()
+    pub(crate) fn targets(&self) -> Vec<Target> {
+        let targets = self.vms.iter().map(|vm| Target {
+            address: SocketAddr::from((vm.address, FRONT_PORT)),
+            life: Rc::clone(&vm.life),
+        });
+        targets.collect()
     }
 
     pub(crate) fn store_proxy(&self, vm: usize) -> &Proxy {
         &self.vms[vm].store
     }
 
+    pub(crate) fn peer_proxy(&self, vm: usize) -> &Proxy {
+        let proxy = self.vms[vm].peers.as_ref();
+        proxy.expect("a fleet with peer proxies")
+    }
+
+    /// Sets the mode of all links into a VM, from the store and from the other VMs.
+    pub(crate) fn set_links(&self, vm: usize, mode: Mode) {
+        self.store_proxy(vm).set(mode);
+        self.peer_proxy(vm).set(mode);
+    }
+
+    /// Reads the peak memory of all processes, and returns those that have ended by themselves.
+    pub(crate) fn check_processes(&mut self) -> Vec<Ipv4Addr> {
+        let mut ended = Vec::new();
+        for vm in &mut self.vms {
+            vm.read_memory();
+            if vm.child.try_wait().unwrap().is_some() {
+                vm.life.ended();
+                ended.push(vm.address);
+            }
+        }
+        ended
+    }
+
+    /// Largest resident memory of the processes of each VM so far, in kB.
+    pub(crate) fn peak_memory_kb(&self) -> Vec<u64> {
+        self.vms.iter().map(|vm| vm.peak_kb).collect()
+    }
+
     /// Kills a process and restarts it after 300 ms.
     pub(crate) async fn kill(&mut self, vm: usize) {
+        self.vms[vm].read_memory();
+        self.vms[vm].life.ended();
         self.signal(vm, Signal::KILL);
         self.restart(vm, Duration::from_millis(300)).await;
     }
 
     /// Stops a process, kills it after the grace period, and restarts it.
     pub(crate) async fn terminate(&mut self, vm: usize) {
+        self.vms[vm].life.stopping();
         self.signal(vm, Signal::TERM);
         let until = Instant::now() + STOP_GRACE;
         while Instant::now() < until {
+            self.vms[vm].read_memory();
             if self.vms[vm].child.try_wait().unwrap().is_some() {
                 break;
             }
             sleep(Duration::from_millis(20)).await;
         }
+        self.vms[vm].life.ended();
         self.signal(vm, Signal::KILL);
         self.restart(vm, Duration::from_millis(50)).await;
     }
 
     /// Pauses a process for the given time.
     pub(crate) fn pause(&self, vm: usize, d: Duration) {
+        let life = Rc::clone(&self.vms[vm].life);
+        let number = life.number();
+        life.paused(true);
         self.signal(vm, Signal::STOP);
         let pid = self.pid(vm);
         spawn_local(async move {
             sleep(d).await;
+            if life.number() == number {
+                life.paused(false);
+            }
             // The process may have been killed meanwhile.
             let _ = kill_process(pid, Signal::CONT);
         });
@@ -117,6 +189,10 @@
         platform.clear_faults();
         for vm in 0..self.vms.len() {
             self.vms[vm].store.set(Mode::Pass);
+            if let Some(peers) = &self.vms[vm].peers {
+                peers.set(Mode::Pass);
+            }
+            self.vms[vm].life.paused(false);
             self.signal(vm, Signal::CONT);
             if self.vms[vm].child.try_wait().unwrap().is_some() {
                 self.restart(vm, Duration::ZERO).await;
@@ -160,6 +236,7 @@
         let vm = &mut self.vms[vm];
         vm.child.wait().unwrap();
         vm.child = spawn(&vm.settings, &vm.log);
+        vm.life.started();
     }
 
     fn signal(&self, vm: usize, signal: Signal) {
@@ -173,6 +250,17 @@
     }
 }
 
+impl Vm {
+    /// Records the peak memory of the present process, if it has not ended.
+    fn read_memory(&mut self) {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse().ok());
+        self.peak_kb = self.peak_kb.max(peak.unwrap_or(0));
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for vm in &mut self.vms {
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -1,13 +1,17 @@
 //! Real processes under random external faults, on loopback.
 //!
 //! Stand-ins replace the platform's store and the workers, behind proxies that drop, delay and reset
-//! connections. Signals kill, pause and stop processes, which are restarted. The runs on workers and
-//! the outcomes of callers are checked during the test and at its end. By hand, with other seeds:
+//! connections. Signals kill, pause and stop processes, which are restarted. In one of the tests the
+//! configuration grows and changes meanwhile, and links between VMs are throttled and stalled too.
+//! The runs on workers, the outcomes of callers and the processes are checked during the test and at
+//! its end. By hand, with other seeds:
 //!
 //!     GERANIUMRELAY_SOAK_SEEDS=1000..1050 cargo test -p geraniumrelay --test leased_soak
 
 mod callers;
+mod configuration;
 mod fleet;
+mod life;
 #[path = "../../../../platform/tests/stand_in/platform.rs"]
 mod platform;
 mod proxy;
@@ -15,8 +19,10 @@
 #[allow(dead_code, reason = "shared with the tests in virtual time")]
 mod worker;
 
+use std::collections::BTreeSet;
 use std::ops::Range;
 use std::rc::Rc;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -25,7 +31,8 @@
 use tokio::time::sleep;
 
 use callers::Callers;
-use fleet::Fleet;
+use configuration::Configurations;
+use fleet::{Fleet, FleetOptions};
 use platform::Platform;
 use proxy::Mode;
 
@@ -35,18 +42,67 @@
 /// Environment variable that replaces the seeds, in the form `FROM..TO`.
 const SEEDS_VARIABLE: &str = "GERANIUMRELAY_SOAK_SEEDS";
 
-/// Time in which faults are injected.
-const FAULT_TIME: Duration = Duration::from_secs(8);
-
 /// Maximum time until the fleet serves again after the last fault.
 const MAX_RECOVERY: Duration = Duration::from_secs(12);
 
-/// Entry processes.
-const VMS: u8 = 3;
+/// Maximum time until the newest configuration is in force everywhere after the last fault.
+const MAX_CONFIGURATION_DELAY: Duration = Duration::from_secs(15);
+
+/// Maximum resident memory of a process, in kB of 1,024 bytes: 160 MB, the smallest VM's memory.
+const MAX_MEMORY_KB: u64 = 156_250;
+
+/// Share of a small VM's link that other traffic leaves, in bytes per second: 8 Mbit/s.
+const SLOW_LINK: Mode = Mode::Throttle(1_000_000);
+
+/// Link of the smallest VM, in bytes per second: 25 Mbit/s.
+const SMALL_LINK: Mode = Mode::Throttle(3_125_000);
+
+/// VMs whose links are slow from the start.
+const SLOW_VMS: usize = 4;
+
+/// Callers that wait for an answer as long as a process may need.
+const PATIENT_CALLERS: u64 = 4;
 
 /// Workers.
 const WORKERS: usize = 8;
 
+/// The tests run one after the other, because they use the same addresses.
+static IS_RUNNING: Mutex<()> = Mutex::new(());
+
+/// One kind of soak.
+#[derive(Debug, Clone, Copy)]
+struct Soak {
+    fleet: FleetOptions,
+    /// Time in which faults are injected.
+    fault_time: Duration,
+    /// Whether the configuration grows and changes.
+    has_configurations: bool,
+}
+
+/// Faults of processes, workers and the links to them and to the store.
+const EXTERNAL_FAULTS: Soak = Soak {
+    fleet: FleetOptions {
+        name: "faults",
+        vms: 3,
+        max_row_bytes: 64 * 1024,
+        has_peer_proxies: false,
+    },
+    fault_time: Duration::from_secs(8),
+    has_configurations: false,
+};
+
+/// Same, with a growing configuration and faults of the links between VMs.
+const GROWING_CONFIGURATION: Soak = Soak {
+    fleet: FleetOptions {
+        name: "configuration",
+        vms: 6,
+        max_row_bytes: configuration::MAX_ROW_BYTES,
+        has_peer_proxies: true,
+    },
+    fault_time: Duration::from_secs(25),
+    has_configurations: true,
+};
+
 fn seeds() -> Range<u64> {
     let Ok(text) = std::env::var(SEEDS_VARIABLE) else {
         return SEEDS;
@@ -57,34 +113,82 @@
 
 #[test]
 fn invariants_hold_under_external_faults() {
+    run(EXTERNAL_FAULTS);
+}
+
+#[test]
+fn invariants_hold_while_the_configuration_grows() {
+    run(GROWING_CONFIGURATION);
+}
+
+fn run(kind: Soak) {
+    // A failure of one test says nothing about the other.
+    let _running = IS_RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     for seed in seeds() {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .unwrap();
-        LocalSet::new().block_on(&runtime, soak(seed));
+        LocalSet::new().block_on(&runtime, soak(kind, seed));
     }
 }
 
-async fn soak(seed: u64) {
+async fn soak(kind: Soak, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let platform = Platform::start(WORKERS).await;
-    let mut fleet = Fleet::start(VMS, &platform, seed).await;
+    let mut fleet = Fleet::start(kind.fleet, &platform, seed).await;
     fleet.wait_until_ready(MAX_RECOVERY).await;
-    let callers = Callers::start(&fleet.addresses(), seed);
+    let targets = fleet.targets();
+    let patient = if kind.has_configurations {
+        PATIENT_CALLERS
+    } else {
+        0
+    };
+    let callers = Callers::start(&targets, seed, patient);
+    let mut configurations = None;
+    if kind.has_configurations {
+        for vm in 0..SLOW_VMS {
+            fleet.set_links(vm, SLOW_LINK);
+        }
+        configurations = Some(Configurations::start(&platform, &targets, seed));
+    }
+    let mut ended = BTreeSet::new();
     let started = tokio::time::Instant::now();
-    while started.elapsed() < FAULT_TIME {
+    while started.elapsed() < kind.fault_time {
         sleep(Duration::from_millis(rng.random_range(100..900))).await;
-        inject(&mut rng, &mut fleet, &platform).await;
+        if kind.has_configurations {
+            inject_on_links(&mut rng, &mut fleet, &platform).await;
+        } else {
+            inject(&mut rng, &mut fleet, &platform).await;
+        }
         platform.assert_no_concurrent_runs(seed);
+        ended.extend(fleet.check_processes());
     }
+    if let Some(configurations) = &mut configurations {
+        let (versions, routes) = configurations.end_changes().await;
+        println!("seed {seed}: {versions} configurations, up to {routes} routes");
+    }
+    ended.extend(fleet.check_processes());
     fleet.clear_faults(&platform).await;
     fleet.wait_until_ready(MAX_RECOVERY).await;
+    let mut violations = Vec::new();
+    if let Some(configurations) = configurations {
+        let in_force = configurations.wait_until_in_force(&targets, MAX_CONFIGURATION_DELAY);
+        if !in_force.await {
+            violations.push("the newest configuration is not in force everywhere".to_owned());
+        }
+        let (found, confirmed) = configurations.stop().await;
+        violations.extend(found);
+        println!("seed {seed}: versions in force seen {confirmed} times again");
+        assert!(confirmed > 0, "seed {seed}: no version was seen in force");
+    }
     let outcomes = callers.stop().await;
+    ended.extend(fleet.check_processes());
     println!(
-        "seed {seed}: {} served, {} refused",
+        "seed {seed}: {} served, {} refused, peak memory {:?} kB",
         outcomes.served,
-        outcomes.refused.len()
+        outcomes.refused.len(),
+        fleet.peak_memory_kb()
     );
     platform.assert_no_concurrent_runs(seed);
     for id in &outcomes.refused {
@@ -95,7 +199,15 @@
         );
     }
     assert!(outcomes.served > 0, "seed {seed}: no job was served");
-    let served = Callers::probe(&fleet.addresses(), seed).await;
+    let unanswered = outcomes.unanswered.iter();
+    violations.extend(unanswered.map(|u| format!("no answer: {u}")));
+    violations.extend(ended.iter().map(|vm| format!("{vm} ended by itself")));
+    let peak = fleet.peak_memory_kb().into_iter().max().unwrap();
+    if kind.has_configurations && peak > MAX_MEMORY_KB {
+        violations.push(format!("a process used {peak} kB of memory"));
+    }
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    let served = Callers::probe(&targets, seed).await;
     assert!(served, "seed {seed}: no job is served after the faults");
     fleet.stop().await;
     platform.assert_no_concurrent_runs(seed);
@@ -103,7 +215,7 @@
 
 /// Injects one fault, or ends the faults of one proxy.
 async fn inject(rng: &mut StdRng, fleet: &mut Fleet, platform: &Rc<Platform>) {
-    let vm = rng.random_range(0..usize::from(VMS));
+    let vm = rng.random_range(0..usize::from(EXTERNAL_FAULTS.fleet.vms));
     let worker = rng.random_range(0..WORKERS);
     let mode = [
         Mode::Pass,
@@ -123,3 +235,28 @@
         _ => platform.worker_proxy(worker).set(mode),
     }
 }
+
+/// Same, mostly on the links to the store and between VMs.
+async fn inject_on_links(rng: &mut StdRng, fleet: &mut Fleet, platform: &Rc<Platform>) {
+    let vm = rng.random_range(0..usize::from(GROWING_CONFIGURATION.fleet.vms));
+    let worker = rng.random_range(0..WORKERS);
+    let mode = [
+        Mode::Pass,
+        SMALL_LINK,
+        SLOW_LINK,
+        SLOW_LINK,
+        Mode::Stall,
+        Mode::Reset,
+        Mode::Delay(Duration::from_millis(150)),
+    ][rng.random_range(0..7)];
+    match rng.random_range(0..10) {
+        0 => fleet.kill(vm).await,
+        1 => fleet.pause(vm, Duration::from_millis(rng.random_range(200..2_500))),
+        2 => fleet.terminate(vm).await,
+        3 => fleet.store_proxy(vm).set(mode),
+        4 => fleet.peer_proxy(vm).set(mode),
+        5..=7 => fleet.set_links(vm, mode),
+        8 => platform.replace_worker(worker),
+        _ => platform.set_worker_fault(worker, rng.random_range(0..4)),
+    }
+}
--- a/crates/geraniumrelay/tests/leased_soak/proxy.rs
+++ b/crates/geraniumrelay/tests/leased_soak/proxy.rs
@@ -1,15 +1,16 @@
-//! A loopback proxy that resets connections and drops or delays their bytes.
+//! A loopback proxy that resets connections and drops, delays, stalls or throttles their bytes.
 
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Treatment of connections and their bytes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,50 +25,130 @@
     DropReplies,
     /// Forwards bytes after a delay.
     Delay(Duration),
+    /// Forwards no bytes, and drops none: the sender has to wait.
+    Stall,
+    /// Forwards as many bytes a second in each direction, over all connections.
+    Throttle(u32),
 }
 
 /// Time between two checks of an open connection for a reset.
 const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Receive buffer of a connection between VMs, so that a stalled one soon holds up its sender.
+const PEER_RECV_BUFFER: u32 = 64 * 1024;
+
+/// Bytes that a proxy reads at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Same between VMs: the whole buffer. A throttled receiver that makes room for less than one large
+/// segment of loopback makes the sender's connection time out.
+const PEER_CHUNK_BYTES: usize = 128 * 1024;
+
+/// Length of the listen backlog of a proxy between VMs.
+const PEER_BACKLOG: u32 = 64;
+
 /// A proxy in front of one server.
 #[derive(Debug)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
-    mode: Rc<Cell<Mode>>,
+    link: Rc<Link>,
+}
+
+/// State that all connections of a proxy share.
+#[derive(Debug)]
+struct Link {
+    mode: Cell<Mode>,
+    chunk_bytes: usize,
+    /// Time from which a throttled link is free again, for requests and for replies.
+    free_at: [Cell<Instant>; 2],
 }
 
 impl Proxy {
     pub(crate) async fn start(to: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let mode = Rc::new(Cell::new(Mode::Pass));
-        let shared = Rc::clone(&mode);
+        let (address, link) = (
+            listener.local_addr().unwrap(),
+            Rc::new(Link::new(CHUNK_BYTES)),
+        );
+        let shared = Rc::clone(&link);
         spawn_local(async move {
             while let Ok((from, _)) = listener.accept().await {
-                spawn_local(forward(from, to, Rc::clone(&shared)));
+                spawn_local(forward(from, TcpStream::connect(to), Rc::clone(&shared)));
+            }
+        });
+        Self { address, link }
+    }
+
+    /// Starts a proxy for the links of other entry VMs, which connects from the address of the VM
+    /// that has connected.
+    pub(crate) fn start_between_vms(at: SocketAddr, to: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.set_recv_buffer_size(PEER_RECV_BUFFER).unwrap();
+        socket.bind(at).unwrap();
+        let listener = socket.listen(PEER_BACKLOG).unwrap();
+        let (address, link) = (
+            listener.local_addr().unwrap(),
+            Rc::new(Link::new(PEER_CHUNK_BYTES)),
+        );
+        let shared = Rc::clone(&link);
+        spawn_local(async move {
+            while let Ok((from, peer)) = listener.accept().await {
+                let connect = connect_from(SocketAddr::new(peer.ip(), 0), to);
+                spawn_local(forward(from, connect, Rc::clone(&shared)));
             }
         });
-        Self { address, mode }
+        Self { address, link }
     }
 
     pub(crate) fn set(&self, mode: Mode) {
-        self.mode.set(mode);
+        self.link.mode.set(mode);
     }
 }
 
-async fn forward(from: TcpStream, to: SocketAddr, mode: Rc<Cell<Mode>>) {
-    if mode.get() == Mode::Reset {
+impl Link {
+    fn new(chunk_bytes: usize) -> Self {
+        let now = Instant::now();
+        Self {
+            mode: Cell::new(Mode::Pass),
+            chunk_bytes,
+            free_at: [Cell::new(now), Cell::new(now)],
+        }
+    }
+
+    /// Waits as long as a throttled link needs for the given number of bytes.
+    async fn pace(&self, bytes: usize, bytes_per_s: u32, is_reply: bool) {
+        let free_at = &self.free_at[usize::from(is_reply)];
+        let bytes = u32::try_from(bytes).unwrap();
+        let took = Duration::from_secs(1) * bytes / bytes_per_s;
+        free_at.set(free_at.get().max(Instant::now()) + took);
+        sleep_until(free_at.get()).await;
+    }
+}
+
+async fn connect_from(from: SocketAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(from)?;
+    socket.connect(to).await
+}
+
+async fn forward(
+    from: TcpStream,
+    connect: impl Future<Output = io::Result<TcpStream>>,
+    link: Rc<Link>,
+) {
+    if link.mode.get() == Mode::Reset {
         return;
     }
-    let Ok(to) = TcpStream::connect(to).await else {
+    let Ok(to) = connect.await else {
         return;
     };
     let (from_read, from_write) = from.into_split();
     let (to_read, to_write) = to.into_split();
-    let requests = copy(from_read, to_write, &mode, false);
-    let replies = copy(to_read, from_write, &mode, true);
+    let requests = copy(from_read, to_write, &link, false);
+    let replies = copy(to_read, from_write, &link, true);
     let reset = async {
-        while mode.get() != Mode::Reset {
+        while link.mode.get() != Mode::Reset {
             sleep(RESET_CHECK_INTERVAL).await;
         }
     };
@@ -78,17 +159,21 @@
     }
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mode: &Cell<Mode>, is_reply: bool) {
-    let mut buf = vec![0; 16 * 1024];
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, link: &Link, is_reply: bool) {
+    let mut buf = vec![0; link.chunk_bytes];
     let mut has_dropped = false;
     loop {
         let Ok(read @ 1..) = from.read(&mut buf).await else {
             return;
         };
-        match mode.get() {
+        while link.mode.get() == Mode::Stall {
+            sleep(RESET_CHECK_INTERVAL).await;
+        }
+        match link.mode.get() {
             Mode::DropAll => has_dropped = true,
             Mode::DropReplies if is_reply => has_dropped = true,
             Mode::Delay(d) => sleep(d).await,
+            Mode::Throttle(bytes_per_s) => link.pace(read, bytes_per_s, is_reply).await,
             _ => {}
         }
         // After dropped bytes the connection delivers nothing more, as the stream has a gap.
