--- a/crates/geraniumrelay/tests/leased_links/main.rs
+++ b/crates/geraniumrelay/tests/leased_links/main.rs
@@ -3,6 +3,9 @@
 #[path = "../leased_soak/fleet.rs"]
 #[allow(dead_code, reason = "shared with the tests under external faults")]
 mod fleet;
+#[path = "../leased_soak/life.rs"]
+#[allow(dead_code, reason = "shared with the tests under external faults")]
+mod life;
 mod peer;
 #[path = "../../../../platform/tests/stand_in/platform.rs"]
 #[allow(dead_code, reason = "shared with the tests under external faults")]
@@ -22,14 +25,18 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-use fleet::Fleet;
+use fleet::{Fleet, FleetOptions};
 use peer::{NEW_VERSION, OLD_VERSION, Peer};
-use platform::Platform;
+use platform::{HOST, Platform, route};
 use proxy::Mode;
+use serde_json::Value;
 
 /// Routes of the incident's configuration.
 const ROUTES: usize = 4_245;
 
+/// Length of the routes' path prefixes, in parts of four bytes.
+const PREFIX_PARTS: usize = 30;
+
 /// Peers of the process.
 const PEERS: u8 = 16;
 
@@ -67,7 +74,7 @@
     /// Starts all, and raises the version of the configuration.
     async fn start(test: u8, read_bytes_per_s: usize) -> Self {
         let mut setup = Self::connect(test, PEERS, read_bytes_per_s).await;
-        setup.row_bytes = setup.platform.configure(NEW_VERSION, ROUTES);
+        setup.row_bytes = setup.platform.set_configuration(NEW_VERSION, routes());
         println!("row: {} bytes", setup.row_bytes);
         setup
     }
@@ -75,11 +82,22 @@
     /// Starts all, with the old version of the configuration.
     async fn connect(test: u8, peer_count: u8, read_bytes_per_s: usize) -> Self {
         let platform = Platform::start(1).await;
-        let row_bytes = platform.configure(OLD_VERSION, ROUTES);
-        let fleet = Fleet::start(test + 1..=test + 1, &platform, u64::from(test)).await;
+        let row_bytes = platform.set_configuration(OLD_VERSION, routes());
+        let mut fleet = Fleet::start(
+            FleetOptions {
+                name: "links",
+                first: test + 1,
+                vms: 1,
+                max_row_bytes: 64 << 10,
+                has_peer_proxies: false,
+            },
+            &platform,
+            u64::from(test),
+        )
+        .await;
         fleet.wait_until_ready(MAX_START).await;
-        println!("ready: peak {} kB", peak_memory_kb(&fleet));
-        let process = peer::peer_listen(fleet.addresses()[0].ip());
+        println!("ready: peak {} kB", peak_memory_kb(&mut fleet));
+        let process = peer::peer_listen(fleet.targets()[0].address.ip());
         let mut peers = Vec::new();
         for number in 0..peer_count {
             let ip = peer::peer_ip(test, number);
@@ -92,7 +110,7 @@
         for peer in &peers {
             assert!(peer.received().beats > 0, "{} has no link", peer.address);
         }
-        println!("connected: peak {} kB", peak_memory_kb(&fleet));
+        println!("connected: peak {} kB", peak_memory_kb(&mut fleet));
         Self {
             platform,
             fleet,
@@ -102,12 +120,19 @@
     }
 }
 
+/// Routes of the large configuration, beside the route of the tests.
+fn routes() -> Vec<Value> {
+    let suffix = "part".repeat(PREFIX_PARTS);
+    let prefix = |number| format!("/{number:06}/{suffix}/");
+    (0..ROUTES)
+        .map(|number| route(HOST, &prefix(number)))
+        .collect()
+}
+
 /// Peak of the resident memory of the process.
-fn peak_memory_kb(fleet: &Fleet) -> u64 {
-    let path = format!("/proc/{}/status", fleet.pid(0).as_raw_nonzero());
-    let status = std::fs::read_to_string(path).unwrap();
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    line.unwrap().trim_end_matches("kB").trim().parse().unwrap()
+fn peak_memory_kb(fleet: &mut Fleet) -> u64 {
+    assert!(fleet.check_processes().is_empty(), "the process has ended");
+    fleet.peak_memory_kb()[0]
 }
 
 fn run(test: impl Future<Output = ()>) {
@@ -122,9 +147,9 @@
 #[test]
 fn configuration_sends_to_slow_peers_do_not_exhaust_memory() {
     run(async {
-        let setup = Setup::start(0, 200_000).await;
+        let mut setup = Setup::start(0, 200_000).await;
         sleep(MEASURED_TIME).await;
-        let peak = peak_memory_kb(&setup.fleet);
+        let peak = peak_memory_kb(&mut setup.fleet);
         println!("peak {peak} kB");
         assert!(peak < MAX_MEMORY_KB, "peak memory of {peak} kB");
         setup.fleet.stop().await;
@@ -195,7 +220,7 @@
     run(async {
         let setup = Setup::connect(4, 4, 10_000_000).await;
         setup.fleet.store_proxy(0).set(Mode::Reset);
-        let row = platform::configuration(NEW_VERSION, ROUTES).to_string();
+        let row = platform::configuration(NEW_VERSION, routes()).to_string();
         for peer in &setup.peers {
             peer.serve(row.as_bytes());
         }
--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -1,9 +1,9 @@
 //! Entry processes that are killed, stopped, paused and resumed by signals.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::life::{Life, Target};
 use crate::platform::Platform;
 use crate::proxy::{Mode, Proxy};
 
@@ -23,6 +24,7 @@
 /// Ports of every process; each process has its own IP address.
 const FRONT_PORT: u16 = 28_161;
 const READINESS_PORT: u16 = 28_167;
+const PEER_PROXY_PORT: u16 = 28_730;
 const RESERVATION_PORT: u16 = 28_799;
 pub(crate) const FIRST_PEER_PORT: u16 = 28_720;
 
@@ -43,12 +45,30 @@
     RESERVED.get_or_init(reserve).0
 }
 
+/// Number and surroundings of the entry processes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FleetOptions {
+    /// Name of the test, for the directory of settings and logs.
+    pub(crate) name: &'static str,
+    /// Number of the first process; fleets that run at the same time need different numbers.
+    pub(crate) first: u8,
+    pub(crate) vms: u8,
+    pub(crate) max_row_bytes: usize,
+    /// Whether links between VMs go through proxies.
+    pub(crate) has_peer_proxies: bool,
+}
+
 struct Vm {
     address: Ipv4Addr,
     settings: PathBuf,
     log: PathBuf,
     store: Proxy,
+    /// Proxy of the links from other VMs.
+    peers: Option<Proxy>,
     child: Child,
+    life: Rc<Life>,
+    /// Largest resident memory of its processes so far, in kB.
+    peak_kb: u64,
 }
 
 /// The entry processes and the directory of their settings and logs.
@@ -58,74 +78,126 @@
 }
 
 impl Fleet {
-    /// Starts one process for each number; fleets of one test process need different numbers.
-    pub(crate) async fn start(numbers: RangeInclusive<u8>, platform: &Platform, seed: u64) -> Self {
+    pub(crate) async fn start(options: FleetOptions, platform: &Platform, seed: u64) -> Self {
         let pid = std::process::id();
-        let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{pid}-{seed}"));
+        let name = options.name;
+        let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{name}-{pid}-{seed}"));
         std::fs::create_dir_all(&dir).unwrap();
         let mut vms = Vec::new();
-        for number in numbers {
+        for number in (options.first..).take(options.vms.into()) {
             let address = Ipv4Addr::new(127, 44, third_octet(), number);
             let store = Proxy::start(platform.store).await;
+            let peers = options.has_peer_proxies.then(|| {
+                let [at, to] = [PEER_PROXY_PORT, FIRST_PEER_PORT]
+                    .map(|port| SocketAddr::from((address, port)));
+                platform.advertise(to, at);
+                Proxy::start_between_vms(at, to)
+            });
             let settings = dir.join(format!("vm-{number}.json"));
             let text = json!({"vm": format!("vm-{number}"), "data_centre": "z",
                 "address": address, "listen": format!("{address}:{FRONT_PORT}"),
                 "readiness_listen": format!("{address}:{READINESS_PORT}"),
                 "peer_ports": [FIRST_PEER_PORT, FIRST_PEER_PORT + 5], "cores": 0.25,
-                "is_first_start": false, "store": store.address, "max_row_bytes": 65536,
+                "is_first_start": false, "store": store.address, "max_row_bytes": options.max_row_bytes,
                 "stop_grace_s": STOP_GRACE.as_secs_f64(),
                 "max_lease_ms": 1000, "resend_ms": 1300});
             std::fs::write(&settings, text.to_string()).unwrap();
             let log = dir.join(format!("vm-{number}.log"));
             let child = spawn(&settings, &log);
+            let life = Rc::new(Life::default());
+            life.started();
             vms.push(Vm {
                 address,
                 settings,
                 log,
                 store,
+                peers,
                 child,
+                life,
+                peak_kb: 0,
             });
         }
         Self { vms, dir }
     }
 
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        let addresses = self.vms.iter().map(|vm| vm.address);
-        addresses
-            .map(|ip| SocketAddr::from((ip, FRONT_PORT)))
-            .collect()
+    pub(crate) fn targets(&self) -> Vec<Target> {
+        let targets = self.vms.iter().map(|vm| Target {
+            address: SocketAddr::from((vm.address, FRONT_PORT)),
+            life: Rc::clone(&vm.life),
+        });
+        targets.collect()
     }
 
     pub(crate) fn store_proxy(&self, vm: usize) -> &Proxy {
         &self.vms[vm].store
     }
 
+    pub(crate) fn peer_proxy(&self, vm: usize) -> &Proxy {
+        let proxy = self.vms[vm].peers.as_ref();
+        proxy.expect("a fleet with peer proxies")
+    }
+
+    /// Sets the mode of all links into a VM, from the store and from the other VMs.
+    pub(crate) fn set_links(&self, vm: usize, mode: Mode) {
+        self.store_proxy(vm).set(mode);
+        self.peer_proxy(vm).set(mode);
+    }
+
+    /// Reads the peak memory of all processes, and returns those that have ended by themselves.
+    pub(crate) fn check_processes(&mut self) -> Vec<Ipv4Addr> {
+        let mut ended = Vec::new();
+        for vm in &mut self.vms {
+            vm.read_memory();
+            if vm.child.try_wait().unwrap().is_some() {
+                vm.life.ended();
+                ended.push(vm.address);
+            }
+        }
+        ended
+    }
+
+    /// Largest resident memory of the processes of each VM so far, in kB.
+    pub(crate) fn peak_memory_kb(&self) -> Vec<u64> {
+        self.vms.iter().map(|vm| vm.peak_kb).collect()
+    }
+
     /// Kills a process and restarts it after 300 ms.
     pub(crate) async fn kill(&mut self, vm: usize) {
+        self.vms[vm].read_memory();
+        self.vms[vm].life.ended();
         self.signal(vm, Signal::KILL);
         self.restart(vm, Duration::from_millis(300)).await;
     }
 
     /// Stops a process, kills it after the grace period, and restarts it.
     pub(crate) async fn terminate(&mut self, vm: usize) {
+        self.vms[vm].life.stopping();
         self.signal(vm, Signal::TERM);
         let until = Instant::now() + STOP_GRACE;
         while Instant::now() < until {
+            self.vms[vm].read_memory();
             if self.vms[vm].child.try_wait().unwrap().is_some() {
                 break;
             }
             sleep(Duration::from_millis(20)).await;
         }
+        self.vms[vm].life.ended();
         self.signal(vm, Signal::KILL);
         self.restart(vm, Duration::from_millis(50)).await;
     }
 
     /// Pauses a process for the given time.
     pub(crate) fn pause(&self, vm: usize, d: Duration) {
+        let life = Rc::clone(&self.vms[vm].life);
+        let number = life.number();
+        life.paused(true);
         self.signal(vm, Signal::STOP);
         let pid = self.pid(vm);
         spawn_local(async move {
             sleep(d).await;
+            if life.number() == number {
+                life.paused(false);
+            }
             // The process may have been killed meanwhile.
             let _ = kill_process(pid, Signal::CONT);
         });
@@ -136,6 +208,10 @@
         platform.clear_faults();
         for vm in 0..self.vms.len() {
             self.vms[vm].store.set(Mode::Pass);
+            if let Some(peers) = &self.vms[vm].peers {
+                peers.set(Mode::Pass);
+            }
+            self.vms[vm].life.paused(false);
             self.signal(vm, Signal::CONT);
             if self.vms[vm].child.try_wait().unwrap().is_some() {
                 self.restart(vm, Duration::ZERO).await;
@@ -179,6 +255,7 @@
         let vm = &mut self.vms[vm];
         vm.child.wait().unwrap();
         vm.child = spawn(&vm.settings, &vm.log);
+        vm.life.started();
     }
 
     fn signal(&self, vm: usize, signal: Signal) {
@@ -186,12 +263,23 @@
         let _ = kill_process(self.pid(vm), signal);
     }
 
-    pub(crate) fn pid(&self, vm: usize) -> Pid {
+    fn pid(&self, vm: usize) -> Pid {
         let id = i32::try_from(self.vms[vm].child.id()).unwrap();
         Pid::from_raw(id).unwrap()
     }
 }
 
+impl Vm {
+    /// Records the peak memory of the present process, if it has not ended.
+    fn read_memory(&mut self) {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse().ok());
+        self.peak_kb = self.peak_kb.max(peak.unwrap_or(0));
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for vm in &mut self.vms {
