fix(leased): unreachable peers don't take up the bytes of all links

Links without a connection queued up to 512 kB each, which were thrown away unsent with the next connection, and with 32 of them the limit of 16 MB made every link refuse heartbeats, answers and cancellations: after a partition, peers that could still be reached would have lost their scheduler.

Change: a link without a connection accepts nothing; a job that it refuses stays unsent, and is certain not to have run. The limit for all links applies to jobs and parts of configurations only, which their sender repeats.

Found in review; unreachable_peers_do_not_keep_messages_from_a_reachable_one fails before, with 40 unreachable peers. The tests of full links now wait for the connection first; all_links_together_hold_a_limited_number_of_bytes asserted that an idle link refuses everything while others are full, and now asserts that it accepts heartbeats and refuses jobs.

--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -15,13 +15,14 @@
 /// when it arrives.
 pub(super) const MAX_LINK_BYTES: usize = 512 << 10;
 
-/// Maximum number of bytes that all links of the process hold.
-pub(super) const MAX_TOTAL_BYTES: usize = 16 << 20;
-
-/// Share of both limits that is kept free of jobs and parts of configurations, in percent. Without
-/// it, they would displace heartbeats, answers and cancellations, which are not sent again.
+/// Share of the limit of a link that is kept free of messages that the sender repeats, in percent.
+/// Without it, they would displace heartbeats, answers and cancellations.
 const RESERVED_PERCENT: usize = 25;
 
+/// Maximum number of bytes that all links of the process hold, beyond which they accept no messages
+/// that the sender repeats.
+pub(super) const MAX_TOTAL_BYTES: usize = 16 << 20;
+
 /// Bytes that all links of the process hold.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TotalLoad(Rc<Cell<usize>>);
@@ -69,13 +70,13 @@
 
     /// Whether the link may hold so many bytes more of a kind of message.
     pub(super) fn has_room(&self, kind: &str, bytes: usize) -> bool {
-        let percent = if is_repeated(kind) {
-            100 - RESERVED_PERCENT
+        let queued = self.queued_bytes.get() + bytes;
+        if is_repeated(kind) {
+            queued <= MAX_LINK_BYTES * (100 - RESERVED_PERCENT) / 100
+                && self.total.0.get() + bytes <= MAX_TOTAL_BYTES
         } else {
-            100
-        };
-        self.queued_bytes.get() + bytes <= MAX_LINK_BYTES * percent / 100
-            && self.total.0.get() + bytes <= MAX_TOTAL_BYTES * percent / 100
+            queued <= MAX_LINK_BYTES
+        }
     }
 
     /// Counts a message that the queue has accepted.
@@ -91,7 +92,8 @@
     pub(super) fn refused(&self) {
         self.metrics.count_link_message_dropped();
         if !self.is_full.replace(true) {
-            warn!(to:% = self.to, queued = self.queued_bytes.get(); "link_queue_full");
+            let (queued, total) = (self.queued_bytes.get(), self.total.0.get());
+            warn!(to:% = self.to, queued, total; "link_queue_full");
         }
     }
 
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -205,9 +205,12 @@
         Self { tx, state }
     }
 
-    /// Queues a message; `false` if the queue is full, because the peer does not read or its link
-    /// does not carry what is sent.
+    /// Queues a message; `false` if there is no connection, or the queue is full because the peer
+    /// does not read or its link does not carry what is sent.
     pub(super) fn send(&self, Frame { kind, bytes }: Frame) -> bool {
+        if !self.state.is_connected.get() {
+            return false;
+        }
         let (size, load) = (bytes.len(), &self.state.load);
         let is_queued = load.has_room(kind, size) && self.tx.try_send(bytes).is_ok();
         if is_queued {
