--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -26,11 +26,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::directory::worker;
-use super::spec;
+use super::{block_on, spec};
 use crate::leased::archive::Archive;
 use crate::leased::durable_jobs::DurableJobStore;
 use crate::leased::event_loop::{Components, EventLoop};
@@ -153,14 +153,6 @@
     Input::Peer { from: PEER, body }
 }
 
-fn block_on<F: Future<Output = ()>>(test: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 // Each takeover added a task that read all records again and again, even after its scheduler ended.
 #[test]
 fn the_records_are_not_read_for_a_scheduler_that_has_ended() {
--- a/crates/geraniumrelay/src/leased/tests/links.rs
+++ b/crates/geraniumrelay/src/leased/tests/links.rs
@@ -9,9 +9,10 @@
 use geraniumrelay_wire::leased::peer_message::Body;
 use geraniumrelay_wire::leased::{Beat, Configuration, Submit, Withdraw};
 use tokio::net::TcpListener;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use super::block_on;
 use crate::leased::input::{self, Input};
 use crate::leased::link_load::{MAX_LINK_BYTES, MAX_TOTAL_BYTES, TotalLoad};
 use crate::leased::links::{self, Frame, Link};
@@ -23,14 +24,6 @@
 /// Longest wait for an input.
 const INPUT_TIMEOUT: Duration = Duration::from_secs(5);
 
-fn block_on<F: Future<Output = ()>>(test: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 fn withdraw(id: u64) -> Frame {
     let cell = "all".to_owned();
     links::frame(Body::Withdraw(Withdraw { id, cell }))
@@ -64,6 +57,14 @@
     (EntryVm(Ipv4Addr::LOCALHOST), address, listener)
 }
 
+async fn link_to_peer_that_does_not_read(metrics: Arc<LeasedMetrics>) -> (Link, TcpListener) {
+    let (tx, rx) = input::channel(metrics);
+    let (vm, address, listener) = peer_that_does_not_read().await;
+    let link = Link::start(vm, 1, (vm, address), TotalLoad::default(), tx);
+    assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+    (link, listener)
+}
+
 /// Sends until the kernel's buffers and the link's queue are full.
 async fn fill(link: &Link) {
     let mut refusals = 0;
@@ -134,10 +135,7 @@
 fn sending_to_a_peer_that_does_not_read_fails() {
     block_on(async {
         let metrics = Arc::new(LeasedMetrics::new().unwrap());
-        let (tx, rx) = input::channel(metrics);
-        let (vm, address, _listener) = peer_that_does_not_read().await;
-        let link = Link::start(vm, 1, (vm, address), TotalLoad::default(), tx);
-        assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+        let (link, _listener) = link_to_peer_that_does_not_read(metrics).await;
         let sent = (0..10_000).filter(|&id| link.send(withdraw(id))).count();
         assert!((1_000..10_000).contains(&sent), "{sent}");
     });
@@ -216,10 +214,7 @@
 fn a_link_to_a_peer_that_does_not_read_holds_a_limited_number_of_bytes() {
     block_on(async {
         let metrics = Arc::new(LeasedMetrics::new().unwrap());
-        let (tx, rx) = input::channel(Arc::clone(&metrics));
-        let (vm, address, _listener) = peer_that_does_not_read().await;
-        let link = Link::start(vm, 1, (vm, address), TotalLoad::default(), tx);
-        assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+        let (link, _listener) = link_to_peer_that_does_not_read(Arc::clone(&metrics)).await;
         fill(&link).await;
         let queued = value(&metrics, "link_queued_bytes");
         let max = MAX_LINK_BYTES as u64;
@@ -240,10 +235,7 @@
 fn jobs_leave_room_for_heartbeats_on_a_full_link() {
     block_on(async {
         let metrics = Arc::new(LeasedMetrics::new().unwrap());
-        let (tx, rx) = input::channel(metrics);
-        let (vm, address, _listener) = peer_that_does_not_read().await;
-        let link = Link::start(vm, 1, (vm, address), TotalLoad::default(), tx);
-        assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+        let (link, _listener) = link_to_peer_that_does_not_read(metrics).await;
         let jobs = std::iter::from_fn(|| link.send(job()).then_some(()));
         assert!(jobs.count() > 64);
         for _ in 0..100 {
@@ -310,10 +302,7 @@
 fn messages_that_a_full_queue_refuses_are_counted() {
     block_on(async {
         let metrics = Arc::new(LeasedMetrics::new().unwrap());
-        let (tx, rx) = input::channel(Arc::clone(&metrics));
-        let (vm, address, _listener) = peer_that_does_not_read().await;
-        let link = Link::start(vm, 1, (vm, address), TotalLoad::default(), tx);
-        assert_matches!(next_input(&rx).await, Input::LinkUp { .. });
+        let (link, _listener) = link_to_peer_that_does_not_read(Arc::clone(&metrics)).await;
         let refused = (0..10_000).filter(|&id| !link.send(withdraw(id))).count();
         let counted = value(&metrics, "link_messages_dropped_total");
         assert_eq!(usize::try_from(counted).unwrap(), refused);
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -12,9 +12,19 @@
 use std::time::Duration;
 
 use geraniumrelay_core::leased::{JobId, JobSpec, Resources, StepSpec};
+use tokio::task::LocalSet;
 
 const MS: Duration = Duration::from_millis(1);
 
+/// Runs a test with tasks that stay on its thread.
+fn block_on<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
 /// A durable job with one step of two tasks.
 fn spec(id: u64) -> JobSpec {
     JobSpec {
