fix(leased): downloads over slow links don't fill them

Change: the time-out of a peer doubles, up to 4.8 s, with each part that it sends a second time. An upload is kept for as long as its peer may wait, and a request for any newer version continues the one that was begun.

A peer that delivers again is no longer ranked behind others, and one that was removed from the store is not asked.

--- a/crates/geraniumrelay-core/src/configs/config_transfer.rs
+++ b/crates/geraniumrelay-core/src/configs/config_transfer.rs
@@ -11,8 +11,10 @@
     /// Time without a part after which another peer is asked, and time before a peer that did not
     /// deliver is asked again.
     pub stall_timeout: Duration,
-    /// Maximum size of a part in bytes. One part of a download is in flight at a time, so a message
-    /// on the same link waits for one part at most.
+    /// Maximum of the time without a part, which grows for a peer whose link is slow.
+    pub max_stall_timeout: Duration,
+    /// Maximum size of a part in bytes. The next part is requested when one has arrived, so a
+    /// message on the same link waits for few parts.
     pub part_bytes: usize,
     /// Maximum size of a configuration in bytes.
     pub max_row_bytes: usize,
@@ -25,6 +27,7 @@
         Self {
             store_grace: Duration::from_millis(800),
             stall_timeout: Duration::from_millis(600),
+            max_stall_timeout: Duration::from_millis(4_800),
             part_bytes: 64 << 10,
             max_row_bytes: 8 << 20,
             max_uploads: 2,
--- a/crates/geraniumrelay-core/src/leased/config_transfer/download.rs
+++ b/crates/geraniumrelay-core/src/leased/config_transfer/download.rs
@@ -56,6 +56,9 @@
     is_local: bool,
     /// Time from which a peer that did not deliver has been silent.
     silent_since: Option<Instant>,
+    /// Number of parts that the peer has sent twice, because they took longer than the time-out. The
+    /// time-out doubles with each, so that requests don't fill a slow link.
+    repeated_parts: u32,
 }
 
 /// The version in force while a peer has a newer one.
@@ -144,7 +147,7 @@
         let cfg = &cx.cfg.config_transfer;
         if let Some(asked) = self.asked {
             let silence = cx.now.saturating_duration_since(asked.last_progress);
-            if silence < cfg.stall_timeout {
+            if silence < self.stall_timeout(cx, asked.peer) {
                 return tick;
             }
             let received = self.partial.as_ref().map_or(0, |p| p.data.len());
@@ -178,8 +181,13 @@
             .as_ref()
             .is_some_and(|p| p.is_followed_by(part));
         if !is_next {
-            if !is_asked || part.offset != 0 || self.repeats_first_part(part) {
-                // Late, as the part was requested from another peer as well.
+            if self.repeats_received_part(part) {
+                if let Some(peer) = self.peers.get_mut(&from) {
+                    peer.repeated_parts += 1;
+                }
+                return DownloadEvent::Unchanged;
+            }
+            if !is_asked || part.offset != 0 {
                 return DownloadEvent::Unchanged;
             }
             if part.version <= self.known || !is_first_part(part, cx) {
@@ -197,6 +205,9 @@
             return DownloadEvent::Unchanged;
         };
         partial.data.extend_from_slice(&part.data);
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.silent_since = None;
+        }
         if partial.data.len() < partial.total {
             self.asked = Some(Asked {
                 peer: from,
@@ -210,6 +221,9 @@
             row: std::mem::take(&mut partial.data),
         };
         self.known = partial.version;
+        for peer in self.peers.values_mut() {
+            peer.repeated_parts = 0;
+        }
         self.partial = None;
         self.asked = None;
         event
@@ -222,12 +236,21 @@
             to,
             version: partial.map_or(0, |p| p.version),
             offset: partial.map_or(0, |p| p.data.len()),
+            known: self.known,
         }
     }
 
-    fn repeats_first_part(&self, part: &Part) -> bool {
+    fn repeats_received_part(&self, part: &Part) -> bool {
         let partial = self.partial.as_ref();
-        partial.is_some_and(|p| p.version == part.version)
+        partial.is_some_and(|p| p.version == part.version && part.offset < p.data.len())
+    }
+
+    /// Time without a part after which a peer has stalled.
+    fn stall_timeout(&self, cx: &Context<'_>, peer: EntryVm) -> Duration {
+        let cfg = &cx.cfg.config_transfer;
+        let repeated = self.peers.get(&peer).map_or(0, |p| p.repeated_parts);
+        let doubled = cfg.stall_timeout * 1_u32.checked_shl(repeated).unwrap_or(u32::MAX).min(64);
+        doubled.min(cfg.max_stall_timeout)
     }
 
     fn give_up(&mut self, peer: EntryVm, silent_since: Instant) {
--- a/crates/geraniumrelay-core/src/leased/config_transfer/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/config_transfer/mod.rs
@@ -21,6 +21,8 @@
     pub version: u64,
     /// Offset of the part, in bytes.
     pub offset: usize,
+    /// Newest version that the sender of the request has; it needs a newer one.
+    pub known: u64,
 }
 
 /// Part of a configuration; empty if the sender uploads to other peers at present.
--- a/crates/geraniumrelay-core/src/leased/config_transfer/uploads.rs
+++ b/crates/geraniumrelay-core/src/leased/config_transfer/uploads.rs
@@ -3,14 +3,15 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use super::Part;
+use super::{Part, PartRequest};
 use crate::Context;
 use crate::leased::EntryVm;
 
 /// Peers that download the configuration from this VM.
 #[derive(Debug, Default)]
 pub struct ConfigUploads {
-    active: Vec<Upload>,
+    /// The oldest first.
+    uploads: Vec<Upload>,
 }
 
 #[derive(Debug)]
@@ -23,19 +24,20 @@
 }
 
 impl ConfigUploads {
-    /// The part that a peer requests, by version and offset; an empty part of an empty row if too
-    /// many other peers are downloading. The configuration in force is `current`. A peer that asks
-    /// for a version that this VM does not have gets the beginning of the current one.
+    /// The part that a peer requests; an empty part of an empty row if too many other peers are
+    /// downloading. The configuration in force is `current`. A peer that asks for a version that
+    /// this VM does not have gets the beginning of the current one.
     pub fn part(
         &mut self,
         cx: &Context<'_>,
         peer: EntryVm,
         current: (u64, &Rc<[u8]>),
-        requested: (u64, usize),
+        request: &PartRequest,
     ) -> Part {
-        let (version, offset) = requested;
-        let begun = self.take(cx, peer).filter(|u| u.version == version);
-        if self.active.len() >= cx.cfg.config_transfer.max_uploads {
+        let begun = self.take(cx, peer).filter(|u| u.serves(request));
+        let timeout = cx.cfg.config_transfer.stall_timeout;
+        let is_active = |u: &&Upload| cx.now.saturating_duration_since(u.last_request) < timeout;
+        if self.uploads.iter().filter(is_active).count() >= cx.cfg.config_transfer.max_uploads {
             return Part {
                 version: current.0,
                 total: 0,
@@ -43,34 +45,43 @@
                 data: Vec::new(),
             };
         }
-        let upload = begun.unwrap_or_else(|| Upload {
+        let mut upload = begun.unwrap_or_else(|| Upload {
             peer,
             last_request: cx.now,
             version: current.0,
             row: Rc::clone(current.1),
         });
-        let offset = if upload.version == version { offset } else { 0 };
-        let part = upload.part(cx, offset);
-        if offset.saturating_add(part.data.len()) < part.total {
-            self.active.push(Upload {
-                last_request: cx.now,
-                ..upload
-            });
+        let is_continued = upload.version == request.version;
+        if is_continued {
+            upload.last_request = cx.now;
+        }
+        let part = upload.part(cx, if is_continued { request.offset } else { 0 });
+        if part.offset + part.data.len() < part.total {
+            self.uploads.push(upload);
         }
         part
     }
 
-    /// Removes the upload to a peer, and those that were abandoned.
+    /// Removes the upload to a peer, and those that were abandoned. An upload is kept for as long as
+    /// the peer may wait for a part.
     fn take(&mut self, cx: &Context<'_>, peer: EntryVm) -> Option<Upload> {
-        let timeout = cx.cfg.config_transfer.stall_timeout;
-        self.active
-            .retain(|u| cx.now.saturating_duration_since(u.last_request) < timeout);
-        let index = self.active.iter().position(|u| u.peer == peer)?;
-        Some(self.active.swap_remove(index))
+        let cfg = &cx.cfg.config_transfer;
+        self.uploads.retain(|u| {
+            cx.now.saturating_duration_since(u.last_request) <= 2 * cfg.max_stall_timeout
+        });
+        let excess = self.uploads.len().saturating_sub(2 * cfg.max_uploads);
+        self.uploads.drain(..excess);
+        let index = self.uploads.iter().position(|u| u.peer == peer)?;
+        Some(self.uploads.remove(index))
     }
 }
 
 impl Upload {
+    /// Whether a request continues this upload, or repeats its beginning.
+    fn serves(&self, request: &PartRequest) -> bool {
+        request.version == self.version || (request.version == 0 && self.version > request.known)
+    }
+
     fn part(&self, cx: &Context<'_>, offset: usize) -> Part {
         let start = offset.min(self.row.len());
         let end = start.saturating_add(cx.cfg.config_transfer.part_bytes);
--- a/crates/geraniumrelay-core/tests/leased/config_transfer.rs
+++ b/crates/geraniumrelay-core/tests/leased/config_transfer.rs
@@ -1,5 +1,6 @@
 //! Transfer of the configuration between entry VMs that the store does not serve.
 
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -42,6 +43,16 @@
     download.tick(&world.cx(), own_version, false).request
 }
 
+/// A request for a part of a version, by a VM that has version 4.
+fn request_for(version: u64, offset: usize) -> PartRequest {
+    PartRequest {
+        to: vm(2),
+        version,
+        offset,
+        known: 4,
+    }
+}
+
 /// A row of which only the size matters.
 fn row(bytes: usize) -> Rc<[u8]> {
     vec![7; bytes].into()
@@ -74,8 +85,7 @@
     let mut uploads = ConfigUploads::default();
     let mut parts = 0;
     let received = loop {
-        let requested = (request.version, request.offset);
-        let part = uploads.part(&world.cx(), vm(1), (5, &row), requested);
+        let part = uploads.part(&world.cx(), vm(1), (5, &row), &request);
         assert!(part.data.len() <= world.cfg.config_transfer.part_bytes);
         parts += 1;
         match download.on_part(&world.cx(), request.to, &part) {
@@ -186,10 +196,11 @@
         DownloadEvent::Request(PartRequest {
             to: vm(2),
             version: 5,
-            offset: 6
+            offset: 6,
+            known: 4,
         })
     );
-    let part = ConfigUploads::default().part(&world.cx(), vm(1), (6, &row(8)), (5, 6));
+    let part = ConfigUploads::default().part(&world.cx(), vm(1), (6, &row(8)), &request_for(5, 6));
     let event = download.on_part(&world.cx(), request.to, &part);
     let DownloadEvent::Complete { version, row, .. } = event else {
         panic!("{event:?}");
@@ -215,7 +226,7 @@
     let row = row(200_000);
     let mut uploads = ConfigUploads::default();
     let (mut download, first) = begun(&world, &[2, 3]);
-    let part = uploads.part(&world.cx(), vm(1), (5, &row), (0, 0));
+    let part = uploads.part(&world.cx(), vm(1), (5, &row), &first);
     let event = download.on_part(&world.cx(), first.to, &part);
     assert!(matches!(event, DownloadEvent::Request(_)));
     world.advance(world.cfg.config_transfer.stall_timeout);
@@ -285,7 +296,7 @@
     let mut uploads = ConfigUploads::default();
     let max = u8::try_from(world.cfg.config_transfer.max_uploads).unwrap();
     let mut ask = |world: &World, peer: u8, offset: usize| {
-        let part = uploads.part(&world.cx(), vm(peer), (5, &row), (5, offset));
+        let part = uploads.part(&world.cx(), vm(peer), (5, &row), &request_for(5, offset));
         part.total > 0
     };
     for peer in 0..max {
@@ -304,7 +315,7 @@
 #[test]
 fn an_offset_beyond_the_end_of_the_row_yields_an_empty_part() {
     let world = World::new();
-    let part = ConfigUploads::default().part(&world.cx(), vm(1), (5, &row(2)), (5, 9));
+    let part = ConfigUploads::default().part(&world.cx(), vm(1), (5, &row(2)), &request_for(5, 9));
     assert_eq!((part.total, part.data.len()), (2, 0));
 }
 
@@ -346,8 +357,7 @@
             && world.now >= sent + delay
         {
             under_way.remove(0);
-            let requested = (request.version, request.offset);
-            let part = uploads.part(&world.cx(), vm(1), (5, &row), requested);
+            let part = uploads.part(&world.cx(), vm(1), (5, &row), &request);
             match download.on_part(&world.cx(), vm(2), &part) {
                 DownloadEvent::Request(next) => under_way.push((world.now, next)),
                 DownloadEvent::Complete { .. } => return,
@@ -402,8 +412,7 @@
         let elapsed = world.now.saturating_duration_since(begin);
         let version = 5 + u64::try_from(elapsed.as_millis() / 500).unwrap();
         download.set_peer_version(vm(2), version, true);
-        let requested = (request.version, request.offset);
-        let part = uploads.part(&world.cx(), vm(1), (version, &row), requested);
+        let part = uploads.part(&world.cx(), vm(1), (version, &row), &request);
         match download.on_part(&world.cx(), vm(2), &part) {
             DownloadEvent::Request(next) => request = next,
             DownloadEvent::Complete { .. } => return,
@@ -412,3 +421,80 @@
     }
     panic!("not complete after 8 s: {download:?}");
 }
+
+/// A peer whose answers take a while on a link of limited bandwidth, and whose versions change.
+#[derive(Debug, Clone, Copy)]
+struct SlowPeer {
+    row_bytes: usize,
+    bytes_per_s: u32,
+    delay: Duration,
+    version_interval: Duration,
+}
+
+impl SlowPeer {
+    /// Time until a version is complete, and the number of bytes sent; `None` after a minute.
+    fn download(self) -> Option<(Duration, usize)> {
+        let mut world = World::new();
+        let row = row(self.row_bytes);
+        let (mut download, first) = begun(&world, &[2]);
+        let mut uploads = ConfigUploads::default();
+        let begin = world.now;
+        let (mut link_free, mut sent) = (begin, 0);
+        let mut requests = vec![first];
+        let mut under_way = VecDeque::new();
+        while world.now < begin + Duration::from_mins(1) {
+            let age = world.now.saturating_duration_since(begin);
+            let version =
+                5 + u64::try_from(age.as_millis() / self.version_interval.as_millis()).unwrap();
+            download.set_peer_version(vm(2), version, true);
+            for request in requests.drain(..) {
+                let part = uploads.part(&world.cx(), vm(1), (version, &row), &request);
+                let size = u32::try_from(part.data.len()).unwrap();
+                link_free =
+                    link_free.max(world.now) + Duration::from_secs(1) * size / self.bytes_per_s;
+                sent += part.data.len();
+                under_way.push_back((link_free + self.delay, part));
+            }
+            world.advance(Duration::from_millis(25));
+            while let Some((_, part)) = under_way.pop_front_if(|(at, _)| *at <= world.now) {
+                match download.on_part(&world.cx(), vm(2), &part) {
+                    DownloadEvent::Request(next) => requests.push(next),
+                    DownloadEvent::Complete { .. } => {
+                        return Some((world.now.saturating_duration_since(begin), sent));
+                    }
+                    DownloadEvent::Unchanged => {}
+                }
+            }
+            requests.extend(tick(&mut download, &world, 4));
+        }
+        None
+    }
+}
+
+/// Parts that took longer than the time-out were requested and sent again and again, and an upload
+/// was forgotten before its peer asked for the next part.
+#[test]
+fn a_download_over_a_slow_link_completes_while_versions_follow_one_another() {
+    let fast = SlowPeer {
+        row_bytes: 200_000,
+        bytes_per_s: 3_125_000,
+        delay: Duration::from_millis(650),
+        version_interval: Duration::from_millis(500),
+    };
+    let slow = SlowPeer {
+        row_bytes: 1_000_000,
+        bytes_per_s: 100_000,
+        delay: Duration::from_millis(5),
+        ..fast
+    };
+    let settled = SlowPeer {
+        version_interval: Duration::from_hours(1),
+        ..slow
+    };
+    for (peer, most) in [(fast, 5), (slow, 15), (settled, 15)] {
+        let (took, sent) = peer.download().unwrap_or_else(|| panic!("never: {peer:?}"));
+        println!("{took:?}, {sent} bytes: {peer:?}");
+        assert!(took <= Duration::from_secs(most), "{took:?}: {peer:?}");
+        assert!(sent <= 2 * peer.row_bytes, "{sent} bytes: {peer:?}");
+    }
+}
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -314,6 +314,9 @@
     /// Offset of the part, in bytes.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
+    /// Newest version that the sender has.
+    #[prost(uint64, tag = "3")]
+    pub known: u64,
 }
 /// Part of a configuration: the requested one, or the first part of the sender's version.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -97,12 +97,18 @@
     FetchConfiguration {
         version: request.version,
         offset: request.offset as u64,
+        known: request.known,
     }
 }
 
-/// Requested version and offset.
-pub(super) fn part_request_from_wire(fetch: &FetchConfiguration) -> (u64, usize) {
-    (fetch.version, to_usize(fetch.offset))
+/// A request to the VM `to`.
+pub(super) fn part_request_from_wire(fetch: &FetchConfiguration, to: EntryVm) -> PartRequest {
+    PartRequest {
+        to,
+        version: fetch.version,
+        offset: to_usize(fetch.offset),
+        known: fetch.known,
+    }
 }
 
 pub(super) fn part_to_wire(part: Part) -> ConfigurationPart {
--- a/crates/geraniumrelay/src/leased/event_loop/configuration.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/configuration.rs
@@ -88,9 +88,9 @@
         }
         let now = Instant::now();
         let cx = Context::new(now, &self.components.cfg);
-        let requested = convert::part_request_from_wire(fetch);
+        let request = convert::part_request_from_wire(fetch, self.components.vm);
         let current = (version, &self.configuration);
-        let part = self.config_uploads.part(&cx, from, current, requested);
+        let part = self.config_uploads.part(&cx, from, current, &request);
         if part.total == 0 {
             self.log_refused_upload(from, now);
         } else if part.offset == 0 {
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -140,7 +140,14 @@
     /// Starts links to new entry VMs, and drops the links to removed ones.
     pub(super) fn update_links(&mut self) {
         let peers = self.directory.peers(self.components.vm);
-        self.links.retain(|vm, _| peers.contains_key(vm));
+        let config_download = &mut self.config_download;
+        self.links.retain(|vm, _| {
+            let is_listed = peers.contains_key(vm);
+            if !is_listed {
+                config_download.remove_peer(*vm);
+            }
+            is_listed
+        });
         self.members = peers.keys().copied().collect();
         let (own, incarnation) = (self.components.vm, self.components.incarnation);
         for (vm, address) in peers {
--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -68,15 +68,18 @@
         }
     }
 
-    /// Whether the link may hold so many bytes more of a kind of message.
+    /// Whether the link may hold so many bytes more of a kind of message. An empty link accepts a
+    /// message that is larger than the share of its kind.
     pub(super) fn has_room(&self, kind: &str, bytes: usize) -> bool {
         let queued = self.queued_bytes.get() + bytes;
-        if is_repeated(kind) {
-            queued <= MAX_LINK_BYTES * (100 - RESERVED_PERCENT) / 100
-                && self.total.0.get() + bytes <= MAX_TOTAL_BYTES
-        } else {
-            queued <= MAX_LINK_BYTES
+        if !is_repeated(kind) {
+            return queued <= MAX_LINK_BYTES;
         }
+        let share = MAX_LINK_BYTES * (100 - RESERVED_PERCENT) / 100;
+        if bytes > share {
+            return queued == bytes;
+        }
+        queued <= share && self.total.0.get() + bytes <= MAX_TOTAL_BYTES
     }
 
     /// Counts a message that the queue has accepted.
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -197,6 +197,9 @@
                     () = task_state.reconnect.notified() => true,
                 };
                 task_state.is_connected.set(false);
+                // Messages queued for the connection that has ended are out of date.
+                rx.drain().for_each(|m| task_state.load.released(m.len()));
+                task_state.load.drained();
                 if !is_reconnect_now {
                     tokio::time::sleep(RECONNECT_PAUSE).await;
                 }
@@ -245,9 +248,6 @@
         return;
     };
     state.is_connected.set(true);
-    // Messages queued for the previous connection are out of date.
-    rx.drain().for_each(|m| state.load.released(m.len()));
-    state.load.drained();
     inputs.send(Input::LinkUp { to: vm }).await;
     if let Err(e) = send_all(stream, hello, rx, &state.load).await {
         info!(to:% = to, reason = e.to_string().as_str(); "link_out_down");
--- a/crates/geraniumrelay/src/leased/tests/links.rs
+++ b/crates/geraniumrelay/src/leased/tests/links.rs
@@ -274,6 +274,50 @@
     });
 }
 
+/// A job that is larger than the share of jobs held back all others.
+#[test]
+fn an_empty_link_accepts_a_job_of_any_size() {
+    block_on(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (link, _listener) = link_to_peer_that_does_not_read(Arc::clone(&metrics)).await;
+        let large = || {
+            let payload = "p".repeat(400_000);
+            links::frame(Body::Submit(Submit {
+                payload,
+                ..Submit::default()
+            }))
+        };
+        let is_empty = async {
+            while value(&metrics, "link_queued_bytes") > 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(INPUT_TIMEOUT, is_empty).await.unwrap();
+        assert!(link.send(large()));
+        assert!(!link.send(large()));
+    });
+}
+
+/// Messages that were queued when their connections ended used up the bytes of all links.
+#[test]
+fn a_link_holds_nothing_after_its_connection_has_ended() {
+    block_on(async {
+        let metrics = Arc::new(LeasedMetrics::new().unwrap());
+        let (link, listener) = link_to_peer_that_does_not_read(Arc::clone(&metrics)).await;
+        fill(&link).await;
+        assert!(value(&metrics, "link_queued_bytes") > 0);
+        // Unread bytes reset the connection.
+        drop(listener);
+        let is_released = async {
+            while value(&metrics, "link_queued_bytes") > 0 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(INPUT_TIMEOUT, is_released).await.unwrap();
+        assert!(!link.send(job()));
+    });
+}
+
 /// Messages queued for peers that can't be reached used up the bytes of all links.
 #[test]
 fn unreachable_peers_do_not_keep_messages_from_a_reachable_one() {
--- a/crates/geraniumrelay/tests/leased_links/peer.rs
+++ b/crates/geraniumrelay/tests/leased_links/peer.rs
@@ -140,7 +140,11 @@
     }
 
     fn request_part(&self, version: u64, offset: u64) {
-        let fetch = FetchConfiguration { version, offset };
+        let fetch = FetchConfiguration {
+            version,
+            offset,
+            known: 0,
+        };
         self.send(Body::FetchConfiguration(fetch));
     }
 
