--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -115,18 +115,24 @@
 
 #[test]
 fn invariants_hold_under_external_faults() {
-    run(EXTERNAL_FAULTS);
+    run(EXTERNAL_FAULTS, seeds());
 }
 
 #[test]
 fn invariants_hold_while_the_configuration_grows() {
-    run(GROWING_CONFIGURATION);
+    run(GROWING_CONFIGURATION, seeds());
 }
 
-fn run(kind: Soak) {
+/// Two copies of a job, of which the caller had resent one, ran at the same time.
+#[test]
+fn a_resent_job_does_not_run_beside_its_first_copy() {
+    run(GROWING_CONFIGURATION, 4_013..4_014);
+}
+
+fn run(kind: Soak, seeds: Range<u64>) {
     // A failure of one test says nothing about the other.
     let _running = IS_RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-    for seed in seeds() {
+    for seed in seeds {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
