test(core/leased): a task runs again while its unclaimed run is being stopped

A new scheduler had stopped run 1, which no entry VM had claimed within 250 ms; a worker does not list a run that it is stopping, so the scheduler forgot it, and the job that arrived in these 50 ms started on another worker.

--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -55,6 +55,23 @@
     assert!(sim.workers.iter().all(|w| w.running().count() == 0));
 }
 
+/// A run that is being stopped is not listed any more, but is still at work.
+#[test]
+fn a_task_does_not_run_again_while_its_unclaimed_run_is_being_stopped() {
+    for after in (200..400).step_by(2) {
+        let mut sim = Simulation::new(4, 1);
+        let job = TestJob::new(1, 6, Duration::from_secs(5));
+        sim.submit(0, MS, job.clone());
+        sim.run_for(100 * MS);
+        sim.kill(0);
+        let next = sim.add_host(2);
+        sim.submit(next, after * MS, job.resubmitted());
+        sim.run_for(700 * MS);
+        let trace = sim.trace_of(JobId(1));
+        assert!(sim.concurrent_runs.is_empty(), "after {after} ms:\n{trace}");
+    }
+}
+
 /// A worker that the new scheduler can't reach may still run tasks of the old one.
 #[test]
 fn tasks_on_an_unreachable_worker_wait_until_its_leases_have_lapsed() {
