fix(core/leased): a task waits until its unclaimed run has been stopped

A task could run twice at a time after a takeover: the new scheduler stops runs that no entry VM claims within 250 ms; a worker does not list a run that it is stopping, for up to 50 ms; the scheduler dropped the unclaimed run at the first poll without it, and a job that arrived then started its task on another worker.

Change: an unclaimed run that was stopped is kept until its end is listed, or for stop_grace after the first poll that does not list it, as runs that the scheduler has started itself. A job that arrives adopts it, and waits.

--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -92,6 +92,7 @@
                 run: row.run,
                 since: cx.now,
                 stop_sent: None,
+                unlisted_since: None,
             };
             if !worker.unclaimed_runs.iter().any(is_known) {
                 worker.unclaimed_runs.push(unclaimed);
@@ -120,7 +121,15 @@
                 || ended.any(|end| end.task == name && end.run == run)
         };
         let worker = &mut self.workers[key];
-        worker.unclaimed_runs.retain(|u| is_listed(u.name, u.run));
+        worker.unclaimed_runs.retain_mut(|u| {
+            if is_listed(u.name, u.run) {
+                return true;
+            }
+            // A run that is being stopped is not listed, but is still at work.
+            let since = *u.unlisted_since.get_or_insert(cx.now);
+            let unlisted = cx.now.saturating_duration_since(since);
+            u.stop_sent.is_some() && unlisted < cx.cfg.leased.stop_grace
+        });
         let mut position = 0;
         while position < self.workers[key].runs.len() {
             let run = &self.workers[key].runs[position];
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -105,6 +105,8 @@
     pub(super) since: Instant,
     /// When a stop order was last sent.
     pub(super) stop_sent: Option<Instant>,
+    /// Since when polls list the run neither as running nor as ended.
+    pub(super) unlisted_since: Option<Instant>,
 }
 
 /// State of the polls of a worker. At most one poll is in flight.
