feat(leased): log each start, the evidence for each end, and changes of a worker's instance

- tasks_started: the tasks of a job that were placed together, with runs and workers
- run_over evidence=: listed, not-listed, not-started, lease-lapsed, other-instance
- worker_instance_changed: source, start of the known and of the named instance, runs
- run_unclaimed: a worker lists a run that the scheduler does not know
- unsuccessful_runs_total, worker_instance_changes_total, unclaimed_runs_total

--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -29,6 +29,40 @@
     EpochUnconfirmed,
 }
 
+/// Why a run counts as ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum EndEvidence {
+    /// The worker listed the end.
+    #[display("listed")]
+    Listed,
+    /// A poll sent after the start or the stop was confirmed does not list the run.
+    #[display("not-listed")]
+    NotListed,
+    /// The worker refused the start, or the order was never sent.
+    #[display("not-started")]
+    NotStarted,
+    /// All leases given to the worker have lapsed.
+    #[display("lease-lapsed")]
+    LeaseLapsed,
+    /// Another instance of the worker has taken its place.
+    #[display("other-instance")]
+    OtherInstance,
+}
+
+/// Message that named an instance of a worker other than the known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum InstanceSource {
+    /// The worker's entry in the platform's store.
+    #[display("entry")]
+    Entry,
+    /// A reply to a poll.
+    #[display("report")]
+    Report,
+    /// A call that was refused as meant for another instance.
+    #[display("refused-call")]
+    RefusedCall,
+}
+
 /// Condition of a worker, as observed by the scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum WorkerCondition {
@@ -75,6 +109,35 @@
         /// Runs beyond one for each task.
         reruns: u32,
     },
+    /// Tasks of a job were placed; their start orders are being sent.
+    TasksStarted {
+        /// Job of the tasks.
+        id: JobId,
+        /// Task, number of its run, and worker that the order goes to.
+        starts: Vec<(TaskName, u32, WorkerName)>,
+    },
+    /// A poll listed a run that this scheduler does not know.
+    RunUnclaimed {
+        /// Task of the run.
+        task: TaskName,
+        /// Number of the task's run.
+        run: u32,
+        /// Worker that has the run.
+        worker: WorkerName,
+    },
+    /// A message named an instance of a worker other than the known one.
+    InstanceChanged {
+        /// Worker concerned.
+        worker: WorkerName,
+        /// Message that named the other instance.
+        source: InstanceSource,
+        /// Start of the known instance, in Unix milliseconds; `None` if unknown.
+        known_unix_ms: Option<u64>,
+        /// Start of the other instance, in Unix milliseconds; `None` if unknown.
+        seen_unix_ms: Option<u64>,
+        /// Number of runs on the worker.
+        runs: usize,
+    },
     /// A run has ended without success.
     RunEnded {
         /// Task of the run.
@@ -85,6 +148,8 @@
         worker: WorkerName,
         /// Kind of the end.
         kind: EndKind,
+        /// Why the run counts as ended.
+        evidence: EndEvidence,
         /// Time since the start order was sent.
         took: Duration,
         /// Expected run time.
--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use crate::leased::effect::Effect;
 use crate::leased::job::TaskKey;
-use crate::leased::log_event::WorkerCondition;
+use crate::leased::log_event::{EndEvidence, WorkerCondition};
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
 use crate::leased::report::{EndKind, EndedRun, WorkerReport};
@@ -73,7 +73,7 @@
         }
         if let Some(position) = worker.run_position(end.task, end.run) {
             let run = worker.remove_run(position);
-            self.run_ended(cx, key, &run, end.kind, out);
+            self.run_ended(cx, key, &run, (end.kind, EndEvidence::Listed), out);
         } else if end.kind == EndKind::Done && ack_condition != AckCondition::AwaitsLapse {
             self.earlier_run_done(cx, end.task, out);
         } else if end.kind == EndKind::Failed {
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::leased::effect::{Effect, JobOutcome, StopCall};
 use crate::leased::job::{JobKey, TaskKey};
-use crate::leased::log_event::{LogEvent, StopCause, WorkerCondition};
+use crate::leased::log_event::{EndEvidence, InstanceSource, LogEvent, StopCause, WorkerCondition};
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
 use crate::leased::report::EndKind;
@@ -107,7 +107,7 @@
         cx: &Context<'_>,
         on: WorkerKey,
         run: &Run,
-        kind: EndKind,
+        (kind, evidence): (EndKind, EndEvidence),
         out: &mut Vec<Effect>,
     ) {
         self.has_new_room = true;
@@ -119,6 +119,7 @@
                 run: run.run,
                 worker: self.workers[on].entry.name.clone(),
                 kind,
+                evidence,
                 took: cx.now.saturating_duration_since(run.sent),
                 expected: run.expected,
                 percent: run.percent,
@@ -222,11 +223,11 @@
         cx: &Context<'_>,
         on: WorkerKey,
         run: &Run,
-        kind: EndKind,
+        end: (EndKind, EndEvidence),
         out: &mut Vec<Effect>,
     ) {
         let TaskKey { job: key, position } = run.task;
-        self.run_ended(cx, on, run, kind, out);
+        self.run_ended(cx, on, run, end, out);
         if let Some(job) = self.jobs.get_mut(key)
             && let Some(record_sync) = &mut job.record_sync
         {
@@ -263,8 +264,21 @@
 
     /// Drops all that is known of a worker's runs, ends and leases: another instance, which has
     /// none of the runs, has replaced the worker.
-    pub(super) fn drop_runs(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+    pub(super) fn drop_runs(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        (source, seen_unix_ms): (InstanceSource, Option<u64>),
+        out: &mut Vec<Effect>,
+    ) {
         let worker = &mut self.workers[key];
+        out.push(Effect::LogEvent(LogEvent::InstanceChanged {
+            worker: worker.entry.name.clone(),
+            source,
+            known_unix_ms: worker.entry.instance_started_unix_ms,
+            seen_unix_ms,
+            runs: worker.runs.len(),
+        }));
         if worker.token_confirmed_at.is_some() || !worker.runs.is_empty() {
             out.push(worker.condition_event(WorkerCondition::Restarted, Duration::ZERO));
         }
@@ -281,7 +295,8 @@
         worker.poll_state.in_flight_since = None;
         while !self.workers[key].runs.is_empty() {
             let run = self.workers[key].remove_run(0);
-            self.run_ended(cx, key, &run, EndKind::Lapsed, out);
+            let end = (EndKind::Lapsed, EndEvidence::OtherInstance);
+            self.run_ended(cx, key, &run, end, out);
         }
     }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -23,7 +23,7 @@
 use super::epoch::Epoch;
 use super::estimates::Estimates;
 use super::job::{Job, JobKey, JobState, Rank};
-use super::log_event::WorkerCondition;
+use super::log_event::{InstanceSource, WorkerCondition};
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::worker::{MAX_MISSES, PollState, Worker, WorkerEntry, WorkerKey, WorkerState};
 use crate::collections::Map;
@@ -307,14 +307,15 @@
             let is_other_instance = worker.entry.address != entry.address
                 || (entry.instance_started_unix_ms.is_some()
                     && entry.instance_started_unix_ms != worker.entry.instance_started_unix_ms);
-            worker.entry = entry;
             worker.is_listed = true;
             worker.departed = None;
             worker.poll_state.not_before = None;
             if is_other_instance {
-                self.workers[key].poll_state = PollState::default();
-                self.drop_runs(cx, key, out);
+                worker.poll_state = PollState::default();
+                let source = (InstanceSource::Entry, entry.instance_started_unix_ms);
+                self.drop_runs(cx, key, source, out);
             }
+            self.workers[key].entry = entry;
             key
         } else {
             let name = entry.name.clone();
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, TaskKey, TaskState};
+use crate::leased::log_event::LogEvent;
 use crate::leased::placement::{self, PlacementRequest};
 use crate::leased::record::RecordState;
 use crate::leased::worker::{Run, RunState, UnclaimedRun, Worker, WorkerKey};
@@ -61,6 +62,8 @@
         (respects_pauses, respects_slowness, may_renew_durable): (bool, bool, bool),
         out: &mut Vec<Effect>,
     ) -> bool {
+        let mut starts = Vec::new();
+        let mut is_placed = true;
         while let Some(&position) = self.jobs[key].ready.front() {
             let task = TaskKey { job: key, position };
             let request = PlacementRequest {
@@ -73,11 +76,19 @@
                 may_renew_durable,
             };
             let Some(worker) = placement::choose(&cx.cfg.leased, &self.workers, request) else {
-                return false;
+                is_placed = false;
+                break;
             };
             self.start(cx, task, worker, out);
+            let job = &self.jobs[key];
+            let name = self.workers[worker].entry.name.clone();
+            starts.push((job.name(position), job.task(position).last_run, name));
+        }
+        if !starts.is_empty() {
+            let id = self.jobs[key].spec.id;
+            out.push(Effect::LogEvent(LogEvent::TasksStarted { id, starts }));
         }
-        true
+        is_placed
     }
 
     /// Whether paused workers are left out of placement: only while they are few.
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -7,7 +7,7 @@
 use crate::context::Context;
 use crate::leased::effect::{Effect, PollCall};
 use crate::leased::health::exponential_backoff;
-use crate::leased::log_event::{StopCause, WorkerCondition};
+use crate::leased::log_event::{EndEvidence, InstanceSource, LogEvent, StopCause, WorkerCondition};
 use crate::leased::names::TaskName;
 use crate::leased::report::{EndKind, WorkerReport};
 use crate::leased::worker::{MAX_MISSES, Run, RunState, UnclaimedRun, Worker, WorkerKey};
@@ -37,8 +37,9 @@
             && report.instance_started_unix_ms.is_some()
             && known != report.instance_started_unix_ms
         {
+            let source = (InstanceSource::Report, report.instance_started_unix_ms);
+            self.drop_runs(cx, key, source, out);
             self.workers[key].entry.instance_started_unix_ms = report.instance_started_unix_ms;
-            self.drop_runs(cx, key, out);
         }
         let worker = &mut self.workers[key];
         if worker.poll_state.misses >= MAX_MISSES {
@@ -63,7 +64,7 @@
             (!worker.unstored_ends.is_empty()).then_some(UNSTORED_END_PAUSE)
         };
         worker.poll_state.not_before = pause.map(|p| cx.now + p);
-        self.process_running(cx, key, report);
+        self.process_running(cx, key, report, out);
         self.end_missing_runs(cx, key, sent, report, out);
         self.stop_unconfirmed(cx, key, sent, out);
         self.check_paces(cx, key, out);
@@ -71,7 +72,13 @@
 
     /// Updates known runs from a report, and adopts runs of earlier schedulers or lists them as
     /// unclaimed.
-    fn process_running(&mut self, cx: &Context<'_>, key: WorkerKey, report: &WorkerReport) {
+    fn process_running(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        report: &WorkerReport,
+        out: &mut Vec<Effect>,
+    ) {
         for row in &report.running {
             let worker = &mut self.workers[key];
             if let Some(position) = worker.run_position(row.task, row.run) {
@@ -96,6 +103,11 @@
             };
             if !worker.unclaimed_runs.iter().any(is_known) {
                 worker.unclaimed_runs.push(unclaimed);
+                out.push(Effect::LogEvent(LogEvent::RunUnclaimed {
+                    task: row.task,
+                    run: row.run,
+                    worker: worker.entry.name.clone(),
+                }));
             }
             if let Some(&job) = self.by_id.get(&row.task.job) {
                 self.adopt(cx, job, key, &unclaimed);
@@ -136,7 +148,8 @@
             let is_confirmed = run.confirmed_at.is_some_and(|at| at < sent);
             if is_confirmed && !is_listed(run.name, run.run) {
                 let run = self.workers[key].remove_run(position);
-                self.end_unreported_run(cx, key, &run, EndKind::Stopped, out);
+                let end = (EndKind::Stopped, EndEvidence::NotListed);
+                self.end_unreported_run(cx, key, &run, end, out);
             } else {
                 position += 1;
             }
@@ -189,7 +202,7 @@
         key: WorkerKey,
         out: &mut Vec<Effect>,
     ) {
-        self.drop_runs(cx, key, out);
+        self.drop_runs(cx, key, (InstanceSource::RefusedCall, None), out);
         self.workers[key].token_confirmed_at = Some(cx.now);
         while self.workers[key].poll_state.misses < MAX_MISSES {
             self.poll_failed(cx, key, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -5,6 +5,7 @@
 use crate::leased::command::{StartReply, StopReply};
 use crate::leased::effect::Effect;
 use crate::leased::job::TaskKey;
+use crate::leased::log_event::EndEvidence;
 use crate::leased::names::TaskName;
 use crate::leased::report::EndKind;
 use crate::leased::worker::{RunState, WorkerKey};
@@ -56,7 +57,8 @@
             }
             StartReply::Fenced => {
                 let run = worker.remove_run(position);
-                self.run_ended(cx, key, &run, EndKind::Stopped, out);
+                let end = (EndKind::Stopped, EndEvidence::NotStarted);
+                self.run_ended(cx, key, &run, end, out);
                 self.on_higher_token(cx, key, out);
             }
             StartReply::OtherInstance => self.on_other_instance(cx, key, out),
@@ -89,7 +91,8 @@
             StartReply::Refused => self.pause_worker(cx, key, out),
             _ => {}
         }
-        self.run_ended(cx, key, &run, EndKind::Stopped, out);
+        let end = (EndKind::Stopped, EndEvidence::NotStarted);
+        self.run_ended(cx, key, &run, end, out);
     }
 
     /// Processes the reply to a stop.
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -8,7 +8,7 @@
 use crate::leased::admission;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
 use crate::leased::job::JobKey;
-use crate::leased::log_event::StopCause;
+use crate::leased::log_event::{EndEvidence, StopCause};
 use crate::leased::names::{EntryVm, TaskName};
 use crate::leased::report::EndKind;
 use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
@@ -157,7 +157,8 @@
         self.workers[key].unclaimed_runs.clear();
         while !self.workers[key].runs.is_empty() {
             let run = self.workers[key].remove_run(0);
-            self.end_unreported_run(cx, key, &run, EndKind::Lapsed, out);
+            let end = (EndKind::Lapsed, EndEvidence::LeaseLapsed);
+            self.end_unreported_run(cx, key, &run, end, out);
         }
     }
 
--- a/crates/geraniumrelay-core/tests/texts.rs
+++ b/crates/geraniumrelay-core/tests/texts.rs
@@ -1,7 +1,9 @@
 //! Texts of public items that metrics and the log print.
 
 use geraniumrelay_core::effect::HandOverStage;
-use geraniumrelay_core::leased::{StartReply, StopCause, WorkerCondition};
+use geraniumrelay_core::leased::{
+    EndEvidence, InstanceSource, StartReply, StopCause, WorkerCondition,
+};
 
 #[test]
 fn hand_over_stages_keep_their_metric_labels() {
@@ -51,6 +53,34 @@
     }
 }
 
+/// The log prints these texts.
+#[test]
+fn end_evidence_keeps_its_texts() {
+    let texts = [
+        (EndEvidence::Listed, "listed"),
+        (EndEvidence::NotListed, "not-listed"),
+        (EndEvidence::NotStarted, "not-started"),
+        (EndEvidence::LeaseLapsed, "lease-lapsed"),
+        (EndEvidence::OtherInstance, "other-instance"),
+    ];
+    for (evidence, text) in texts {
+        assert_eq!(evidence.to_string(), text);
+    }
+}
+
+/// The log prints these texts.
+#[test]
+fn instance_sources_keep_their_texts() {
+    let texts = [
+        (InstanceSource::Entry, "entry"),
+        (InstanceSource::Report, "report"),
+        (InstanceSource::RefusedCall, "refused-call"),
+    ];
+    for (source, text) in texts {
+        assert_eq!(source.to_string(), text);
+    }
+}
+
 /// The log prints these texts.
 #[test]
 fn worker_conditions_keep_their_texts() {
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -1,9 +1,10 @@
 //! Logs the scheduler's decisions.
 
+use std::fmt::Write;
 use std::time::Duration;
 
-use geraniumrelay_core::leased::LogEvent;
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{LogEvent, TaskName, WorkerName};
 use log::info;
 
 /// Logs an event of the scheduler of `cell`.
@@ -32,17 +33,37 @@
                 "job_over"
             );
         }
+        LogEvent::TasksStarted { id, starts } => info!(
+            cell:% = cell, id:% = id, starts = start_list(starts).as_str();
+            "tasks_started"
+        ),
+        LogEvent::RunUnclaimed { task, run, worker } => info!(
+            cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker;
+            "run_unclaimed"
+        ),
+        LogEvent::InstanceChanged {
+            worker,
+            source,
+            known_unix_ms,
+            seen_unix_ms,
+            runs,
+        } => info!(
+            cell:% = cell, worker:% = worker, source:% = source,
+            known_born = known_unix_ms.unwrap_or(0), seen_born = seen_unix_ms.unwrap_or(0), runs;
+            "worker_instance_changed"
+        ),
         LogEvent::RunEnded {
             task,
             run,
             worker,
             kind,
+            evidence,
             took,
             expected,
             percent,
         } => info!(
             cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker, kind:% = kind,
-            took_ms = ms(*took), expected_ms = ms(*expected), percent;
+            evidence:% = evidence, took_ms = ms(*took), expected_ms = ms(*expected), percent;
             "run_over"
         ),
         LogEvent::RunStopped {
@@ -68,6 +89,21 @@
     }
 }
 
+/// Starts of one job, each as `STEP.INDEX:RUN@WORKER`, separated by commas.
+fn start_list(starts: &[(TaskName, u32, WorkerName)]) -> String {
+    let mut list = String::new();
+    for (task, run, worker) in starts {
+        let separator = if list.is_empty() { "" } else { "," };
+        // Writing to a string does not fail.
+        let _ = write!(
+            list,
+            "{separator}{}.{}:{run}@{worker}",
+            task.step, task.index
+        );
+    }
+    list
+}
+
 fn ms(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -451,7 +451,10 @@
                 }
             }
             Effect::ReadRecords => self.read_records(name, token),
-            Effect::LogEvent(event) => decision_log::write(name, &event),
+            Effect::LogEvent(event) => {
+                self.components.metrics.count_event(&event);
+                decision_log::write(name, &event);
+            }
             Effect::Deposed { worker } => {
                 info!(cell:% = name, worker:% = worker, token:% = token; "scheduler_deposed");
                 if let Some(cell) = self.cells.get_mut(name) {
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumrelay_core::leased::{JobOutcome, Snapshot};
+use geraniumrelay_core::leased::{JobOutcome, LogEvent, Snapshot};
 use http_body_util::Full;
 use hyper::Response;
 use hyper::server::conn::http1;
@@ -39,6 +39,9 @@
     lag: IntGauge,
     starts: IntCounterVec,
     polls: IntCounterVec,
+    unsuccessful_runs: IntCounterVec,
+    instance_changes: IntCounterVec,
+    unclaimed_runs: IntCounter,
     takeovers: IntCounter,
     dropped_inputs: IntCounter,
     state: IntGaugeVec,
@@ -120,6 +123,20 @@
             requests: counters("requests_total", "Jobs by outcome", "outcome")?,
             starts: counters("starts_total", "Orders to start by reply", "reply")?,
             polls: counters("looks_total", "Looks at workers by reply", "reply")?,
+            unsuccessful_runs: counters_by(
+                "unsuccessful_runs_total",
+                "Runs that ended without success, by kind of the end and why they count as ended",
+                &["kind", "evidence"],
+            )?,
+            instance_changes: counters(
+                "worker_instance_changes_total",
+                "Messages that named an instance of a worker other than the known one",
+                "source",
+            )?,
+            unclaimed_runs: counter(
+                "unclaimed_runs_total",
+                "Runs listed by a worker that the scheduler did not know",
+            )?,
             takeovers: counter("takeovers_total", "Times that this VM began to schedule")?,
             dropped_inputs: counter(
                 "ring_full_total",
@@ -179,6 +196,23 @@
         self.polls.with_label_values(&[reply]).inc();
     }
 
+    /// Counts the events of a scheduler that tell how runs have ended.
+    pub(super) fn count_event(&self, event: &LogEvent) {
+        match event {
+            LogEvent::RunEnded { kind, evidence, .. } => {
+                let labels = [kind.to_string(), evidence.to_string()];
+                let labels = labels.each_ref().map(String::as_str);
+                self.unsuccessful_runs.with_label_values(&labels).inc();
+            }
+            LogEvent::InstanceChanged { source, .. } => {
+                let changes = &self.instance_changes;
+                changes.with_label_values(&[&source.to_string()]).inc();
+            }
+            LogEvent::RunUnclaimed { .. } => self.unclaimed_runs.inc(),
+            _ => {}
+        }
+    }
+
     pub(super) fn count_takeover(&self) {
         self.takeovers.inc();
     }
