test(leased): restarts of workers under their former names, in virtual time

Change: workers and entries tell the start of their instance in all tests. The simulation can restart a worker at its address, or at another one while the former instance goes on behind a cut; replies can be slow up to the caller's time-out; a call reaches the instance that is at its address on arrival; an unanswered call ends with the instance that received it; a start can be sent twice. `runs_of_a_restarted_worker_are_started_again` uses the restart, with the same assertions. The trace tells restarts, entries that are read, and why runs count as ended.

--- a/crates/geraniumrelay-core/tests/leased/jobs.rs
+++ b/crates/geraniumrelay-core/tests/leased/jobs.rs
@@ -155,10 +155,8 @@
     let mut sim = Simulation::new(1, 1);
     sim.submit(0, MS, TestJob::new(1, 1, 500 * MS));
     sim.run_for(100 * MS);
-    sim.workers[0] = crate::worker::FakeWorker::new(sim.now, 64_000);
-    let mut entry = sim.worker_entry(0);
-    entry.instance_started_unix_ms = Some(7);
-    sim.handle_command(0, Command::WorkerSeen(entry));
+    sim.restart_worker(0, 100);
+    sim.announce_worker(0, 0);
     sim.run_for(Duration::from_secs(2));
     assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
     assert_eq!(sim.start_counts.values().sum::<u32>(), 2);
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod jobs;
 mod load;
+mod restarts;
 mod takeover;
 mod worker;
 mod world;
--- /dev/null
+++ b/crates/geraniumrelay-core/tests/leased/restarts.rs
@@ -0,0 +1,557 @@
+//! Restarts of workers under their former names: a run that is at work must not count as ended, and
+//! no acknowledged end may be lost.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RecordState};
+
+use crate::world::{Simulation, TestJob, vm};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Variant of a scenario.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    is_durable: bool,
+    /// Time of day of a new instance relative to that of its former one.
+    clock_step_ms: i64,
+}
+
+impl Case {
+    /// A job that may end late.
+    fn job(self, id: u64, tasks: u16, run_time: Duration) -> TestJob {
+        let job = TestJob::new(id, tasks, run_time)
+            .with_slack()
+            .with_remaining_wait(Duration::from_secs(8));
+        if self.is_durable { job.durable() } else { job }
+    }
+
+    /// A simulation of three idle workers, the first of which has run a task.
+    fn simulation(self) -> Simulation {
+        let mut sim = Simulation::new(3, 1);
+        sim.submit(0, MS, self.job(1_000, 1, 20 * MS));
+        sim.run_for(300 * MS);
+        assert_eq!(sim.workers[0].acknowledged_ends.len(), 1);
+        sim
+    }
+}
+
+/// Checks a scenario with durable and with other jobs, and with a time of day that jumps forwards
+/// and backwards at a restart.
+fn check(scenario: impl Fn(Case) -> Simulation) {
+    for is_durable in [false, true] {
+        for clock_step_ms in [5_000, -5_000] {
+            let case = Case {
+                is_durable,
+                clock_step_ms,
+            };
+            let sim = scenario(case);
+            assert_each_task_ran_once_at_a_time(&sim, &format!("{case:?}"));
+            assert_all_completed(&sim, &format!("{case:?}"));
+        }
+    }
+}
+
+/// Asserts that no task had two runs at a time or started again after its acknowledged end.
+fn assert_each_task_ran_once_at_a_time(sim: &Simulation, case: &str) {
+    if let Some(task) = sim.concurrent_runs.first() {
+        let trace = sim.trace_of(task.job);
+        let trace = trace.split_inclusive("two runs").next().unwrap_or_default();
+        panic!("{case}: two runs of {task} at the same time\n{trace}");
+    }
+    if let Some(task) = sim.tasks_restarted_after_ack().first() {
+        let trace = sim.trace_of(task.job);
+        panic!("{case}: {task} started again after its acknowledged end\n{trace}");
+    }
+}
+
+fn is_completed(sim: &Simulation, job: &TestJob) -> bool {
+    let id = job.spec.id;
+    if job.spec.is_durable {
+        let record = sim.records.get(&id);
+        return record.is_some_and(|(r, _)| r.state == RecordState::Completed);
+    }
+    sim.outcome(id.0) == Some(JobOutcome::Completed)
+}
+
+fn assert_all_completed(sim: &Simulation, case: &str) {
+    if let Some(job) = sim.jobs.values().find(|&j| !is_completed(sim, j)) {
+        let id = job.spec.id;
+        let trace = sim.trace_of(id);
+        panic!("{case}: job {id} is not completed in time\n{trace}");
+    }
+}
+
+/// Asserts that each task has started once.
+fn assert_no_done_task_ran_again(sim: &Simulation) {
+    let counts = &sim.start_counts;
+    assert!(
+        counts.values().all(|&n| n == 1),
+        "starts: {counts:?}\n{}",
+        sim.trace.join("\n")
+    );
+}
+
+fn run_count(sim: &Simulation, worker: usize) -> usize {
+    sim.workers[worker].running().count()
+}
+
+/// Runs the simulation until a worker has `count` runs.
+fn run_until_started(sim: &mut Simulation, worker: usize, count: usize) {
+    for _ in 0..2_000 {
+        if run_count(sim, worker) == count {
+            return;
+        }
+        sim.run_for(MS / 10);
+    }
+    panic!(
+        "no {count} runs on worker {worker}\n{}",
+        sim.trace.join("\n")
+    );
+}
+
+/// The order to start a task reaches a new instance that its scheduler does not know yet.
+#[test]
+fn a_run_that_arrived_before_the_entry_of_its_instance_does_not_count_as_ended() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// The same while the order is unanswered.
+#[test]
+fn an_unanswered_start_order_to_a_new_instance_does_not_count_as_ended() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.reply_delays.insert(0, 100 * MS);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.reply_delays.clear();
+        sim.run_for(10 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(4));
+        sim
+    });
+}
+
+/// The same where the reply to the first poll names the new instance.
+#[test]
+fn a_run_that_arrived_before_the_report_of_its_instance_does_not_count_as_ended() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// The same where the report lists the runs as ended.
+#[test]
+fn an_end_in_the_first_report_of_an_instance_is_not_lost() {
+    check(|case| {
+        let mut sim = case.simulation();
+        // The known instance has no ends.
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(50 * MS);
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.submit(0, MS, case.job(1, 2, 40 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(Duration::from_secs(3));
+        assert_no_done_task_ran_again(&sim);
+        sim
+    });
+}
+
+/// A scheduler reads entries later than the replies to its polls.
+#[test]
+fn a_late_entry_of_a_former_instance_ends_no_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let former = sim.worker_entry(0);
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(50 * MS);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.deliver_entry(0, 100 * MS, former);
+        sim.run_for(150 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// No entry has told of the new instance yet.
+#[test]
+fn an_entry_of_the_former_instance_after_a_report_of_the_next_ends_no_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let former = sim.worker_entry(0);
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.submit(0, MS, case.job(1, 1, 100 * MS));
+        run_until_started(&mut sim, 0, 1);
+        sim.run_for(300 * MS);
+        sim.submit(0, MS, case.job(2, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.deliver_entry(0, 100 * MS, former);
+        sim.run_for(150 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// The reply to a poll overtakes neither a restart nor the entry that tells of it.
+#[test]
+fn a_late_report_of_a_former_instance_ends_no_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.submit(0, MS, case.job(1, 1, 100 * MS));
+        sim.submit(0, MS, case.job(2, 1, 600 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(20 * MS);
+        // The end of job 1 is reported to a poll, but the reply is slow.
+        sim.reply_delays.insert(0, 50 * MS);
+        sim.run_for(83 * MS);
+        assert_eq!(run_count(&sim, 0), 1);
+        sim.reply_delays.clear();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(5 * MS);
+        sim.submit(0, MS, case.job(3, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// Another worker had the address when the first order arrived there.
+#[test]
+fn a_late_refusal_of_a_start_by_another_instance_ends_no_other_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.workers[0].is_replaced = true;
+        sim.reply_delays.insert(0, 40 * MS);
+        sim.submit(0, MS, case.job(1, 1, 300 * MS));
+        let is_sent = |sim: &Simulation| sim.trace.iter().any(|l| l.contains("OtherInstance"));
+        while !is_sent(&sim) {
+            sim.run_for(MS / 10);
+        }
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.reply_delays.clear();
+        sim.submit(0, MS, case.job(2, 1, 600 * MS));
+        run_until_started(&mut sim, 0, 1);
+        sim.run_for(100 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+#[test]
+fn a_late_refusal_of_a_poll_by_another_instance_ends_no_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.workers[0].is_replaced = true;
+        sim.reply_delays.insert(0, 50 * MS);
+        // The poll that this entry causes is refused, and the refusal is slow.
+        sim.announce_worker(0, 0);
+        sim.run_for(MS);
+        sim.reply_delays.clear();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(5 * MS);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// Only the lapse of its leases tells that a former instance at another address runs nothing.
+#[test]
+fn runs_at_the_former_address_of_a_worker_end_before_their_tasks_run_again() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.submit(0, MS, case.job(1, 2, Duration::from_secs(2)));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.move_worker(0, case.clock_step_ms);
+        sim.run_for(50 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(5));
+        sim
+    });
+}
+
+#[test]
+fn a_late_entry_with_the_former_address_ends_no_run_at_the_new_address() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let former = sim.worker_entry(0);
+        sim.move_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(50 * MS);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.deliver_entry(0, 100 * MS, former);
+        sim.run_for(150 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// The new instance has no run to stop, and confirms the stop.
+#[test]
+fn a_stop_confirmed_at_the_new_address_ends_no_run_at_the_former_one() {
+    let case = Case {
+        is_durable: false,
+        clock_step_ms: 5_000,
+    };
+    let mut sim = case.simulation();
+    let job = case.job(1, 2, Duration::from_secs(2));
+    sim.submit(0, MS, job.clone());
+    run_until_started(&mut sim, 0, 2);
+    sim.run_for(100 * MS);
+    sim.move_worker(0, case.clock_step_ms);
+    sim.announce_worker(0, 0);
+    sim.run_for(20 * MS);
+    sim.handle_command(0, Command::EntryLeft(vm(100)));
+    sim.answers.clear();
+    sim.submit(0, 10 * MS, job.resubmitted());
+    sim.run_for(Duration::from_secs(5));
+    assert_each_task_ran_once_at_a_time(&sim, "stop after a move");
+    assert!(
+        is_completed(&sim, &sim.jobs[&JobId(1)]),
+        "{}",
+        sim.trace_of(JobId(1))
+    );
+}
+
+/// Both instances run tasks when the late entry arrives.
+#[test]
+fn a_late_entry_with_the_former_address_ends_no_run_behind_a_cut() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let former = sim.worker_entry(0);
+        sim.submit(0, MS, case.job(1, 2, Duration::from_secs(2)));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.move_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(20 * MS);
+        sim.submit(0, MS, case.job(2, 4, 500 * MS));
+        sim.run_for(100 * MS);
+        sim.deliver_entry(0, MS, former);
+        sim.run_for(100 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(5));
+        sim
+    });
+}
+
+/// The successor knows only the new address of the worker.
+#[test]
+fn a_successor_starts_no_task_that_runs_at_the_former_address_of_a_worker() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let job = case.job(1, 2, Duration::from_secs(2));
+        sim.submit(0, MS, job.clone());
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.move_worker(0, case.clock_step_ms);
+        sim.kill(0);
+        let next = sim.add_host_with_records(2, &BTreeSet::new());
+        if !case.is_durable {
+            sim.submit(next, MS, job.resubmitted());
+        }
+        sim.run_for(Duration::from_secs(6));
+        sim
+    });
+}
+
+/// An entry may lack the start of its instance.
+#[test]
+fn an_entry_that_names_its_instance_only_later_ends_no_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let mut entry = sim.worker_entry(0);
+        entry.instance_started_unix_ms = None;
+        sim.deliver_entry(0, Duration::ZERO, entry);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.announce_worker(0, 0);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+/// The successor has not renewed the leases yet, so that it knows none.
+#[test]
+fn an_adopted_run_outlasts_one_unanswered_poll() {
+    check(|case| {
+        let mut sim = case.simulation();
+        let job = case.job(1, 2, 700 * MS);
+        sim.submit(0, MS, job.clone());
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.kill(0);
+        let next = sim.add_host_with_records(2, &BTreeSet::new());
+        sim.run_for(5 * MS);
+        sim.hosts[next].unreachable_workers.insert(0);
+        if !case.is_durable {
+            sim.submit(next, MS, job.resubmitted());
+        }
+        sim.run_for(120 * MS);
+        sim.hosts[next].unreachable_workers.clear();
+        sim.run_for(Duration::from_secs(4));
+        sim
+    });
+}
+
+/// Runs a scenario in which an idle worker with many acknowledged ends restarts and gets a task;
+/// the polls of the first `silence` are lost.
+fn restart_after_many_ends(case: Case, silence: Duration) -> Simulation {
+    let mut sim = case.simulation();
+    for number in 0..20 {
+        let at = 40 * MS * u32::try_from(number).unwrap();
+        sim.submit(0, at, case.job(100 + number, 1, 20 * MS));
+    }
+    sim.run_for(Duration::from_secs(1));
+    assert!(sim.workers[0].acknowledged_ends.len() > 15);
+    sim.restart_worker(0, case.clock_step_ms);
+    sim.submit(0, MS, case.job(1, 1, 30 * MS));
+    run_until_started(&mut sim, 0, 1);
+    if silence > Duration::ZERO {
+        sim.hosts[0].unreachable_workers.insert(0);
+    }
+    sim.run_for(silence);
+    sim.hosts[0].unreachable_workers.clear();
+    sim.run_for(Duration::from_secs(3));
+    sim
+}
+
+/// A poll acknowledges the ends of the instance that its scheduler knows.
+#[test]
+fn an_end_is_not_lost_to_the_acknowledgement_of_a_former_instance() {
+    check(|case| restart_after_many_ends(case, Duration::ZERO));
+}
+
+#[test]
+fn an_end_listed_after_lost_polls_is_not_lost_to_a_former_acknowledgement() {
+    check(|case| restart_after_many_ends(case, 250 * MS));
+}
+
+/// A lease that was computed with the clock of a former instance seems to last as long as that
+/// instance was up.
+#[test]
+fn tasks_of_a_silent_restarted_worker_run_again_once_its_leases_have_lapsed() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.run_for(Duration::from_secs(30));
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.submit(0, MS, case.job(1, 2, 500 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(10 * MS);
+        sim.hosts[0].unreachable_workers.insert(0);
+        sim.run_for(Duration::from_secs(4));
+        sim
+    });
+}
+
+/// The same where the reply to a start arrives after its instance has gone.
+#[test]
+fn a_late_clock_of_a_former_instance_extends_no_lease() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.run_for(Duration::from_secs(30));
+        sim.reply_delays.insert(0, 50 * MS);
+        sim.submit(0, MS, case.job(1, 1, 400 * MS));
+        run_until_started(&mut sim, 0, 1);
+        sim.reply_delays.clear();
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.announce_worker(0, 0);
+        sim.run_for(100 * MS);
+        sim.submit(0, MS, case.job(2, 3, 600 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.hosts[0].unreachable_workers.insert(0);
+        sim.run_for(Duration::from_secs(4));
+        sim
+    });
+}
+
+/// The first copy of the order is executed and its reply is lost; then the worker follows the
+/// scheduler on the other side of a partition.
+#[test]
+fn a_run_whose_second_start_order_is_fenced_does_not_count_as_never_started() {
+    let case = Case {
+        is_durable: false,
+        clock_step_ms: 0,
+    };
+    let mut sim = case.simulation();
+    sim.workers_with_resent_starts.insert(0);
+    sim.submit(0, MS, case.job(1, 1, 500 * MS));
+    run_until_started(&mut sim, 0, 1);
+    sim.add_host_with(2, &BTreeSet::from([1, 2]), true);
+    sim.run_for(Duration::from_secs(4));
+    assert_each_task_ran_once_at_a_time(&sim, "fenced second copy");
+    assert_all_completed(&sim, "fenced second copy");
+}
+
+/// Asserts that the tasks of a job have started again within `limit` of the restart.
+fn assert_started_again(sim: &mut Simulation, limit: Duration) {
+    sim.run_for(limit);
+    let counts = sim.start_counts.iter();
+    let counts: Vec<_> = counts.filter(|(t, _)| t.job == JobId(1)).collect();
+    assert!(
+        counts.len() == 2 && counts.iter().all(|c| *c.1 == 2),
+        "starts: {counts:?}\n{}",
+        sim.trace.join("\n")
+    );
+}
+
+#[test]
+fn tasks_of_a_restarted_worker_start_again_soon_after_its_entry_arrives() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.submit(0, MS, case.job(1, 2, 600 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.restart_worker(0, case.clock_step_ms);
+        sim.run_for(50 * MS);
+        sim.announce_worker(0, 0);
+        assert_started_again(&mut sim, 200 * MS);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
+
+#[test]
+fn tasks_of_a_restarted_worker_start_again_soon_after_its_first_report() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.submit(0, MS, case.job(1, 2, 600 * MS));
+        run_until_started(&mut sim, 0, 2);
+        sim.run_for(100 * MS);
+        sim.restart_worker(0, case.clock_step_ms);
+        assert_started_again(&mut sim, 450 * MS);
+        sim.run_for(Duration::from_secs(3));
+        sim
+    });
+}
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -49,6 +49,8 @@
 pub(crate) struct FakeWorker {
     pub(crate) capacity: Resources,
     pub(crate) behaviour: Behaviour,
+    /// Start of this instance in Unix milliseconds, as its reports tell it.
+    pub(crate) instance_started_unix_ms: Option<u64>,
     /// Whether another worker instance now answers at the address.
     pub(crate) is_replaced: bool,
     /// Number of polls answered, not counting those refused by the fencing token.
@@ -80,6 +82,7 @@
                 gpus: 0,
             },
             behaviour: Behaviour::Healthy,
+            instance_started_unix_ms: None,
             is_replaced: false,
             answered_polls: 0,
             clock_rate: 1.0,
@@ -282,7 +285,7 @@
         });
         self.answered_polls += 1;
         Some(PollReply::Report(WorkerReport {
-            instance_started_unix_ms: None,
+            instance_started_unix_ms: self.instance_started_unix_ms,
             clock: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -1,5 +1,5 @@
-//! Simulation of schedulers, workers and the store in virtual time, with lost replies, delayed
-//! calls and network partitions.
+//! Simulation of schedulers, workers and the store in virtual time, with lost and late replies,
+//! delayed calls, network partitions and restarts of workers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -9,8 +9,9 @@
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
     Command, Effect, EntryVm, EpochReply, FencingToken, JobId, JobOutcome, JobRecord, JobSpec,
-    PollCall, PollReply, RecordReply, Resources, Scheduler, StartCall, StartReply, StepSpec,
-    StopCall, StopReply, Submission, TaskName, WorkerEntry, WorkerName, WorkerState,
+    LogEvent, PollCall, PollReply, RecordReply, Resources, Scheduler, StartCall, StartReply,
+    StepSpec, StopCall, StopReply, Submission, TaskName, WorkerEntry, WorkerName, WorkerState,
+    WorkerTime,
 };
 use geraniumrelay_core::{Config, Context};
 use rand::rngs::StdRng;
@@ -39,6 +40,35 @@
 /// Interval between two ticks of a scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time after which an unanswered start is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(20);
+
+/// Start of the first instance of each worker, in Unix milliseconds.
+const FIRST_INSTANCE_UNIX_MS: u64 = 1_790_000_000_000;
+
+/// A call to a worker that is under way.
+#[derive(Debug, Clone, Copy)]
+struct Transit {
+    host: usize,
+    sent: Instant,
+    /// When the caller stops waiting for the reply.
+    times_out: Instant,
+    /// `false` where the reply is lost.
+    is_reply_delivered: bool,
+    /// Instance that has received the call, and with which an unanswered call ends.
+    received_by: Option<u64>,
+    /// Whether this is the second copy of a call whose first copy is unanswered.
+    is_resent: bool,
+}
+
+/// An earlier instance of a worker that has started again.
+#[derive(Debug)]
+struct FormerInstance {
+    instance: FakeWorker,
+    /// Whether the instance goes on running, out of reach of all schedulers.
+    is_up: bool,
+}
+
 /// A scheduled simulation event; `is_reply_delivered` is `false` where the reply to the call is
 /// lost.
 #[derive(Debug, Clone)]
@@ -48,26 +78,20 @@
         job: JobId,
     },
     Start {
-        host: usize,
         call: StartCall,
-        is_reply_delivered: bool,
+        transit: Transit,
     },
     Stop {
-        host: usize,
         call: StopCall,
-        is_reply_delivered: bool,
+        transit: Transit,
     },
     Poll {
-        host: usize,
         call: PollCall,
-        sent: Instant,
-        is_reply_delivered: bool,
+        transit: Transit,
     },
     ResumePoll {
-        host: usize,
         call: PollCall,
-        sent: Instant,
-        is_reply_delivered: bool,
+        transit: Transit,
     },
     Record {
         host: usize,
@@ -201,7 +225,13 @@
     pub(crate) now: Instant,
     pub(crate) started_at: Instant,
     pub(crate) cfg: Config,
+    /// Present instance of each worker.
     pub(crate) workers: Vec<FakeWorker>,
+    former_instances: Vec<FormerInstance>,
+    /// Number of restarts of each restarted worker.
+    restarts: BTreeMap<usize, u64>,
+    /// Ports of the workers that have moved to another address.
+    ports: BTreeMap<usize, u16>,
     pub(crate) hosts: Vec<Host>,
     pub(crate) jobs: BTreeMap<JobId, TestJob>,
     /// First outcome of each job, and its time.
@@ -231,6 +261,12 @@
     pub(crate) delayed_write_share: f64,
     /// Fraction of the calls whose reply is lost.
     pub(crate) lost_reply_share: f64,
+    /// Fraction of the replies of workers that arrive late, at most when the caller times out.
+    pub(crate) late_reply_share: f64,
+    /// Additional latency of the replies of single workers.
+    pub(crate) reply_delays: BTreeMap<usize, Duration>,
+    /// Workers that execute a start whose reply is lost, and then receive its second copy.
+    pub(crate) workers_with_resent_starts: BTreeSet<usize>,
     /// Fraction of the calls that take effect 2 to 12 s late and whose reply is lost; polls and
     /// claims are not delayed.
     pub(crate) delayed_call_share: f64,
@@ -247,11 +283,19 @@
     /// Creates a simulation with one scheduler and `count` workers of 64 cores.
     pub(crate) fn new(count: usize, seed: u64) -> Self {
         let now = Instant::now();
+        let worker = |_| {
+            let mut worker = FakeWorker::new(now, 64_000);
+            worker.instance_started_unix_ms = Some(FIRST_INSTANCE_UNIX_MS);
+            worker
+        };
         let mut sim = Self {
             now,
             started_at: now,
             cfg: Config::default(),
-            workers: (0..count).map(|_| FakeWorker::new(now, 64_000)).collect(),
+            workers: (0..count).map(worker).collect(),
+            former_instances: Vec::new(),
+            restarts: BTreeMap::new(),
+            ports: BTreeMap::new(),
             hosts: Vec::new(),
             jobs: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -267,6 +311,9 @@
             lost_store_reply_share: 0.0,
             delayed_write_share: 0.0,
             lost_reply_share: 0.0,
+            late_reply_share: 0.0,
+            reply_delays: BTreeMap::new(),
+            workers_with_resent_starts: BTreeSet::new(),
             delayed_call_share: 0.0,
             events: BTreeMap::new(),
             sequence: 0,
@@ -329,19 +376,80 @@
     }
 
     pub(crate) fn worker_entry(&self, worker: usize) -> WorkerEntry {
-        let port = 1_000 + u16::try_from(worker).unwrap();
         WorkerEntry {
             name: worker_name(worker),
             service: "service".into(),
-            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            address: self.address(worker),
             data_centre: "a".into(),
             state: WorkerState::Ready,
             capacity: self.workers[worker].capacity,
             labels: vec![Arc::from("a"), Arc::from("r-1")],
-            instance_started_unix_ms: None,
+            instance_started_unix_ms: self.workers[worker].instance_started_unix_ms,
         }
     }
 
+    fn address(&self, worker: usize) -> SocketAddr {
+        let first = 1_000 + u16::try_from(worker).unwrap();
+        let port = self.ports.get(&worker).copied().unwrap_or(first);
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    /// Number of the present instance of a worker.
+    fn instance_number(&self, worker: usize) -> u64 {
+        self.restarts.get(&worker).copied().unwrap_or_default()
+    }
+
+    /// Restarts a worker at its address; its time of day is `clock_step_ms` ahead of that of the
+    /// former instance. Schedulers get no entry of the new instance.
+    pub(crate) fn restart_worker(&mut self, worker: usize, clock_step_ms: i64) {
+        self.replace_instance(worker, clock_step_ms, false);
+    }
+
+    /// The same as [`Self::restart_worker`], but at another address, while the former instance goes
+    /// on running out of reach.
+    pub(crate) fn move_worker(&mut self, worker: usize, clock_step_ms: i64) {
+        let port = self.address(worker).port() + 1_000;
+        self.replace_instance(worker, clock_step_ms, true);
+        self.ports.insert(worker, port);
+    }
+
+    fn replace_instance(&mut self, worker: usize, clock_step_ms: i64, is_up: bool) {
+        self.advance_workers();
+        let former = &self.workers[worker];
+        let cpu_milli = former.capacity.cpu_milli;
+        let mut instance = FakeWorker::new(self.now, cpu_milli);
+        instance.clock_rate = former.clock_rate;
+        let started = former.instance_started_unix_ms;
+        instance.instance_started_unix_ms =
+            started.map(|ms| ms.checked_add_signed(clock_step_ms).unwrap());
+        let instance = std::mem::replace(&mut self.workers[worker], instance);
+        self.former_instances
+            .push(FormerInstance { instance, is_up });
+        *self.restarts.entry(worker).or_default() += 1;
+        let former = if is_up { "goes on" } else { "is gone" };
+        self.log(&format!(
+            "another instance of worker {worker} starts, {clock_step_ms} ms later by its clock; the former {former}"
+        ));
+    }
+
+    /// Delivers an entry of a worker to a scheduler `after` this time.
+    pub(crate) fn deliver_entry(&mut self, host: usize, after: Duration, entry: WorkerEntry) {
+        let cmd = Command::WorkerSeen(entry);
+        self.schedule(self.now + after, Event::Deliver { host, cmd });
+    }
+
+    /// Delivers the present entry of a worker to a scheduler at once.
+    pub(crate) fn announce_worker(&mut self, host: usize, worker: usize) {
+        let entry = self.worker_entry(worker);
+        self.handle_command(host, Command::WorkerSeen(entry));
+    }
+
+    /// Adds a line to the trace.
+    fn log(&mut self, text: &str) {
+        let ms = (self.now - self.started_at).as_millis();
+        self.trace.push(format!("{ms} ms: {text}"));
+    }
+
     pub(crate) fn submit(&mut self, host: usize, after: Duration, mut job: TestJob) {
         let at = self.now + after;
         job.submitted_at = at;
@@ -359,6 +467,13 @@
         let Some(scheduler) = &mut self.hosts[host].scheduler else {
             return;
         };
+        if let Command::WorkerSeen(entry) = &cmd {
+            let ms = (self.now - self.started_at).as_millis();
+            self.trace.push(format!(
+                "{ms} ms: host {host} reads the entry of {}, instance started at {:?}, address {}",
+                entry.name, entry.instance_started_unix_ms, entry.address
+            ));
+        }
         let mut out = Vec::new();
         scheduler.handle(&Context::new(self.now, &self.cfg), cmd, &mut out);
         for effect in out {
@@ -404,9 +519,11 @@
         self.answers.get(&JobId(id)).map(|a| a.0)
     }
 
-    /// The lines of the trace that name a job.
+    /// The lines of the trace that name a job or an instance of a worker.
     pub(crate) fn trace_of(&self, id: JobId) -> String {
-        let lines = self.trace.iter().filter(|l| l.contains(&id.to_string()));
+        let id = id.to_string();
+        let is_relevant = |l: &&String| l.contains(&id) || l.contains("instance");
+        let lines = self.trace.iter().filter(is_relevant);
         lines.cloned().collect::<Vec<_>>().join("\n")
     }
 
@@ -437,46 +554,10 @@
     fn process_event(&mut self, event: Event) {
         match event {
             Event::Submit { host, job } => self.submit_job(host, job),
-            Event::Start {
-                host,
-                call,
-                is_reply_delivered,
-            } => self.start_task(host, &call, is_reply_delivered),
-            Event::Stop {
-                host,
-                call,
-                is_reply_delivered,
-            } => {
-                let worker = worker_index(&call.name);
-                let run = (call.task, call.run);
-                let reply = self.workers[worker].stop(self.now, run, call.token);
-                let ms = (self.now - self.started_at).as_millis();
-                self.trace.push(format!(
-                    "{ms} ms: host {host} stops {} run {} on worker {worker}: {reply:?}",
-                    call.task, call.run
-                ));
-                let cmd = Command::StopReplied {
-                    worker: call.worker,
-                    task: call.task,
-                    run: call.run,
-                    reply,
-                };
-                self.send_reply(host, is_reply_delivered, cmd);
-            }
-            Event::Poll {
-                host,
-                call,
-                sent,
-                is_reply_delivered,
-            } => self.poll_worker(host, call, sent, is_reply_delivered),
-            Event::ResumePoll {
-                host,
-                call,
-                sent,
-                is_reply_delivered,
-            } => {
-                self.resume_poll(host, call, sent, is_reply_delivered);
-            }
+            Event::Start { call, transit } => self.start_task(&call, transit),
+            Event::Stop { call, transit } => self.stop_run(&call, transit),
+            Event::Poll { call, transit } => self.poll_worker(call, transit),
+            Event::ResumePoll { call, transit } => self.resume_poll(call, transit),
             Event::Record {
                 host,
                 attempt,
@@ -489,7 +570,7 @@
                 let reply = self.store_record(record, (expected, epoch));
                 let is_stored = matches!(reply, RecordReply::Stored { .. });
                 let cmd = Command::RecordReplied { id, attempt, reply };
-                self.send_reply(host, is_reply_delivered, cmd);
+                self.send_store_reply(host, is_reply_delivered, cmd);
                 if is_stored {
                     self.publish_record(id);
                 }
@@ -500,11 +581,8 @@
                 is_reply_delivered,
             } => {
                 let reply = self.claim_epoch(host);
-                self.send_reply(
-                    host,
-                    is_reply_delivered,
-                    Command::EpochReplied { sent, reply },
-                );
+                let cmd = Command::EpochReplied { sent, reply };
+                self.send_store_reply(host, is_reply_delivered, cmd);
             }
             Event::ReadRecords { host } if self.is_store_unavailable(host) => {
                 self.schedule(self.now + CALL_TIMEOUT, Event::ReadRecords { host });
@@ -533,50 +611,13 @@
     fn apply_effect(&mut self, host: usize, effect: Effect) {
         match effect {
             Effect::Start(call) => self.send_start(host, call),
-            Effect::Stop(call) => {
-                let timeout = Command::StopReplied {
-                    worker: call.worker,
-                    task: call.task,
-                    run: call.run,
-                    reply: StopReply::Unanswered,
-                };
-                let name = call.name.clone();
-                self.send_call(host, &name, timeout, |is_reply_delivered| Event::Stop {
-                    host,
-                    call,
-                    is_reply_delivered,
-                });
-            }
-            Effect::Poll(call) => {
-                let sent = self.now;
-                let timeout = Command::PollReplied {
-                    worker: call.worker,
-                    sent,
-                    reply: PollReply::Unanswered,
-                };
-                let limit = self.now + call.wait + CALL_TIMEOUT;
-                let is_unreachable = self.is_unreachable(host, &call.name);
-                let is_reply_delivered = self.draw_reply_delivered();
-                if !is_reply_delivered || is_unreachable {
-                    self.schedule(limit, Event::Deliver { host, cmd: timeout });
-                }
-                if !is_unreachable {
-                    let at = self.now + ONE_WAY_LATENCY;
-                    self.schedule(
-                        at,
-                        Event::Poll {
-                            host,
-                            call,
-                            sent,
-                            is_reply_delivered,
-                        },
-                    );
-                }
-            }
+            Effect::Stop(call) => self.send_stop(host, call),
+            Effect::Poll(call) => self.send_poll(host, call),
             Effect::Answer { id, outcome, .. } => {
                 self.answers.entry(id).or_insert((outcome, self.now));
             }
-            Effect::LogEvent(_) | Effect::EpochLost { .. } => {}
+            Effect::LogEvent(event) => self.log_event(host, &event),
+            Effect::EpochLost { .. } => {}
             Effect::Record {
                 attempt,
                 record,
@@ -592,47 +633,155 @@
         }
     }
 
+    fn log_event(&mut self, host: usize, event: &LogEvent) {
+        match event {
+            LogEvent::RunEnded {
+                task,
+                run,
+                worker,
+                kind,
+                evidence,
+                ..
+            } => self.log(&format!(
+                "host {host} ends {task} run {run} on {worker}: {kind:?}, {evidence:?}"
+            )),
+            LogEvent::InstanceChanged { worker, source, .. } => self.log(&format!(
+                "host {host} learns of another instance of {worker}: {source:?}"
+            )),
+            _ => {}
+        }
+    }
+
     fn send_start(&mut self, host: usize, call: StartCall) {
-        let timeout = Command::StartReplied {
-            worker: call.worker,
-            task: call.task,
-            run: call.run,
-            reply: StartReply::Unanswered,
-            clock: None,
-        };
+        let worker = worker_index(&call.name);
+        if self.workers_with_resent_starts.contains(&worker)
+            && !self.is_unreachable(host, &call.name)
+        {
+            let first = Transit {
+                host,
+                sent: self.now,
+                times_out: self.now + RESEND_AFTER + CALL_TIMEOUT,
+                is_reply_delivered: false,
+                received_by: None,
+                is_resent: false,
+            };
+            let second = Transit {
+                is_reply_delivered: true,
+                is_resent: true,
+                ..first
+            };
+            let at = self.now + ONE_WAY_LATENCY;
+            let event = Event::Start {
+                call: call.clone(),
+                transit: first,
+            };
+            self.schedule(at, event);
+            let event = Event::Start {
+                call,
+                transit: second,
+            };
+            self.schedule(at + RESEND_AFTER, event);
+            return;
+        }
+        let timeout = start_timeout(&call);
+        let name = call.name.clone();
+        self.send_call(host, &name, timeout, |transit| Event::Start {
+            call,
+            transit,
+        });
+    }
+
+    fn send_stop(&mut self, host: usize, call: StopCall) {
+        let timeout = stop_timeout(&call);
         let name = call.name.clone();
-        self.send_call(host, &name, timeout, |is_reply_delivered| Event::Start {
-            host,
+        self.send_call(host, &name, timeout, |transit| Event::Stop {
             call,
-            is_reply_delivered,
+            transit,
         });
     }
 
+    fn send_poll(&mut self, host: usize, call: PollCall) {
+        let sent = self.now;
+        let times_out = self.now + call.wait + CALL_TIMEOUT;
+        let is_unreachable = self.is_unreachable(host, &call.name);
+        let is_reply_delivered = self.draw_reply_delivered();
+        if !is_reply_delivered || is_unreachable {
+            let cmd = poll_timeout(&call, sent);
+            self.schedule(times_out, Event::Deliver { host, cmd });
+        }
+        if !is_unreachable {
+            let transit = Transit {
+                host,
+                sent,
+                times_out,
+                is_reply_delivered,
+                received_by: None,
+                is_resent: false,
+            };
+            let at = self.now + ONE_WAY_LATENCY;
+            self.schedule(at, Event::Poll { call, transit });
+        }
+    }
+
     /// Sends a call to a worker. If no reply arrives, the scheduler handles `timeout` instead.
     fn send_call(
         &mut self,
         host: usize,
         to: &WorkerName,
         timeout: Command,
-        event: impl FnOnce(bool) -> Event,
+        event: impl FnOnce(Transit) -> Event,
     ) {
         let is_unreachable = self.is_unreachable(host, to);
         let is_delayed = self.draw_call_delayed();
         let is_reply_delivered = self.draw_reply_delivered() && !is_delayed;
+        let times_out = self.now + CALL_TIMEOUT;
         if !is_reply_delivered || is_unreachable {
-            self.schedule(
-                self.now + CALL_TIMEOUT,
-                Event::Deliver { host, cmd: timeout },
-            );
+            self.schedule(times_out, Event::Deliver { host, cmd: timeout });
         }
         if !is_unreachable {
             let at = self.now + self.delay(is_delayed);
-            self.schedule(at, event(is_reply_delivered));
+            let instance = self.instance_number(worker_index(to));
+            let transit = Transit {
+                host,
+                sent: self.now,
+                times_out,
+                is_reply_delivered,
+                received_by: is_delayed.then_some(instance),
+                is_resent: false,
+            };
+            self.schedule(at, event(transit));
         }
     }
 
-    fn start_task(&mut self, host: usize, call: &StartCall, is_reply_delivered: bool) {
-        let worker = worker_index(&call.name);
+    /// The worker whose present instance receives a call to an address; without one, the caller
+    /// times out.
+    fn receiver(
+        &mut self,
+        (name, address): (&WorkerName, SocketAddr),
+        transit: Transit,
+        timeout: Command,
+    ) -> Option<usize> {
+        let worker = worker_index(name);
+        let instance = self.instance_number(worker);
+        if address == self.address(worker) && transit.received_by.is_none_or(|i| i == instance) {
+            return Some(worker);
+        }
+        if transit.is_reply_delivered {
+            let event = Event::Deliver {
+                host: transit.host,
+                cmd: timeout,
+            };
+            self.schedule(transit.times_out.max(self.now), event);
+        }
+        None
+    }
+
+    fn start_task(&mut self, call: &StartCall, transit: Transit) {
+        let to = (&call.name, call.address);
+        let Some(worker) = self.receiver(to, transit, start_timeout(call)) else {
+            return;
+        };
+        let host = transit.host;
         let (task, run) = (call.task, call.run);
         let job = &self.jobs[&task.job];
         let size = job.spec.steps[usize::from(task.step)].size;
@@ -640,23 +789,35 @@
         let run_time = job.run_time;
         self.advance_workers();
         let was_running = self.workers[worker].running().any(|r| r == (task, run));
-        let reply = self.workers[worker].start(self.now, (task, run), size, run_time, lease);
+        let mut reply = self.workers[worker].start(self.now, (task, run), size, run_time, lease);
         if reply == StartReply::Accepted && !was_running {
             *self.start_counts.entry(task).or_insert(0) += 1;
             self.start_times.push((task, self.now));
-            let others = self.workers.iter().flat_map(FakeWorker::running);
+            let former = self.former_instances.iter().filter(|f| f.is_up);
+            let others = self.workers.iter().chain(former.map(|f| &f.instance));
+            let others = others.flat_map(FakeWorker::running);
             if others.filter(|r| r.0 == task).count() > 1 {
                 self.concurrent_runs.push(task);
             }
         }
-        let ms = (self.now - self.started_at).as_millis();
-        self.trace.push(format!(
-            "{ms} ms: host {host} starts {task} run {run} on worker {worker}: {reply:?}"
+        self.log(&format!(
+            "host {host} starts {task} run {run} on worker {worker}: {reply:?}"
         ));
+        if self.concurrent_runs.last() == Some(&task) {
+            self.log(&format!("{task} has two runs"));
+        }
         if reply == StartReply::NoRoom {
             self.refused_starts += 1;
         }
-        let clock = Some(self.workers[worker].clock(self.now));
+        let mut clock = Some(self.workers[worker].clock(self.now));
+        let is_conclusive = matches!(
+            reply,
+            StartReply::Accepted | StartReply::Fenced | StartReply::OtherInstance
+        );
+        if transit.is_resent && !is_conclusive {
+            // The first copy may have started the run.
+            (reply, clock) = (StartReply::Unanswered, None);
+        }
         let cmd = Command::StartReplied {
             worker: call.worker,
             task,
@@ -664,7 +825,27 @@
             reply,
             clock,
         };
-        self.send_reply(host, is_reply_delivered, cmd);
+        self.send_reply(worker, transit, cmd, start_timeout(call));
+    }
+
+    fn stop_run(&mut self, call: &StopCall, transit: Transit) {
+        let to = (&call.name, call.address);
+        let Some(worker) = self.receiver(to, transit, stop_timeout(call)) else {
+            return;
+        };
+        let (host, run) = (transit.host, (call.task, call.run));
+        let reply = self.workers[worker].stop(self.now, run, call.token);
+        self.log(&format!(
+            "host {host} stops {} run {} on worker {worker}: {reply:?}",
+            call.task, call.run
+        ));
+        let cmd = Command::StopReplied {
+            worker: call.worker,
+            task: call.task,
+            run: call.run,
+            reply,
+        };
+        self.send_reply(worker, transit, cmd, stop_timeout(call));
     }
 
     fn is_store_unavailable(&self, host: usize) -> bool {
@@ -773,7 +954,9 @@
     /// Tasks of durable jobs that were started again after an acknowledged end as done. Ends that
     /// were acknowledged only after the lease of their worker had lapsed don't count.
     pub(crate) fn tasks_restarted_after_ack(&self) -> Vec<TaskName> {
-        let ends = self.workers.iter().flat_map(|w| w.acknowledged_ends.iter());
+        let former = self.former_instances.iter().map(|f| &f.instance);
+        let instances = self.workers.iter().chain(former);
+        let ends = instances.flat_map(|w| w.acknowledged_ends.iter());
         let ends = ends.filter(|(task, _)| self.jobs[&task.job].spec.is_durable);
         let restarted = ends.filter(|(task, ended_at)| {
             let starts = self.start_times.iter();
@@ -794,87 +977,92 @@
     }
 
     fn advance_workers(&mut self) {
-        for worker in &mut self.workers {
+        let former = self.former_instances.iter_mut().filter(|f| f.is_up);
+        let former = former.map(|f| &mut f.instance);
+        for worker in self.workers.iter_mut().chain(former) {
             worker.advance(self.now);
         }
     }
 
-    fn poll_worker(
-        &mut self,
-        host: usize,
-        call: PollCall,
-        sent: Instant,
-        is_reply_delivered: bool,
-    ) {
-        let worker = worker_index(&call.name);
-        let may_wait = !call.wait.is_zero();
-        let lease = (call.lease_until, call.token);
-        let reply = self.workers[worker].poll(self.now, lease, call.last_processed_end, may_wait);
-        if let Some(reply) = reply {
-            self.reply_to_poll(host, &call, sent, is_reply_delivered, reply);
+    fn poll_worker(&mut self, call: PollCall, mut transit: Transit) {
+        let to = (&call.name, call.address);
+        let timeout = poll_timeout(&call, transit.sent);
+        let Some(worker) = self.receiver(to, transit, timeout) else {
             return;
-        }
-        self.defer_poll(host, call, sent, is_reply_delivered);
-    }
-
-    /// Lets a waiting poll check for ended runs again after [`POLL_CHECK_INTERVAL`].
-    fn defer_poll(&mut self, host: usize, call: PollCall, sent: Instant, is_reply_delivered: bool) {
-        let event = Event::ResumePoll {
-            host,
-            call,
-            sent,
-            is_reply_delivered,
         };
-        self.schedule(self.now + POLL_CHECK_INTERVAL, event);
+        transit.received_by = Some(self.instance_number(worker));
+        let may_wait = !call.wait.is_zero();
+        self.answer_poll(worker, (call.lease_until, may_wait), call, transit);
     }
 
-    fn resume_poll(
-        &mut self,
-        host: usize,
-        call: PollCall,
-        sent: Instant,
-        is_reply_delivered: bool,
-    ) {
-        let worker = worker_index(&call.name);
-        if is_reply_delivered && self.is_unreachable(host, &call.name) {
+    fn resume_poll(&mut self, call: PollCall, transit: Transit) {
+        let to = (&call.name, call.address);
+        let timeout = poll_timeout(&call, transit.sent);
+        if transit.is_reply_delivered && self.is_unreachable(transit.host, &call.name) {
             // The connection broke while the poll was waiting at the worker.
-            let cmd = Command::PollReplied {
-                worker: call.worker,
-                sent,
-                reply: PollReply::Unanswered,
+            let event = Event::Deliver {
+                host: transit.host,
+                cmd: timeout,
             };
-            let limit = (sent + call.wait + CALL_TIMEOUT).max(self.now);
-            self.schedule(limit, Event::Deliver { host, cmd });
+            self.schedule(transit.times_out.max(self.now), event);
             return;
         }
-        let may_wait = self.now < sent + call.wait;
-        let lease = (None, call.token);
-        let reply = self.workers[worker].poll(self.now, lease, call.last_processed_end, may_wait);
-        if let Some(reply) = reply {
-            self.reply_to_poll(host, &call, sent, is_reply_delivered, reply);
+        let Some(worker) = self.receiver(to, transit, timeout) else {
             return;
-        }
-        self.defer_poll(host, call, sent, is_reply_delivered);
+        };
+        let may_wait = self.now < transit.sent + call.wait;
+        self.answer_poll(worker, (None, may_wait), call, transit);
     }
 
-    fn reply_to_poll(
+    /// Answers a poll, or lets it check for ended runs again after [`POLL_CHECK_INTERVAL`].
+    fn answer_poll(
         &mut self,
-        host: usize,
-        call: &PollCall,
-        sent: Instant,
-        is_reply_delivered: bool,
-        reply: PollReply,
+        worker: usize,
+        (lease, may_wait): (Option<WorkerTime>, bool),
+        call: PollCall,
+        transit: Transit,
     ) {
+        let lease = (lease, call.token);
+        let reply = self.workers[worker].poll(self.now, lease, call.last_processed_end, may_wait);
+        let Some(reply) = reply else {
+            let at = self.now + POLL_CHECK_INTERVAL;
+            self.schedule(at, Event::ResumePoll { call, transit });
+            return;
+        };
         let cmd = Command::PollReplied {
             worker: call.worker,
-            sent,
+            sent: transit.sent,
             reply,
         };
-        self.send_reply(host, is_reply_delivered, cmd);
+        let timeout = poll_timeout(&call, transit.sent);
+        self.send_reply(worker, transit, cmd, timeout);
     }
 
-    /// Delivers a reply to the scheduler that sent the call; a host never changes its scheduler.
-    fn send_reply(&mut self, host: usize, is_reply_delivered: bool, cmd: Command) {
+    /// Delivers a reply of a worker to the scheduler that sent the call, or `timeout` if the reply
+    /// is later than the caller waits for it.
+    fn send_reply(&mut self, worker: usize, transit: Transit, cmd: Command, timeout: Command) {
+        let Transit {
+            host, times_out, ..
+        } = transit;
+        if !transit.is_reply_delivered {
+            return;
+        }
+        let mut at = self.now + ONE_WAY_LATENCY;
+        at += self.reply_delays.get(&worker).copied().unwrap_or_default();
+        if self.late_reply_share > 0.0 && self.random() < self.late_reply_share {
+            at += times_out
+                .saturating_duration_since(at)
+                .mul_f64(self.random());
+        }
+        let (at, cmd) = if at > times_out.max(self.now + ONE_WAY_LATENCY) {
+            (times_out, timeout)
+        } else {
+            (at, cmd)
+        };
+        self.schedule(at, Event::Deliver { host, cmd });
+    }
+
+    fn send_store_reply(&mut self, host: usize, is_reply_delivered: bool, cmd: Command) {
         if is_reply_delivered {
             self.schedule(self.now + ONE_WAY_LATENCY, Event::Deliver { host, cmd });
         }
@@ -912,6 +1100,33 @@
     }
 }
 
+fn start_timeout(call: &StartCall) -> Command {
+    Command::StartReplied {
+        worker: call.worker,
+        task: call.task,
+        run: call.run,
+        reply: StartReply::Unanswered,
+        clock: None,
+    }
+}
+
+fn stop_timeout(call: &StopCall) -> Command {
+    Command::StopReplied {
+        worker: call.worker,
+        task: call.task,
+        run: call.run,
+        reply: StopReply::Unanswered,
+    }
+}
+
+fn poll_timeout(call: &PollCall, sent: Instant) -> Command {
+    Command::PollReplied {
+        worker: call.worker,
+        sent,
+        reply: PollReply::Unanswered,
+    }
+}
+
 pub(crate) fn worker_name(worker: usize) -> WorkerName {
     WorkerName(format!("w-{worker}").into())
 }
