--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -432,6 +432,12 @@
         ));
     }
 
+    /// Whether a former instance of a worker may still run tasks.
+    pub(crate) fn has_running_former_instance(&self) -> bool {
+        let mut up = self.former_instances.iter().filter(|f| f.is_up);
+        up.any(|f| f.instance.running().next().is_some())
+    }
+
     /// Delivers an entry of a worker to a scheduler `after` this time.
     pub(crate) fn deliver_entry(&mut self, host: usize, after: Duration, entry: WorkerEntry) {
         let cmd = Command::WorkerSeen(entry);
