fix(leased): take a start for refused only if both copies are refused

Cause: with two copies of a start under way, a fence or another instance in reply to one of them ended the run at once. The other copy may have been accepted before: the worker received the higher token between the two, or was started again. The task was then placed elsewhere while its first run went on.

Change: only an acceptance decides alone. A fence or another instance beside an unanswered copy leaves the run unconfirmed, and the next poll tells. Of two refusals, the one of another instance gives way to the other.

--- a/crates/geraniumrelay/src/leased/call_retry.rs
+++ b/crates/geraniumrelay/src/leased/call_retry.rs
@@ -27,7 +27,8 @@
         () = sleep(RESEND_AFTER) => {}
     }
     let second = pin!(workers.start(call));
-    let (earlier, later) = await_replies(first, second, |s| is_conclusive(s.0)).await;
+    let is_accepted = |s: &TimedStartReply| s.0 == StartReply::Accepted;
+    let (earlier, later) = await_replies(first, second, is_accepted).await;
     match later {
         None => earlier,
         Some(later) => combine_replies(earlier, later),
@@ -82,24 +83,21 @@
     }
 }
 
-/// Whether one of two replies suffices to tell what became of the run.
-fn is_conclusive(reply: StartReply) -> bool {
-    matches!(
-        reply,
-        StartReply::Accepted | StartReply::Fenced | StartReply::OtherInstance
-    )
-}
-
 /// Combines the replies to two start calls of a run when the earlier one is inconclusive. Only if
-/// both calls are refused is it certain that the run has not started and will not start.
+/// both calls are refused is it certain that the run has not started and will not start: the worker
+/// may have accepted one of them before it received a higher token, or before it started again.
 pub(super) fn combine_replies(earlier: TimedStartReply, later: TimedStartReply) -> TimedStartReply {
-    if is_conclusive(later.0) {
+    if later.0 == StartReply::Accepted {
         return later;
     }
     let is_refused =
         |s: TimedStartReply| s.0 != StartReply::Unanswered && s.0 != StartReply::Outdated;
-    if is_refused(earlier) && is_refused(later) {
-        return earlier;
+    if !is_refused(earlier) || !is_refused(later) {
+        return (StartReply::Unanswered, earlier.1.or(later.1));
+    }
+    if earlier.0 == StartReply::OtherInstance {
+        // The other call may have been refused by the intended instance.
+        return later;
     }
-    (StartReply::Unanswered, earlier.1.or(later.1))
+    earlier
 }
