fix(leased): acknowledge no ends by the resent poll of a worker with runs

A worker that has started again meanwhile numbers its ends anew, and forgets those up to that number before anyone has read them; a task that was done is then started again.

Change: the resent poll acknowledges nothing while the worker has runs, as the next poll then follows at once. Without runs it keeps the acknowledgement, because no further poll may follow.

The first copy, and any poll after a missed one, still carries the number of the instance known.

--- a/crates/geraniumrelay/src/leased/call_retry.rs
+++ b/crates/geraniumrelay/src/leased/call_retry.rs
@@ -36,10 +36,14 @@
 }
 
 /// Polls a worker, and resends the call once, without waiting for a run to end, if the first one is
-/// not answered in time.
+/// not answered in time. The worker may have started again meanwhile, and the acknowledged number is
+/// that of an end of the instance before; a worker with runs is polled again, so the resent call
+/// leaves it out.
 pub(super) async fn poll(workers: &WorkerClient, call: PollCall) -> PollReply {
+    let has_runs = call.lease_until.is_some();
     let resent = PollCall {
         wait: Duration::ZERO,
+        last_processed_end: if has_runs { 0 } else { call.last_processed_end },
         ..call.clone()
     };
     let resend_after = call.wait + RESEND_AFTER;
