test(leased): restart tests independent of placement; the fenced second copy where the fault is

Cause: the tests of restarts counted on placement to choose the first worker, which another way to keep the instances of a worker may change. A waiting poll acknowledged ends that came after its arrival; the protocol does not say so. And the resubmission after a stop got the recorded outcome, so that its job could not complete.

--- a/crates/geraniumrelay-core/tests/leased/restarts.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RecordState};
+use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RecordState, WorkerState};
 
 use crate::world::{Simulation, TestJob, vm};
 
@@ -103,6 +103,29 @@
     sim.workers[worker].running().count()
 }
 
+/// Lets the tasks of a job fit beside others.
+fn small(mut job: TestJob) -> TestJob {
+    job.spec.steps[0].size.cpu_milli = 5_000;
+    job
+}
+
+/// Starts a job whose tasks all fit on worker 0 there, by making the other workers drain meanwhile.
+fn start_on_first_worker(sim: &mut Simulation, job: TestJob) {
+    let count = run_count(sim, 0) + usize::from(job.spec.steps[0].count);
+    let host = sim.hosts.len() - 1;
+    let others = 1..sim.workers.len();
+    for worker in others.clone() {
+        let mut entry = sim.worker_entry(worker);
+        entry.state = WorkerState::Draining;
+        sim.handle_command(host, Command::WorkerSeen(entry));
+    }
+    sim.submit(host, MS, job);
+    run_until_started(sim, 0, count);
+    for worker in others {
+        sim.announce_worker(host, worker);
+    }
+}
+
 /// Runs the simulation until a worker has `count` runs.
 fn run_until_started(sim: &mut Simulation, worker: usize, count: usize) {
     for _ in 0..2_000 {
@@ -123,8 +146,7 @@
     check(|case| {
         let mut sim = case.simulation();
         sim.restart_worker(0, case.clock_step_ms);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.run_for(100 * MS);
         sim.announce_worker(0, 0);
         sim.run_for(Duration::from_secs(3));
@@ -139,8 +161,7 @@
         let mut sim = case.simulation();
         sim.restart_worker(0, case.clock_step_ms);
         sim.reply_delays.insert(0, 100 * MS);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.reply_delays.clear();
         sim.run_for(10 * MS);
         sim.announce_worker(0, 0);
@@ -155,8 +176,7 @@
     check(|case| {
         let mut sim = case.simulation();
         sim.restart_worker(0, case.clock_step_ms);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.run_for(Duration::from_secs(3));
         sim
     });
@@ -172,8 +192,7 @@
         sim.announce_worker(0, 0);
         sim.run_for(50 * MS);
         sim.restart_worker(0, case.clock_step_ms);
-        sim.submit(0, MS, case.job(1, 2, 40 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 40 * MS));
         sim.run_for(Duration::from_secs(3));
         assert_no_done_task_ran_again(&sim);
         sim
@@ -189,8 +208,7 @@
         sim.restart_worker(0, case.clock_step_ms);
         sim.announce_worker(0, 0);
         sim.run_for(50 * MS);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.deliver_entry(0, 100 * MS, former);
         sim.run_for(150 * MS);
         sim.announce_worker(0, 0);
@@ -206,11 +224,9 @@
         let mut sim = case.simulation();
         let former = sim.worker_entry(0);
         sim.restart_worker(0, case.clock_step_ms);
-        sim.submit(0, MS, case.job(1, 1, 100 * MS));
-        run_until_started(&mut sim, 0, 1);
+        start_on_first_worker(&mut sim, case.job(1, 1, 100 * MS));
         sim.run_for(300 * MS);
-        sim.submit(0, MS, case.job(2, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(2, 2, 500 * MS));
         sim.deliver_entry(0, 100 * MS, former);
         sim.run_for(150 * MS);
         sim.announce_worker(0, 0);
@@ -219,25 +235,25 @@
     });
 }
 
-/// The reply to a poll overtakes neither a restart nor the entry that tells of it.
+/// The entry of the next instance overtakes the reply to a poll.
 #[test]
 fn a_late_report_of_a_former_instance_ends_no_run() {
     check(|case| {
         let mut sim = case.simulation();
-        sim.submit(0, MS, case.job(1, 1, 100 * MS));
-        sim.submit(0, MS, case.job(2, 1, 600 * MS));
-        run_until_started(&mut sim, 0, 2);
-        sim.run_for(20 * MS);
-        // The end of job 1 is reported to a poll, but the reply is slow.
+        start_on_first_worker(&mut sim, small(case.job(1, 1, 100 * MS)));
+        start_on_first_worker(&mut sim, small(case.job(2, 1, 600 * MS)));
+        // Replies of the former instance are slow from now on.
         sim.reply_delays.insert(0, 50 * MS);
-        sim.run_for(83 * MS);
-        assert_eq!(run_count(&sim, 0), 1);
+        sim.run_for(20 * MS);
+        while run_count(&sim, 0) == 2 {
+            sim.run_for(MS / 10);
+        }
+        sim.run_for(2 * MS);
         sim.reply_delays.clear();
         sim.restart_worker(0, case.clock_step_ms);
         sim.announce_worker(0, 0);
         sim.run_for(5 * MS);
-        sim.submit(0, MS, case.job(3, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(3, 2, 500 * MS));
         sim.run_for(Duration::from_secs(3));
         sim
     });
@@ -257,8 +273,7 @@
         }
         sim.restart_worker(0, case.clock_step_ms);
         sim.reply_delays.clear();
-        sim.submit(0, MS, case.job(2, 1, 600 * MS));
-        run_until_started(&mut sim, 0, 1);
+        start_on_first_worker(&mut sim, case.job(2, 1, 600 * MS));
         sim.run_for(100 * MS);
         sim.announce_worker(0, 0);
         sim.run_for(Duration::from_secs(3));
@@ -280,8 +295,7 @@
         sim.restart_worker(0, case.clock_step_ms);
         sim.announce_worker(0, 0);
         sim.run_for(5 * MS);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.run_for(Duration::from_secs(3));
         sim
     });
@@ -292,8 +306,7 @@
 fn runs_at_the_former_address_of_a_worker_end_before_their_tasks_run_again() {
     check(|case| {
         let mut sim = case.simulation();
-        sim.submit(0, MS, case.job(1, 2, Duration::from_secs(2)));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, Duration::from_secs(2)));
         sim.run_for(100 * MS);
         sim.move_worker(0, case.clock_step_ms);
         sim.run_for(50 * MS);
@@ -311,8 +324,7 @@
         sim.move_worker(0, case.clock_step_ms);
         sim.announce_worker(0, 0);
         sim.run_for(50 * MS);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.deliver_entry(0, 100 * MS, former);
         sim.run_for(150 * MS);
         sim.announce_worker(0, 0);
@@ -330,15 +342,14 @@
     };
     let mut sim = case.simulation();
     let job = case.job(1, 2, Duration::from_secs(2));
-    sim.submit(0, MS, job.clone());
-    run_until_started(&mut sim, 0, 2);
+    start_on_first_worker(&mut sim, job.clone());
     sim.run_for(100 * MS);
     sim.move_worker(0, case.clock_step_ms);
     sim.announce_worker(0, 0);
     sim.run_for(20 * MS);
     sim.handle_command(0, Command::EntryLeft(vm(100)));
     sim.answers.clear();
-    sim.submit(0, 10 * MS, job.resubmitted());
+    sim.submit(0, 10 * MS, job);
     sim.run_for(Duration::from_secs(5));
     assert_each_task_ran_once_at_a_time(&sim, "stop after a move");
     assert!(
@@ -354,8 +365,7 @@
     check(|case| {
         let mut sim = case.simulation();
         let former = sim.worker_entry(0);
-        sim.submit(0, MS, case.job(1, 2, Duration::from_secs(2)));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, Duration::from_secs(2)));
         sim.run_for(100 * MS);
         sim.move_worker(0, case.clock_step_ms);
         sim.announce_worker(0, 0);
@@ -376,8 +386,7 @@
     check(|case| {
         let mut sim = case.simulation();
         let job = case.job(1, 2, Duration::from_secs(2));
-        sim.submit(0, MS, job.clone());
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, job.clone());
         sim.run_for(100 * MS);
         sim.move_worker(0, case.clock_step_ms);
         sim.kill(0);
@@ -398,8 +407,7 @@
         let mut entry = sim.worker_entry(0);
         entry.instance_started_unix_ms = None;
         sim.deliver_entry(0, Duration::ZERO, entry);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.run_for(100 * MS);
         sim.announce_worker(0, 0);
         sim.run_for(Duration::from_secs(3));
@@ -413,8 +421,7 @@
     check(|case| {
         let mut sim = case.simulation();
         let job = case.job(1, 2, 700 * MS);
-        sim.submit(0, MS, job.clone());
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, job.clone());
         sim.run_for(100 * MS);
         sim.kill(0);
         let next = sim.add_host_with_records(2, &BTreeSet::new());
@@ -432,8 +439,9 @@
 
 /// Runs a scenario in which an idle worker with many acknowledged ends restarts and gets a task;
 /// the polls of the first `silence` are lost.
-fn restart_after_many_ends(case: Case, silence: Duration) -> Simulation {
+fn restart_after_many_ends(case: Case, silence: Duration, acks_while_waiting: bool) -> Simulation {
     let mut sim = case.simulation();
+    sim.acks_while_waiting = acks_while_waiting;
     for number in 0..20 {
         let at = 40 * MS * u32::try_from(number).unwrap();
         sim.submit(0, at, case.job(100 + number, 1, 20 * MS));
@@ -441,8 +449,7 @@
     sim.run_for(Duration::from_secs(1));
     assert!(sim.workers[0].acknowledged_ends.len() > 15);
     sim.restart_worker(0, case.clock_step_ms);
-    sim.submit(0, MS, case.job(1, 1, 30 * MS));
-    run_until_started(&mut sim, 0, 1);
+    start_on_first_worker(&mut sim, case.job(1, 1, 30 * MS));
     if silence > Duration::ZERO {
         sim.hosts[0].unreachable_workers.insert(0);
     }
@@ -455,12 +462,14 @@
 /// A poll acknowledges the ends of the instance that its scheduler knows.
 #[test]
 fn an_end_is_not_lost_to_the_acknowledgement_of_a_former_instance() {
-    check(|case| restart_after_many_ends(case, Duration::ZERO));
+    check(|case| restart_after_many_ends(case, Duration::ZERO, false));
+    check(|case| restart_after_many_ends(case, Duration::ZERO, true));
 }
 
 #[test]
 fn an_end_listed_after_lost_polls_is_not_lost_to_a_former_acknowledgement() {
-    check(|case| restart_after_many_ends(case, 250 * MS));
+    check(|case| restart_after_many_ends(case, 250 * MS, false));
+    check(|case| restart_after_many_ends(case, 250 * MS, true));
 }
 
 /// A lease that was computed with the clock of a former instance seems to last as long as that
@@ -471,8 +480,7 @@
         let mut sim = case.simulation();
         sim.run_for(Duration::from_secs(30));
         sim.restart_worker(0, case.clock_step_ms);
-        sim.submit(0, MS, case.job(1, 2, 500 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 500 * MS));
         sim.run_for(10 * MS);
         sim.hosts[0].unreachable_workers.insert(0);
         sim.run_for(Duration::from_secs(4));
@@ -487,14 +495,12 @@
         let mut sim = case.simulation();
         sim.run_for(Duration::from_secs(30));
         sim.reply_delays.insert(0, 50 * MS);
-        sim.submit(0, MS, case.job(1, 1, 400 * MS));
-        run_until_started(&mut sim, 0, 1);
+        start_on_first_worker(&mut sim, small(case.job(1, 1, 400 * MS)));
         sim.reply_delays.clear();
         sim.restart_worker(0, case.clock_step_ms);
         sim.announce_worker(0, 0);
         sim.run_for(100 * MS);
-        sim.submit(0, MS, case.job(2, 3, 600 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(2, 2, 600 * MS));
         sim.run_for(100 * MS);
         sim.hosts[0].unreachable_workers.insert(0);
         sim.run_for(Duration::from_secs(4));
@@ -512,8 +518,7 @@
     };
     let mut sim = case.simulation();
     sim.workers_with_resent_starts.insert(0);
-    sim.submit(0, MS, case.job(1, 1, 500 * MS));
-    run_until_started(&mut sim, 0, 1);
+    start_on_first_worker(&mut sim, case.job(1, 1, 500 * MS));
     sim.add_host_with(2, &BTreeSet::from([1, 2]), true);
     sim.run_for(Duration::from_secs(4));
     assert_each_task_ran_once_at_a_time(&sim, "fenced second copy");
@@ -536,8 +541,7 @@
 fn tasks_of_a_restarted_worker_start_again_soon_after_its_entry_arrives() {
     check(|case| {
         let mut sim = case.simulation();
-        sim.submit(0, MS, case.job(1, 2, 600 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 600 * MS));
         sim.run_for(100 * MS);
         sim.restart_worker(0, case.clock_step_ms);
         sim.run_for(50 * MS);
@@ -552,8 +556,7 @@
 fn tasks_of_a_restarted_worker_start_again_soon_after_its_first_report() {
     check(|case| {
         let mut sim = case.simulation();
-        sim.submit(0, MS, case.job(1, 2, 600 * MS));
-        run_until_started(&mut sim, 0, 2);
+        start_on_first_worker(&mut sim, case.job(1, 2, 600 * MS));
         sim.run_for(100 * MS);
         sim.restart_worker(0, case.clock_step_ms);
         assert_started_again(&mut sim, 450 * MS);
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -265,6 +265,8 @@
     pub(crate) late_reply_share: f64,
     /// Additional latency of the replies of single workers.
     pub(crate) reply_delays: BTreeMap<usize, Duration>,
+    /// Whether a poll acknowledges also the ends that come while it waits at the worker.
+    pub(crate) acks_while_waiting: bool,
     /// Workers that execute a start whose reply is lost, and then receive its second copy.
     pub(crate) workers_with_resent_starts: BTreeSet<usize>,
     /// Fraction of the calls that take effect 2 to 12 s late and whose reply is lost; polls and
@@ -313,6 +315,7 @@
             lost_reply_share: 0.0,
             late_reply_share: 0.0,
             reply_delays: BTreeMap::new(),
+            acks_while_waiting: false,
             workers_with_resent_starts: BTreeSet::new(),
             delayed_call_share: 0.0,
             events: BTreeMap::new(),
@@ -816,10 +819,7 @@
             self.refused_starts += 1;
         }
         let mut clock = Some(self.workers[worker].clock(self.now));
-        let is_conclusive = matches!(
-            reply,
-            StartReply::Accepted | StartReply::Fenced | StartReply::OtherInstance
-        );
+        let is_conclusive = matches!(reply, StartReply::Accepted | StartReply::OtherInstance);
         if transit.is_resent && !is_conclusive {
             // The first copy may have started the run.
             (reply, clock) = (StartReply::Unanswered, None);
@@ -1029,7 +1029,13 @@
         transit: Transit,
     ) {
         let lease = (lease, call.token);
-        let reply = self.workers[worker].poll(self.now, lease, call.last_processed_end, may_wait);
+        let is_waiting = self.now > transit.sent + ONE_WAY_LATENCY;
+        let acknowledged = if is_waiting && !self.acks_while_waiting {
+            0
+        } else {
+            call.last_processed_end
+        };
+        let reply = self.workers[worker].poll(self.now, lease, acknowledged, may_wait);
         let Some(reply) = reply else {
             let at = self.now + POLL_CHECK_INTERVAL;
             self.schedule(at, Event::ResumePoll { call, transit });
--- a/crates/geraniumrelay/src/leased/tests/call_retry.rs
+++ b/crates/geraniumrelay/src/leased/tests/call_retry.rs
@@ -46,3 +46,12 @@
         unanswered
     );
 }
+
+/// The first call started the run but was not answered, and then the worker followed another
+/// scheduler: the run goes on until that scheduler stops it or its lease lapses.
+#[test]
+fn a_fenced_reply_to_the_resent_call_is_no_refusal() {
+    let fenced = (StartReply::Fenced, None);
+    let unanswered = (StartReply::Unanswered, None);
+    assert_eq!(call_retry::combine_replies(unanswered, fenced), unanswered);
+}
