test(leased): entries that are missing for a while, in the random restarts

Cause: the platform removes an entry after missed heartbeats; a scheduler then may learn of a restart from an entry that returns.

Change: the random schedule also removes entries, which return within 500 ms.

--- a/crates/geraniumrelay-core/tests/leased/restarts.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts.rs
@@ -6,7 +6,7 @@
 
 use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RecordState, WorkerState};
 
-use crate::world::{Simulation, TestJob, vm};
+use crate::world::{Simulation, TestJob, vm, worker_name};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -600,7 +600,8 @@
         self.sim.now - self.sim.started_at
     }
 
-    /// Runs random jobs, restarts, late entries, cuts and takeovers, and then without new faults.
+    /// Runs random jobs, restarts, late and missing entries, cuts and takeovers, and then without
+    /// new faults.
     fn run(mut self) -> Simulation {
         while self.elapsed() < SCHEDULE {
             if self.sim.random() < 0.6 {
@@ -609,6 +610,7 @@
             match self.sim.random() {
                 r if r < 0.15 => self.restart(false),
                 r if r < 0.18 => self.restart(true),
+                r if r < 0.20 => self.remove_entry(),
                 _ => {}
             }
             self.change_cuts();
@@ -667,6 +669,15 @@
         }
     }
 
+    /// Removes the entry of a random worker, as after missed heartbeats, until it arrives again.
+    fn remove_entry(&mut self) {
+        let worker = usize::from(self.sim.random_below(6));
+        let cmd = Command::WorkerGone(worker_name(worker));
+        self.sim.handle_command(self.host, cmd);
+        let at = self.elapsed() + Duration::from_millis(500).mul_f64(self.sim.random());
+        self.announcements.push((at, worker));
+    }
+
     fn announce_due(&mut self) {
         let now = self.elapsed();
         let due: Vec<usize> = self
