--- a/crates/geraniumrelay/src/leased/tests/call_retry.rs
+++ b/crates/geraniumrelay/src/leased/tests/call_retry.rs
@@ -198,3 +198,12 @@
         assert!(calls.borrow()[1].contains(r#""last_seen":57"#));
     });
 }
+
+/// The first call started the run but was not answered, and then the worker followed another
+/// scheduler: the run goes on until that scheduler stops it or its lease lapses.
+#[test]
+fn a_fenced_reply_to_the_resent_call_is_no_refusal() {
+    let fenced = (StartReply::Fenced, None);
+    let unanswered = (StartReply::Unanswered, None);
+    assert_eq!(call_retry::combine_replies(unanswered, fenced), unanswered);
+}
