fix(core/leased): end a run only on evidence of the process that may have it

What callers saw: a task ran on two workers at once, after the first worker had started again under its name.

Cause: state of a worker is kept under its name, which a restarted worker keeps. Any message that named an instance other than the known one (an entry, a report, or a call refused with 421) counted as proof that the known instance was gone, whether it was newer, older, or about another address, and drop_runs ended all runs of the worker at once. That hit the runs of the new instance itself where its start orders arrived before the news of it, and again with each late message of the former instance.

Change: only a process that answers at the run's address tells about it.

- Polls are numbered, and only the reply to the one in flight counts, so that each report is of a later time than the one before.
The instance is known by reports alone.
- An entry with another start makes the scheduler poll at once, and changes nothing else.
- An entry with another address is another worker; the former one departs, and its runs end by reports from its address or with their leases.
- A report of another instance resets clock, leases and numbers of ends, which belong to an instance.
Runs that it does not list are first stopped there, so that an order still under way is refused.
- A 421 ends only what was settled before that call was sent.
- Stalled runs are judged by the last report, as a poll that is given up tells nothing.

Why it works: start, stop and poll go to the same address, where one process answers at a time. A poll sent after a run was confirmed there, and that does not list it, shows that it has ended, whichever instance had it.

--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -7,7 +7,7 @@
 use super::record::{JobRecord, RecordReply};
 use super::report::WorkerReport;
 use super::spec::JobSpec;
-use super::worker::{WorkerEntry, WorkerKey};
+use super::worker::{PollNumber, WorkerEntry, WorkerKey};
 use super::worker_clock::WorkerTime;
 
 /// A job, as an entry VM passes it to the scheduler.
@@ -131,6 +131,8 @@
     PollReplied {
         /// Worker that was polled.
         worker: WorkerKey,
+        /// Number of the poll.
+        number: PollNumber,
         /// When the poll was sent.
         sent: Instant,
         /// Outcome of the poll.
--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -9,7 +9,7 @@
 use super::log_event::LogEvent;
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::record::JobRecord;
-use super::worker::WorkerKey;
+use super::worker::{PollNumber, WorkerKey};
 use super::worker_clock::WorkerTime;
 
 /// Why a job was refused before any of its tasks started.
@@ -107,8 +107,11 @@
     /// New end of the leases of all runs on the worker, on the worker's clock; `None` leaves the
     /// leases as they are.
     pub lease_until: Option<WorkerTime>,
-    /// Highest end that is acknowledged; the worker drops its ends up to this number.
+    /// Highest end that is acknowledged; the worker drops its ends up to this number. 0 acknowledges
+    /// none.
     pub last_processed_end: u64,
+    /// Number of the poll, which its reply repeats.
+    pub number: PollNumber,
     /// Time for which the worker may hold back its reply until a run ends.
     pub wait: Duration,
     /// Fencing token of the scheduler.
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -18,6 +18,9 @@
     /// The worker is slow, and the task can still end in time on another one.
     #[display("slow-worker")]
     SlowWorker,
+    /// The worker has restarted: a start order that is still on its way must not be carried out.
+    #[display("restarted")]
+    Restarted,
     /// The start order was not answered, and a later poll did not list the run.
     #[display("order-unanswered")]
     OrderUnanswered,
@@ -44,7 +47,7 @@
     /// All leases given to the worker have lapsed.
     #[display("lease-lapsed")]
     LeaseLapsed,
-    /// Another instance of the worker has taken its place.
+    /// Another worker answers at the worker's address.
     #[display("other-instance")]
     OtherInstance,
 }
@@ -138,6 +141,13 @@
         /// Number of runs on the worker.
         runs: usize,
     },
+    /// A reply to a poll was ignored: the poll had been given up, and a later one counts.
+    PollReplyIgnored {
+        /// Worker that was polled.
+        worker: WorkerName,
+        /// Time since the poll was sent.
+        age: Duration,
+    },
     /// A run has ended without success.
     RunEnded {
         /// Task of the run.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -35,5 +35,5 @@
 pub use report::{EndKind, EndedRun, RunningTask, WorkerReport};
 pub use scheduler::{Scheduler, Snapshot};
 pub use spec::{JobSpec, Resources, StepSpec};
-pub use worker::{WorkerEntry, WorkerKey, WorkerState};
+pub use worker::{PollNumber, WorkerEntry, WorkerKey, WorkerState};
 pub use worker_clock::WorkerTime;
--- a/crates/geraniumrelay-core/src/leased/report.rs
+++ b/crates/geraniumrelay-core/src/leased/report.rs
@@ -54,3 +54,13 @@
     /// Ended runs that have not been acknowledged, in ascending order of their numbers.
     pub ended: Vec<EndedRun>,
 }
+
+impl WorkerReport {
+    /// Whether the report lists a run, in progress or ended.
+    pub(super) fn lists(&self, task: TaskName, run: u32) -> bool {
+        let mut running = self.running.iter();
+        let mut ended = self.ended.iter();
+        running.any(|r| r.task == task && r.run == run)
+            || ended.any(|e| e.task == task && e.run == run)
+    }
+}
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -1,12 +1,10 @@
 //! Handles ends of runs and of jobs: answers, retries, stops and worker health.
 
-use std::time::Duration;
-
 use super::Scheduler;
 use crate::context::Context;
 use crate::leased::effect::{Effect, JobOutcome, StopCall};
 use crate::leased::job::{JobKey, TaskKey};
-use crate::leased::log_event::{EndEvidence, InstanceSource, LogEvent, StopCause, WorkerCondition};
+use crate::leased::log_event::{EndEvidence, LogEvent, StopCause, WorkerCondition};
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
 use crate::leased::report::EndKind;
@@ -261,42 +259,4 @@
         }));
         self.stop(cx, on, task, run, out);
     }
-
-    /// Drops all that is known of a worker's runs, ends and leases: another instance, which has
-    /// none of the runs, has replaced the worker.
-    pub(super) fn drop_runs(
-        &mut self,
-        cx: &Context<'_>,
-        key: WorkerKey,
-        (source, seen_unix_ms): (InstanceSource, Option<u64>),
-        out: &mut Vec<Effect>,
-    ) {
-        let worker = &mut self.workers[key];
-        out.push(Effect::LogEvent(LogEvent::InstanceChanged {
-            worker: worker.entry.name.clone(),
-            source,
-            known_unix_ms: worker.entry.instance_started_unix_ms,
-            seen_unix_ms,
-            runs: worker.runs.len(),
-        }));
-        if worker.token_confirmed_at.is_some() || !worker.runs.is_empty() {
-            out.push(worker.condition_event(WorkerCondition::Restarted, Duration::ZERO));
-        }
-        worker.clock = None;
-        worker.token_confirmed_at = None;
-        worker.lease = None;
-        worker.last_processed_end = 0;
-        worker.processed_ends.clear();
-        worker.unstored_ends.clear();
-        worker.first_unclassified_end = None;
-        worker.stale_end = None;
-        worker.has_unsent_ack = false;
-        worker.unclaimed_runs.clear();
-        worker.poll_state.in_flight_since = None;
-        while !self.workers[key].runs.is_empty() {
-            let run = self.workers[key].remove_run(0);
-            let end = (EndKind::Lapsed, EndEvidence::OtherInstance);
-            self.run_ended(cx, key, &run, end, out);
-        }
-    }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -18,14 +18,14 @@
 use slotmap::SlotMap;
 
 use super::cells::CellName;
-use super::command::{Command, PollReply};
+use super::command::Command;
 use super::effect::{Effect, JobOutcome};
 use super::epoch::Epoch;
 use super::estimates::Estimates;
 use super::job::{Job, JobKey, JobState, Rank};
 use super::log_event::{InstanceSource, WorkerCondition};
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
-use super::worker::{MAX_MISSES, PollState, Worker, WorkerEntry, WorkerKey, WorkerState};
+use super::worker::{MAX_MISSES, Worker, WorkerEntry, WorkerKey};
 use crate::collections::Map;
 use crate::context::Context;
 use crate::modules::decaying_sum::DecayingSum;
@@ -37,7 +37,9 @@
     token: FencingToken,
     data_centre: Arc<str>,
     workers: SlotMap<WorkerKey, Worker>,
-    by_name: Map<WorkerName, WorkerKey>,
+    /// Workers by name: several where the entry's address has changed, as the instance at the former
+    /// address may be up.
+    by_name: Map<WorkerName, Vec<WorkerKey>>,
     jobs: SlotMap<JobKey, Job>,
     /// Ordered map, as callers choose the ids.
     by_id: BTreeMap<JobId, JobKey>,
@@ -195,9 +197,10 @@
             } => self.stop_replied(cx, (worker, task, run), reply, out),
             Command::PollReplied {
                 worker,
+                number,
                 sent,
                 reply,
-            } => self.poll_replied(cx, worker, sent, reply, out),
+            } => self.poll_replied(cx, (worker, number), sent, reply, out),
             Command::EpochReplied { sent, reply } => self.epoch_replied(cx, sent, reply, out),
             Command::Followed { since } => self.confirm_epoch(since),
             Command::RecordReplied { id, attempt, reply } => {
@@ -280,64 +283,51 @@
         self.checks.first().map(|&(at, _)| at)
     }
 
-    fn poll_replied(
-        &mut self,
-        cx: &Context<'_>,
-        key: WorkerKey,
-        sent: Instant,
-        reply: PollReply,
-        out: &mut Vec<Effect>,
-    ) {
-        if !self.workers.contains_key(key) {
-            return;
-        }
-        match reply {
-            PollReply::Report(report) => self.process_report(cx, key, sent, &report, out),
-            PollReply::Fenced => self.on_higher_token(cx, key, out),
-            PollReply::OtherInstance => self.on_other_instance(cx, key, out),
-            PollReply::Unanswered => self.poll_failed(cx, key, out),
+    /// Adds or updates a worker. An entry does not tell which instance is up now: it may be late, and
+    /// the worker may have restarted since. Thus it ends no runs, but a poll is sent at once where
+    /// it names another instance than the last report.
+    fn worker_seen(&mut self, cx: &Context<'_>, entry: WorkerEntry, out: &mut Vec<Effect>) {
+        let key = self.worker_of_entry(cx, &entry);
+        let worker = &mut self.workers[key];
+        let instance = entry.instance_started_unix_ms;
+        if instance.is_some() && worker.instance.is_some_and(|known| Some(known) != instance) {
+            out.push(worker.instance_event(InstanceSource::Entry, instance));
+            worker.suspect_restart();
         }
+        worker.entry = entry;
+        worker.is_listed = true;
+        worker.departed = None;
+        worker.poll_state.not_before = None;
+        self.has_new_room = true;
         self.schedule_poll(cx, key, out);
     }
 
-    /// Adds or updates a worker; another instance of a known worker has none of its runs.
-    fn worker_seen(&mut self, cx: &Context<'_>, entry: WorkerEntry, out: &mut Vec<Effect>) {
-        let key = if let Some(&key) = self.by_name.get(&entry.name) {
-            let worker = &mut self.workers[key];
-            let is_other_instance = worker.entry.address != entry.address
-                || (entry.instance_started_unix_ms.is_some()
-                    && entry.instance_started_unix_ms != worker.entry.instance_started_unix_ms);
-            worker.is_listed = true;
-            worker.departed = None;
-            worker.poll_state.not_before = None;
-            if is_other_instance {
-                worker.poll_state = PollState::default();
-                let source = (InstanceSource::Entry, entry.instance_started_unix_ms);
-                self.drop_runs(cx, key, source, out);
+    /// Finds or adds the worker that an entry describes. Workers of the same name at other addresses
+    /// count as departed.
+    fn worker_of_entry(&mut self, cx: &Context<'_>, entry: &WorkerEntry) -> WorkerKey {
+        let keys = self.by_name.entry(entry.name.clone()).or_default();
+        let workers = &mut self.workers;
+        let known = keys
+            .iter()
+            .copied()
+            .find(|&key| workers[key].entry.address == entry.address);
+        for &other in keys.iter().filter(|&&key| Some(key) != known) {
+            if workers[other].is_listed {
+                workers[other].depart(cx.now);
             }
-            self.workers[key].entry = entry;
-            key
-        } else {
-            let name = entry.name.clone();
-            let key = self.workers.insert(Worker::new(entry));
-            self.by_name.insert(name, key);
+        }
+        known.unwrap_or_else(|| {
+            let key = workers.insert(Worker::new(entry.clone()));
+            keys.push(key);
             key
-        };
-        self.has_new_room = true;
-        self.schedule_poll(cx, key, out);
+        })
     }
 
     fn worker_gone(&mut self, cx: &Context<'_>, name: &WorkerName) {
-        let Some(&key) = self.by_name.get(name) else {
-            return;
-        };
-        let worker = &mut self.workers[key];
-        let was_ready = worker.entry.state == WorkerState::Ready;
-        worker.is_listed = false;
-        worker.departed = Some(cx.now);
-        // A worker that left without draining may still run and follow another scheduler.
-        if was_ready {
-            worker.token_confirmed_at = None;
+        for &key in self.by_name.get(name).into_iter().flatten() {
+            if self.workers[key].is_listed {
+                self.workers[key].depart(cx.now);
+            }
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -5,12 +5,14 @@
 use super::Scheduler;
 use crate::configs::leased::LeasedConfig;
 use crate::context::Context;
+use crate::leased::command::PollReply;
 use crate::leased::effect::{Effect, PollCall};
 use crate::leased::health::exponential_backoff;
 use crate::leased::log_event::{EndEvidence, InstanceSource, LogEvent, StopCause, WorkerCondition};
-use crate::leased::names::TaskName;
 use crate::leased::report::{EndKind, WorkerReport};
-use crate::leased::worker::{MAX_MISSES, Run, RunState, UnclaimedRun, Worker, WorkerKey};
+use crate::leased::worker::{
+    MAX_MISSES, PollNumber, Run, RunState, UnclaimedRun, Worker, WorkerKey,
+};
 use crate::leased::worker_clock::WorkerClock;
 
 /// Pause between polls of a worker with ends that are not stored yet; a store call takes a few
@@ -23,8 +25,37 @@
 const UNCLASSIFIED_END_PAUSE: Duration = Duration::from_millis(50);
 
 impl Scheduler {
+    /// Processes the reply to a poll sent at `sent`; a poll that is not in flight any more has been
+    /// given up, and its reply says nothing about the present.
+    pub(super) fn poll_replied(
+        &mut self,
+        cx: &Context<'_>,
+        (key, number): (WorkerKey, PollNumber),
+        sent: Instant,
+        reply: PollReply,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        if !worker.poll_state.is_in_flight(number) {
+            out.push(Effect::LogEvent(LogEvent::PollReplyIgnored {
+                worker: worker.entry.name.clone(),
+                age: cx.now.saturating_duration_since(sent),
+            }));
+            return;
+        }
+        match reply {
+            PollReply::Report(report) => self.process_report(cx, key, sent, &report, out),
+            PollReply::Fenced => self.on_higher_token(cx, key, out),
+            PollReply::OtherInstance => self.on_other_instance(cx, key, sent, out),
+            PollReply::Unanswered => self.poll_failed(cx, key, out),
+        }
+        self.schedule_poll(cx, key, out);
+    }
+
     /// Processes a worker's report, the reply to a poll sent at `sent`.
-    pub(super) fn process_report(
+    fn process_report(
         &mut self,
         cx: &Context<'_>,
         key: WorkerKey,
@@ -32,16 +63,16 @@
         report: &WorkerReport,
         out: &mut Vec<Effect>,
     ) {
-        let known = self.workers[key].entry.instance_started_unix_ms;
-        if known.is_some()
-            && report.instance_started_unix_ms.is_some()
-            && known != report.instance_started_unix_ms
-        {
-            let source = (InstanceSource::Report, report.instance_started_unix_ms);
-            self.drop_runs(cx, key, source, out);
-            self.workers[key].entry.instance_started_unix_ms = report.instance_started_unix_ms;
-        }
         let worker = &mut self.workers[key];
+        let is_restarted = worker.is_other_instance(report);
+        if is_restarted {
+            let source = InstanceSource::Report;
+            out.push(worker.instance_event(source, report.instance_started_unix_ms));
+            out.push(worker.condition_event(WorkerCondition::Restarted, Duration::ZERO));
+            worker.reset_instance();
+        }
+        worker.instance = report.instance_started_unix_ms.or(worker.instance);
+        worker.reported_at = Some(cx.now);
         if worker.poll_state.misses >= MAX_MISSES {
             out.push(worker.condition_event(WorkerCondition::Responsive, Duration::ZERO));
         }
@@ -65,6 +96,9 @@
         };
         worker.poll_state.not_before = pause.map(|p| cx.now + p);
         self.process_running(cx, key, report, out);
+        if is_restarted {
+            self.stop_runs_of_former_instance(cx, key, sent, report, out);
+        }
         self.end_missing_runs(cx, key, sent, report, out);
         self.stop_unconfirmed(cx, key, sent, out);
         self.check_paces(cx, key, out);
@@ -115,6 +149,28 @@
         }
     }
 
+    /// Stops the runs that a restarted worker does not list, so that it refuses a start order which
+    /// is still on its way. They count as ended once the stop is confirmed.
+    fn stop_runs_of_former_instance(
+        &mut self,
+        cx: &Context<'_>,
+        key: WorkerKey,
+        sent: Instant,
+        report: &WorkerReport,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_former = |r: &&Run| {
+            r.state == RunState::Running
+                && r.is_settled_before(sent)
+                && !report.lists(r.name, r.run)
+        };
+        let runs = self.workers[key].runs.iter().filter(is_former);
+        let former: Vec<_> = runs.map(|r| (r.name, r.run)).collect();
+        for run in former {
+            self.stop_with_cause(cx, key, run, StopCause::Restarted, out);
+        }
+    }
+
     /// Ends confirmed runs, and drops unclaimed ones, that a report lists neither as running nor as
     /// ended.
     fn end_missing_runs(
@@ -125,16 +181,9 @@
         report: &WorkerReport,
         out: &mut Vec<Effect>,
     ) {
-        // An unclassified end is listed but not processed yet, so its run must not be ended here.
-        let is_listed = |name: TaskName, run: u32| {
-            let mut running = report.running.iter();
-            let mut ended = report.ended.iter();
-            running.any(|row| row.task == name && row.run == run)
-                || ended.any(|end| end.task == name && end.run == run)
-        };
         let worker = &mut self.workers[key];
         worker.unclaimed_runs.retain_mut(|u| {
-            if is_listed(u.name, u.run) {
+            if report.lists(u.name, u.run) {
                 return true;
             }
             // A run that is being stopped is not listed, but is still at work.
@@ -146,7 +195,7 @@
         while position < self.workers[key].runs.len() {
             let run = &self.workers[key].runs[position];
             let is_confirmed = run.confirmed_at.is_some_and(|at| at < sent);
-            if is_confirmed && !is_listed(run.name, run.run) {
+            if is_confirmed && !report.lists(run.name, run.run) {
                 let run = self.workers[key].remove_run(position);
                 let end = (EndKind::Stopped, EndEvidence::NotListed);
                 self.end_unreported_run(cx, key, &run, end, out);
@@ -194,16 +243,34 @@
         worker.poll_state.not_before = (misses > 0).then(|| cx.now + pause);
     }
 
-    /// Drops the runs of a worker whose address is answered by another instance: none of them runs
-    /// any more. Polls go on with growing pauses until the entry is removed.
+    /// Handles a call sent at `sent` that another worker answered at the worker's address: what the
+    /// worker ran before has ended with it. Polls go on with growing pauses until the entry is removed.
     pub(super) fn on_other_instance(
         &mut self,
         cx: &Context<'_>,
         key: WorkerKey,
+        sent: Instant,
         out: &mut Vec<Effect>,
     ) {
-        self.drop_runs(cx, key, (InstanceSource::RefusedCall, None), out);
-        self.workers[key].token_confirmed_at = Some(cx.now);
+        let worker = &mut self.workers[key];
+        out.push(worker.instance_event(InstanceSource::RefusedCall, None));
+        if worker.reported_at.is_some_and(|at| at >= sent) {
+            worker.suspect_restart();
+            return;
+        }
+        worker.reset_instance();
+        worker.token_confirmed_at = Some(cx.now);
+        worker.unclaimed_runs.retain(|u| u.since >= sent);
+        let mut position = 0;
+        while let Some(run) = self.workers[key].runs.get(position) {
+            if !run.is_settled_before(sent) {
+                position += 1;
+                continue;
+            }
+            let run = self.workers[key].remove_run(position);
+            let end = (EndKind::Lapsed, EndEvidence::OtherInstance);
+            self.run_ended(cx, key, &run, end, out);
+        }
         while self.workers[key].poll_state.misses < MAX_MISSES {
             self.poll_failed(cx, key, out);
         }
@@ -238,7 +305,7 @@
         if let Some(until) = lease_until {
             worker.extend_lease(until);
         }
-        worker.poll_state.in_flight_since = Some(cx.now);
+        let number = worker.poll_state.begin(cx.now);
         worker.has_unsent_ack = false;
         let needs_prompt_reply =
             worker.token_confirmed_at.is_none() || worker.poll_state.misses > 0;
@@ -248,6 +315,7 @@
             address: worker.entry.address,
             lease_until,
             last_processed_end: worker.acknowledged(),
+            number,
             wait: if needs_prompt_reply {
                 Duration::ZERO
             } else {
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -61,7 +61,12 @@
                 self.run_ended(cx, key, &run, end, out);
                 self.on_higher_token(cx, key, out);
             }
-            StartReply::OtherInstance => self.on_other_instance(cx, key, out),
+            StartReply::OtherInstance => {
+                let run = worker.remove_run(position);
+                let end = (EndKind::Stopped, EndEvidence::NotStarted);
+                self.run_ended(cx, key, &run, end, out);
+                self.on_other_instance(cx, key, run.sent, out);
+            }
             refusal => self.start_refused(cx, key, position, refusal, out),
         }
         self.schedule_poll(cx, key, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -146,7 +146,12 @@
         if worker.is_removable(cx.now, cx.cfg.leased.departed_ttl) {
             let name = worker.entry.name.clone();
             self.workers.remove(key);
-            self.by_name.remove(&name);
+            if let Some(keys) = self.by_name.get_mut(&name) {
+                keys.retain(|&k| k != key);
+                if keys.is_empty() {
+                    self.by_name.remove(&name);
+                }
+            }
             return;
         }
         self.schedule_poll(cx, key, out);
@@ -226,7 +231,7 @@
         let stalled: Vec<(TaskName, u32)> = worker
             .runs
             .iter()
-            .filter(|r| is_stalled(worker, r, cx.now, &cx.cfg.leased))
+            .filter(|r| is_stalled(worker, r, &cx.cfg.leased))
             .map(|r| (r.name, r.run))
             .collect();
         if stalled.is_empty() {
@@ -243,10 +248,10 @@
     sent.is_none_or(|at| now.saturating_duration_since(at) >= STOP_RETRY_INTERVAL)
 }
 
-fn is_stalled(worker: &Worker, run: &Run, now: Instant, cfg: &LeasedConfig) -> bool {
-    // A poll in flight may report more progress, so the time up to its start counts.
-    let polled = worker.poll_state.in_flight_since.unwrap_or(now);
-    let stalled_for = polled.saturating_duration_since(run.progressed_at);
+fn is_stalled(worker: &Worker, run: &Run, cfg: &LeasedConfig) -> bool {
+    // The next report may tell of more progress, so the time up to the last one counts.
+    let reported_at = worker.reported_at.unwrap_or(run.progressed_at);
+    let stalled_for = reported_at.saturating_duration_since(run.progressed_at);
     let limit = run.expected.mul_f64(STALL_FACTOR).min(cfg.max_poll_wait);
     run.state == RunState::Running && stalled_for >= limit.max(MIN_STALL_TIME)
 }
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -8,8 +8,9 @@
 use super::effect::Effect;
 use super::health::Health;
 use super::job::TaskKey;
-use super::log_event::{LogEvent, WorkerCondition};
+use super::log_event::{InstanceSource, LogEvent, WorkerCondition};
 use super::names::{JobId, TaskName, WorkerName};
+use super::report::WorkerReport;
 use super::spec::Resources;
 use super::worker_clock::{WorkerClock, WorkerTime};
 
@@ -18,6 +19,10 @@
     pub struct WorkerKey;
 }
 
+/// Number of a poll of a worker, counted by the scheduler that sends it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PollNumber(u64);
+
 /// Unanswered calls in a row from which a worker gets no tasks. A single call is lost now and then
 /// although the worker is healthy.
 pub(super) const MAX_MISSES: u32 = 2;
@@ -96,6 +101,20 @@
     pub(super) stop_sent: Option<Instant>,
 }
 
+impl Run {
+    /// Whether all that is known of the run, apart from a pending start order, dates from before
+    /// `at`.
+    pub(super) fn is_settled_before(&self, at: Instant) -> bool {
+        let since = match self.state {
+            RunState::Starting => None,
+            RunState::Running => self.confirmed_at,
+            RunState::Unconfirmed => self.unconfirmed_since,
+            RunState::Stopping => self.stop_sent,
+        };
+        since.is_some_and(|since| since < at)
+    }
+}
+
 /// A run of an earlier scheduler whose job no entry VM has claimed yet.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct UnclaimedRun {
@@ -109,9 +128,12 @@
     pub(super) unlisted_since: Option<Instant>,
 }
 
-/// State of the polls of a worker. At most one poll is in flight.
+/// State of the polls of a worker. At most one poll is in flight, and only its reply counts: each
+/// report is thus of a later time than the one before.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct PollState {
+    /// Number of the last poll.
+    pub(super) last: PollNumber,
     /// When the poll in flight was sent.
     pub(super) in_flight_since: Option<Instant>,
     /// Polls in a row that were not answered.
@@ -120,6 +142,28 @@
     pub(super) not_before: Option<Instant>,
 }
 
+impl PollState {
+    /// Starts the next poll, and returns its number.
+    pub(super) fn begin(&mut self, now: Instant) -> PollNumber {
+        self.last.0 += 1;
+        self.in_flight_since = Some(now);
+        self.last
+    }
+
+    /// Whether a poll is the one in flight.
+    pub(super) fn is_in_flight(&self, number: PollNumber) -> bool {
+        self.in_flight_since.is_some() && self.last == number
+    }
+
+    /// Gives up the poll in flight, so that the next one can be sent at once.
+    pub(super) fn abandon(&mut self) {
+        *self = Self {
+            last: self.last,
+            ..Self::default()
+        };
+    }
+}
+
 /// A worker, its runs and what is known of its condition.
 #[derive(Debug, Clone)]
 pub(super) struct Worker {
@@ -128,15 +172,19 @@
     pub(super) is_listed: bool,
     /// When the worker's entry was removed; `None` while the platform lists the worker.
     pub(super) departed: Option<Instant>,
-    /// Last reading of the worker's clock.
+    /// Start of the instance that answered the last poll, in Unix milliseconds; `None` if unknown.
+    pub(super) instance: Option<u64>,
+    /// When the last report arrived.
+    pub(super) reported_at: Option<Instant>,
+    /// Last reading of that instance's clock.
     pub(super) clock: Option<WorkerClock>,
     /// When the worker first answered to this scheduler's token; since then it obeys no scheduler
     /// with a lower token.
     pub(super) token_confirmed_at: Option<Instant>,
     /// Since when the worker has followed a scheduler with a higher fencing token.
     pub(super) higher_token_since: Option<Instant>,
-    /// When the longest lease given to the worker lapses: on the scheduler's clock, and on the
-    /// worker's.
+    /// When the longest lease given to the present instance lapses: on the scheduler's clock, and
+    /// on the worker's.
     pub(super) lease: Option<(Instant, WorkerTime)>,
     pub(super) runs: Vec<Run>,
     pub(super) unclaimed_runs: Vec<UnclaimedRun>,
@@ -167,6 +215,8 @@
             entry,
             is_listed: true,
             departed: None,
+            instance: None,
+            reported_at: None,
             clock: None,
             token_confirmed_at: None,
             higher_token_since: None,
@@ -258,6 +308,48 @@
         self.lease.is_none_or(|(lapse, _)| now >= lapse)
     }
 
+    /// Whether a report is of another instance than the reports before.
+    pub(super) fn is_other_instance(&self, report: &WorkerReport) -> bool {
+        match (self.instance, report.instance_started_unix_ms) {
+            (Some(known), Some(reported)) => known != reported,
+            // The clock of an instance never goes back.
+            _ => self
+                .clock
+                .is_some_and(|clock| report.clock < clock.reading()),
+        }
+    }
+
+    /// Forgets what only holds for the former instance: its clock, its leases and the numbers of its
+    /// ends. Its runs stay: which of them have ended is decided by what the new instance lists.
+    pub(super) fn reset_instance(&mut self) {
+        self.lease = None;
+        self.instance = None;
+        self.clock = None;
+        self.token_confirmed_at = None;
+        self.last_processed_end = 0;
+        self.processed_ends.clear();
+        self.unstored_ends.clear();
+        self.first_unclassified_end = None;
+        self.stale_end = None;
+        self.has_unsent_ack = false;
+    }
+
+    /// Takes the worker out of use until a poll has told which instance answers.
+    pub(super) fn suspect_restart(&mut self) {
+        self.token_confirmed_at = None;
+        self.poll_state.abandon();
+    }
+
+    /// Notes that the worker's entry was removed, or has another address now.
+    pub(super) fn depart(&mut self, now: Instant) {
+        self.is_listed = false;
+        self.departed = Some(now);
+        // A worker that left without draining may still run and follow another scheduler.
+        if self.entry.state == WorkerState::Ready {
+            self.token_confirmed_at = None;
+        }
+    }
+
     /// Whether a report lists every run on the worker. A run that an earlier scheduler had stopped
     /// is not listed while it ends, which takes up to `stop_grace`.
     pub(super) fn reports_all_runs(&self, now: Instant, stop_grace: Duration) -> bool {
@@ -277,6 +369,17 @@
         first.map_or(self.last_processed_end, |first| first - 1)
     }
 
+    /// Log event for a message that names another instance.
+    pub(super) fn instance_event(&self, source: InstanceSource, seen: Option<u64>) -> Effect {
+        Effect::LogEvent(LogEvent::InstanceChanged {
+            worker: self.entry.name.clone(),
+            source,
+            known_unix_ms: self.instance,
+            seen_unix_ms: seen,
+            runs: self.runs.len(),
+        })
+    }
+
     /// Log event for a change of the worker's condition.
     pub(super) fn condition_event(&self, condition: WorkerCondition, pause: Duration) -> Effect {
         Effect::LogEvent(LogEvent::WorkerConditionChanged {
--- a/crates/geraniumrelay-core/src/leased/worker_clock.rs
+++ b/crates/geraniumrelay-core/src/leased/worker_clock.rs
@@ -35,6 +35,11 @@
         Self { reading, read_at }
     }
 
+    /// The worker's clock as read.
+    pub fn reading(&self) -> WorkerTime {
+        self.reading
+    }
+
     /// Estimated worker time at `now`; not ahead of a worker clock that runs at the scheduler's rate.
     pub fn at(&self, now: Instant) -> WorkerTime {
         self.reading
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -65,6 +65,8 @@
 #[derive(Debug)]
 struct FormerInstance {
     instance: FakeWorker,
+    /// Its entry, which counts as departed.
+    entry: WorkerEntry,
     /// Whether the instance goes on running, out of reach of all schedulers.
     is_up: bool,
 }
@@ -370,6 +372,13 @@
             is_deposed: false,
             token,
         });
+        let former = self.former_instances.iter().filter(|f| f.is_up);
+        let departed: Vec<_> = former.map(|f| f.entry.clone()).collect();
+        for entry in departed {
+            let name = entry.name.clone();
+            self.handle_command(host, Command::WorkerSeen(entry));
+            self.handle_command(host, Command::WorkerGone(name));
+        }
         for worker in 0..self.workers.len() {
             let entry = self.worker_entry(worker);
             self.handle_command(host, Command::WorkerSeen(entry));
@@ -418,6 +427,7 @@
 
     fn replace_instance(&mut self, worker: usize, clock_step_ms: i64, is_up: bool) {
         self.advance_workers();
+        let entry = self.worker_entry(worker);
         let former = &self.workers[worker];
         let cpu_milli = former.capacity.cpu_milli;
         let mut instance = FakeWorker::new(self.now, cpu_milli);
@@ -426,8 +436,11 @@
         instance.instance_started_unix_ms =
             started.map(|ms| ms.checked_add_signed(clock_step_ms).unwrap());
         let instance = std::mem::replace(&mut self.workers[worker], instance);
-        self.former_instances
-            .push(FormerInstance { instance, is_up });
+        self.former_instances.push(FormerInstance {
+            instance,
+            entry,
+            is_up,
+        });
         *self.restarts.entry(worker).or_default() += 1;
         let former = if is_up { "goes on" } else { "is gone" };
         self.log(&format!(
@@ -1043,6 +1056,7 @@
         };
         let cmd = Command::PollReplied {
             worker: call.worker,
+            number: call.number,
             sent: transit.sent,
             reply,
         };
@@ -1134,6 +1148,7 @@
 fn poll_timeout(call: &PollCall, sent: Instant) -> Command {
     Command::PollReplied {
         worker: call.worker,
+        number: call.number,
         sent,
         reply: PollReply::Unanswered,
     }
--- a/crates/geraniumrelay-core/tests/texts.rs
+++ b/crates/geraniumrelay-core/tests/texts.rs
@@ -44,6 +44,7 @@
     let texts = [
         (StopCause::Stalled, "stalled"),
         (StopCause::SlowWorker, "slow-worker"),
+        (StopCause::Restarted, "restarted"),
         (StopCause::OrderUnanswered, "order-unanswered"),
         (StopCause::Unclaimed, "orphan"),
         (StopCause::EpochUnconfirmed, "epoch-unconfirmed"),
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -41,6 +41,10 @@
             cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker;
             "run_unclaimed"
         ),
+        LogEvent::PollReplyIgnored { worker, age } => info!(
+            cell:% = cell, worker:% = worker, age_ms = ms(*age);
+            "poll_reply_ignored"
+        ),
         LogEvent::InstanceChanged {
             worker,
             source,
--- a/crates/geraniumrelay/src/leased/tests/call_retry.rs
+++ b/crates/geraniumrelay/src/leased/tests/call_retry.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use geraniumrelay_adapter::{HttpClient, WorkerClient};
 use geraniumrelay_core::leased::{
-    FencingToken, JobId, PollCall, PollReply, StartCall, StartReply, TaskName, WorkerKey,
-    WorkerName, WorkerTime,
+    FencingToken, JobId, PollCall, PollNumber, PollReply, StartCall, StartReply, TaskName,
+    WorkerKey, WorkerName, WorkerTime,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -94,6 +94,7 @@
         address,
         lease_until,
         last_processed_end: 57,
+        number: PollNumber::default(),
         wait: Duration::ZERO,
         token: FencingToken(7),
     }
--- a/crates/geraniumrelay/src/leased/worker_calls.rs
+++ b/crates/geraniumrelay/src/leased/worker_calls.rs
@@ -79,11 +79,13 @@
     pub(super) fn poll(&self, cell: CellName, poll_call: PollCall) {
         let this = self.clone();
         spawn_local(async move {
-            let (worker, token, sent) = (poll_call.worker, poll_call.token, Instant::now());
+            let (worker, number, token) = (poll_call.worker, poll_call.number, poll_call.token);
+            let sent = Instant::now();
             let reply = call_retry::poll(&this.workers, poll_call).await;
             this.metrics.count_poll(poll_reply_label(&reply));
             let command = Command::PollReplied {
                 worker,
+                number,
                 sent,
                 reply,
             };
