fix(core/leased): keep the leases of former instances and of earlier schedulers apart

What callers saw: a task ran on two workers at once after a takeover, where the first poll after the adoption of a run was lost; or a job ended late, after a restart of a worker that then fell silent.

Cause: a worker without a known lease counted as lapsed, though the scheduler that started an adopted run may have renewed its lease a moment before. And the reply to a start does not tell its instance, but its clock replaced that of the known one: with a clock that had run for 30 s, a lease on the new instance seemed to last 30 s more.

Evidence: an_adopted_run_outlasts_one_unanswered_poll, tasks_of_a_silent_restarted_worker_run_again_once_its_leases_have_lapsed, a_late_clock_of_a_former_instance_extends_no_lease and a_late_refusal_of_a_start_by_another_instance_ends_no_other_run failed before and pass now.

Change: leases of others count until the longest of them has lapsed, from the first report on that shows that the worker obeys this scheduler alone; at a restart so do those of the former instance. A reading of the clock that the known instance can't give is ignored, and an order that is refused as late leads to a poll, which tells whose clock it is.

--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -83,6 +83,7 @@
         worker.clock = Some(WorkerClock::new(report.clock, cx.now));
         if worker.token_confirmed_at.is_none() {
             worker.token_confirmed_at = Some(cx.now);
+            worker.add_former_leases(cx.now + cx.cfg.leased.takeover_wait);
             self.has_new_room = true;
         }
         self.process_ends(cx, key, report, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/replies.rs
@@ -9,7 +9,7 @@
 use crate::leased::names::TaskName;
 use crate::leased::report::EndKind;
 use crate::leased::worker::{RunState, WorkerKey};
-use crate::leased::worker_clock::{WorkerClock, WorkerTime};
+use crate::leased::worker_clock::WorkerTime;
 
 /// Added to the run number of a task after a worker has rejected a start as outdated, to exceed the
 /// numbers that the worker has seen.
@@ -31,8 +31,8 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if let Some(clock) = clock {
-            worker.clock = Some(WorkerClock::new(clock, cx.now));
+        if let Some(reading) = clock {
+            worker.read_clock(reading, cx.now);
         }
         let Some(position) = worker.run_position(task, run) else {
             return;
@@ -93,6 +93,8 @@
             }
             StartReply::NoRoom => worker.full_until = Some(cx.now + cx.cfg.leased.full_pause),
             StartReply::NotSent => worker.poll_state.misses = worker.poll_state.misses.max(1),
+            // A lease is longer than an order takes, so the clock may be that of another instance.
+            StartReply::TooLate => worker.suspect_restart(),
             StartReply::Refused => self.pause_worker(cx, key, out),
             _ => {}
         }
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -186,6 +186,8 @@
     /// When the longest lease given to the present instance lapses: on the scheduler's clock, and
     /// on the worker's.
     pub(super) lease: Option<(Instant, WorkerTime)>,
+    /// When leases that were given to a former instance, or by an earlier scheduler, have lapsed.
+    pub(super) former_leases_until: Option<Instant>,
     pub(super) runs: Vec<Run>,
     pub(super) unclaimed_runs: Vec<UnclaimedRun>,
     /// Resources of all `runs`.
@@ -221,6 +223,7 @@
             token_confirmed_at: None,
             higher_token_since: None,
             lease: None,
+            former_leases_until: None,
             runs: Vec::new(),
             unclaimed_runs: Vec::new(),
             used: Resources::default(),
@@ -305,7 +308,10 @@
 
     /// Whether all leases given to the worker have lapsed.
     pub(super) fn has_lapsed(&self, now: Instant) -> bool {
-        self.lease.is_none_or(|(lapse, _)| now >= lapse)
+        let lapse = self.lease.map(|(lapse, _)| lapse);
+        lapse
+            .max(self.former_leases_until)
+            .is_none_or(|at| now >= at)
     }
 
     /// Whether a report is of another instance than the reports before.
@@ -322,7 +328,9 @@
     /// Forgets what only holds for the former instance: its clock, its leases and the numbers of its
     /// ends. Its runs stay: which of them have ended is decided by what the new instance lists.
     pub(super) fn reset_instance(&mut self) {
-        self.lease = None;
+        if let Some((lapse, _)) = self.lease.take() {
+            self.add_former_leases(lapse);
+        }
         self.instance = None;
         self.clock = None;
         self.token_confirmed_at = None;
@@ -334,6 +342,19 @@
         self.has_unsent_ack = false;
     }
 
+    /// Records leases of unknown length that others may have given, and that lapse by `until`.
+    pub(super) fn add_former_leases(&mut self, until: Instant) {
+        self.former_leases_until = self.former_leases_until.max(Some(until));
+    }
+
+    /// Updates the clock by a reading that does not tell its instance; ignores it if it can't be of
+    /// the known one.
+    pub(super) fn read_clock(&mut self, reading: WorkerTime, now: Instant) {
+        if let Some(clock) = self.clock.as_mut().filter(|c| c.may_read(reading, now)) {
+            *clock = WorkerClock::new(reading, now);
+        }
+    }
+
     /// Takes the worker out of use until a poll has told which instance answers.
     pub(super) fn suspect_restart(&mut self) {
         self.token_confirmed_at = None;
--- a/crates/geraniumrelay-core/src/leased/worker_clock.rs
+++ b/crates/geraniumrelay-core/src/leased/worker_clock.rs
@@ -17,6 +17,12 @@
 /// Slowest rate of a worker's clock relative to the scheduler's, in percent.
 const SLOWEST_RATE_PERCENT: u64 = 98;
 
+/// Fastest rate of a worker's clock relative to the scheduler's, in percent.
+const FASTEST_RATE_PERCENT: u64 = 102;
+
+/// Time that a reading may be on its way; longer than the time limit of a start call.
+const MAX_READING_AGE: Duration = Duration::from_millis(100);
+
 /// Margin added to the expiry of a lease. In a partition, another scheduler takes the worker over
 /// within 0.55 s, and renews the leases of all runs there until it stops the unclaimed runs, within
 /// another 0.3 s. The last renewal by this scheduler may be 0.42 s older than the partition.
@@ -40,6 +46,16 @@
         self.reading
     }
 
+    /// Whether the same clock may have given `reading` in a reply that arrived at `now`.
+    pub fn may_read(&self, reading: WorkerTime, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.read_at);
+        let age = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX / 200);
+        let latency = u64::try_from(MAX_READING_AGE.as_millis()).unwrap_or(u64::MAX);
+        let earliest = self.reading.0 + (age * SLOWEST_RATE_PERCENT / 100).saturating_sub(latency);
+        let latest = self.reading.0 + age * FASTEST_RATE_PERCENT / 100 + latency;
+        (earliest..=latest).contains(&reading.0)
+    }
+
     /// Estimated worker time at `now`; not ahead of a worker clock that runs at the scheduler's rate.
     pub fn at(&self, now: Instant) -> WorkerTime {
         self.reading
