fix(core/leased): acknowledge ends only to the instance that has just listed them

What callers saw: a task of a durable job ran again after it had ended as done, on a worker that had restarted.

Cause: a poll acknowledges ends by number, up to the highest one known, and numbers start anew with each instance. The first poll of a restarted worker acknowledged all ends that the former instance had numbered, so that the worker dropped the first ends of the new one unread; their tasks counted as not listed, and ran again.

Change: a poll acknowledges ends once, and only within 50 ms of a report that lists them; otherwise a poll that acknowledges none comes first. With durable jobs the 50 ms count from the request of the report, and the poll that acknowledges does not wait for ends.

--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -38,6 +38,9 @@
         for end in &report.ended {
             self.process_end(cx, key, end, out);
         }
+        // The poll that acknowledged these ends may have been lost.
+        let worker = &mut self.workers[key];
+        worker.has_unsent_ack |= first <= worker.acknowledged();
     }
 
     fn process_end(
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -73,6 +73,7 @@
         }
         worker.instance = report.instance_started_unix_ms.or(worker.instance);
         worker.reported_at = Some(cx.now);
+        worker.report_requested_at = Some(sent);
         if worker.poll_state.misses >= MAX_MISSES {
             out.push(worker.condition_event(WorkerCondition::Responsive, Duration::ZERO));
         }
@@ -307,15 +308,19 @@
             worker.extend_lease(until);
         }
         let number = worker.poll_state.begin(cx.now);
-        worker.has_unsent_ack = false;
-        let needs_prompt_reply =
-            worker.token_confirmed_at.is_none() || worker.poll_state.misses > 0;
+        // An end of a durable job must not be lost to the acknowledgement of a former instance, also
+        // not while the poll that carries it waits.
+        let has_durable_jobs = self.epoch.is_some();
+        let last_processed_end = worker.take_ack(cx.now, has_durable_jobs);
+        let needs_prompt_reply = (has_durable_jobs && last_processed_end > 0)
+            || worker.token_confirmed_at.is_none()
+            || worker.poll_state.misses > 0;
         out.push(Effect::Poll(PollCall {
             worker: key,
             name: worker.entry.name.clone(),
             address: worker.entry.address,
             lease_until,
-            last_processed_end: worker.acknowledged(),
+            last_processed_end,
             number,
             wait: if needs_prompt_reply {
                 Duration::ZERO
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -27,6 +27,10 @@
 /// although the worker is healthy.
 pub(super) const MAX_MISSES: u32 = 2;
 
+/// Time after a report in which a poll may acknowledge its ends; shorter than the restart of a worker
+/// and a task there take together.
+const ACK_WINDOW: Duration = Duration::from_millis(50);
+
 /// Whether a worker takes new tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum WorkerState {
@@ -176,6 +180,8 @@
     pub(super) instance: Option<u64>,
     /// When the last report arrived.
     pub(super) reported_at: Option<Instant>,
+    /// When the poll was sent that the last report answered.
+    pub(super) report_requested_at: Option<Instant>,
     /// Last reading of that instance's clock.
     pub(super) clock: Option<WorkerClock>,
     /// When the worker first answered to this scheduler's token; since then it obeys no scheduler
@@ -219,6 +225,7 @@
             departed: None,
             instance: None,
             reported_at: None,
+            report_requested_at: None,
             clock: None,
             token_confirmed_at: None,
             higher_token_since: None,
@@ -371,6 +378,26 @@
         }
     }
 
+    /// Number of the highest end that the next poll acknowledges, or 0. The number means another end
+    /// to another instance, so only a poll that soon follows a report acknowledges any, and only once.
+    /// With `is_strict` that is counted from the request of the report.
+    pub(super) fn take_ack(&mut self, now: Instant, is_strict: bool) -> u64 {
+        let seen_at = if is_strict {
+            self.report_requested_at
+        } else {
+            self.reported_at
+        };
+        let is_recent = |at| now.saturating_duration_since(at) <= ACK_WINDOW;
+        if self.missed_last_call() || !seen_at.is_some_and(is_recent) {
+            return 0;
+        }
+        if std::mem::take(&mut self.has_unsent_ack) {
+            self.acknowledged()
+        } else {
+            0
+        }
+    }
+
     /// Whether a report lists every run on the worker. A run that an earlier scheduler had stopped
     /// is not listed while it ends, which takes up to `stop_grace`.
     pub(super) fn reports_all_runs(&self, now: Instant, stop_grace: Duration) -> bool {
