test(leased): rows of workers are applied whatever their version

Cause: a takeover reads the whole table of the workers beside the watch of its changes. Whichever arrives later is applied, also if it is older: an entry of a former instance comes back, and the scheduler takes it for another instance, whose runs are not those that it knows.

The other tests of the directory gave all rows the version 1, which no store does; their rows now have rising versions, with the same assertions.

--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -124,6 +124,7 @@
         &mut self,
         is_snapshot: bool,
         rows: &[Change],
+        _revision: u64,
         now: Instant,
     ) -> Vec<WorkerChange> {
         let count = self.workers.len();
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -41,7 +41,10 @@
                 }
             }
             Table::Workers => {
-                for change in self.directory.apply_worker_rows(is_snapshot, rows, now) {
+                let changes = self
+                    .directory
+                    .apply_worker_rows(is_snapshot, rows, revision, now);
+                for change in changes {
                     self.on_worker_change(change);
                 }
             }
--- a/crates/geraniumrelay/src/leased/tests/directory.rs
+++ b/crates/geraniumrelay/src/leased/tests/directory.rs
@@ -12,8 +12,12 @@
 const TTL: Duration = Duration::from_secs(20);
 
 pub(super) fn worker(name: &str, state: &str) -> Change {
+    worker_at("10.1.2.3:80", name, state)
+}
+
+fn worker_at(address: &str, name: &str, state: &str) -> Change {
     let value = format!(
-        r#"{{"service":"s","address":"10.1.2.3:80","zone":"z","state":"{state}",
+        r#"{{"service":"s","address":"{address}","zone":"z","state":"{state}",
             "capacity":{{"cpu":64000,"mem_mb":1,"gpu":0}},"labels":[],"born":1}}"#
     );
     Change {
@@ -31,6 +35,11 @@
     }
 }
 
+/// A change as of `version`.
+fn at(version: u64, change: Change) -> Change {
+    Change { version, ..change }
+}
+
 fn member(name: &str, value: &str) -> Change {
     Change {
         key: name.to_owned(),
@@ -48,13 +57,14 @@
     let (mut directory, now) = (empty_directory(), Instant::now());
     let rows = [worker("w", "ready")];
     assert_matches!(
-        directory.apply_worker_rows(true, &rows, now)[..],
+        directory.apply_worker_rows(true, &rows, 1, now)[..],
         [WorkerChange::Seen(_)]
     );
-    assert!(directory.apply_worker_rows(false, &rows, now).is_empty());
-    let rows = [worker("w", "draining")];
+    let rows = [at(2, worker("w", "ready"))];
+    assert!(directory.apply_worker_rows(false, &rows, 2, now).is_empty());
+    let rows = [at(3, worker("w", "draining"))];
     assert_matches!(
-        directory.apply_worker_rows(false, &rows, now)[..],
+        directory.apply_worker_rows(false, &rows, 3, now)[..],
         [WorkerChange::Seen(_)]
     );
 }
@@ -62,26 +72,69 @@
 #[test]
 fn a_worker_missing_from_a_whole_table_is_gone() {
     let (mut directory, now) = (empty_directory(), Instant::now());
-    directory.apply_worker_rows(true, &[worker("a", "ready"), worker("b", "ready")], now);
-    let changes = directory.apply_worker_rows(true, &[worker("b", "ready")], now);
+    let rows = [worker("a", "ready"), worker("b", "ready")];
+    directory.apply_worker_rows(true, &rows, 1, now);
+    let changes = directory.apply_worker_rows(true, &[worker("b", "ready")], 2, now);
     assert_matches!(&changes[..], [WorkerChange::Gone(entry)] if &*entry.name.0 == "a");
 }
 
 #[test]
 fn an_unreadable_entry_removes_only_its_worker() {
     let (mut directory, now) = (empty_directory(), Instant::now());
-    directory.apply_worker_rows(true, &[worker("a", "ready"), worker("b", "ready")], now);
-    let changes = directory.apply_worker_rows(false, &[worker("a", "odd")], now);
+    let rows = [worker("a", "ready"), worker("b", "ready")];
+    directory.apply_worker_rows(true, &rows, 1, now);
+    let changes = directory.apply_worker_rows(false, &[at(2, worker("a", "odd"))], 2, now);
     assert_matches!(&changes[..], [WorkerChange::Gone(entry)] if &*entry.name.0 == "a");
     assert_eq!(directory.worker_count(), 1);
 }
 
+/// A takeover reads the whole table beside the watch of its changes.
+#[test]
+fn an_older_snapshot_does_not_undo_newer_changes() {
+    let (mut directory, now) = (empty_directory(), Instant::now());
+    let rows = [worker("a", "ready"), worker("b", "ready")];
+    directory.apply_worker_rows(true, &rows, 1, now);
+    let newer = [
+        at(3, worker("a", "draining")),
+        at(4, removed("b")),
+        at(5, worker("c", "ready")),
+    ];
+    assert_eq!(
+        directory.apply_worker_rows(false, &newer, 5, now).len(),
+        newer.len()
+    );
+    let changes = directory.apply_worker_rows(true, &rows, 2, now);
+    assert!(changes.is_empty(), "{changes:?}");
+}
+
+#[test]
+fn changes_older_than_the_snapshot_are_ignored() {
+    let (mut directory, now) = (empty_directory(), Instant::now());
+    let rows = [at(9, worker("a", "ready")), at(12, worker("b", "ready"))];
+    directory.apply_worker_rows(true, &rows, 10, now);
+    // The row of b was read on a later page than the revision.
+    let older = [
+        at(7, worker("c", "ready")),
+        at(8, removed("c")),
+        at(8, removed("a")),
+        at(9, worker("a", "ready")),
+        at(11, removed("b")),
+        at(12, worker("b", "ready")),
+    ];
+    let changes = directory.apply_worker_rows(false, &older, 12, now);
+    assert!(changes.is_empty(), "{changes:?}");
+    let changes = directory.apply_worker_rows(false, &[at(13, removed("b"))], 13, now);
+    assert_matches!(&changes[..], [WorkerChange::Gone(entry)] if &*entry.name.0 == "b");
+}
+
 #[test]
 fn a_worker_whose_entry_expired_stays_departed_for_a_time() {
     let (mut directory, now) = (empty_directory(), Instant::now());
     let cell = CellName::single();
-    directory.apply_worker_rows(true, &[worker("a", "ready"), worker("b", "draining")], now);
-    directory.apply_worker_rows(false, &[removed("a"), removed("b")], now);
+    let rows = [worker("a", "ready"), worker("b", "draining")];
+    directory.apply_worker_rows(true, &rows, 1, now);
+    let rows = [at(2, removed("a")), at(3, removed("b"))];
+    directory.apply_worker_rows(false, &rows, 3, now);
     let departed = directory.departed_of(&cell, now + TTL / 2);
     assert_eq!(departed.len(), 1, "a drained worker has ended its tasks");
     assert!(directory.departed_of(&cell, now + TTL).is_empty());
@@ -91,11 +144,11 @@
 fn departed_workers_are_known_after_the_ttl_or_at_the_first_start() {
     let now = Instant::now();
     let mut restarted = empty_directory();
-    restarted.apply_worker_rows(true, &[], now);
+    restarted.apply_worker_rows(true, &[], 1, now);
     assert!(!restarted.knows_departed(now));
     assert!(restarted.knows_departed(now + TTL));
     let mut first = Directory::new(TTL, true);
-    first.apply_worker_rows(true, &[], now);
+    first.apply_worker_rows(true, &[], 1, now);
     assert!(first.knows_departed(now));
 }
 
@@ -116,7 +169,7 @@
 #[test]
 fn a_plan_of_cells_splits_the_workers() {
     let (mut directory, now) = (empty_directory(), Instant::now());
-    directory.apply_worker_rows(true, &[worker("a", "ready")], now);
+    directory.apply_worker_rows(true, &[worker("a", "ready")], 1, now);
     assert_eq!(directory.cells(), [CellName::single()]);
     assert!(directory.apply_member_rows(true, &[member("cells", "z 2\n")]));
     assert_eq!(directory.cells().len(), 2);
@@ -138,12 +191,12 @@
     let (mut directory, now) = (empty_directory(), Instant::now());
     let stable_for = Duration::from_secs(1);
     let rows: Vec<Change> = (0..100)
-        .map(|n| worker(&format!("w{n}"), "ready"))
+        .map(|n| at(1 + n / 90, worker(&format!("w{n}"), "ready")))
         .collect();
     directory.apply_member_rows(true, &[]);
-    directory.apply_worker_rows(true, &rows[..90], now);
+    directory.apply_worker_rows(true, &rows[..90], 1, now);
     assert_eq!(directory.proposed_plan(now + stable_for, stable_for), None);
-    directory.apply_worker_rows(false, &rows[90..], now + stable_for);
+    directory.apply_worker_rows(false, &rows[90..], 2, now + stable_for);
     assert_eq!(directory.proposed_plan(now + stable_for, stable_for), None);
     let plan = directory
         .proposed_plan(now + 2 * stable_for, stable_for)
