fix(leased): ignore rows of workers that are older than the known ones

Cause: a takeover reads the whole table of the workers beside the watch of its changes, and both were applied in the order of their arrival.

Change: a row is applied only if its version is above that of the known row, and above the version up to which the table has been read.

--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -22,10 +22,19 @@
     Gone(WorkerEntry),
 }
 
+/// A worker's entry with the version of its row.
+#[derive(Debug)]
+struct ListedWorker {
+    entry: WorkerEntry,
+    version: u64,
+}
+
 /// The workers and entry VMs that the store lists.
 #[derive(Debug)]
 pub(super) struct Directory {
-    workers: Map<WorkerName, WorkerEntry>,
+    workers: Map<WorkerName, ListedWorker>,
+    /// Version of the store up to which all changes of the workers' entries have been applied.
+    workers_version: u64,
     /// Time of the first read of the workers' entries, and time of the last change of their number.
     workers_since: Option<(Instant, Instant)>,
     /// Workers whose entries were removed in the state `Ready`, and the time of the removal.
@@ -41,6 +50,7 @@
     pub(super) fn new(departed_ttl: Duration, is_first_start: bool) -> Self {
         Self {
             workers: Map::default(),
+            workers_version: 0,
             workers_since: None,
             departed: Map::default(),
             departed_ttl,
@@ -71,7 +81,7 @@
 
     /// Listed workers that belong to a cell by the present plan.
     pub(super) fn workers_of(&self, cell: &CellName) -> Vec<WorkerEntry> {
-        let workers = self.workers.values();
+        let workers = self.workers.values().map(|w| &w.entry);
         workers
             .filter(|w| self.cell_of(w) == *cell)
             .cloned()
@@ -113,18 +123,20 @@
         }
         let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for worker in self.workers.values() {
-            *counts.entry(Arc::clone(&worker.data_centre)).or_insert(0) += 1;
+            let data_centre = Arc::clone(&worker.entry.data_centre);
+            *counts.entry(data_centre).or_insert(0) += 1;
         }
         CellPlan::for_workers(&counts)
     }
 
-    /// Applies rows of the workers' table, and returns the changes. An entry that can't be read
-    /// counts as removed.
+    /// Applies rows of the workers' table as of `version`, and returns the changes. Ignores what is
+    /// older than the known rows, as a snapshot for a takeover is read beside the changes. An entry
+    /// that can't be read counts as removed.
     pub(super) fn apply_worker_rows(
         &mut self,
         is_snapshot: bool,
         rows: &[Change],
-        _revision: u64,
+        version: u64,
         now: Instant,
     ) -> Vec<WorkerChange> {
         let count = self.workers.len();
@@ -132,15 +144,16 @@
         let mut listed: Set<WorkerName> = Set::default();
         for change in rows {
             let name = WorkerName(change.key.as_str().into());
+            listed.insert(name.clone());
+            if self.is_outdated(&name, change.version) {
+                continue;
+            }
             match change
                 .value
                 .as_deref()
                 .map(|v| worker_entry(&change.key, v))
             {
-                Some(Ok(entry)) => {
-                    listed.insert(name);
-                    worker_changes.extend(self.worker_seen(entry));
-                }
+                Some(Ok(entry)) => worker_changes.extend(self.worker_seen(entry, change.version)),
                 Some(Err(e)) => {
                     warn!(worker = change.key.as_str(), reason:% = e; "worker_entry_refused");
                     worker_changes.extend(self.worker_gone(&name, now));
@@ -149,30 +162,45 @@
             }
         }
         if is_snapshot {
-            let is_gone = |name: &&WorkerName| !listed.contains(*name);
-            let gone: Vec<_> = self.workers.keys().filter(is_gone).cloned().collect();
+            let workers = self.workers.iter();
+            let gone = workers.filter(|(name, w)| !listed.contains(*name) && w.version <= version);
+            let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
             for name in gone {
                 worker_changes.extend(self.worker_gone(&name, now));
             }
         }
+        self.workers_version = self.workers_version.max(version);
         let (since, changed) = self.workers_since.unwrap_or((now, now));
         let is_changed = count != self.workers.len();
         self.workers_since = Some((since, if is_changed { now } else { changed }));
         worker_changes
     }
 
-    fn worker_seen(&mut self, entry: WorkerEntry) -> Option<WorkerChange> {
-        if self.workers.get(&entry.name) == Some(&entry) {
+    /// Whether a row of this version is known already, or a newer one of the same worker. The later
+    /// pages of a snapshot may be newer than its version.
+    fn is_outdated(&self, name: &WorkerName, version: u64) -> bool {
+        let known = self.workers.get(name).map_or(0, |w| w.version);
+        version <= known.max(self.workers_version)
+    }
+
+    fn worker_seen(&mut self, entry: WorkerEntry, version: u64) -> Option<WorkerChange> {
+        let known = self.workers.get_mut(&entry.name);
+        if let Some(known) = known.filter(|w| w.entry == entry) {
+            known.version = version;
             return None;
         }
         info!(worker:% = entry.name, state:% = entry.state, address:% = entry.address, born = entry.instance_started_unix_ms.unwrap_or(0); "worker_seen");
         self.departed.remove(&entry.name);
-        self.workers.insert(entry.name.clone(), entry.clone());
+        let worker = ListedWorker {
+            entry: entry.clone(),
+            version,
+        };
+        self.workers.insert(entry.name.clone(), worker);
         Some(WorkerChange::Seen(entry))
     }
 
     fn worker_gone(&mut self, name: &WorkerName, now: Instant) -> Option<WorkerChange> {
-        let entry = self.workers.remove(name)?;
+        let ListedWorker { entry, .. } = self.workers.remove(name)?;
         info!(worker:% = name, state:% = entry.state; "worker_gone");
         if entry.state == WorkerState::Ready {
             self.departed.insert(name.clone(), (entry.clone(), now));
