test(leased): a worker's former address is forgotten when its entry names another one

Cause: the directory keeps departed workers by name, and drops a name when it is listed again. An entry that names another address says nothing of the process at the former one, which may still run tasks; a scheduler that takes over then counts all workers as known, and starts those tasks again.

--- a/crates/geraniumrelay/src/leased/tests/directory.rs
+++ b/crates/geraniumrelay/src/leased/tests/directory.rs
@@ -140,6 +140,32 @@
     assert!(directory.departed_of(&cell, now + TTL).is_empty());
 }
 
+/// Nothing says that the process at the former address has ended.
+#[test]
+fn a_worker_that_comes_back_elsewhere_stays_departed_at_its_former_address() {
+    let former = "10.1.2.3:80".parse().unwrap();
+    let elsewhere = |version| at(version, worker_at("10.9.9.9:80", "a", "ready"));
+    let cases = [
+        vec![elsewhere(2)],
+        vec![at(2, removed("a")), elsewhere(3)],
+        vec![at(2, worker("a", "draining")), elsewhere(3)],
+    ];
+    for rows in cases {
+        let (mut directory, now) = (empty_directory(), Instant::now());
+        let cell = CellName::single();
+        directory.apply_worker_rows(true, &[worker("a", "ready")], 1, now);
+        directory.apply_worker_rows(false, &rows, 3, now);
+        let departed = directory.departed_of(&cell, now);
+        let addresses: Vec<_> = departed.iter().map(|w| w.address).collect();
+        assert_eq!(addresses, [former], "{rows:?}");
+        let back = [at(4, worker("a", "ready"))];
+        directory.apply_worker_rows(false, &back, 4, now);
+        let departed = directory.departed_of(&cell, now);
+        assert!(departed.iter().all(|w| w.address != former));
+        assert!(directory.departed_of(&cell, now + TTL).is_empty());
+    }
+}
+
 #[test]
 fn departed_workers_are_known_after_the_ttl_or_at_the_first_start() {
     let now = Instant::now();
