fix(leased): count a worker's former address as departed when it is listed at another one

Cause: the directory kept departed workers by name. A worker that was listed again, or whose entry named another address, no longer counted as departed, though the process at the former address may still run tasks of an earlier scheduler. The next scheduler counted all workers as known, and did not wait for the leases there to lapse.

Change: departed workers are kept by name and address.

The wait of the new scheduler has no test of its own here.

--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -37,8 +37,10 @@
     workers_version: u64,
     /// Time of the first read of the workers' entries, and time of the last change of their number.
     workers_since: Option<(Instant, Instant)>,
-    /// Workers whose entries were removed in the state `Ready`, and the time of the removal.
-    departed: Map<WorkerName, (WorkerEntry, Instant)>,
+    /// Workers that may still run tasks although the store does not list them at this address, and
+    /// the time of their departure: the entry was removed in the state `Ready`, or names another
+    /// address.
+    departed: Map<(WorkerName, SocketAddr), (WorkerEntry, Instant)>,
     departed_ttl: Duration,
     is_first_start: bool,
     members: BTreeMap<String, SocketAddr>,
@@ -100,6 +102,20 @@
             .collect()
     }
 
+    /// Whether a departed worker of a cell has the name of a listed or of another departed one: an
+    /// instance at a former address. A scheduler knows workers by name, so it can't ask both.
+    pub(super) fn has_former_instances(&mut self, cell: &CellName, now: Instant) -> bool {
+        let mut names: Set<WorkerName> = Set::default();
+        let departed = self.departed_of(cell, now).into_iter();
+        let mut names_of_departed = departed.map(|w| w.name);
+        names_of_departed.any(|n| self.workers.contains_key(&n) || !names.insert(n))
+    }
+
+    /// Whether the store lists a worker of this name.
+    pub(super) fn is_listed(&self, name: &WorkerName) -> bool {
+        self.workers.contains_key(name)
+    }
+
     /// The cell of a worker; the single cell where there is no plan.
     pub(super) fn cell_of(&self, worker: &WorkerEntry) -> CellName {
         let plan = self.plan.as_ref();
@@ -153,7 +169,9 @@
                 .as_deref()
                 .map(|v| worker_entry(&change.key, v))
             {
-                Some(Ok(entry)) => worker_changes.extend(self.worker_seen(entry, change.version)),
+                Some(Ok(entry)) => {
+                    worker_changes.extend(self.worker_seen(entry, change.version, now))
+                }
                 Some(Err(e)) => {
                     warn!(worker = change.key.as_str(), reason:% = e; "worker_entry_refused");
                     worker_changes.extend(self.worker_gone(&name, now));
@@ -183,19 +201,28 @@
         version <= known.max(self.workers_version)
     }
 
-    fn worker_seen(&mut self, entry: WorkerEntry, version: u64) -> Option<WorkerChange> {
+    fn worker_seen(
+        &mut self,
+        entry: WorkerEntry,
+        version: u64,
+        now: Instant,
+    ) -> Option<WorkerChange> {
         let known = self.workers.get_mut(&entry.name);
         if let Some(known) = known.filter(|w| w.entry == entry) {
             known.version = version;
             return None;
         }
         info!(worker:% = entry.name, state:% = entry.state, address:% = entry.address, born = entry.instance_started_unix_ms.unwrap_or(0); "worker_seen");
-        self.departed.remove(&entry.name);
+        let (name, address) = (entry.name.clone(), entry.address);
+        self.departed.remove(&(name.clone(), address));
         let worker = ListedWorker {
             entry: entry.clone(),
             version,
         };
-        self.workers.insert(entry.name.clone(), worker);
+        let former = self.workers.insert(name, worker).map(|w| w.entry);
+        if let Some(former) = former.filter(|f| f.address != address) {
+            self.add_departed(former, now);
+        }
         Some(WorkerChange::Seen(entry))
     }
 
@@ -203,11 +230,16 @@
         let ListedWorker { entry, .. } = self.workers.remove(name)?;
         info!(worker:% = name, state:% = entry.state; "worker_gone");
         if entry.state == WorkerState::Ready {
-            self.departed.insert(name.clone(), (entry.clone(), now));
+            self.add_departed(entry.clone(), now);
         }
         Some(WorkerChange::Gone(entry))
     }
 
+    fn add_departed(&mut self, entry: WorkerEntry, now: Instant) {
+        let key = (entry.name.clone(), entry.address);
+        self.departed.insert(key, (entry, now));
+    }
+
     /// Applies rows of the entry VMs' table; `true` where the plan of cells has changed.
     pub(super) fn apply_member_rows(&mut self, is_snapshot: bool, rows: &[Change]) -> bool {
         if is_snapshot {
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -51,7 +51,9 @@
     pub(super) fn take_over(&mut self, name: &CellName, token: FencingToken) {
         let now = Instant::now();
         let workers = self.directory.workers_of(name);
-        let departed = self.directory.departed_of(name, now);
+        let mut departed = self.directory.departed_of(name, now);
+        // Of the instances of one name, the scheduler takes the listed one.
+        departed.retain(|w| !self.directory.is_listed(&w.name));
         info!(
             cell:% = name, token:% = token, round = token.round(), workers = workers.len(),
             departed = departed.len(), open_jobs = self.pending_jobs.len();
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -199,6 +199,11 @@
                 rows,
                 revision,
             } => self.apply_rows(table, is_snapshot, &rows, revision),
+            Input::WorkersRead {
+                cell,
+                token,
+                knows_departed,
+            } => self.on_workers_read(&cell, token, knows_departed),
             Input::StoreHealth { table, is_healthy } => self.on_store_health(table, is_healthy),
             Input::Peer { from, body } => self.on_peer_message(from, body),
             Input::LinkLost { from } => self.on_link_lost(from),
