--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -170,7 +170,7 @@
                 .map(|v| worker_entry(&change.key, v))
             {
                 Some(Ok(entry)) => {
-                    worker_changes.extend(self.worker_seen(entry, change.version, now))
+                    worker_changes.extend(self.worker_seen(entry, change.version, now));
                 }
                 Some(Err(e)) => {
                     warn!(worker = change.key.as_str(), reason:% = e; "worker_entry_refused");
