fix(leased): tell an entry VM's processes apart by the connections they come from

Cause: messages and the end of a connection named the entry VM only. The late end of a former process's connection lost the scheduler that its next process ran, and dropped the jobs that this one had submitted since; a late heartbeat of the former process was followed.

Change: the event loop keeps the last connection from each entry VM. Messages of another incarnation on an earlier connection are ignored, and so is that connection's end; a new connection counts as the end of the one before, and that of another incarnation as the loss of the process. Messages of the same process on its earlier connection are still handled.

--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -32,7 +32,7 @@
 use crate::leased::decision_log;
 use crate::leased::directory::Directory;
 use crate::leased::durable_jobs::DurableJobStore;
-use crate::leased::input::{Input, InputTx};
+use crate::leased::input::{IncomingConnection, Input, InputTx};
 use crate::leased::lag::Lag;
 use crate::leased::link_load::TotalLoad;
 use crate::leased::links::{self, Link};
@@ -92,6 +92,8 @@
     pending_jobs: PendingJobs,
     links: Map<EntryVm, Link>,
     link_load: TotalLoad,
+    /// The last connection from each entry VM, while it is established.
+    connections: Map<EntryVm, IncomingConnection>,
     /// The other entry VMs that are registered in the store.
     members: Arc<[EntryVm]>,
     /// The row of the configuration in force, for peers that the store does not serve.
@@ -128,6 +130,7 @@
             pending_jobs: PendingJobs::default(),
             links: Map::default(),
             link_load: TotalLoad::default(),
+            connections: Map::default(),
             members: Arc::default(),
             configuration: Rc::default(),
             config_download: ConfigDownload::new(vm),
@@ -205,8 +208,22 @@
                 knows_departed,
             } => self.on_workers_read(&cell, token, knows_departed),
             Input::StoreHealth { table, is_healthy } => self.on_store_health(table, is_healthy),
-            Input::Peer { from, body, .. } => self.on_peer_message(from, body),
-            Input::LinkLost { from, .. } => self.on_link_lost(from),
+            Input::Peer {
+                from,
+                connection,
+                body,
+            } => {
+                if self.admit_connection(from, connection) {
+                    self.on_peer_message(from, body);
+                }
+            }
+            Input::LinkLost { from, connection } => {
+                // The end of a former connection was handled when the next one was established.
+                if self.connections.get(&from) == Some(&connection) {
+                    self.connections.remove(&from);
+                    self.on_link_lost(from);
+                }
+            }
             Input::LinkUp { to } => self.on_link_up(to),
             Input::SchedulerReply {
                 cell,
@@ -316,6 +333,27 @@
         }
     }
 
+    /// Records a new connection; `false` if it is of a former process. A new connection ends the one
+    /// before, whose own end may be noticed only by a time-out.
+    fn admit_connection(&mut self, from: EntryVm, connection: IncomingConnection) -> bool {
+        let Some(&known) = self.connections.get(&from) else {
+            self.connections.insert(from, connection);
+            return true;
+        };
+        if connection.number < known.number {
+            return connection.incarnation == known.incarnation;
+        }
+        if connection.number > known.number {
+            self.connections.insert(from, connection);
+            if connection.incarnation == known.incarnation {
+                self.on_connection_lost(from);
+            } else {
+                self.on_link_lost(from);
+            }
+        }
+        true
+    }
+
     fn on_peer_message(&mut self, from: EntryVm, body: Body) {
         match body {
             Body::Beat(heartbeat) => self.on_heartbeat(from, &heartbeat),
@@ -382,16 +420,24 @@
         self.on_peer_version(from, heartbeat);
     }
 
-    fn on_link_lost(&mut self, from: EntryVm) {
+    /// Handles the loss of messages from an entry VM whose process goes on.
+    fn on_connection_lost(&mut self, from: EntryVm) {
         self.config_download.remove_peer(from);
+        for name in self.cell_names() {
+            self.handle_command(&name, Command::EntryLost(from));
+        }
+    }
+
+    /// Handles the loss of the only connection from an entry VM, or of its process.
+    fn on_link_lost(&mut self, from: EntryVm) {
         for name in self.cell_names() {
             let Some(cell) = self.cells.get_mut(&name) else {
                 continue;
             };
             let transition = cell.election.link_lost(from, Instant::now());
             self.apply_transition(&name, transition);
-            self.handle_command(&name, Command::EntryLost(from));
         }
+        self.on_connection_lost(from);
         // This VM may be the next candidate of the election, so the tick is run at once.
         self.next_tick = Instant::now();
     }
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -73,7 +73,6 @@
     /// A message from another entry VM.
     Peer {
         from: EntryVm,
-        #[expect(dead_code, reason = "not compared with later connections yet")]
         connection: IncomingConnection,
         body: Body,
     },
@@ -82,7 +81,6 @@
     /// The connection from another entry VM has closed.
     LinkLost {
         from: EntryVm,
-        #[expect(dead_code, reason = "not compared with later connections yet")]
         connection: IncomingConnection,
     },
     /// A reply of a worker or of the store to the cell's scheduler with this fencing token.
