refactor(leased): hand the departed workers to a new scheduler, also those of listed names

Since a scheduler tells workers of one name apart by their addresses. A takeover passes the departed ones on first, so that the listed one of the same name stays listed, and does not count the departed ones as unknown any more: the scheduler polls the former address itself.

--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -102,20 +102,6 @@
             .collect()
     }
 
-    /// Whether a departed worker of a cell has the name of a listed or of another departed one: an
-    /// instance at a former address. A scheduler knows workers by name, so it can't ask both.
-    pub(super) fn has_former_instances(&mut self, cell: &CellName, now: Instant) -> bool {
-        let mut names: Set<WorkerName> = Set::default();
-        let departed = self.departed_of(cell, now).into_iter();
-        let mut names_of_departed = departed.map(|w| w.name);
-        names_of_departed.any(|n| self.workers.contains_key(&n) || !names.insert(n))
-    }
-
-    /// Whether the store lists a worker of this name.
-    pub(super) fn is_listed(&self, name: &WorkerName) -> bool {
-        self.workers.contains_key(name)
-    }
-
     /// The cell of a worker; the single cell where there is no plan.
     pub(super) fn cell_of(&self, worker: &WorkerEntry) -> CellName {
         let plan = self.plan.as_ref();
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -51,9 +51,7 @@
     pub(super) fn take_over(&mut self, name: &CellName, token: FencingToken) {
         let now = Instant::now();
         let workers = self.directory.workers_of(name);
-        let mut departed = self.directory.departed_of(name, now);
-        // Of the instances of one name, the scheduler takes the listed one.
-        departed.retain(|w| !self.directory.is_listed(&w.name));
+        let departed = self.directory.departed_of(name, now);
         info!(
             cell:% = name, token:% = token, round = token.round(), workers = workers.len(),
             departed = departed.len(), open_jobs = self.pending_jobs.len();
@@ -77,14 +75,15 @@
         };
         cell.scheduler = Some(scheduler);
         cell.epoch_lost = None;
-        for entry in workers {
-            self.handle_command(name, Command::WorkerSeen(entry));
-        }
+        // A worker may have departed from one address and be listed at another one.
         for entry in departed {
             let worker = entry.name.clone();
             self.handle_command(name, Command::WorkerSeen(entry));
             self.handle_command(name, Command::WorkerGone(worker));
         }
+        for entry in workers {
+            self.handle_command(name, Command::WorkerSeen(entry));
+        }
         self.read_workers(name, token, knows_departed);
         // The tick sends the claim of the cell's row without delay.
         self.handle_command(name, Command::Tick);
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -202,11 +202,6 @@
                 rows,
                 revision,
             } => self.apply_rows(table, is_snapshot, &rows, revision),
-            Input::WorkersRead {
-                cell,
-                token,
-                knows_departed,
-            } => self.on_workers_read(&cell, token, knows_departed),
             Input::StoreHealth { table, is_healthy } => self.on_store_health(table, is_healthy),
             Input::Peer {
                 from,
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -101,31 +101,11 @@
                 revision: listing.revision,
             })
             .await;
-            tx.send(Input::WorkersRead {
-                cell,
-                token,
-                knows_departed,
-            })
-            .await;
+            let command = Command::WorkersKnown { knows_departed };
+            tx.reply(cell, token, command).await;
         });
     }
 
-    /// Tells a new scheduler that it has all workers. The snapshot may have shown that a worker has
-    /// a former instance, of which the scheduler does not know.
-    pub(super) fn on_workers_read(
-        &mut self,
-        cell: &CellName,
-        token: FencingToken,
-        knows_departed: bool,
-    ) {
-        if self.own_token(cell) != Some(token) {
-            return;
-        }
-        let has_former = self.directory.has_former_instances(cell, Instant::now());
-        let knows_departed = knows_departed && !has_former;
-        self.handle_command(cell, Command::WorkersKnown { knows_departed });
-    }
-
     /// Replaces all cells by those of the present plan, with new elections; running tasks are found
     /// again by the takeovers that follow.
     pub(super) fn reset_cells(&mut self, now: Instant) {
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -61,13 +61,6 @@
         rows: Vec<Change>,
         revision: u64,
     },
-    /// The rows of all workers have been read for the scheduler of a cell; follows them.
-    WorkersRead {
-        cell: CellName,
-        token: FencingToken,
-        /// Whether the departed workers were known before the read.
-        knows_departed: bool,
-    },
     /// Reads of a table have begun to fail, or succeed again.
     StoreHealth { table: Table, is_healthy: bool },
     /// A message from another entry VM.
