test(soak): workers that restart under their names, with late rows, replies and orders

Change: the stand-in keeps each process of a worker apart. Connections belong to the process that accepted them, reports carry its start, and in the third soak workers restart in series under their names, at the same address or at another one while the former process works on behind a cut. Rows are late in their order, replies late or lost, and orders carried out late by the process that got them. The other two soaks have none of these faults.

--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Stand-ins replace the platform's store and the workers, behind proxies that drop, delay and reset
 //! connections. Signals kill, pause and stop processes, which are restarted. In one of the tests the
-//! configuration grows and changes meanwhile, and links between VMs are throttled and stalled too.
+//! configuration grows and changes meanwhile, and links between VMs are throttled and stalled too. In
+//! another one workers restart under their names, and rows, replies and orders are late.
 //! The runs on workers, the outcomes of callers and the processes are checked during the test and at
 //! its end. By hand, with other seeds:
 //!
@@ -15,6 +16,7 @@
 #[path = "../../../../platform/tests/stand_in/platform.rs"]
 mod platform;
 mod proxy;
+mod restarter;
 #[path = "../../../geraniumrelay-core/tests/leased/worker.rs"]
 #[allow(dead_code, reason = "shared with the tests in virtual time")]
 mod worker;
@@ -35,6 +37,7 @@
 use fleet::{Fleet, FleetOptions};
 use platform::Platform;
 use proxy::Mode;
+use restarter::Restarter;
 
 /// Seeds of a run in CI: few, and the same in every run. Seeds that have failed once stay here.
 const SEEDS: Range<u64> = 0..2;
@@ -77,6 +80,8 @@
     fault_time: Duration,
     /// Whether the configuration grows and changes.
     has_configurations: bool,
+    /// Whether workers restart under their names, and rows, replies and orders are late.
+    has_restarts: bool,
 }
 
 /// Faults of processes, workers and the links to them and to the store.
@@ -90,6 +95,7 @@
     },
     fault_time: Duration::from_secs(8),
     has_configurations: false,
+    has_restarts: false,
 };
 
 /// Same, with a growing configuration and faults of the links between VMs.
@@ -103,6 +109,18 @@
     },
     fault_time: Duration::from_secs(25),
     has_configurations: true,
+    has_restarts: false,
+};
+
+/// Same as the first, with workers that restart under their names.
+const RESTARTING_WORKERS: Soak = Soak {
+    fleet: FleetOptions {
+        name: "restarts",
+        ..EXTERNAL_FAULTS.fleet
+    },
+    fault_time: Duration::from_secs(8),
+    has_configurations: false,
+    has_restarts: true,
 };
 
 fn seeds() -> Range<u64> {
@@ -123,6 +141,13 @@
     run(GROWING_CONFIGURATION, seeds());
 }
 
+/// A task that works on a worker which has just restarted, or on one whose former instance has sent a
+/// late message, was started again on another worker.
+#[test]
+fn invariants_hold_while_workers_restart_under_their_names() {
+    run(RESTARTING_WORKERS, seeds());
+}
+
 /// Two copies of a job, of which the caller had resent one, ran at the same time.
 #[test]
 fn a_resent_job_does_not_run_beside_its_first_copy() {
@@ -160,6 +185,10 @@
         }
         configurations = Some(Configurations::start(&platform, &targets, seed));
     }
+    let restarter = kind.has_restarts.then(|| {
+        platform.start_call_faults(seed);
+        Restarter::start(&platform, WORKERS, seed)
+    });
     let mut ended = BTreeSet::new();
     let started = tokio::time::Instant::now();
     while started.elapsed() < kind.fault_time {
@@ -167,7 +196,7 @@
         if kind.has_configurations {
             inject_on_links(&mut rng, &mut fleet, &platform).await;
         } else {
-            inject(&mut rng, &mut fleet, &platform).await;
+            inject(&mut rng, &mut fleet, &platform, kind).await;
         }
         platform.assert_no_concurrent_runs(seed);
         ended.extend(fleet.check_processes());
@@ -177,6 +206,10 @@
         println!("seed {seed}: {versions} configurations, up to {routes} routes");
     }
     ended.extend(fleet.check_processes());
+    if let Some(restarter) = restarter {
+        let restarts = restarter.stop().await;
+        println!("seed {seed}: {restarts} workers restarted");
+    }
     fleet.clear_faults(&platform).await;
     fleet.wait_until_ready(MAX_RECOVERY).await;
     let mut violations = Vec::new();
@@ -222,7 +255,7 @@
 }
 
 /// Injects one fault, or ends the faults of one proxy.
-async fn inject(rng: &mut StdRng, fleet: &mut Fleet, platform: &Rc<Platform>) {
+async fn inject(rng: &mut StdRng, fleet: &mut Fleet, platform: &Rc<Platform>, kind: Soak) {
     let vm = rng.random_range(0..usize::from(EXTERNAL_FAULTS.fleet.vms));
     let worker = rng.random_range(0..WORKERS);
     let mode = [
@@ -238,6 +271,7 @@
         1 => fleet.pause(vm, Duration::from_millis(rng.random_range(200..2_500))),
         2 => fleet.terminate(vm).await,
         3 | 4 => fleet.store_proxy(vm).set(mode),
+        5 if kind.has_restarts => {}
         5 => platform.replace_worker(worker),
         6 => platform.set_worker_fault(worker, rng.random_range(0..4)),
         _ => platform.worker_proxy(worker).set(mode),
