--- a/crates/geraniumrelay/tests/leased_soak/callers.rs
+++ b/crates/geraniumrelay/tests/leased_soak/callers.rs
@@ -17,9 +17,6 @@
 use crate::life::Target;
 use crate::platform::{HOST, PREFIX};
 
-/// Number of concurrent callers.
-const CALLERS: u64 = 12;
-
 /// Deadline of each job and time-out of the caller's request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -50,15 +47,15 @@
 }
 
 impl Callers {
-    /// Starts the callers, and as many `patient` ones with a time-out long after the deadline.
-    pub(crate) fn start(targets: &[Target], seed: u64, patient: u64) -> Self {
+    /// Starts `impatient` callers, and `patient` ones with a time-out long after the deadline.
+    pub(crate) fn start(targets: &[Target], seed: u64, (impatient, patient): (u64, u64)) -> Self {
         let is_stopping = Rc::new(RefCell::new(false));
         let outcomes = Rc::new(RefCell::new(Outcomes::default()));
         let mut tasks = JoinSet::new();
-        for caller in 0..CALLERS + patient {
+        for caller in 0..impatient + patient {
             let rng = StdRng::seed_from_u64(seed * 1_000 + caller);
             let (targets, outcomes) = (targets.to_vec(), Rc::clone(&outcomes));
-            let timeout = if caller < CALLERS {
+            let timeout = if caller < impatient {
                 ANSWER_TIMEOUT
             } else {
                 PATIENCE
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -63,6 +63,12 @@
 /// VMs whose links are slow from the start.
 const SLOW_VMS: usize = 4;
 
+/// Concurrent callers, which keep most workers busy.
+const CALLERS: u64 = 12;
+
+/// Concurrent callers that leave most workers idle.
+const FEW_CALLERS: u64 = 4;
+
 /// Callers that wait for an answer as long as a process may need.
 const PATIENT_CALLERS: u64 = 4;
 
@@ -177,7 +183,13 @@
     } else {
         0
     };
-    let callers = Callers::start(&targets, seed, patient);
+    // An idle worker that restarts is not polled before the next start.
+    let impatient = if kind.has_restarts && seed % 2 == 1 {
+        FEW_CALLERS
+    } else {
+        CALLERS
+    };
+    let callers = Callers::start(&targets, seed, (impatient, patient));
     let mut configurations = None;
     if kind.has_configurations {
         for vm in 0..SLOW_VMS {
