--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -236,6 +236,12 @@
 
     /// Stops all processes and removes their directory; it stays if a check has failed before.
     pub(crate) async fn stop(mut self) {
+        self.end().await;
+        self.remove_files();
+    }
+
+    /// Stops all processes.
+    pub(crate) async fn end(&mut self) {
         for vm in 0..self.vms.len() {
             self.signal(vm, Signal::TERM);
         }
@@ -246,6 +252,10 @@
                 sleep(Duration::from_millis(20)).await;
             }
         }
+    }
+
+    /// Removes the directory of settings and logs.
+    pub(crate) fn remove_files(self) {
         std::fs::remove_dir_all(&self.dir).unwrap();
     }
 
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -262,8 +262,9 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     let served = Callers::probe(&targets, seed).await;
     assert!(served, "seed {seed}: no job is served after the faults");
-    fleet.stop().await;
+    fleet.end().await;
     platform.assert_no_concurrent_runs(seed);
+    fleet.remove_files();
 }
 
 /// Injects one fault, or ends the faults of one proxy.
