fix(soak): remove the processes' files in one place

Change: Fleet::stop returns the stopped fleet, and remove_files removes its directory; the tests of links do both.

--- a/crates/geraniumrelay/tests/leased_links/main.rs
+++ b/crates/geraniumrelay/tests/leased_links/main.rs
@@ -152,7 +152,7 @@
         let peak = peak_memory_kb(&mut setup.fleet);
         println!("peak {peak} kB");
         assert!(peak < MAX_MEMORY_KB, "peak memory of {peak} kB");
-        setup.fleet.stop().await;
+        setup.fleet.stop().await.remove_files();
     });
 }
 
@@ -170,7 +170,7 @@
             "row of {} bytes, received by each peer: {bytes:?}",
             setup.row_bytes
         );
-        setup.fleet.stop().await;
+        setup.fleet.stop().await.remove_files();
     });
 }
 
@@ -186,7 +186,7 @@
             gaps.iter().all(|&gap| gap <= MAX_HEARTBEAT_GAP),
             "longest time without a heartbeat at each peer: {gaps:?}"
         );
-        setup.fleet.stop().await;
+        setup.fleet.stop().await.remove_files();
     });
 }
 
@@ -213,7 +213,7 @@
         );
         let peak = peak_memory_kb(&mut setup.fleet);
         assert!(peak < MAX_MEMORY_KB, "peak memory of {peak} kB");
-        setup.fleet.stop().await;
+        setup.fleet.stop().await.remove_files();
     });
 }
 
@@ -240,7 +240,7 @@
     }
     let took = begin.elapsed();
     assert_eq!(part_requests, row.len().div_ceil(peer::PART_BYTES));
-    setup.fleet.stop().await;
+    setup.fleet.stop().await.remove_files();
     (took, part_requests)
 }
 
--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -234,14 +234,8 @@
         }
     }
 
-    /// Stops all processes and removes their directory; it stays if a check has failed before.
-    pub(crate) async fn stop(mut self) {
-        self.end().await;
-        self.remove_files();
-    }
-
-    /// Stops all processes.
-    pub(crate) async fn end(&mut self) {
+    /// Stops all processes. Settings and logs stay until `remove_files`.
+    pub(crate) async fn stop(mut self) -> Self {
         for vm in 0..self.vms.len() {
             self.signal(vm, Signal::TERM);
         }
@@ -252,6 +246,7 @@
                 sleep(Duration::from_millis(20)).await;
             }
         }
+        self
     }
 
     /// Removes the directory of settings and logs.
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -262,7 +262,7 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     let served = Callers::probe(&targets, seed).await;
     assert!(served, "seed {seed}: no job is served after the faults");
-    fleet.end().await;
+    let fleet = fleet.stop().await;
     platform.assert_no_concurrent_runs(seed);
     fleet.remove_files();
 }
