test(core/leased): acknowledgements with slow replies, long lists of ends, late orders

Four tests for faults that a review of the restarts found.

Cause: with durable jobs a poll acknowledges ends only within 50 ms of the request of the last report. A round trip of more than that, or a tick after the pause for ends that are not stored yet, is always later, so that no end is acknowledged and the worker is polled without pause. A report lists 500 ends; a confirmed run beyond them is in neither list and counts as not listed, whether or not a worker has restarted. A start order carries a lease on the clock of the known instance, and a new instance, whose clock is behind, executes it late, when the leases have long counted as lapsed.

Change: the simulated worker lists at most 500 ends in a reply, as the interface says.

--- a/crates/geraniumrelay-core/tests/leased/restarts.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts.rs
@@ -740,3 +740,98 @@
         }
     }
 }
+
+/// As on a VM that is five times slower.
+#[test]
+fn ends_are_acknowledged_to_a_worker_whose_replies_are_slow() {
+    for is_durable in [false, true] {
+        let case = Case {
+            is_durable,
+            clock_step_ms: 5_000,
+        };
+        let mut sim = case.simulation();
+        sim.reply_delays.insert(0, 52 * MS);
+        start_on_first_worker(&mut sim, small(case.job(1, 3, 300 * MS)));
+        sim.run_for(Duration::from_secs(3));
+        assert_all_completed(&sim, &format!("{case:?}"));
+        let acknowledged = sim.workers[0].acknowledged_ends.len();
+        let polls = sim.workers[0].answered_polls;
+        assert_eq!(acknowledged, 1 + 3, "{case:?}, {polls} polls");
+    }
+}
+
+/// The former instance was up for long, so its clock makes the lease of the order seem valid.
+#[test]
+fn a_delayed_start_order_with_the_clock_of_a_former_instance_starts_no_second_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.run_for(Duration::from_secs(30));
+        sim.restart_worker(0, case.clock_step_ms);
+        for worker in 1..3 {
+            let mut entry = sim.worker_entry(worker);
+            entry.state = WorkerState::Draining;
+            sim.handle_command(0, Command::WorkerSeen(entry));
+        }
+        let job = case.job(1, 1, Duration::from_secs(8)).with_priority(1);
+        sim.submit(0, MS, job.with_remaining_wait(Duration::from_secs(20)));
+        sim.run_for(MS / 2);
+        while case.is_durable && !sim.records.contains_key(&JobId(1)) {
+            sim.run_for(MS / 10);
+        }
+        sim.delayed_call_share = 1.0;
+        sim.run_for(MS);
+        sim.delayed_call_share = 0.0;
+        sim.hosts[0].unreachable_workers.insert(0);
+        for worker in 1..3 {
+            sim.announce_worker(0, worker);
+        }
+        sim.run_for(Duration::from_secs(15));
+        sim
+    });
+}
+
+/// While the store is slow, a busy worker always lists ends that are not stored yet.
+#[test]
+fn stored_ends_are_acknowledged_while_others_are_not_stored_yet() {
+    let case = Case {
+        is_durable: true,
+        clock_step_ms: 5_000,
+    };
+    let mut sim = case.simulation();
+    sim.store_latency = 100 * MS;
+    sim.reply_delays.insert(0, 41 * MS);
+    for worker in 1..3 {
+        let mut entry = sim.worker_entry(worker);
+        entry.state = WorkerState::Draining;
+        sim.handle_command(0, Command::WorkerSeen(entry));
+    }
+    for number in 0..200 {
+        let at = 20 * MS * u32::try_from(number).unwrap();
+        sim.submit(0, at, small(case.job(100 + number, 1, 30 * MS)));
+    }
+    sim.run_for(Duration::from_secs(4));
+    let ended = sim.jobs.values().filter(|&j| is_completed(&sim, j)).count();
+    let acknowledged = sim.workers[0].acknowledged_ends.len();
+    assert!(
+        ended > 100 && acknowledged + 20 > ended,
+        "{acknowledged} of {ended} ends are acknowledged"
+    );
+}
+
+/// A reply lists 500 ends, and the others only after these are acknowledged.
+#[test]
+fn ends_beyond_those_that_fit_into_a_report_are_not_lost() {
+    for is_durable in [false, true] {
+        let case = Case {
+            is_durable,
+            clock_step_ms: 5_000,
+        };
+        let mut sim = case.simulation();
+        let mut job = case.job(1, 600, 100 * MS);
+        job.spec.steps[0].size.cpu_milli = 100;
+        start_on_first_worker(&mut sim, job);
+        sim.run_for(Duration::from_secs(3));
+        let repeated = sim.start_counts.values().filter(|&&n| n > 1).count();
+        assert_eq!(repeated, 0, "{case:?}: tasks that ran again");
+    }
+}
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -14,6 +14,10 @@
 /// Longest lease that a worker grants.
 const MAX_LEASE: Duration = Duration::from_secs(1);
 
+/// Largest number of ends that a worker lists in a reply; it lists the others once these are
+/// acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// How a worker executes the tasks that it starts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Behaviour {
@@ -288,7 +292,7 @@
             instance_started_unix_ms: self.instance_started_unix_ms,
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).copied().collect(),
         }))
     }
 }
