test(core/leased): tasks of a restarted worker whose replies are slow

Cause: the runs that a restarted worker does not list are stopped, and end once a poll sent 80 ms (stop_grace) after the confirmation does not list them. retry_stops sends a stop again 150 ms after the last one even if it was confirmed, and stop() forgets the confirmation. With replies of some 13 ms no reply to a poll arrives between the two. retry_stops is as it was, but a restart did not depend on it before.

--- a/crates/geraniumrelay-core/tests/leased/restarts.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts.rs
@@ -835,3 +835,19 @@
         assert_eq!(repeated, 0, "{case:?}: tasks that ran again");
     }
 }
+
+/// Replies of a busy VM take 10 ms and more; a stop is sent again after 150 ms.
+#[test]
+fn tasks_of_a_restarted_worker_with_slow_replies_do_not_wait_for_ever() {
+    for reply_delay in [15 * MS, 30 * MS] {
+        check(|case| {
+            let mut sim = case.simulation();
+            sim.reply_delays.insert(0, reply_delay);
+            start_on_first_worker(&mut sim, case.job(1, 2, 600 * MS));
+            sim.run_for(100 * MS);
+            sim.restart_worker(0, case.clock_step_ms);
+            sim.run_for(Duration::from_secs(6));
+            sim
+        });
+    }
+}
