fix(core/leased): send a stop again only while it is unconfirmed

What callers saw: nothing yet; a review of the fix found it. The tasks of a restarted worker never started again while its replies took 13 ms or more, as to a busy VM.

Cause: retry_stops sent each stop again after 150 ms, also one that the worker had confirmed, and a stop that is sent forgets its confirmation. A poll that is sent 80 ms after the confirmation and answered within the remaining 70 ms was needed to end the run.

--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -209,8 +209,10 @@
 
     /// Sends stops again that were not confirmed.
     fn retry_stops(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
-        let is_due =
-            |r: &&Run| r.state == RunState::Stopping && is_stop_retry_due(r.stop_sent, cx.now);
+        let is_due = |r: &&Run| {
+            let is_unconfirmed = r.state == RunState::Stopping && r.confirmed_at.is_none();
+            is_unconfirmed && is_stop_retry_due(r.stop_sent, cx.now)
+        };
         let due: Vec<(TaskName, u32)> = self.workers[key]
             .runs
             .iter()
