fix(core/leased): acknowledge ends of durable jobs also where replies are slow

With durable jobs and replies of 52 ms, as on a VM that is five times slower, no end was acknowledged, and the worker was polled without pause.

Cause: the 50 ms in which a poll may acknowledge were counted from the request of the report, so that the round trip alone could use them up.

Change: the 50 ms count from the arrival of a report, with durable jobs of one that answered a poll without a wait. While such a worker has ends to acknowledge or to store, its polls don't wait; it answers them at once anyway.

--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -73,7 +73,7 @@
         }
         worker.instance = report.instance_started_unix_ms.or(worker.instance);
         worker.reported_at = Some(cx.now);
-        worker.report_requested_at = Some(sent);
+        worker.was_report_prompt = worker.poll_state.is_prompt;
         if worker.poll_state.misses >= MAX_MISSES {
             out.push(worker.condition_event(WorkerCondition::Responsive, Duration::ZERO));
         }
@@ -307,14 +307,15 @@
         if let Some(until) = lease_until {
             worker.extend_lease(until);
         }
-        let number = worker.poll_state.begin(cx.now);
         // An end of a durable job must not be lost to the acknowledgement of a former instance, also
         // not while the poll that carries it waits.
         let has_durable_jobs = self.epoch.is_some();
-        let last_processed_end = worker.take_ack(cx.now, has_durable_jobs);
-        let needs_prompt_reply = (has_durable_jobs && last_processed_end > 0)
+        let has_ends = worker.has_unsent_ack || !worker.unstored_ends.is_empty();
+        let is_prompt = (has_durable_jobs && has_ends)
             || worker.token_confirmed_at.is_none()
             || worker.poll_state.misses > 0;
+        let last_processed_end = worker.take_ack(cx.now, has_durable_jobs);
+        let number = worker.poll_state.begin(cx.now, is_prompt);
         out.push(Effect::Poll(PollCall {
             worker: key,
             name: worker.entry.name.clone(),
@@ -322,7 +323,7 @@
             lease_until,
             last_processed_end,
             number,
-            wait: if needs_prompt_reply {
+            wait: if is_prompt {
                 Duration::ZERO
             } else {
                 poll_wait(&cx.cfg.leased, worker, cx.now)
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -140,6 +140,8 @@
     pub(super) last: PollNumber,
     /// When the poll in flight was sent.
     pub(super) in_flight_since: Option<Instant>,
+    /// Whether that poll does not wait for ends.
+    pub(super) is_prompt: bool,
     /// Polls in a row that were not answered.
     pub(super) misses: u32,
     /// Earliest time of the next poll.
@@ -148,9 +150,10 @@
 
 impl PollState {
     /// Starts the next poll, and returns its number.
-    pub(super) fn begin(&mut self, now: Instant) -> PollNumber {
+    pub(super) fn begin(&mut self, now: Instant, is_prompt: bool) -> PollNumber {
         self.last.0 += 1;
         self.in_flight_since = Some(now);
+        self.is_prompt = is_prompt;
         self.last
     }
 
@@ -180,8 +183,8 @@
     pub(super) instance: Option<u64>,
     /// When the last report arrived.
     pub(super) reported_at: Option<Instant>,
-    /// When the poll was sent that the last report answered.
-    pub(super) report_requested_at: Option<Instant>,
+    /// Whether the last report answered a poll that did not wait, so that it was recent on arrival.
+    pub(super) was_report_prompt: bool,
     /// Last reading of that instance's clock.
     pub(super) clock: Option<WorkerClock>,
     /// When the worker first answered to this scheduler's token; since then it obeys no scheduler
@@ -225,7 +228,7 @@
             departed: None,
             instance: None,
             reported_at: None,
-            report_requested_at: None,
+            was_report_prompt: false,
             clock: None,
             token_confirmed_at: None,
             higher_token_since: None,
@@ -380,15 +383,13 @@
 
     /// Number of the highest end that the next poll acknowledges, or 0. The number means another end
     /// to another instance, so only a poll that soon follows a report acknowledges any, and only once.
-    /// With `is_strict` that is counted from the request of the report.
+    /// With `is_strict` that is a report which did not wait for ends.
     pub(super) fn take_ack(&mut self, now: Instant, is_strict: bool) -> u64 {
-        let seen_at = if is_strict {
-            self.report_requested_at
-        } else {
-            self.reported_at
-        };
         let is_recent = |at| now.saturating_duration_since(at) <= ACK_WINDOW;
-        if self.missed_last_call() || !seen_at.is_some_and(is_recent) {
+        if self.missed_last_call()
+            || !self.reported_at.is_some_and(is_recent)
+            || (is_strict && !self.was_report_prompt)
+        {
             return 0;
         }
         if std::mem::take(&mut self.has_unsent_ack) {
