fix(core/leased): count no run as ended by a report that may leave out its end

What callers saw: nothing yet; a review of the fix found it. Where 600 tasks ended at once on a worker, the 100 beyond those that its reply lists ran again.

Cause: a reply lists 500 ends at most, the others once these are acknowledged, but a confirmed run that it does not list counted as ended without a known result.

Evidence: ends_beyond_those_that_fit_into_a_report_are_not_lost failed before and passes now.

Change: a report with 500 ends may leave out others, so that no run is ended by its absence until a shorter one has come.

--- a/crates/geraniumrelay-core/src/leased/report.rs
+++ b/crates/geraniumrelay-core/src/leased/report.rs
@@ -53,14 +53,17 @@
     pub running: Vec<RunningTask>,
     /// Ended runs that have not been acknowledged, in ascending order of their numbers.
     pub ended: Vec<EndedRun>,
+    /// Whether the worker may have ended more runs than the report lists.
+    pub has_more_ends: bool,
 }
 
 impl WorkerReport {
-    /// Whether the report lists a run, in progress or ended.
-    pub(super) fn lists(&self, task: TaskName, run: u32) -> bool {
+    /// Whether the report lists a run, in progress or ended, or may leave out its end.
+    pub(super) fn may_list(&self, task: TaskName, run: u32) -> bool {
         let mut running = self.running.iter();
         let mut ended = self.ended.iter();
-        running.any(|r| r.task == task && r.run == run)
+        self.has_more_ends
+            || running.any(|r| r.task == task && r.run == run)
             || ended.any(|e| e.task == task && e.run == run)
     }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -164,7 +164,7 @@
         let is_former = |r: &&Run| {
             r.state == RunState::Running
                 && r.is_settled_before(sent)
-                && !report.lists(r.name, r.run)
+                && !report.may_list(r.name, r.run)
         };
         let runs = self.workers[key].runs.iter().filter(is_former);
         let former: Vec<_> = runs.map(|r| (r.name, r.run)).collect();
@@ -185,7 +185,7 @@
     ) {
         let worker = &mut self.workers[key];
         worker.unclaimed_runs.retain_mut(|u| {
-            if report.lists(u.name, u.run) {
+            if report.may_list(u.name, u.run) {
                 return true;
             }
             // A run that is being stopped is not listed, but is still at work.
@@ -197,7 +197,7 @@
         while position < self.workers[key].runs.len() {
             let run = &self.workers[key].runs[position];
             let is_confirmed = run.confirmed_at.is_some_and(|at| at < sent);
-            if is_confirmed && !report.lists(run.name, run.run) {
+            if is_confirmed && !report.may_list(run.name, run.run) {
                 let run = self.workers[key].remove_run(position);
                 let end = (EndKind::Stopped, EndEvidence::NotListed);
                 self.end_unreported_run(cx, key, &run, end, out);
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -293,6 +293,7 @@
             clock: self.clock(now),
             running: running.collect(),
             ended: self.ended.iter().take(MAX_LISTED_ENDS).copied().collect(),
+            has_more_ends: self.ended.len() >= MAX_LISTED_ENDS,
         }))
     }
 }
