fix(loans): number a process's loans from its incarnation

Cause: each process numbered its loans from 1, and a return names the lender by its address only. The return of a loan of a former process took back the loan of the same number of the next one, whose slots were still in use.

Change: the number before the first loan is the process's incarnation, which is random over 64 bits; a return to a former process then names a loan that the next one does not know.

--- a/crates/geraniumrelay-core/src/dispatcher/mod.rs
+++ b/crates/geraniumrelay-core/src/dispatcher/mod.rs
@@ -105,7 +105,7 @@
             queues: Map::default(),
             loads: Map::default(),
             targets: Targets::default(),
-            loans: Loans::default(),
+            loans: Loans::new(identity.incarnation),
             spare: Vec::new(),
             assignment_members: Vec::new(),
             member_addresses: Vec::new(),
--- a/crates/geraniumrelay-core/src/modules/loans.rs
+++ b/crates/geraniumrelay-core/src/modules/loans.rs
@@ -13,13 +13,14 @@
 use crate::configs::loans::LoansConfig;
 use crate::modules::targets::TargetKey;
 use crate::names::{ServiceName, VmName};
+use crate::ticket::Incarnation;
 
 new_key_type! {
     /// Key of a loan in which this VM is the borrower.
     pub struct LoanKey;
 }
 
-/// Number of a loan, unique at its lender.
+/// Number of a loan, unique among the loans of all processes that a lender has had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LoanId(pub u64);
 
@@ -101,6 +102,15 @@
 }
 
 impl Loans {
+    /// Creates the loans of a process. The incarnation, which is random, is the number before its
+    /// first loan: slots may be returned to the address of a process that has ended.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            last_id: incarnation.0,
+            ..Self::default()
+        }
+    }
+
     /// Records the lendable slots that the heartbeat of a peer reports.
     pub fn on_heartbeat(&mut self, peer: SocketAddr, spare: &[Spare]) {
         for entry in spare {
@@ -230,7 +240,7 @@
 
     /// Records lent slots; an empty `slots` still consumes a loan number.
     pub fn lend(&mut self, now: Instant, cfg: &LoansConfig, slots: Map<TargetKey, u32>) -> LoanId {
-        self.last_id += 1;
+        self.last_id = self.last_id.wrapping_add(1);
         let id = LoanId(self.last_id);
         if !slots.is_empty() {
             let reclaim_at = now + cfg.reclaim_after;
