test(leased): the link to an entry VM stays with the port of its former process

Cause: update_links keeps a link while the VM is listed, also if its entry names another port. A process that was killed leaves its entry, and the next process overwrites it, so the VM is never missing from the list.

--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -346,3 +346,37 @@
         assert_eq!(takeovers(&tx), before + 1);
     });
 }
+
+/// Waits for a connection of the event loop.
+async fn accept(listener: &TcpListener) {
+    timeout(READS_TIMEOUT, listener.accept())
+        .await
+        .expect("no connection")
+        .unwrap();
+}
+
+/// A process that was killed leaves its entry, which the next process overwrites.
+#[test]
+fn a_peer_that_comes_back_at_another_port_is_connected_there() {
+    block_on(async {
+        let former = TcpListener::bind((PEER.0, 0)).await.unwrap();
+        let present = TcpListener::bind((PEER.0, 0)).await.unwrap();
+        let entry = |listener: &TcpListener, version| Change {
+            value: Some(listener.local_addr().unwrap().to_string().into_bytes()),
+            version,
+            ..entry_vm(PEER)
+        };
+        let tx = start_event_loop(start_store(Rc::default()).await);
+        let rows = vec![entry_vm(OWN), entry(&former, 1)];
+        send_rows(&tx, Table::EntryVms, rows).await;
+        accept(&former).await;
+        tx.send(Input::Rows {
+            table: Table::EntryVms,
+            is_snapshot: false,
+            rows: vec![entry(&present, 2)],
+            revision: 2,
+        })
+        .await;
+        accept(&present).await;
+    });
+}
