fix(leased): connect to an entry VM at the address of its present entry

Cause: the link to an entry VM was kept while the VM was listed, also when its entry named another port, so that nothing reached the process that had registered there.

Change: a link whose address is not that of the entry is dropped, and a new one is started.

--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -160,12 +160,12 @@
         });
     }
 
-    /// Starts links to new entry VMs, and drops the links to removed ones.
+    /// Starts links to new entry VMs, and drops the links to removed ones and to former addresses.
     pub(super) fn update_links(&mut self) {
         let peers = self.directory.peers(self.components.vm);
         let config_download = &mut self.config_download;
-        self.links.retain(|vm, _| {
-            let is_listed = peers.contains_key(vm);
+        self.links.retain(|vm, link| {
+            let is_listed = peers.get(vm) == Some(&link.address());
             if !is_listed {
                 config_download.remove_peer(*vm);
             }
--- a/crates/geraniumrelay/src/leased/links.rs
+++ b/crates/geraniumrelay/src/leased/links.rs
@@ -167,6 +167,7 @@
 #[derive(Debug)]
 pub(super) struct Link {
     tx: Sender<Bytes>,
+    to: SocketAddr,
     state: Rc<LinkState>,
 }
 
@@ -217,7 +218,12 @@
                 }
             }
         });
-        Self { tx, state }
+        Self { tx, to, state }
+    }
+
+    /// Address that the link connects to.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.to
     }
 
     /// Queues a message; `false` if there is no connection, or the queue is full because the peer
