test(platform): a row is removed whatever its value

Cause: an entry VM that stops removes the entry of its name, also one in which the next process of the VM has set another address.

--- a/crates/geraniumrelay/src/leased/table_watch.rs
+++ b/crates/geraniumrelay/src/leased/table_watch.rs
@@ -61,7 +61,8 @@
 
 /// Removes this VM's entry from the store; a failure is only logged.
 pub(super) async fn deregister(store: &StoreClient, settings: &NodeSettings) {
-    let removed = store.remove(Table::EntryVms, &settings.vm);
+    let address = settings.peer_listen().to_string();
+    let removed = store.remove(Table::EntryVms, &settings.vm, address.as_bytes());
     match tokio::time::timeout(DEREGISTER_TIMEOUT, removed).await {
         Ok(Ok(())) => info!(vm = settings.vm.as_str(); "entry_removed"),
         Ok(Err(e)) => warn!(vm = settings.vm.as_str(), reason:% = e; "entry_not_removed"),
