fix(platform): take only a refusal of the platform for proof that no write took effect

Cause: any error status counted as a refusal. A gateway that fails (500, 502, 504) may have passed the transaction on.

Change: server errors other than 503 and 507 count as no answer.

--- a/crates/geraniumrelay-platform/src/client.rs
+++ b/crates/geraniumrelay-platform/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use attohttpc::header::{ETAG, IF_NONE_MATCH};
-use attohttpc::{ErrorKind, RequestBuilder, Session};
+use attohttpc::{ErrorKind, RequestBuilder, Session, StatusCode};
 use geraniumrelay_wire::{TableRow, TableRows, Transaction, TransactionResult, VmList};
 use serde::de::DeserializeOwned;
 
@@ -187,12 +187,25 @@
         }
     })?;
     if res.is_success() {
-        Ok(res)
-    } else {
-        Err(PlatformError::Refused {
-            status: res.status().as_u16(),
-        })
+        return Ok(res);
     }
+    let status = res.status();
+    if is_failure(status) {
+        let detail = format!("status {status}");
+        return Err(PlatformError::Unknown { detail });
+    }
+    Err(PlatformError::Refused {
+        status: status.as_u16(),
+    })
+}
+
+/// Whether the status does not say whether the request was processed.
+fn is_failure(status: StatusCode) -> bool {
+    let is_declined = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::INSUFFICIENT_STORAGE,
+    ];
+    status.is_server_error() && !is_declined.contains(&status)
 }
 
 fn read_json<T: DeserializeOwned>(res: attohttpc::Response) -> Result<T, PlatformError> {
--- a/crates/geraniumrelay-platform/src/error.rs
+++ b/crates/geraniumrelay-platform/src/error.rs
@@ -11,13 +11,14 @@
         /// Text of the connection error.
         detail: String,
     },
-    /// The request was sent, but no complete response arrived; a write may have taken effect.
+    /// The request was sent, but no complete response arrived, or only that of a failure on the way;
+    /// a write may have taken effect.
     #[display("the platform did not answer; a write may have taken effect: {detail}")]
     Unknown {
         /// Text of the transport or decoding error.
         detail: String,
     },
-    /// The platform returned an error status; no write took effect.
+    /// The platform declined the request; no write took effect.
     #[display("the platform refused with status {status}")]
     Refused {
         /// HTTP status code.
