test(leased,platform): a former process answers on connections that it still serves

A process that has stopped listening may serve the connections that it has accepted, while the next one listens at its address.

--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod load;
 mod restarts;
+mod superseded;
 mod takeover;
 mod worker;
 mod world;
