fix(core/leased): ignore reports of an instance that another one has replaced

Cause: each report of another instance counted as that of its successor, also one of the instance before, which does not list the runs of the present one.

Evidence: a_report_of_a_superseded_instance_changes_nothing failed before and passes now.

Change: earlier instances of a worker are remembered by their starts, and their reports count as no answer. Where the start is told by a time of day that jumps forwards and back, the clock of the reports shows that it is the present instance (a_worker_that_names_an_earlier_start_again_stays_in_use).

--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -46,6 +46,11 @@
             return;
         }
         match reply {
+            PollReply::Report(report) if worker.is_superseded(&report, cx.now) => {
+                let source = InstanceSource::Report;
+                out.push(worker.instance_event(source, report.instance_started_unix_ms));
+                self.poll_failed(cx, key, out);
+            }
             PollReply::Report(report) => self.process_report(cx, key, sent, &report, out),
             PollReply::Fenced => self.on_higher_token(cx, key, out),
             PollReply::OtherInstance => self.on_other_instance(cx, key, sent, out),
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -1,6 +1,6 @@
 //! State that the scheduler keeps of a worker: runs, leases, polls and unacknowledged ends.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,6 +31,9 @@
 /// and a task there take together.
 const ACK_WINDOW: Duration = Duration::from_millis(50);
 
+/// Number of earlier instances of a worker that are remembered.
+const MAX_SUPERSEDED: usize = 8;
+
 /// Whether a worker takes new tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum WorkerState {
@@ -181,6 +184,8 @@
     pub(super) departed: Option<Instant>,
     /// Start of the instance that answered the last poll, in Unix milliseconds; `None` if unknown.
     pub(super) instance: Option<u64>,
+    /// Starts of earlier instances, oldest first.
+    pub(super) superseded: VecDeque<u64>,
     /// When the last report arrived.
     pub(super) reported_at: Option<Instant>,
     /// Whether the last report answered a poll that did not wait, so that it was recent on arrival.
@@ -227,6 +232,7 @@
             is_listed: true,
             departed: None,
             instance: None,
+            superseded: VecDeque::new(),
             reported_at: None,
             was_report_prompt: false,
             clock: None,
@@ -335,13 +341,28 @@
         }
     }
 
+    /// Whether a report is of an instance that another one has replaced: that process still serves the
+    /// connections that it has accepted. Where the time of day jumps back, the present instance may
+    /// name an earlier start again, but its clock goes on.
+    pub(super) fn is_superseded(&self, report: &WorkerReport, now: Instant) -> bool {
+        let instance = report.instance_started_unix_ms;
+        let clock = self.clock.as_ref();
+        instance.is_some_and(|i| self.superseded.contains(&i))
+            && !clock.is_some_and(|c| c.may_read(report.clock, now))
+    }
+
     /// Forgets what only holds for the former instance: its clock, its leases and the numbers of its
     /// ends. Its runs stay: which of them have ended is decided by what the new instance lists.
     pub(super) fn reset_instance(&mut self) {
         if let Some((lapse, _)) = self.lease.take() {
             self.add_former_leases(lapse);
         }
-        self.instance = None;
+        if let Some(instance) = self.instance.take() {
+            self.superseded.push_back(instance);
+            if self.superseded.len() > MAX_SUPERSEDED {
+                self.superseded.pop_front();
+            }
+        }
         self.clock = None;
         self.token_confirmed_at = None;
         self.last_processed_end = 0;
--- a/crates/geraniumrelay-core/tests/leased/superseded.rs
+++ b/crates/geraniumrelay-core/tests/leased/superseded.rs
@@ -87,6 +87,21 @@
     }
 }
 
+/// The start is told by the time of day, which jumps forwards and back.
+#[test]
+fn a_worker_that_names_an_earlier_start_again_stays_in_use() {
+    let mut cell = Cell::new();
+    cell.read_entry(1);
+    let mut clock_ms = 5_000;
+    for instance in [1, 2_001, 1, 2_001, 1] {
+        cell.report(instance, clock_ms, Vec::new());
+        cell.read_entry(3);
+        clock_ms += 2;
+    }
+    cell.report(1, clock_ms, Vec::new());
+    assert_eq!(cell.scheduler.snapshot(cell.now).usable, 1);
+}
+
 #[test]
 fn a_report_of_a_superseded_instance_changes_nothing() {
     let mut cell = Cell::new();
