fix(core/leased): use a worker again after another one had its address for a moment

After a call that another worker had refused, reports of the worker's own instance counted as those of a replaced one, for ever.

Cause: a refusal by another worker put the known instance among the superseded ones, and without a known clock each of these was ignored.

Evidence: a_worker_whose_address_another_one_had_for_a_moment_is_used_again failed before (no usable worker) and passes now.

Change: only a report of another instance supersedes one, and only against a known clock.

--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -74,6 +74,7 @@
             let source = InstanceSource::Report;
             out.push(worker.instance_event(source, report.instance_started_unix_ms));
             out.push(worker.condition_event(WorkerCondition::Restarted, Duration::ZERO));
+            worker.supersede_instance();
             worker.reset_instance();
         }
         worker.instance = report.instance_started_unix_ms.or(worker.instance);
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -348,7 +348,17 @@
         let instance = report.instance_started_unix_ms;
         let clock = self.clock.as_ref();
         instance.is_some_and(|i| self.superseded.contains(&i))
-            && !clock.is_some_and(|c| c.may_read(report.clock, now))
+            && clock.is_some_and(|c| !c.may_read(report.clock, now))
+    }
+
+    /// Remembers that another instance has replaced the present one.
+    pub(super) fn supersede_instance(&mut self) {
+        if let Some(instance) = self.instance {
+            self.superseded.push_back(instance);
+            if self.superseded.len() > MAX_SUPERSEDED {
+                self.superseded.pop_front();
+            }
+        }
     }
 
     /// Forgets what only holds for the former instance: its clock, its leases and the numbers of its
@@ -357,12 +367,7 @@
         if let Some((lapse, _)) = self.lease.take() {
             self.add_former_leases(lapse);
         }
-        if let Some(instance) = self.instance.take() {
-            self.superseded.push_back(instance);
-            if self.superseded.len() > MAX_SUPERSEDED {
-                self.superseded.pop_front();
-            }
-        }
+        self.instance = None;
         self.clock = None;
         self.token_confirmed_at = None;
         self.last_processed_end = 0;
--- a/crates/geraniumrelay-core/tests/leased/superseded.rs
+++ b/crates/geraniumrelay-core/tests/leased/superseded.rs
@@ -69,6 +69,17 @@
         }));
     }
 
+    /// Answers the last poll as another worker.
+    fn refuse_poll(&mut self) {
+        let call = self.polls.last().expect("a poll").clone();
+        self.handle(Command::PollReplied {
+            worker: call.worker,
+            number: call.number,
+            sent: self.now,
+            reply: PollReply::OtherInstance,
+        });
+    }
+
     /// Answers the last poll as an instance that has been up for `clock_ms`, and runs `running`.
     fn report(&mut self, instance: u64, clock_ms: u64, running: Vec<RunningTask>) {
         let call = self.polls.last().expect("a poll").clone();
@@ -87,6 +98,20 @@
     }
 }
 
+#[test]
+fn a_worker_whose_address_another_one_had_for_a_moment_is_used_again() {
+    let mut cell = Cell::new();
+    cell.read_entry(1);
+    cell.report(1, 5_000, Vec::new());
+    cell.read_entry(2);
+    cell.refuse_poll();
+    assert_eq!(cell.scheduler.snapshot(cell.now).usable, 0);
+    cell.now += Duration::from_secs(3);
+    cell.handle(Command::Tick);
+    cell.report(1, 8_000, Vec::new());
+    assert_eq!(cell.scheduler.snapshot(cell.now).usable, 1);
+}
+
 /// The start is told by the time of day, which jumps forwards and back.
 #[test]
 fn a_worker_that_names_an_earlier_start_again_stays_in_use() {
