--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -261,7 +261,10 @@
         out: &mut Vec<Effect>,
     ) {
         let worker = &mut self.workers[key];
-        out.push(worker.instance_event(InstanceSource::RefusedCall, None));
+        // Further polls of the address are refused as well.
+        if worker.instance.is_some() || !worker.runs.is_empty() {
+            out.push(worker.instance_event(InstanceSource::RefusedCall, None));
+        }
         if worker.reported_at.is_some_and(|at| at >= sent) {
             worker.suspect_restart();
             return;
