fix(testkit): free addresses are not held by processes that are being started

Cause: between its fork and the execution of its program a child process holds all sockets of its parent. free_address() binds an address to see whether it is free; a child that another thread was starting at that moment kept the socket, and the entry process found 'Address already in use' and ended, so the test waited 20 s for it ('szeged-e0 is not ready in time'). Change: an address is tried, and a process started, under one lock.

--- a/crates/geraniumrelay-testkit/src/entry_process.rs
+++ b/crates/geraniumrelay-testkit/src/entry_process.rs
@@ -11,7 +11,7 @@
 
 use crate::certs::TestCerts;
 use crate::operators;
-use crate::ports::free_address;
+use crate::ports::{self, free_address};
 
 /// Interval between two checks whether a process has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -123,7 +123,7 @@
         command.env("GERANIUMRELAY_KEY", plan.certs.key());
         command.envs(plan.settings.iter().map(|(name, value)| (name, value)));
         command.stdin(Stdio::null());
-        let child = command.spawn().expect("entry process starts");
+        let child = ports::spawn(&mut command).expect("entry process starts");
         let (vm, data_centre) = (plan.vm.clone(), plan.data_centre.clone());
         Self {
             vm,
