fix(core/leased): read an idle worker's clock again before a start order

Cause: the lease of an order is given in the worker's clock, whose last reading of an idle worker may be minutes old. Change: a start order uses a reading of at most 1 s. Workers that were heard lately are preferred; if none of them has room, the best idle one is polled, and the task waits for the reply, 1 ms later. Ruled out: waiting 13 s (the platform carries calls out up to 12 s late) before a run that was never confirmed starts elsewhere; it delays every such task, and the test wants the second run within 7 s. Limit: a restart within the last second before an order, not yet told by the feed.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -8,6 +8,9 @@
     /// Length of the leases on a worker, counted anew from each start order and poll that renews them;
     /// below the platform's maximum of 1 s, so that the lease is never shortened.
     pub lease: Duration,
+    /// Maximum age of the reading of a worker's clock that a start order may use. A worker that has
+    /// restarted since would accept the order until its own, younger clock reaches the lease.
+    pub max_clock_age: Duration,
     /// Maximum wait of a poll for an end; a third of a lease, so that two polls may be lost.
     pub max_poll_wait: Duration,
     /// Minimum wait of a poll for an end; limits the polls for an overdue task.
@@ -74,6 +77,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_millis(950),
+            max_clock_age: Duration::from_secs(1),
             max_poll_wait: Duration::from_millis(300),
             min_poll_wait: Duration::from_millis(40),
             overdue_slack: Duration::from_millis(15),
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -40,22 +40,45 @@
     pub(super) may_renew_durable: bool,
 }
 
-/// The worker with the lowest score for the task; `None` if the task has to wait.
+/// The worker that the task can start on, by the age of the reading of its clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Choice {
+    /// The task can start now.
+    Start(WorkerKey),
+    /// The task can start once the clock of this worker has been read.
+    ReadClock(WorkerKey),
+    /// The task has to wait for room.
+    Wait,
+}
+
+/// The worker with the lowest score for the task, first among those whose clocks were read lately.
 pub(super) fn choose(
     cfg: &LeasedConfig,
     workers: &SlotMap<WorkerKey, Worker>,
     request: PlacementRequest<'_>,
-) -> Option<WorkerKey> {
+) -> Choice {
     let mut best: Option<(f64, WorkerKey)> = None;
+    let mut best_stale: Option<(f64, WorkerKey)> = None;
     for (key, worker) in workers {
         let Some(score) = score(cfg, key, worker, request) else {
             continue;
         };
+        let best = if worker.has_fresh_clock(request.now, cfg.max_clock_age) {
+            &mut best
+        } else if worker.must_read_clock {
+            continue;
+        } else {
+            &mut best_stale
+        };
         if best.is_none_or(|(least, _)| score < least) {
-            best = Some((score, key));
+            *best = Some((score, key));
         }
     }
-    best.map(|(_, key)| key)
+    match (best, best_stale) {
+        (Some((_, key)), _) => Choice::Start(key),
+        (None, Some((_, key))) => Choice::ReadClock(key),
+        (None, None) => Choice::Wait,
+    }
 }
 
 /// Whether the worker could run the task if no other task ran there.
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -5,7 +5,7 @@
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, TaskKey, TaskState};
 use crate::leased::log_event::LogEvent;
-use crate::leased::placement::{self, PlacementRequest};
+use crate::leased::placement::{self, Choice, PlacementRequest};
 use crate::leased::record::RecordState;
 use crate::leased::worker::{Run, RunState, UnclaimedRun, Worker, WorkerKey};
 
@@ -64,6 +64,7 @@
     ) -> bool {
         let mut starts = Vec::new();
         let mut is_placed = true;
+        let mut clock_reads = 0;
         while let Some(&position) = self.jobs[key].ready.front() {
             let task = TaskKey { job: key, position };
             let request = PlacementRequest {
@@ -75,9 +76,18 @@
                 respects_slowness,
                 may_renew_durable,
             };
-            let Some(worker) = placement::choose(&cx.cfg.leased, &self.workers, request) else {
-                is_placed = false;
-                break;
+            let worker = match placement::choose(&cx.cfg.leased, &self.workers, request) {
+                Choice::Start(worker) => worker,
+                Choice::ReadClock(worker) if clock_reads < self.jobs[key].ready.len() => {
+                    clock_reads += 1;
+                    self.workers[worker].must_read_clock = true;
+                    self.schedule_poll(cx, worker, out);
+                    continue;
+                }
+                Choice::ReadClock(_) | Choice::Wait => {
+                    is_placed = false;
+                    break;
+                }
             };
             self.start(cx, task, worker, out);
             let job = &self.jobs[key];
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -219,6 +219,8 @@
     pub(super) stale_end: Option<(u64, Instant)>,
     /// Whether a poll has to be sent to acknowledge ends.
     pub(super) has_unsent_ack: bool,
+    /// Whether a poll has to be sent to read the clock, for which a task waits.
+    pub(super) must_read_clock: bool,
     pub(super) poll_state: PollState,
     /// Until when the worker counts as full, after it refused a task for lack of room.
     pub(super) full_until: Option<Instant>,
@@ -249,6 +251,7 @@
             first_unclassified_end: None,
             stale_end: None,
             has_unsent_ack: false,
+            must_read_clock: false,
             poll_state: PollState::default(),
             full_until: None,
             health: Health::default(),
@@ -270,6 +273,12 @@
             && self.poll_state.misses < MAX_MISSES
     }
 
+    /// Whether a start order may use the reading of the worker's clock.
+    pub(super) fn has_fresh_clock(&self, now: Instant, max_age: Duration) -> bool {
+        let clock = self.clock.as_ref();
+        clock.is_some_and(|c| c.is_fresh(now, max_age))
+    }
+
     /// Whether the worker is listed and ready, and has not become unresponsive.
     pub(super) fn may_become_usable(&self) -> bool {
         let is_open_for_tasks = self.is_listed && self.entry.state == WorkerState::Ready;
--- a/crates/geraniumrelay-core/src/leased/worker_clock.rs
+++ b/crates/geraniumrelay-core/src/leased/worker_clock.rs
@@ -46,6 +46,11 @@
         self.reading
     }
 
+    /// Whether the reading is at most `max_age` old at `now`.
+    pub fn is_fresh(&self, now: Instant, max_age: Duration) -> bool {
+        now.saturating_duration_since(self.read_at) <= max_age
+    }
+
     /// Whether the same clock may have given `reading` in a reply that arrived at `now`.
     pub fn may_read(&self, reading: WorkerTime, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.read_at);
--- a/crates/geraniumrelay-core/tests/leased/restarts/leases.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts/leases.rs
@@ -94,3 +94,36 @@
         sim
     });
 }
+
+/// The same with an order that leaves after the worker's clock was read again, so that its lease is in
+/// the clock of the instance that carries the order out.
+#[test]
+fn a_delayed_start_order_to_a_worker_that_has_been_idle_starts_no_second_run() {
+    check(|case| {
+        let mut sim = case.simulation();
+        sim.run_for(Duration::from_secs(30));
+        sim.restart_worker(0, case.clock_step_ms);
+        for worker in 1..3 {
+            let mut entry = sim.worker_entry(worker);
+            entry.state = WorkerState::Draining;
+            sim.handle_command(0, Command::WorkerSeen(entry));
+        }
+        let job = case.job(1, 1, Duration::from_secs(8)).with_priority(1);
+        sim.submit(0, MS, job.with_remaining_wait(Duration::from_secs(20)));
+        sim.run_for(MS / 2);
+        while case.is_durable && !sim.records.contains_key(&JobId(1)) {
+            sim.run_for(MS / 10);
+        }
+        sim.delayed_call_share = 1.0;
+        sim.run_for(8 * MS);
+        sim.delayed_call_share = 0.0;
+        sim.hosts[0].unreachable_workers.insert(0);
+        for worker in 1..3 {
+            sim.announce_worker(0, worker);
+        }
+        sim.run_for(Duration::from_secs(15));
+        let trace = sim.trace_of(JobId(1));
+        assert!(trace.contains("TooLate"), "no order came late\n{trace}");
+        sim
+    });
+}
