fix(leased): a waiting read that ends is no loss of the store

Cause: a process had the store only if no read of any table failed. When the store drops its history it ends all waiting reads without an answer, and the table of durable jobs, which has no changes, counted as failing until its next waiting read ended 1.5 s later; as long as ElectionConfig::store_timeout. Change: after a waiting read has failed, the table is read again at once without waiting, and only that counts. The records count only if there may be durable jobs. A scheduler's reads of the workers wait 0.5 s, as their rows change all the time, so a silent store is noticed 1 s sooner.

--- a/crates/geraniumrelay/src/leased/event_loop/configuration.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/configuration.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use geraniumrelay_adapter::Change;
 use geraniumrelay_adapter::store::configuration;
+use geraniumrelay_adapter::{Change, Table};
 use geraniumrelay_core::Context;
 use geraniumrelay_core::leased::EntryVm;
 use geraniumrelay_core::leased::config_transfer::{DownloadEvent, PartRequest};
@@ -15,9 +15,6 @@
 use super::EventLoop;
 use crate::leased::convert;
 
-/// Name of the table in [`EventLoop::on_store_health`].
-const TABLE: &str = "configuration";
-
 /// Minimum interval between two lines on refused uploads; all other VMs may ask at the same time.
 const REFUSAL_LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -68,7 +65,7 @@
     pub(super) fn tick_configuration(&mut self, now: Instant) {
         let cx = Context::new(now, &self.components.cfg);
         let version = self.config_version();
-        let is_store_healthy = !self.failing_tables.contains(TABLE);
+        let is_store_healthy = !self.store_health.is_failing(Table::Configuration);
         let tick = self.config_download.tick(&cx, version, is_store_healthy);
         if let Some((from, bytes)) = tick.stalled {
             warn!(from:% = from, bytes, version; "configuration_download_stalled");
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -67,7 +67,7 @@
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
             .with_departed_known(false);
-        let must_read_records = self.has_durable_jobs || !self.knows_durable_jobs;
+        let must_read_records = self.store_health.may_have_durable_jobs();
         let scheduler = if must_read_records {
             scheduler.with_records(name.clone())
         } else {
@@ -95,7 +95,7 @@
     /// Updates what the elections know about this VM, its lag and its peers.
     pub(super) fn set_fitness(&mut self, now: Instant) {
         let is_ineligible = self.is_stopping || !self.directory.can_schedule();
-        let has_store = self.failing_tables.is_empty();
+        let has_store = self.store_health.has_store();
         let knows_departed = self.directory.knows_departed(now);
         let peer_fresh =
             self.follower_heartbeat_interval() * FRESH_HEARTBEATS + Duration::from_millis(50);
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -15,7 +15,7 @@
 
 use flume::Receiver;
 use geraniumrelay_adapter::StoreClient;
-use geraniumrelay_core::collections::{Map, Set};
+use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::config_transfer::{ConfigDownload, ConfigUploads};
 use geraniumrelay_core::leased::{Command, Effect, EntryVm, FencingToken, JobId, Scheduler};
@@ -39,6 +39,7 @@
 use crate::leased::metrics::LeasedMetrics;
 use crate::leased::pending_jobs::PendingJobs;
 use crate::leased::readiness::Readiness;
+use crate::leased::store_health::StoreHealth;
 use crate::leased::worker_calls::WorkerCalls;
 
 /// Interval at which deadlines and elections are checked.
@@ -102,16 +103,12 @@
     config_uploads: ConfigUploads,
     /// Time from which a refused upload is logged again.
     next_upload_refusal_line: Instant,
-    failing_tables: Set<&'static str>,
+    store_health: StoreHealth,
     next_tick: Instant,
     next_heartbeat: Instant,
     next_plan: Instant,
     no_scheduler_since: Instant,
     lag: Lag,
-    /// Whether a durable job has been seen, here or by a peer.
-    has_durable_jobs: bool,
-    /// Whether the records of durable jobs have been read, so that `has_durable_jobs` is reliable.
-    knows_durable_jobs: bool,
     is_stopping: bool,
 }
 
@@ -136,14 +133,12 @@
             config_download: ConfigDownload::new(vm),
             config_uploads: ConfigUploads::default(),
             next_upload_refusal_line: now,
-            failing_tables: Set::default(),
+            store_health: StoreHealth::default(),
             next_tick: now,
             next_heartbeat: now,
             next_plan: now,
             no_scheduler_since: now,
             lag: Lag::default(),
-            has_durable_jobs: false,
-            knows_durable_jobs: false,
             is_stopping: false,
         };
         event_loop.reset_cells(now);
@@ -176,7 +171,9 @@
                 max_wait,
                 reply,
             } => {
-                self.has_durable_jobs |= spec.is_durable;
+                if spec.is_durable {
+                    self.store_health.durable_job_seen();
+                }
                 if self.pending_jobs.add(spec, max_wait, reply, Instant::now()) {
                     self.send_unsent_jobs();
                 }
@@ -306,14 +303,14 @@
             .map(|cell| cell.heartbeat(successor_of(&cell.name)))
             .collect();
         let heartbeat = Beat {
-            has_store: self.failing_tables.is_empty(),
+            has_store: self.store_health.has_store(),
             is_barred: self.is_stopping || !self.directory.can_schedule(),
             knows_departed: self.directory.knows_departed(Instant::now()),
             data_centre: self.components.data_centre.to_string(),
             cpu_tenths: self.components.cpu_tenths,
             config_version: self.config_version(),
             cells,
-            has_kept_jobs: self.has_durable_jobs,
+            has_kept_jobs: self.store_health.has_durable_jobs(),
             lag_us: u32::try_from(self.lag.mean().as_micros()).unwrap_or(u32::MAX),
         };
         let message = links::frame(Body::Beat(heartbeat));
@@ -392,7 +389,9 @@
 
     fn on_heartbeat(&mut self, from: EntryVm, heartbeat: &Beat) {
         let now = Instant::now();
-        self.has_durable_jobs |= heartbeat.has_kept_jobs;
+        if heartbeat.has_kept_jobs {
+            self.store_health.durable_job_seen();
+        }
         for name in self.cell_names() {
             let Some(cell) = self.cells.get_mut(&name) else {
                 continue;
--- a/crates/geraniumrelay/src/leased/event_loop/records.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/records.rs
@@ -108,7 +108,7 @@
         // Only the newest change of each row is current.
         let newest: BTreeMap<&str, &Change> = rows.iter().map(|r| (r.key.as_str(), r)).collect();
         for (record, version) in newest.into_values().filter_map(durable_jobs::decode) {
-            self.has_durable_jobs = true;
+            self.store_health.durable_job_seen();
             let cell = record.cell.clone();
             // An entry VM cancelled the job. Jobs that the scheduler ends are queued for the move
             // when their records have been stored.
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -49,7 +49,7 @@
                 }
             }
             Table::DurableJobs => {
-                self.knows_durable_jobs = true;
+                self.store_health.records_read();
                 self.apply_record_rows(rows);
             }
             // These tables are not watched: their rows are read on a claim or a query of a job.
@@ -117,6 +117,8 @@
         info!(cells = names.len(); "cells_made");
         let cell = |name: CellName| (name.clone(), Cell::new(name, vm, now));
         self.cells = names.into_iter().map(cell).collect();
+        // The other VMs rank themselves by the heartbeats that they have received for the new cells.
+        self.next_heartbeat = now;
     }
 
     /// Stores a plan of cells where there is none and the workers are too many for one cell. Only
@@ -161,22 +163,14 @@
         }
     }
 
-    /// Records whether reads of a table succeed; with a failing table, `has_store` is `false`.
+    /// Records whether reads of a table succeed.
     pub(super) fn on_store_health(&mut self, table: Table, is_healthy: bool) {
-        let name = match table {
-            Table::Configuration => "configuration",
-            Table::Workers => "workers",
-            Table::EntryVms => "entry-vms",
-            Table::DurableJobs => "kept-jobs",
-            Table::EndedJobs => "ended-jobs",
-            Table::Epochs => "cell-epochs",
-        };
-        if is_healthy {
-            self.failing_tables.remove(name);
-        } else {
-            self.components.metrics.count_store_error(name);
-            self.failing_tables.insert(name);
+        self.store_health.set(table, is_healthy);
+        if !is_healthy {
+            self.components
+                .metrics
+                .count_store_error(&table.to_string());
         }
-        info!(table = name, is_healthy; "store_health_changed");
+        info!(table:% = table, is_healthy; "store_health_changed");
     }
 }
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -21,6 +21,7 @@
 mod readiness;
 mod request_handler;
 mod server;
+mod store_health;
 mod table_watch;
 #[cfg(test)]
 mod tests;
--- a/crates/geraniumrelay/src/leased/table_watch.rs
+++ b/crates/geraniumrelay/src/leased/table_watch.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_adapter::{Change, Listing, NodeSettings, StoreClient, StoreError, Table};
+use geraniumrelay_core::leased::cells::hash_of;
 use log::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -16,6 +17,10 @@
 /// is shorter than the 2 s within which a configuration must be in force.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Same for the workers' entries on a VM that schedules a cell: they change all the time, so a read
+/// without changes shows that the store does not answer.
+const WORKERS_LONG_POLL_WAIT: Duration = Duration::from_millis(500);
+
 /// Minimum pause between two reads of the workers' entries, which change with each heartbeat of a
 /// worker; one eighth of the time limit after which a draining worker must get no more tasks.
 const WORKERS_READ_PAUSE: Duration = Duration::from_millis(250);
@@ -52,8 +57,12 @@
         Table::EntryVms,
         Table::DurableJobs,
     ] {
-        let is_scheduler = Rc::clone(is_scheduler);
-        spawn_local(watch(store.clone(), table, is_scheduler, tx.clone()));
+        let watch = Watch {
+            table,
+            is_scheduler: Rc::clone(is_scheduler),
+            standby_spread: standby_spread(&settings.vm),
+        };
+        spawn_local(watch.run(store.clone(), tx.clone()));
     }
     let address = settings.peer_listen().to_string();
     spawn_local(register(store.clone(), settings.vm.clone(), address));
@@ -97,55 +106,102 @@
     }
 }
 
-/// Reads a snapshot of a table, then its changes; a new snapshot where the store no longer has the
-/// history.
-async fn watch(store: StoreClient, table: Table, is_scheduler: Rc<Cell<bool>>, tx: InputTx) {
-    let mut revision = None;
-    let mut pause = FIRST_PAUSE;
-    let mut was_healthy = true;
-    loop {
-        let began = Instant::now();
-        let read = match revision {
-            None => store.list(table).await,
-            Some(after) => store.changes(table, after, LONG_POLL_WAIT).await,
-        };
-        let took = began.elapsed();
-        observe(tx.metrics(), table, &read, took);
-        let is_healthy = matches!(read, Ok(_) | Err(StoreError::HistoryGone));
-        if is_healthy != was_healthy {
-            was_healthy = is_healthy;
-            tx.send(Input::StoreHealth { table, is_healthy }).await;
-        }
-        match read {
-            Ok(listing) => {
-                pause = FIRST_PAUSE;
-                let is_snapshot = revision.is_none();
-                revision = Some(listing.revision);
-                if is_snapshot || !listing.rows.is_empty() {
-                    tx.send(Input::Rows {
-                        table,
-                        is_snapshot,
-                        rows: listing.rows,
-                        revision: listing.revision,
-                    })
-                    .await;
+/// Wait of a read for changes of a table.
+fn long_poll_wait(table: Table, is_scheduler: bool) -> Duration {
+    match (table, is_scheduler) {
+        (Table::Workers, true) => WORKERS_LONG_POLL_WAIT,
+        _ => LONG_POLL_WAIT,
+    }
+}
+
+/// Delay of this VM's snapshot of the workers after the store has lost its history, so that the VMs that
+/// stand by do not all read it at once.
+fn standby_spread(vm: &str) -> Duration {
+    let percent = hash_of(vm.as_bytes()) % 100;
+    WORKERS_STANDBY_READ_PAUSE * u32::try_from(percent).unwrap_or(0) / 100
+}
+
+/// A watched table.
+pub(super) struct Watch {
+    pub(super) table: Table,
+    /// Whether this VM schedules a cell.
+    pub(super) is_scheduler: Rc<Cell<bool>>,
+    /// Delay of a snapshot of the workers on a VM that stands by, after a loss of the history.
+    pub(super) standby_spread: Duration,
+}
+
+impl Watch {
+    /// Reads a snapshot of the table, then its changes; a new snapshot where the store no longer has
+    /// the history.
+    ///
+    /// A read that waits for changes and fails says little about the store, which ends such reads when
+    /// it drops its history. So the table is read again at once without waiting, and only a failure of
+    /// that read is reported.
+    pub(super) async fn run(self, store: StoreClient, tx: InputTx) {
+        let table = self.table;
+        let mut revision = None;
+        let mut pause = FIRST_PAUSE;
+        let mut was_healthy = true;
+        let mut may_wait = true;
+        loop {
+            let is_scheduler = self.is_scheduler.get();
+            let wait = if may_wait {
+                long_poll_wait(table, is_scheduler)
+            } else {
+                Duration::ZERO
+            };
+            let began = Instant::now();
+            let read = match revision {
+                None => store.list(table).await,
+                Some(after) => store.changes(table, after, wait).await,
+            };
+            let took = began.elapsed();
+            observe(tx.metrics(), table, &read, took);
+            let is_answered = matches!(read, Ok(_) | Err(StoreError::HistoryGone));
+            let has_waited = revision.is_some() && !wait.is_zero();
+            let is_conclusive = is_answered || !has_waited;
+            if is_conclusive && is_answered != was_healthy {
+                was_healthy = is_answered;
+                let is_healthy = is_answered;
+                tx.send(Input::StoreHealth { table, is_healthy }).await;
+            }
+            may_wait = is_answered;
+            match read {
+                Ok(listing) => {
+                    pause = FIRST_PAUSE;
+                    let is_snapshot = revision.is_none();
+                    revision = Some(listing.revision);
+                    if is_snapshot || !listing.rows.is_empty() {
+                        tx.send(Input::Rows {
+                            table,
+                            is_snapshot,
+                            rows: listing.rows,
+                            revision: listing.revision,
+                        })
+                        .await;
+                    }
+                    if !is_snapshot {
+                        sleep(read_pause(table, self.is_scheduler.get())).await;
+                    }
                 }
-                if !is_snapshot {
-                    sleep(read_pause(table, is_scheduler.get())).await;
+                Err(StoreError::HistoryGone) => {
+                    info!(table:% = table, revision = revision.unwrap_or(0); "history_gone");
+                    revision = None;
+                    if table == Table::Workers && !is_scheduler {
+                        sleep(self.standby_spread).await;
+                    }
+                }
+                Err(e) => {
+                    let took_ms = took.as_millis();
+                    warn!(
+                        table:% = table, reason:% = e, revision = revision.unwrap_or(0), took_ms,
+                        waited_ms = wait.as_millis(); "store_read_failed"
+                    );
+                    if !has_waited {
+                        sleep(pause).await;
+                        pause = (pause * 2).min(MAX_PAUSE);
+                    }
                 }
-            }
-            Err(StoreError::HistoryGone) => {
-                info!(table:% = table, revision = revision.unwrap_or(0); "history_gone");
-                revision = None;
-            }
-            Err(e) => {
-                let took_ms = took.as_millis();
-                warn!(
-                    table:% = table, reason:% = e, revision = revision.unwrap_or(0), took_ms;
-                    "store_read_failed"
-                );
-                sleep(pause).await;
-                pause = (pause * 2).min(MAX_PAUSE);
             }
         }
     }
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -8,6 +8,8 @@
 mod links;
 mod metrics;
 mod pending_jobs;
+mod store_health;
+mod table_watch;
 
 use std::time::Duration;
 
