fix(leased): cells move one at a time, to the VM with most processor for each; paused schedulers stop

Cause: (1) VMs were ranked by size before the cells they have, so cells were handed over in pairs to one VM, and the first small VM that was up scheduled several until its event loop lagged, when callers already waited. Change: (1) VMs are ranked by processor for each cell. A scheduler hands over to a VM with twice its share while it has no jobs, with four times while it has. A VM hands over one cell in 0.5 s, and cells of a data centre that lose the store do so 150 ms apart.

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -5,10 +5,11 @@
 //! both sides of a partition. Load pattern: the scheduler's VM dies, freezes or is cut off while
 //! jobs wait for tens of milliseconds at most.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+pub use super::fitness::Fitness;
+use super::fitness::preference;
 use super::names::{EntryVm, FencingToken};
 use crate::collections::Map;
 
@@ -19,6 +20,13 @@
 /// Ratio of the scheduler's lag to its successor's from which the scheduler hands over.
 const LAG_RATIO: u32 = 3;
 
+/// Ratio of the successor's share of processor to the scheduler's from which an idle scheduler hands
+/// over.
+const IDLE_SHARE_RATIO: u32 = 2;
+
+/// Same for a scheduler with open jobs, which are delayed by the hand-over.
+const BUSY_SHARE_RATIO: u32 = 4;
+
 /// Rounds skipped when a worker has received a higher token than any that this process knows.
 const FENCED_ROUND_SKIP: u64 = 2;
 
@@ -56,6 +64,9 @@
     /// Time after a takeover in which the scheduler does not hand over for its lag: if the load is too
     /// high for any VM, each hand-over only adds to it.
     pub min_tenure: Duration,
+    /// Time after a takeover in which the scheduler does not hand over to a VM with a larger share of
+    /// processor: the heartbeats of the other VMs that are starting arrive within it.
+    pub min_share_tenure: Duration,
 }
 
 impl ElectionConfig {
@@ -79,6 +90,7 @@
             lag_limit: Self::LAG_LIMIT,
             min_lag_duration: Duration::from_millis(200),
             min_tenure: Duration::from_millis(1_500),
+            min_share_tenure: Duration::from_millis(500),
         }
     }
 }
@@ -104,17 +116,6 @@
     pub fitness: Fitness,
 }
 
-/// Suitability of a VM as the scheduler of a cell.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Fitness {
-    /// Whether the VM is in the cell's data centre; `true` for a cell without one.
-    pub is_local: bool,
-    /// Processor of the VM, in tenths of a core.
-    pub cpu_tenths: u32,
-    /// Number of other cells that the VM schedules.
-    pub other_cells: u32,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     last_heartbeat_at: Instant,
@@ -168,6 +169,12 @@
     fitness: Fitness,
     /// Whether the former scheduler has named this VM as its successor.
     is_named_successor: bool,
+    /// Time for which a hand-over waits for those of other cells.
+    hand_over_delay: Duration,
+    /// Whether the scheduler has open jobs.
+    has_jobs: bool,
+    /// Until when this VM leaves the cell to its scheduler, whatever its time-outs and lag say.
+    no_hand_over_until: Instant,
 }
 
 impl Election {
@@ -191,6 +198,9 @@
             knows_departed: false,
             fitness: Fitness::default(),
             is_named_successor: false,
+            hand_over_delay: Duration::ZERO,
+            has_jobs: false,
+            no_hand_over_until: now,
         }
     }
 
@@ -241,6 +251,30 @@
         self.fitness = fitness;
     }
 
+    /// Sets whether the scheduler has open jobs, and for how long its hand-over waits for those of
+    /// other cells. Load pattern: the schedulers of all cells lose the store at the same moment, and
+    /// all name the fittest VM.
+    pub fn set_load(&mut self, has_jobs: bool, hand_over_delay: Duration) {
+        self.has_jobs = has_jobs;
+        self.hand_over_delay = hand_over_delay;
+    }
+
+    /// Postpones a hand-over, as this VM has handed over another cell, which may be enough.
+    pub fn postpone_hand_over(&mut self, until: Instant) {
+        self.no_hand_over_until = until;
+    }
+
+    /// Handles a pause of this process that was long enough for a takeover by another VM: it stops
+    /// scheduling, and waits for the heartbeats that arrived meanwhile.
+    pub fn on_paused(&mut self, now: Instant) -> Transition {
+        self.grace_started_at = now;
+        self.is_named_successor = false;
+        if self.is_scheduler() {
+            return self.lose(now);
+        }
+        Transition::Unchanged
+    }
+
     /// Connected entry VMs without a heartbeat within `peer_timeout`.
     pub fn timed_out_peers(&self, now: Instant) -> Vec<EntryVm> {
         let limit = self.cfg.peer_timeout;
@@ -413,20 +447,48 @@
     }
 
     fn check_own(&mut self, now: Instant) -> Transition {
-        let since = self.store_lost_at;
-        let is_store_lost_for_long =
-            since.is_some_and(|at| now.saturating_duration_since(at) >= self.cfg.store_timeout);
-        let successor = self.successor(now);
-        let has_store = |vm: &EntryVm| self.peers.get(vm).is_some_and(|p| p.heartbeat.has_store);
-        if is_store_lost_for_long && successor.as_ref().is_some_and(has_store) {
-            return self.resign(now);
-        }
-        if successor.is_some_and(|vm| self.is_outpaced_by(vm, now)) {
+        let Some(successor) = self.successor(now) else {
+            return Transition::Unchanged;
+        };
+        let is_due = now >= self.no_hand_over_until
+            && (self.must_leave_to_vm_with_store(successor, now)
+                || self.is_outpaced_by(successor, now)
+                || self.is_outclassed_by(successor, now));
+        if is_due {
             return self.resign(now);
         }
         Transition::Unchanged
     }
 
+    /// Whether the store has not answered for `store_timeout`, and answers `vm`, which learns of new
+    /// and of leaving workers.
+    fn must_leave_to_vm_with_store(&self, vm: EntryVm, now: Instant) -> bool {
+        let timeout = self.cfg.store_timeout + self.hand_over_delay;
+        let is_lost = |at| now.saturating_duration_since(at) >= timeout;
+        let peer = self.peers.get(&vm);
+        self.store_lost_at.is_some_and(is_lost) && peer.is_some_and(|p| p.heartbeat.has_store)
+    }
+
+    /// Whether `vm` has a much larger share of processor for this cell. Load pattern: the first VM
+    /// that is up schedules several cells, and larger VMs start after it.
+    fn is_outclassed_by(&self, vm: EntryVm, now: Instant) -> bool {
+        let Some(peer) = self.peers.get(&vm) else {
+            return false;
+        };
+        let tenure = now.saturating_duration_since(self.took_over_at);
+        let ratio = if self.has_jobs {
+            BUSY_SHARE_RATIO
+        } else {
+            IDLE_SHARE_RATIO
+        };
+        let own = self.own_heartbeat(None);
+        let (share, peer_share) = (self.fitness.share(), peer.heartbeat.fitness.share());
+        tenure >= self.cfg.min_share_tenure + self.hand_over_delay
+            && !peer.heartbeat.is_weaker_than(&own, self.cfg.lag_limit)
+            && peer_share > share
+            && peer_share >= share * ratio
+    }
+
     /// Whether this scheduler has lagged for `min_lag_duration` and `vm` does not. Load pattern: the
     /// scheduler's VM becomes several times slower, so that the replies of all workers queue there.
     fn is_outpaced_by(&self, vm: EntryVm, now: Instant) -> bool {
@@ -501,22 +563,3 @@
             .map(|(&vm, p)| (vm, p))
     }
 }
-
-/// Sort key of entry VMs for a takeover, the preferred one first: VMs that the store answers, that
-/// do not lag, that know the departed workers and that are local; then by size, the largest first,
-/// and by the number of other cells.
-fn preference(vm: EntryVm, heartbeat: &Heartbeat, lag_limit: Duration) -> impl Ord + use<> {
-    let Fitness {
-        is_local,
-        cpu_tenths,
-        other_cells,
-    } = heartbeat.fitness;
-    let is_lagging = heartbeat.lag >= lag_limit;
-    let weaknesses = (
-        !heartbeat.has_store,
-        is_lagging,
-        !heartbeat.knows_departed,
-        !is_local,
-    );
-    (weaknesses, Reverse(cpu_tenths), other_cells, vm)
-}
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -12,6 +12,7 @@
 pub mod election;
 mod epoch;
 pub mod estimates;
+mod fitness;
 mod health;
 mod job;
 mod log_event;
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -239,6 +239,11 @@
         self.knows_records
     }
 
+    /// Whether any job has not ended.
+    pub fn has_jobs(&self) -> bool {
+        !self.jobs.is_empty()
+    }
+
     /// Number of jobs without a started task, by queue.
     pub fn pending(&self) -> Map<Arc<str>, u32> {
         let mut pending = Map::default();
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -3,14 +3,23 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::election::{Fitness, Transition};
 use geraniumrelay_core::leased::{Command, FencingToken, Scheduler};
-use log::info;
+use log::{info, warn};
 
 use super::EventLoop;
 use crate::leased::convert;
 
+/// Time after a hand-over in which this VM hands no other cell over: its lag and the successor's
+/// heartbeat show by then whether that is needed.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Delay of a hand-over for each cell of the data centre that precedes this one: a takeover and the
+/// heartbeat after it.
+const HAND_OVER_STAGGER: Duration = Duration::from_millis(150);
+
 /// Number of heartbeat intervals after which an unresponsive VM is not a candidate for a takeover.
 const FRESH_HEARTBEATS: u32 = 2;
 
@@ -32,6 +41,10 @@
                 info!(cell:% = name, to:% = vm, reason = "handed over"; "scheduling_ended");
                 cell.drop_scheduler();
                 self.send_heartbeat(Some((name, vm)));
+                let until = Instant::now() + HAND_OVER_PAUSE;
+                for cell in self.cells.values_mut() {
+                    cell.election.postpone_hand_over(until);
+                }
             }
             Transition::Follow(vm, token) => {
                 info!(cell:% = name, vm:% = vm, token:% = token; "scheduler_followed");
@@ -104,7 +117,15 @@
             .values()
             .filter(|c| c.scheduler.is_some())
             .count();
+        let mut preceding: Map<Option<Arc<str>>, u32> = Map::default();
         for cell in self.cells.values_mut() {
+            let preceding = preceding
+                .entry(cell.name.data_centre().map(Arc::from))
+                .or_default();
+            let has_jobs = cell.scheduler.as_ref().is_some_and(Scheduler::has_jobs);
+            cell.election
+                .set_load(has_jobs, HAND_OVER_STAGGER * *preceding);
+            *preceding += 1;
             let other_cells = scheduled_cells - usize::from(cell.scheduler.is_some());
             let fitness = Fitness {
                 is_local: convert::is_local(&cell.name, &self.components.data_centre),
@@ -119,6 +140,25 @@
         }
     }
 
+    /// Stops scheduling after a pause of this process that was long enough for a takeover by another VM,
+    /// before anything that has arrived meanwhile is handled: messages may be as old as the pause, and
+    /// permissions that end with time may have run out.
+    pub(super) fn on_paused(&mut self, pause: Duration) {
+        let cells = self
+            .cells
+            .values()
+            .filter(|c| c.scheduler.is_some())
+            .count();
+        warn!(pause_ms = pause.as_millis(), cells; "process_paused");
+        let now = Instant::now();
+        for name in self.cell_names() {
+            if let Some(cell) = self.cells.get_mut(&name) {
+                let transition = cell.election.on_paused(now);
+                self.apply_transition(&name, transition);
+            }
+        }
+    }
+
     /// Runs the timers of a cell's election and of its scheduler.
     pub(super) fn tick_cell(&mut self, name: &CellName, now: Instant) {
         let Some(cell) = self.cells.get_mut(name) else {
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -37,6 +37,7 @@
 use crate::leased::link_load::TotalLoad;
 use crate::leased::links::{self, Link};
 use crate::leased::metrics::LeasedMetrics;
+use crate::leased::pause::PauseDetector;
 use crate::leased::pending_jobs::PendingJobs;
 use crate::leased::readiness::Readiness;
 use crate::leased::store_health::StoreHealth;
@@ -83,6 +84,8 @@
     pub(super) is_scheduler: Rc<Flag<bool>>,
     pub(super) tx: InputTx,
     pub(super) metrics: Arc<LeasedMetrics>,
+    /// Clock that goes on while the VM is suspended; time since any fixed moment.
+    pub(super) boot_clock: fn() -> Duration,
 }
 
 /// The event loop with its state.
@@ -109,6 +112,7 @@
     next_plan: Instant,
     no_scheduler_since: Instant,
     lag: Lag,
+    pause: PauseDetector,
     is_stopping: bool,
 }
 
@@ -116,6 +120,7 @@
     pub(super) fn new(components: Components) -> Self {
         let now = Instant::now();
         let vm = components.vm;
+        let pause = PauseDetector::new((components.boot_clock)());
         let directory = Directory::new(
             components.cfg.leased.departed_ttl,
             components.is_first_start,
@@ -139,6 +144,7 @@
             next_plan: now,
             no_scheduler_since: now,
             lag: Lag::default(),
+            pause,
             is_stopping: false,
         };
         event_loop.reset_cells(now);
@@ -148,7 +154,11 @@
     /// Handles inputs and ticks until the process ends.
     pub(super) async fn run(mut self, rx: Receiver<Input>) {
         loop {
-            if let Ok(Ok(input)) = timeout_at(self.next_tick.into(), rx.recv_async()).await {
+            let received = timeout_at(self.next_tick.into(), rx.recv_async()).await;
+            if let Some(pause) = self.pause.observe((self.components.boot_clock)()) {
+                self.on_paused(pause);
+            }
+            if let Ok(Ok(input)) = received {
                 self.handle(input);
                 for input in rx.try_iter().take(INPUT_BATCH) {
                     self.handle(input);
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -17,6 +17,7 @@
 mod link_load;
 mod links;
 mod metrics;
+mod pause;
 mod pending_jobs;
 mod readiness;
 mod request_handler;
@@ -152,6 +153,7 @@
         is_scheduler,
         tx: tx.clone(),
         metrics,
+        boot_clock: pause::boot_clock,
     });
     let event_loop = spawn_local(event_loop.run(rx));
 
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use assert_matches::assert_matches;
@@ -36,6 +37,7 @@
 use crate::leased::event_loop::{Components, EventLoop};
 use crate::leased::input::{self, IncomingConnection, Input, InputTx};
 use crate::leased::metrics::LeasedMetrics;
+use crate::leased::pause;
 use crate::leased::worker_calls::WorkerCalls;
 
 const OWN: EntryVm = EntryVm(Ipv4Addr::LOCALHOST);
@@ -85,6 +87,10 @@
 
 /// Starts the event loop of a VM whose only peer can't be reached.
 fn start_event_loop(store: SocketAddr) -> InputTx {
+    start_event_loop_with(store, pause::boot_clock)
+}
+
+fn start_event_loop_with(store: SocketAddr, boot_clock: fn() -> Duration) -> InputTx {
     let http = Rc::new(HttpClient::new());
     let store = StoreClient::new(Rc::clone(&http), store);
     let metrics = Arc::new(LeasedMetrics::new().unwrap());
@@ -110,6 +116,7 @@
         is_scheduler: Rc::default(),
         tx: tx.clone(),
         metrics,
+        boot_clock,
     });
     spawn_local(event_loop.run(rx));
     tx
@@ -194,7 +201,11 @@
 
 /// Starts an event loop that schedules its cell, and knows the peer.
 async fn start_scheduler() -> InputTx {
-    let tx = start_event_loop(start_store(Rc::default()).await);
+    start_scheduler_with(pause::boot_clock).await
+}
+
+async fn start_scheduler_with(boot_clock: fn() -> Duration) -> InputTx {
+    let tx = start_event_loop_with(start_store(Rc::default()).await, boot_clock);
     send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
     send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
     let has_begun = async {
@@ -347,6 +358,43 @@
     });
 }
 
+/// Milliseconds that the VM of the test below was suspended for; the steady clock does not count them.
+static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
+
+fn suspended_boot_clock() -> Duration {
+    pause::boot_clock() + Duration::from_millis(SUSPENDED_MS.load(Ordering::Relaxed))
+}
+
+/// Jobs that a peer sent to a suspended scheduler are handled as it resumes, when another scheduler may
+/// have started resent copies of them.
+#[test]
+fn a_scheduler_that_was_suspended_handles_no_message_before_it_has_taken_over_again() {
+    block_on(async {
+        let tx = start_scheduler_with(suspended_boot_clock).await;
+        tx.send(hello(FORMER)).await;
+        sleep(Duration::from_millis(50)).await;
+        let before = takeovers(&tx);
+        SUSPENDED_MS.store(3_000, Ordering::Relaxed);
+        // The heartbeat of the scheduler that has taken over arrives behind the messages before it.
+        tx.send(from_peer(FORMER, scheduler_beat())).await;
+        for _ in 0..10 {
+            sleep(Duration::from_millis(50)).await;
+            tx.send(from_peer(FORMER, scheduler_beat())).await;
+        }
+        assert_eq!(takeovers(&tx), before, "another VM schedules");
+        SUSPENDED_MS.store(6_000, Ordering::Relaxed);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(takeovers(&tx), before + 1, "no other VM schedules any more");
+        SUSPENDED_MS.store(9_000, Ordering::Relaxed);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(
+            takeovers(&tx),
+            before + 2,
+            "a suspended scheduler takes over with a new token"
+        );
+    });
+}
+
 /// Waits for a connection of the event loop.
 async fn accept(listener: &TcpListener) {
     timeout(READS_TIMEOUT, listener.accept())
