fix(leased): after a partition the scheduler with the store goes on, with a higher token

Cause: as a cut of a zone heals, the scheduler of the zone, which has the higher token but has not read the store yet, hands the cell over to a VM that follows the other scheduler. That one goes on with its lower token, which the zone's workers refuse: it lacked a third of the workers for 2 s, was deposed then, and all callers waited for a scheduler without its jobs. In the other order it stepped down to the one that handed over at once. Change: a scheduler raises its token in place and keeps its jobs: above that of a scheduler without the store, and when single workers have fenced it and all VMs that are heard, half of all at least, follow it. Not with durable jobs, whose claim names the token.

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -56,6 +56,9 @@
     /// Time for which a fenced scheduler leaves its workers to the other one, whose heartbeat arrives
     /// in this time if the connection between the two works again.
     pub fenced_pause: Duration,
+    /// Minimum time between two tokens of a scheduler that is fenced by single workers; the workers are
+    /// polled with the last one within it.
+    pub token_raise_interval: Duration,
     /// Smoothed lag from which a VM counts as overloaded.
     pub lag_limit: Duration,
     /// Time for which the scheduler must lag before it hands over; longer than the throttling of a VM
@@ -87,6 +90,7 @@
             store_timeout: Duration::from_millis(1_500),
             rejoin_wait: Duration::from_millis(700),
             fenced_pause: Duration::from_millis(200),
+            token_raise_interval: Duration::from_millis(500),
             lag_limit: Self::LAG_LIMIT,
             min_lag_duration: Duration::from_millis(200),
             min_tenure: Duration::from_millis(1_500),
@@ -129,6 +133,8 @@
     Unchanged,
     /// Start to schedule with this token.
     TakeOver(FencingToken),
+    /// Go on scheduling with this token, above that of another scheduler.
+    RaiseToken(FencingToken),
     /// Stop scheduling: the other VM has a higher token.
     StepDown(EntryVm),
     /// Stop scheduling and announce this VM as the successor.
@@ -167,12 +173,18 @@
     is_ineligible: bool,
     knows_departed: bool,
     fitness: Fitness,
-    /// Whether the former scheduler has named this VM as its successor.
-    is_named_successor: bool,
+    /// When the former scheduler last named this VM as its successor.
+    named_successor_at: Option<Instant>,
     /// Time for which a hand-over waits for those of other cells.
     hand_over_delay: Duration,
     /// Whether the scheduler has open jobs.
     has_jobs: bool,
+    /// Whether the scheduler may raise its token: no claim in the store names it.
+    can_raise_token: bool,
+    /// Whether the scheduler must raise its token above the highest one.
+    has_to_outrank: bool,
+    /// When this scheduler last raised its token.
+    token_raised_at: Instant,
     /// Until when this VM leaves the cell to its scheduler, whatever its time-outs and lag say.
     no_hand_over_until: Instant,
 }
@@ -197,9 +209,12 @@
             is_ineligible: true,
             knows_departed: false,
             fitness: Fitness::default(),
-            is_named_successor: false,
+            named_successor_at: None,
             hand_over_delay: Duration::ZERO,
             has_jobs: false,
+            can_raise_token: false,
+            has_to_outrank: false,
+            token_raised_at: now,
             no_hand_over_until: now,
         }
     }
@@ -251,6 +266,11 @@
         self.fitness = fitness;
     }
 
+    /// Sets whether the scheduler may raise its token, as no claim in the store names it.
+    pub fn set_can_raise_token(&mut self, can_raise_token: bool) {
+        self.can_raise_token = can_raise_token;
+    }
+
     /// Sets whether the scheduler has open jobs, and for how long its hand-over waits for those of
     /// other cells. Load pattern: the schedulers of all cells lose the store at the same moment, and
     /// all name the fittest VM.
@@ -264,11 +284,46 @@
         self.no_hand_over_until = until;
     }
 
+    /// A higher token for this scheduler, which single workers have fenced, if no other VM can be
+    /// scheduling: half of the other entry VMs are heard, and all of them follow this scheduler. Load
+    /// pattern: as a partition heals, the scheduler of the smaller side gives up, but its workers still
+    /// follow its token, which is higher.
+    pub fn raise_token(&mut self, now: Instant, wall: SystemTime) -> Option<FencingToken> {
+        let (_, token) = self.current.filter(|c| c.0 == self.vm)?;
+        let is_early =
+            now.saturating_duration_since(self.token_raised_at) < self.cfg.token_raise_interval;
+        if is_early || !self.is_followed_by_all_heard(token, now) {
+            return None;
+        }
+        let raised = self.next_token(wall, FENCED_ROUND_SKIP);
+        self.token_raised_at = now;
+        self.current = Some((self.vm, raised));
+        Some(raised)
+    }
+
+    fn is_followed_by_all_heard(&self, token: FencingToken, now: Instant) -> bool {
+        let limit = self.cfg.peer_freshness;
+        let is_fresh = |p: &&Peer| now.saturating_duration_since(p.last_heartbeat_at) < limit;
+        let mut fresh = self.peers.values().filter(is_fresh);
+        let heard = fresh.clone().count();
+        let follows = |p: &Peer| p.heartbeat.follows == Some(token) && p.heartbeat.token.is_none();
+        heard * 2 >= self.members.len() && fresh.all(follows)
+    }
+
+    /// The next token of this VM, at least `skip` rounds above all that are known.
+    fn next_token(&mut self, wall: SystemTime, skip: u64) -> FencingToken {
+        let since_round_zero = wall.duration_since(SystemTime::UNIX_EPOCH + ROUND_ZERO_TIME);
+        let by_clock = since_round_zero.unwrap_or_default().as_secs();
+        let round = by_clock.max(self.highest.round() + skip);
+        self.highest = FencingToken::new(round, self.vm);
+        self.highest
+    }
+
     /// Handles a pause of this process that was long enough for a takeover by another VM: it stops
     /// scheduling, and waits for the heartbeats that arrived meanwhile.
     pub fn on_paused(&mut self, now: Instant) -> Transition {
         self.grace_started_at = now;
-        self.is_named_successor = false;
+        self.named_successor_at = None;
         if self.is_scheduler() {
             return self.lose(now);
         }
@@ -363,7 +418,7 @@
             },
         );
         if heartbeat.successor == Some(self.vm) && !self.is_scheduler() && !self.is_ineligible {
-            self.is_named_successor = true;
+            self.named_successor_at = Some(now);
         }
         let Some(token) = heartbeat.token else {
             if self.current.is_some_and(|(vm, _)| vm == from) {
@@ -374,8 +429,13 @@
         self.highest = self.highest.max(token);
         match self.current {
             Some((vm, known)) if token > known => {
+                if vm == self.vm && self.must_outrank(&heartbeat) {
+                    self.has_to_outrank = true;
+                    return Transition::Unchanged;
+                }
                 self.current = Some((from, token));
                 if vm == self.vm {
+                    self.has_to_outrank = false;
                     Transition::StepDown(from)
                 } else {
                     Transition::Follow(from, token)
@@ -389,6 +449,13 @@
         }
     }
 
+    /// Whether this scheduler goes on, with a higher token, beside one that is announced by
+    /// `heartbeat`: only this one has the store. Load pattern: as a partition heals, the scheduler of
+    /// the side without the store has the higher token, and would hand over right away.
+    fn must_outrank(&self, heartbeat: &Heartbeat) -> bool {
+        self.can_raise_token && self.store_lost_at.is_none() && !heartbeat.has_store
+    }
+
     /// Handles a broken connection to another entry VM.
     pub fn link_lost(&mut self, vm: EntryVm, now: Instant) -> Transition {
         self.peers.remove(&vm);
@@ -408,6 +475,12 @@
     /// Checks time-outs and delays. `wall` is the time of day, from which new tokens derive.
     pub fn tick(&mut self, now: Instant, wall: SystemTime) -> Transition {
         match self.current {
+            Some((vm, _)) if vm == self.vm && self.has_to_outrank => {
+                self.has_to_outrank = false;
+                let raised = self.next_token(wall, 1);
+                self.current = Some((vm, raised));
+                Transition::RaiseToken(raised)
+            }
             Some((vm, _)) if vm == self.vm => self.check_own(now),
             Some((vm, _)) => {
                 let heard_at = self.peers.get(&vm).map(|p| p.last_heartbeat_at);
@@ -442,6 +515,7 @@
 
     fn lose(&mut self, now: Instant) -> Transition {
         self.current = None;
+        self.has_to_outrank = false;
         self.lost_at = now;
         Transition::SchedulerLost
     }
@@ -526,20 +600,23 @@
             self.cfg.start_grace
         };
         let start = (self.grace_started_at + grace).max(self.lost_at);
-        if !self.is_named_successor && now < start + self.cfg.rank_delay * rank {
+        if !self.is_named_successor(now) && now < start + self.cfg.rank_delay * rank {
             return Transition::Unchanged;
         }
-        self.is_named_successor = false;
-        let since_round_zero = wall.duration_since(SystemTime::UNIX_EPOCH + ROUND_ZERO_TIME);
-        let by_clock = since_round_zero.unwrap_or_default().as_secs();
-        let round = by_clock.max(self.highest.round() + 1);
-        let token = FencingToken::new(round, self.vm);
-        self.highest = token;
+        self.named_successor_at = None;
+        let token = self.next_token(wall, 1);
         self.current = Some((self.vm, token));
         self.took_over_at = now;
         Transition::TakeOver(token)
     }
 
+    /// Whether the former scheduler has named this VM a moment ago.
+    fn is_named_successor(&self, now: Instant) -> bool {
+        let validity = self.cfg.scheduler_timeout;
+        self.named_successor_at
+            .is_some_and(|at| now.saturating_duration_since(at) < validity)
+    }
+
     /// Whether a heartbeat of an existing scheduler is likely to arrive soon: the store does not answer
     /// this VM, and another VM that reaches the store follows a scheduler.
     fn expects_scheduler(&self, now: Instant) -> bool {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -162,6 +162,35 @@
         self.token
     }
 
+    /// Whether the token may be raised. `false` for a scheduler of durable jobs, whose claim of the cell
+    /// names its token.
+    pub fn can_raise_token(&self) -> bool {
+        self.epoch.is_none() && !self.is_deposed
+    }
+
+    /// Whether a listed worker follows a scheduler with a higher token.
+    pub fn is_fenced(&self) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|w| w.is_listed && w.higher_token_since.is_some())
+    }
+
+    /// Goes on with a higher token, and polls the workers that follow another one.
+    pub fn raise_token(&mut self, cx: &Context<'_>, token: FencingToken, out: &mut Vec<Effect>) {
+        self.token = token;
+        let fenced: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.higher_token_since.is_some())
+            .map(|(key, _)| key)
+            .collect();
+        for key in fenced {
+            let worker = &mut self.workers[key];
+            worker.higher_token_since = None;
+            worker.suspect_restart();
+            self.schedule_poll(cx, key, out);
+        }
+    }
+
     /// Estimated run times by queue.
     pub fn estimates(&self) -> &Estimates {
         &self.estimates
--- a/crates/geraniumrelay-core/tests/leased/cell_moves.rs
+++ b/crates/geraniumrelay-core/tests/leased/cell_moves.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime};
 
-use geraniumrelay_core::leased::EntryVm;
-use geraniumrelay_core::leased::election::{Election, ElectionConfig, Fitness, Transition};
+use geraniumrelay_core::leased::election::{
+    Election, ElectionConfig, Fitness, Heartbeat, Transition,
+};
+use geraniumrelay_core::leased::{EntryVm, FencingToken};
 
 use crate::world::vm;
 
@@ -263,3 +265,82 @@
     let after_grace = election.tick(now + 350 * MS, SystemTime::now());
     assert!(matches!(after_grace, Transition::TakeOver(_)));
 }
+
+/// The token is raised only where no other VM can be scheduling the cell.
+#[test]
+fn a_fenced_scheduler_raises_its_token_if_all_vms_that_are_heard_follow_it() {
+    let mut fleet = Fleet::new(1, &[5, 5, 5, 5]);
+    fleet.run_for(Duration::from_secs(2));
+    let now = fleet.now;
+    let (raised, former) = {
+        let scheduler = fleet.vms.iter_mut().find(|v| v.elections[0].is_scheduler());
+        let election = &mut scheduler.unwrap().elections[0];
+        let former = election.current().unwrap().1;
+        (election.raise_token(now, SystemTime::now()), former)
+    };
+    let raised = raised.expect("all VMs follow the scheduler");
+    assert!(raised > former);
+    fleet.run_for(Duration::from_secs(1));
+    for vm in &fleet.vms {
+        assert_eq!(vm.elections[0].current().map(|c| c.1), Some(raised));
+    }
+    let stale = fleet.now + Duration::from_secs(2);
+    let scheduler = fleet.vms.iter_mut().find(|v| v.elections[0].is_scheduler());
+    let election = &mut scheduler.unwrap().elections[0];
+    assert_eq!(
+        election.raise_token(stale, SystemTime::now()),
+        None,
+        "no VM is heard"
+    );
+}
+
+#[test]
+fn a_scheduler_keeps_its_token_beside_a_vm_that_follows_another_one() {
+    let start = Instant::now();
+    let mut election = Election::new(ElectionConfig::default(), vm(1), start);
+    election.set_own(false, true, start);
+    election.set_members([vm(2), vm(3)].into());
+    let now = start + Duration::from_secs(1);
+    assert!(matches!(
+        election.tick(now, SystemTime::now()),
+        Transition::TakeOver(_)
+    ));
+    let now = now + Duration::from_secs(1);
+    let own = election.own_heartbeat(None);
+    let follower = Heartbeat { token: None, ..own };
+    election.on_heartbeat(vm(2), follower, now);
+    let other = Heartbeat {
+        follows: Some(FencingToken(7)),
+        ..follower
+    };
+    election.on_heartbeat(vm(3), other, now);
+    assert_eq!(election.raise_token(now, SystemTime::now()), None);
+    election.on_heartbeat(vm(3), follower, now);
+    assert!(election.raise_token(now, SystemTime::now()).is_some());
+}
+
+/// The scheduler that gets the cell as a partition heals is the one that has the store, and it keeps its
+/// jobs.
+#[test]
+fn a_scheduler_with_the_store_outranks_one_without() {
+    let start = Instant::now();
+    let scheduler = |number| {
+        let mut election = Election::new(ElectionConfig::default(), vm(number), start);
+        election.set_own(false, true, start);
+        let transition = election.tick(start + Duration::from_secs(1), SystemTime::now());
+        assert!(matches!(transition, Transition::TakeOver(_)));
+        election
+    };
+    let (mut lower, mut higher) = (scheduler(1), scheduler(2));
+    let now = start + Duration::from_secs(2);
+    higher.set_own(false, false, now);
+    lower.set_can_raise_token(true);
+    let transition = lower.on_heartbeat(vm(2), higher.own_heartbeat(None), now);
+    assert_eq!(transition, Transition::Unchanged);
+    let transition = lower.tick(now, SystemTime::now());
+    assert!(
+        matches!(transition, Transition::RaiseToken(token) if Some(token) > higher.current().map(|c| c.1))
+    );
+    let transition = higher.on_heartbeat(vm(1), lower.own_heartbeat(None), now);
+    assert_eq!(transition, Transition::StepDown(vm(1)));
+}
--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -135,6 +135,30 @@
     assert_matches!(tick(&mut third, now), Transition::TakeOver(_));
 }
 
+/// The scheduler that had named this VM was replaced by another one, which is lost much later.
+#[test]
+fn a_nomination_does_not_outlast_the_hand_over() {
+    let start = Instant::now();
+    let mut third = eligible_election(3, start);
+    let now = start + 500 * MS;
+    let heartbeat = Heartbeat {
+        successor: Some(vm(3)),
+        ..idle_heartbeat()
+    };
+    third.on_heartbeat(vm(1), heartbeat, now);
+    let scheduler = Heartbeat {
+        token: Some(FencingToken(1 << 40)),
+        ..idle_heartbeat()
+    };
+    third.on_heartbeat(vm(2), scheduler, now);
+    let now = now + Duration::from_secs(5);
+    third.on_heartbeat(vm(1), idle_heartbeat(), now);
+    third.on_heartbeat(vm(2), scheduler, now);
+    assert_eq!(third.link_lost(vm(2), now), Transition::SchedulerLost);
+    assert_eq!(tick(&mut third, now + MS), Transition::Unchanged);
+    assert_matches!(tick(&mut third, now + 200 * MS), Transition::TakeOver(_));
+}
+
 #[test]
 fn an_ineligible_process_never_takes_over() {
     let start = Instant::now();
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -246,3 +246,39 @@
         "the scheduler must be deposed to get a higher token"
     );
 }
+
+/// As a partition heals, the scheduler of the smaller side gives up, and its workers go on to refuse the
+/// lower token of the other one, which lost a third of the workers for 2 s, and then all its state.
+#[test]
+fn a_scheduler_goes_on_with_all_workers_after_it_has_raised_its_token() {
+    let mut sim = Simulation::new(6, 1);
+    sim.hosts[0].unreachable_workers = BTreeSet::from([0, 1]);
+    sim.run_for(500 * MS);
+    let unreachable = (2..6).collect();
+    let other = sim.add_host_with(2, &unreachable, true);
+    sim.submit(other, MS, TestJob::new(1, 1, Duration::from_secs(5)));
+    sim.run_for(3 * Duration::from_secs(1));
+    let long = TestJob::new(2, 8, 700 * MS).with_slack();
+    sim.submit(0, MS, long.with_remaining_wait(Duration::from_secs(4)));
+    sim.run_for(100 * MS);
+    sim.kill(other);
+    sim.hosts[0].unreachable_workers.clear();
+    sim.run_for(250 * MS);
+    assert!(sim.hosts[0].scheduler.as_ref().unwrap().is_fenced());
+    sim.raise_token(0, 3);
+    assert!(!sim.hosts[0].scheduler.as_ref().unwrap().is_fenced());
+    // 8 of 12 slots are in use.
+    sim.submit(0, 5 * MS, TestJob::new(3, 4, 60 * MS));
+    sim.run_for(300 * MS);
+    assert_eq!(sim.outcome(3), Some(JobOutcome::Completed));
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.outcome(2), Some(JobOutcome::Completed));
+    assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
+    assert!(sim.start_counts.values().all(|&n| n == 1));
+    let running = sim.workers.iter().map(|w| w.running().count());
+    assert_eq!(
+        running.sum::<usize>(),
+        0,
+        "the run of the other side is stopped"
+    );
+}
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -503,6 +503,22 @@
         }
     }
 
+    /// Raises the token of a scheduler to `round`.
+    pub(crate) fn raise_token(&mut self, host: usize, round: u64) {
+        let Host {
+            scheduler, token, ..
+        } = &mut self.hosts[host];
+        let scheduler = scheduler.as_mut().unwrap();
+        let number = u8::try_from(host).unwrap() + 1;
+        *token = FencingToken::new(round, vm(number));
+        let mut out = Vec::new();
+        let cx = Context::new(self.now, &self.cfg);
+        scheduler.raise_token(&cx, *token, &mut out);
+        for effect in out {
+            self.apply_effect(host, effect);
+        }
+    }
+
     pub(crate) fn run_for(&mut self, duration: Duration) {
         let until = self.now + duration;
         while let Some((&(at, sequence), _)) = self.events.first_key_value() {
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -1,7 +1,7 @@
 //! A cell's state in this process: its election, its scheduler and its reported load.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
@@ -27,6 +27,8 @@
     pub(super) election: Election,
     /// The cell's scheduler, where it runs in this process.
     pub(super) scheduler: Option<Scheduler>,
+    /// First token of the scheduler here; replies to calls with this one or a later one are its own.
+    pub(super) first_token: FencingToken,
     /// Estimated run times from the last time this process scheduled the cell.
     pub(super) estimates: Estimates,
     /// Token of the scheduler that holds the cell's row in the store in place of the scheduler
@@ -47,6 +49,7 @@
             name,
             election: Election::new(ElectionConfig::default(), vm, now),
             scheduler: None,
+            first_token: FencingToken::default(),
             estimates: Estimates::default(),
             epoch_lost: None,
             load_percent: 0,
@@ -106,6 +109,22 @@
         Some(self.election.outrank(holder, now))
     }
 
+    /// A higher token for the scheduler here if single workers have fenced it and no other VM can be
+    /// scheduling the cell.
+    pub(super) fn token_to_raise(&mut self, now: Instant) -> Option<FencingToken> {
+        let scheduler = self.scheduler.as_ref()?;
+        if !scheduler.can_raise_token() || !scheduler.is_fenced() {
+            return None;
+        }
+        self.election.raise_token(now, SystemTime::now())
+    }
+
+    /// Whether a reply to a call with `token` is for the scheduler here.
+    pub(super) fn is_own_reply(&self, token: FencingToken) -> bool {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.is_some_and(|s| (self.first_token..=s.token()).contains(&token))
+    }
+
     /// Starts the read of the records for the scheduler here, in place of an earlier one.
     pub(super) fn start_record_read(&mut self, read: impl Future<Output = ()> + 'static) {
         // A dropped set aborts its tasks.
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use geraniumrelay_core::Context;
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::election::{Fitness, Transition};
@@ -33,6 +34,7 @@
         match transition {
             Transition::Unchanged => return,
             Transition::TakeOver(token) => return self.take_over(name, token),
+            Transition::RaiseToken(token) => return self.raise_token(name, token),
             Transition::StepDown(vm) => {
                 info!(cell:% = name, to:% = vm, reason = "higher token"; "scheduling_ended");
                 cell.drop_scheduler();
@@ -87,6 +89,7 @@
             scheduler.with_cell(name.clone())
         };
         cell.scheduler = Some(scheduler);
+        cell.first_token = token;
         cell.epoch_lost = None;
         // A worker may have departed from one address and be listed at another one.
         for entry in departed {
@@ -122,7 +125,10 @@
             let preceding = preceding
                 .entry(cell.name.data_centre().map(Arc::from))
                 .or_default();
-            let has_jobs = cell.scheduler.as_ref().is_some_and(Scheduler::has_jobs);
+            let scheduler = cell.scheduler.as_ref();
+            let has_jobs = scheduler.is_some_and(Scheduler::has_jobs);
+            let can_raise_token = scheduler.is_some_and(Scheduler::can_raise_token);
+            cell.election.set_can_raise_token(can_raise_token);
             cell.election
                 .set_load(has_jobs, HAND_OVER_STAGGER * *preceding);
             *preceding += 1;
@@ -159,6 +165,26 @@
         }
     }
 
+    /// Raises the token of the cell's scheduler here, and announces it at once.
+    fn raise_token(&mut self, name: &CellName, token: FencingToken) {
+        let cx = Context::new(Instant::now(), &self.components.cfg);
+        let cell = self.cells.get_mut(name);
+        let Some(scheduler) = cell.and_then(|c| c.scheduler.as_mut()) else {
+            return;
+        };
+        info!(cell:% = name, former:% = scheduler.token(), token:% = token; "token_raised");
+        let mut out = Vec::new();
+        scheduler.raise_token(&cx, token, &mut out);
+        for effect in out {
+            self.execute(name, token, effect);
+        }
+        self.components.metrics.set_token(token.0);
+        self.send_heartbeat(None);
+        // Answers with the new token count only for jobs that were sent with it.
+        self.pending_jobs.mark_unsent(name);
+        self.send_unsent_jobs();
+    }
+
     /// Runs the timers of a cell's election and of its scheduler.
     pub(super) fn tick_cell(&mut self, name: &CellName, now: Instant) {
         let Some(cell) = self.cells.get_mut(name) else {
@@ -175,6 +201,10 @@
             self.apply_transition(name, transition);
             self.set_fitness(now);
         }
+        let cell = self.cells.get_mut(name);
+        if let Some(token) = cell.and_then(|c| c.token_to_raise(now)) {
+            self.raise_token(name, token);
+        }
         if has_scheduler {
             for vm in timed_out {
                 self.handle_command(name, Command::EntryLeft(vm));
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -233,7 +233,7 @@
                 command,
             } => {
                 // The request may come from a former scheduler of the cell in this process.
-                if self.own_token(&cell) == Some(token) {
+                if self.cells.get(&cell).is_some_and(|c| c.is_own_reply(token)) {
                     self.handle_command(&cell, command);
                 }
             }
