fix(core/leased): a store that returns for all VMs moves no cell

Change: the store is evidence against a scheduler only if it has answered the other VM for 0.9 s, and is left out of the ranking for 0.9 s after it answers this VM again. A change of it is announced at once. After a hand-over the named successor has 0.15 s before others take over.

--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election.rs
@@ -50,6 +50,9 @@
     pub rank_delay: Duration,
     /// Time without the platform's store after which the scheduler hands over to a VM that reaches it.
     pub store_timeout: Duration,
+    /// Time in which the store answers all VMs again and their heartbeats say so: the pause between two
+    /// reads and the interval between two heartbeats.
+    pub store_return_time: Duration,
     /// Time for which a VM that was cut off waits for a heartbeat of the scheduler that others follow;
     /// entry VMs connect again within 0.4 s.
     pub rejoin_wait: Duration,
@@ -88,6 +91,7 @@
             cluster_start_grace: Duration::from_millis(40),
             rank_delay: Duration::from_millis(150),
             store_timeout: Duration::from_millis(1_500),
+            store_return_time: Duration::from_millis(900),
             rejoin_wait: Duration::from_millis(700),
             fenced_pause: Duration::from_millis(200),
             token_raise_interval: Duration::from_millis(500),
@@ -124,6 +128,8 @@
 struct Peer {
     last_heartbeat_at: Instant,
     heartbeat: Heartbeat,
+    /// When the store answered the peer again; `None` if it has not been without since it is known.
+    store_back_at: Option<Instant>,
 }
 
 /// State transition that the host has to carry out.
@@ -167,12 +173,16 @@
     took_over_at: Instant,
     /// Since when the platform's store has not answered; `None` while it answers.
     store_lost_at: Option<Instant>,
+    /// When the store answered again.
+    store_back_at: Option<Instant>,
     lag: Duration,
     /// Since when `lag` has been at or above the limit.
     lagging_since: Option<Instant>,
     is_ineligible: bool,
     knows_departed: bool,
     fitness: Fitness,
+    /// Until when the successor that the former scheduler has named may take over before others.
+    successor_grace_until: Instant,
     /// When the former scheduler last named this VM as its successor.
     named_successor_at: Option<Instant>,
     /// Time for which a hand-over waits for those of other cells.
@@ -204,11 +214,13 @@
             fenced_until: None,
             took_over_at: now,
             store_lost_at: Some(now),
+            store_back_at: None,
             lag: Duration::ZERO,
             lagging_since: None,
             is_ineligible: true,
             knows_departed: false,
             fitness: Fitness::default(),
+            successor_grace_until: now,
             named_successor_at: None,
             hand_over_delay: Duration::ZERO,
             has_jobs: false,
@@ -238,7 +250,9 @@
         }
         self.is_ineligible = is_ineligible;
         if has_store {
-            self.store_lost_at = None;
+            if self.store_lost_at.take().is_some() {
+                self.store_back_at = Some(now);
+            }
         } else if self.store_lost_at.is_none() {
             self.store_lost_at = Some(now);
         }
@@ -410,11 +424,17 @@
         heartbeat: Heartbeat,
         now: Instant,
     ) -> Transition {
+        let known = self.peers.get(&from);
+        let store_back_at = match known {
+            Some(p) if heartbeat.has_store && !p.heartbeat.has_store => Some(now),
+            known => known.and_then(|p| p.store_back_at),
+        };
         self.peers.insert(
             from,
             Peer {
                 last_heartbeat_at: now,
                 heartbeat,
+                store_back_at,
             },
         );
         if heartbeat.successor == Some(self.vm) && !self.is_scheduler() && !self.is_ineligible {
@@ -422,6 +442,9 @@
         }
         let Some(token) = heartbeat.token else {
             if self.current.is_some_and(|(vm, _)| vm == from) {
+                if heartbeat.successor.is_some() {
+                    self.successor_grace_until = now + self.cfg.rank_delay;
+                }
                 return self.lose(now);
             }
             return Transition::Unchanged;
@@ -535,12 +558,17 @@
     }
 
     /// Whether the store has not answered for `store_timeout`, and answers `vm`, which learns of new
-    /// and of leaving workers.
+    /// and of leaving workers. Load pattern: the store is down for all VMs, and answers some of them a
+    /// moment before the others as it returns.
     fn must_leave_to_vm_with_store(&self, vm: EntryVm, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
         let timeout = self.cfg.store_timeout + self.hand_over_delay;
-        let is_lost = |at| now.saturating_duration_since(at) >= timeout;
-        let peer = self.peers.get(&vm);
-        self.store_lost_at.is_some_and(is_lost) && peer.is_some_and(|p| p.heartbeat.has_store)
+        let is_lost = self.store_lost_at.is_some_and(|at| age(at) >= timeout);
+        let has_store = |p: &Peer| {
+            let is_settled = |at| age(at) >= self.cfg.store_return_time;
+            p.heartbeat.has_store && p.store_back_at.is_none_or(is_settled)
+        };
+        is_lost && self.peers.get(&vm).is_some_and(has_store)
     }
 
     /// Whether `vm` has a much larger share of processor for this cell. Load pattern: the first VM
@@ -588,10 +616,21 @@
             return Transition::Unchanged;
         }
         let limit = self.cfg.lag_limit;
-        let own = preference(self.vm, &self.own_heartbeat(None), limit);
+        // The last heartbeats of the others may be older than the return of the store.
+        let is_back = |at| now.saturating_duration_since(at) < self.cfg.store_return_time;
+        let ignores_store = self.store_back_at.is_some_and(is_back);
+        let rank_of = |vm, heartbeat: Heartbeat| {
+            let has_store = heartbeat.has_store || ignores_store;
+            let heartbeat = Heartbeat {
+                has_store,
+                ..heartbeat
+            };
+            preference(vm, &heartbeat, limit)
+        };
+        let own = rank_of(self.vm, self.own_heartbeat(None));
         let preferred = self
             .live_peers(now)
-            .filter(|&(vm, peer)| preference(vm, &peer.heartbeat, limit) < own)
+            .filter(|&(vm, peer)| rank_of(vm, peer.heartbeat) < own)
             .count();
         let rank = u32::try_from(preferred).unwrap_or(u32::MAX);
         let grace = if self.is_cluster_start(now) {
@@ -599,7 +638,9 @@
         } else {
             self.cfg.start_grace
         };
-        let start = (self.grace_started_at + grace).max(self.lost_at);
+        let start = (self.grace_started_at + grace)
+            .max(self.lost_at)
+            .max(self.successor_grace_until);
         if !self.is_named_successor(now) && now < start + self.cfg.rank_delay * rank {
             return Transition::Unchanged;
         }
--- a/crates/geraniumrelay-core/tests/leased/cell_moves.rs
+++ b/crates/geraniumrelay-core/tests/leased/cell_moves.rs
@@ -1,6 +1,6 @@
 //! Which VM schedules which cell: starts of many VMs, and a store that all schedulers lose at once.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime};
 
 use geraniumrelay_core::leased::election::{
@@ -344,3 +344,58 @@
     let transition = higher.on_heartbeat(vm(1), lower.own_heartbeat(None), now);
     assert_eq!(transition, Transition::StepDown(vm(1)));
 }
+
+/// Each VM that had the store again took all cells whose scheduler handed over at that moment, as the last
+/// heartbeats of the others still said that they had no store.
+#[test]
+fn no_cell_moves_as_a_store_returns_that_was_down_for_all() {
+    let mut fleet = Fleet::new(3, &[5, 5, 5, 1, 1, 1, 1, 1]);
+    fleet.run_for(Duration::from_secs(4));
+    fleet.hand_overs.clear();
+    fleet.gaps.clear();
+    fleet.has_jobs = true;
+    for vm in &mut fleet.vms {
+        vm.has_store = false;
+    }
+    fleet.run_for(Duration::from_secs(4));
+    // The schedulers' reads come last.
+    let order = |v: &Vm| v.elections.iter().any(Election::is_scheduler);
+    for is_scheduler in [false, true] {
+        for position in 0..fleet.vms.len() {
+            if order(&fleet.vms[position]) == is_scheduler {
+                fleet.vms[position].has_store = true;
+                fleet.send_heartbeat(position, None);
+                fleet.run_for(TICK_INTERVAL);
+            }
+        }
+    }
+    fleet.run_for(Duration::from_secs(2));
+    assert!(fleet.hand_overs.is_empty(), "{:?}", fleet.hand_overs);
+    assert!(fleet.gaps.is_empty(), "{:?}", fleet.gaps);
+}
+
+/// The same as a scheduler is lost at that moment: one VM takes its cell over.
+#[test]
+fn one_vm_takes_over_from_a_scheduler_that_is_lost_as_the_store_returns() {
+    let mut fleet = Fleet::new(1, &[5, 5, 5, 1, 1, 1, 1, 1]);
+    fleet.run_for(Duration::from_secs(4));
+    for vm in &mut fleet.vms {
+        vm.has_store = false;
+    }
+    fleet.run_for(Duration::from_secs(4));
+    let is_scheduler = |v: &Vm| v.elections[0].is_scheduler();
+    let lost = fleet.vms.iter().position(is_scheduler).unwrap();
+    let lost = fleet.vms.remove(lost).vm;
+    for vm in &mut fleet.vms {
+        vm.has_store = true;
+        for election in &mut vm.elections {
+            election.link_lost(lost, fleet.now);
+        }
+    }
+    let mut takeovers = BTreeSet::new();
+    for _ in 0..40 {
+        fleet.run_for(TICK_INTERVAL);
+        takeovers.extend(fleet.schedulers(0).iter().map(|v| v.vm));
+    }
+    assert_eq!(takeovers.len(), 1, "{takeovers:?}");
+}
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -165,7 +165,12 @@
 
     /// Records whether reads of a table succeed.
     pub(super) fn on_store_health(&mut self, table: Table, is_healthy: bool) {
+        let had_store = self.store_health.has_store();
         self.store_health.set(table, is_healthy);
+        if self.store_health.has_store() != had_store {
+            // The elections rank the VMs by it.
+            self.next_heartbeat = Instant::now();
+        }
         if !is_healthy {
             self.components
                 .metrics
