fix(leased): VMs stay with the scheduler that will outrank the other one

Cause: as a cut heals, VMs follow the higher token of a scheduler that is about to be outranked, and come back 50 ms later. A VM that was just heard again also counted as better placed by its processor alone. A job that was dropped is taken up again when it is resent.

--- a/crates/geraniumrelay-core/src/leased/election/hand_over.rs
+++ b/crates/geraniumrelay-core/src/leased/election/hand_over.rs
@@ -65,8 +65,10 @@
         };
         let own = self.own_heartbeat(None);
         let (share, peer_share) = (self.fitness.share(), peer.heartbeat.fitness.share());
+        let is_settled = |at| now.saturating_duration_since(at) >= self.cfg.store_return_time;
         tenure >= self.cfg.min_share_tenure + self.status.hand_over_delay
             && !peer.heartbeat.is_weaker_than(&own, self.cfg.lag_limit)
+            && peer.has_store_since.is_none_or(is_settled)
             && peer_share > share
             && peer_share >= share * ratio
     }
@@ -113,6 +115,20 @@
         heard * 2 >= self.members.len() && fresh.all(follows)
     }
 
+    /// Whether the scheduler on `vm`, which this process follows, will outrank the one that is announced by
+    /// `heartbeat`. Load pattern: callers' jobs are sent to the other one, and back a moment later.
+    pub(super) fn will_outrank(&self, vm: EntryVm, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let Some(peer) = self.peers.get(&vm) else {
+            return false;
+        };
+        let silence = now.saturating_duration_since(peer.last_heartbeat_at);
+        let has_store = peer.heartbeat.has_store && !heartbeat.has_store;
+        silence < self.cfg.scheduler_timeout
+            && has_store
+            && peer.heartbeat.token.is_some()
+            && peer.heartbeat.usable_workers >= heartbeat.usable_workers
+    }
+
     /// Whether this scheduler goes on, with a higher token, beside one that is announced by
     /// `heartbeat`: only this one has the store, and it has no fewer workers. Load pattern: as a
     /// partition heals, the scheduler of the smaller side has the higher token, and has not read the
--- a/crates/geraniumrelay-core/src/leased/election/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/election/mod.rs
@@ -352,6 +352,9 @@
                     self.has_to_outrank = true;
                     return Transition::Unchanged;
                 }
+                if vm != self.vm && self.will_outrank(vm, &heartbeat, now) {
+                    return Transition::Unchanged;
+                }
                 self.current = Some((from, token));
                 if vm == self.vm {
                     self.has_to_outrank = false;
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -417,9 +417,9 @@
         let &(_, outcome) = self.outcomes.get(&id)?;
         match outcome {
             // A caller's retry after a refusal goes through admission again.
-            JobOutcome::Refused { .. } | JobOutcome::TimedOut => {
-                (is_resubmitted && !is_durable).then_some(outcome)
-            }
+            JobOutcome::Refused { .. } => (is_resubmitted && !is_durable).then_some(outcome),
+            // The job was dropped as its entry VM followed another scheduler, and its caller still waits.
+            JobOutcome::TimedOut => None,
             _ if is_durable => Some(JobOutcome::Accepted),
             JobOutcome::Completed | JobOutcome::Failed => Some(outcome),
             _ => is_resubmitted.then_some(outcome),
--- a/crates/geraniumrelay-core/tests/leased/cell_moves.rs
+++ b/crates/geraniumrelay-core/tests/leased/cell_moves.rs
@@ -460,3 +460,38 @@
     assert!(!inside.is_scheduler(), "the store does not come");
     assert!(now - healed_at >= 800 * MS);
 }
+
+/// Callers' jobs were sent to the scheduler of the other side and back, and ended as timed out.
+#[test]
+fn a_vm_stays_with_a_scheduler_that_will_outrank_the_other_one() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(1);
+    let mut scheduler = Election::new(ElectionConfig::default(), vm(1), start);
+    scheduler.set_own(false, true, start);
+    assert!(matches!(
+        scheduler.tick(now, SystemTime::now()),
+        Transition::TakeOver(_)
+    ));
+    scheduler.set_status(with_workers(54));
+    let known = scheduler.own_heartbeat(None);
+    let other = Heartbeat {
+        token: Some(FencingToken(u64::MAX >> 12)),
+        has_store: false,
+        usable_workers: 0,
+        ..known
+    };
+    let mut follower = Election::new(ElectionConfig::default(), vm(3), start);
+    follower.on_heartbeat(vm(1), known, now);
+    assert_eq!(
+        follower.on_heartbeat(vm(2), other, now),
+        Transition::Unchanged
+    );
+    let with_more = Heartbeat {
+        usable_workers: 60,
+        ..other
+    };
+    assert!(matches!(
+        follower.on_heartbeat(vm(2), with_more, now),
+        Transition::Follow(vm_2, _) if vm_2 == vm(2)
+    ));
+}
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -6,7 +6,7 @@
 use assert_matches::assert_matches;
 use geraniumrelay_core::leased::{Command, JobId, JobOutcome, WorkerState};
 
-use crate::world::{Simulation, TestJob, worker_name};
+use crate::world::{Simulation, TestJob, vm, worker_name};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -337,3 +337,19 @@
         "{outcome:?}"
     );
 }
+
+/// An entry VM follows another scheduler for a moment, so that this one drops its jobs, and returns.
+#[test]
+fn a_job_of_an_entry_vm_that_returns_is_completed() {
+    let mut sim = Simulation::new(4, 1);
+    let job = TestJob::new(1, 2, 300 * MS).with_slack();
+    sim.submit(0, MS, job.clone());
+    sim.run_for(50 * MS);
+    sim.handle_command(0, Command::EntryLeft(vm(100)));
+    sim.run_for(10 * MS);
+    sim.answers.clear();
+    resubmit(&mut sim, 0, &job);
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
+}
