fix(core/leased): confirmations of workers are void once another scheduler had a higher token

Cause: a scheduler took a worker that had once answered to its token as reporting all runs, also if it had not polled it since, as idle workers are not polled. After a cut a job came back from the scheduler of the cut zone, whose run on such a worker went on, and was started a second time. Change: a raised token, and a submission that names a higher token of another scheduler, void all confirmations; the workers are polled at once, and nothing starts on one before it has answered.

--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -37,6 +37,8 @@
     token: FencingToken,
     /// Token with which this scheduler took over; it may have raised it since.
     first_token: FencingToken,
+    /// Highest token of another scheduler that an entry VM has named.
+    highest_other_token: FencingToken,
     data_centre: Arc<str>,
     workers: SlotMap<WorkerKey, Worker>,
     /// Workers by name: several where the entry's address has changed, as the instance at the former
@@ -103,6 +105,7 @@
         Self {
             token,
             first_token: token,
+            highest_other_token: FencingToken::default(),
             data_centre,
             workers: SlotMap::with_key(),
             by_name: Map::default(),
@@ -177,16 +180,19 @@
         workers.any(|w| w.is_listed && w.higher_token_since.is_some())
     }
 
-    /// Goes on with a higher token, and polls the workers that follow another one.
+    /// Goes on with a higher token, once the workers have answered to it.
     pub fn raise_token(&mut self, cx: &Context<'_>, token: FencingToken, out: &mut Vec<Effect>) {
         self.token = token;
-        let fenced: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.higher_token_since.is_some())
-            .map(|(key, _)| key)
-            .collect();
-        for key in fenced {
+        self.void_confirmations(cx, out);
+    }
+
+    /// Polls all workers, and starts nothing on a worker until it has answered: another scheduler had a
+    /// higher token than this one, and may have started tasks on any worker since that last answered
+    /// here. Load pattern: after a cut, jobs of the other side are sent to this scheduler, which has not
+    /// polled the idle workers meanwhile.
+    fn void_confirmations(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
             let worker = &mut self.workers[key];
             worker.higher_token_since = None;
             worker.suspect_restart();
@@ -194,6 +200,17 @@
         }
     }
 
+    /// Takes note that schedulers with these tokens had a job.
+    fn note_tokens(&mut self, cx: &Context<'_>, tokens: &[FencingToken], out: &mut Vec<Effect>) {
+        let Some(&highest) = tokens.iter().max() else {
+            return;
+        };
+        if highest > self.token && highest > self.highest_other_token {
+            self.highest_other_token = highest;
+            self.void_confirmations(cx, out);
+        }
+    }
+
     /// Whether a token is, or was, the one of this scheduler.
     pub fn has_had_token(&self, token: FencingToken) -> bool {
         (self.first_token..=self.token).contains(&token) && token.is_of_same_vm(self.token)
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -46,6 +46,7 @@
             former_tokens,
             has_alternative,
         } = submission;
+        self.note_tokens(cx, &former_tokens, out);
         let was_elsewhere = !former_tokens.iter().all(|&t| self.has_had_token(t));
         if let Some(&key) = self.by_id.get(&spec.id) {
             let confirmed = cx.now;
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -353,3 +353,40 @@
     assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
     assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
 }
+
+/// The scheduler of a cut zone starts a job on an idle worker there, which the other scheduler has not
+/// polled since before the cut. As the cut heals, the job is sent to that one.
+fn job_that_moves_back_after_a_cut(raises_token: bool, unreachable: [usize; 2]) -> Simulation {
+    let mut sim = Simulation::new(4, 1);
+    sim.run_for(500 * MS);
+    let zone = sim.add_host_with(2, &BTreeSet::from(unreachable), true);
+    sim.run_for(100 * MS);
+    let job = TestJob::new(1, 1, 400 * MS).with_slack();
+    let mut again = job.clone().resubmitted();
+    sim.submit(zone, MS, job);
+    sim.run_for(20 * MS);
+    assert_eq!(sim.start_counts.len(), 1);
+    again.former_tokens = vec![sim.hosts[zone].token()];
+    sim.kill(zone);
+    if raises_token {
+        sim.raise_token(0, 3);
+    }
+    sim.submit(0, MS, again);
+    sim.run_for(Duration::from_secs(3));
+    sim
+}
+
+#[test]
+fn a_job_that_moves_back_after_a_cut_has_one_run_at_a_time() {
+    let unreachable = [[0, 1], [2, 3]];
+    let cases = unreachable.map(|u| [(false, u), (true, u)]);
+    for (raises_token, unreachable) in cases.into_iter().flatten() {
+        let sim = job_that_moves_back_after_a_cut(raises_token, unreachable);
+        assert!(
+            sim.concurrent_runs.is_empty(),
+            "{raises_token}, {unreachable:?}: {}",
+            sim.trace_of(JobId(1))
+        );
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    }
+}
