--- a/crates/geraniumrelay-core/src/leased/election.rs
+++ b/crates/geraniumrelay-core/src/leased/election/mod.rs
@@ -5,84 +5,23 @@
 //! both sides of a partition. Load pattern: the scheduler's VM dies, freezes or is cut off while
 //! jobs wait for tens of milliseconds at most.
 
-use std::cmp::Reverse;
+mod config;
+mod hand_over;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+pub use self::config::ElectionConfig;
+use self::hand_over::FENCED_ROUND_SKIP;
+pub use super::fitness::Fitness;
+use super::fitness::preference;
 use super::names::{EntryVm, FencingToken};
-use crate::collections::Map;
+use crate::collections::{Map, Set};
 
 /// Fencing rounds start at the seconds since this time (2020-01-01 as a Unix time), so that they
 /// increase across a restart of all entry VMs.
 const ROUND_ZERO_TIME: Duration = Duration::from_hours(438_288);
 
-/// Ratio of the scheduler's lag to its successor's from which the scheduler hands over.
-const LAG_RATIO: u32 = 3;
-
-/// Rounds skipped when a worker has received a higher token than any that this process knows.
-const FENCED_ROUND_SKIP: u64 = 2;
-
-/// Time-outs and limits of the election.
-#[derive(Debug, Clone)]
-pub struct ElectionConfig {
-    /// Time without a heartbeat after which the scheduler counts as lost; five of its heartbeats.
-    pub scheduler_timeout: Duration,
-    /// Time without a heartbeat after which another entry VM counts as lost.
-    pub peer_timeout: Duration,
-    /// Time without a heartbeat after which another entry VM is not considered for a takeover; two of
-    /// its heartbeats.
-    pub peer_freshness: Duration,
-    /// Time in which an existing scheduler's heartbeat may arrive, from when this process becomes
-    /// eligible.
-    pub start_grace: Duration,
-    /// The time that replaces `start_grace` if half of the other entry VMs are heard and know of no
-    /// scheduler; their heartbeats arrive within it.
-    pub cluster_start_grace: Duration,
-    /// Delay of a takeover for each preferred entry VM; covers a takeover and one heartbeat.
-    pub rank_delay: Duration,
-    /// Time without the platform's store after which the scheduler hands over to a VM that reaches it.
-    pub store_timeout: Duration,
-    /// Time for which a VM that was cut off waits for a heartbeat of the scheduler that others follow;
-    /// entry VMs connect again within 0.4 s.
-    pub rejoin_wait: Duration,
-    /// Time for which a fenced scheduler leaves its workers to the other one, whose heartbeat arrives
-    /// in this time if the connection between the two works again.
-    pub fenced_pause: Duration,
-    /// Smoothed lag from which a VM counts as overloaded.
-    pub lag_limit: Duration,
-    /// Time for which the scheduler must lag before it hands over; longer than the throttling of a VM
-    /// that has used up its share of a core.
-    pub min_lag_duration: Duration,
-    /// Time after a takeover in which the scheduler does not hand over for its lag: if the load is too
-    /// high for any VM, each hand-over only adds to it.
-    pub min_tenure: Duration,
-}
-
-impl ElectionConfig {
-    /// Default `lag_limit`: a job takes about six passes through its scheduler, within a budget of 60 ms
-    /// beside the run time. A healthy VM lags by 1 ms, one that is five times slower by 8 to 11 ms.
-    pub const LAG_LIMIT: Duration = Duration::from_millis(6);
-}
-
-impl Default for ElectionConfig {
-    fn default() -> Self {
-        Self {
-            scheduler_timeout: Duration::from_millis(300),
-            peer_timeout: Duration::from_millis(700),
-            peer_freshness: Duration::from_millis(350),
-            start_grace: Duration::from_millis(300),
-            cluster_start_grace: Duration::from_millis(40),
-            rank_delay: Duration::from_millis(150),
-            store_timeout: Duration::from_millis(1_500),
-            rejoin_wait: Duration::from_millis(700),
-            fenced_pause: Duration::from_millis(200),
-            lag_limit: Self::LAG_LIMIT,
-            min_lag_duration: Duration::from_millis(200),
-            min_tenure: Duration::from_millis(1_500),
-        }
-    }
-}
-
 /// Heartbeat of an entry VM to the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -98,27 +37,35 @@
     pub follows: Option<FencingToken>,
     /// Whether the sender knows the workers that have departed lately.
     pub knows_departed: bool,
+    /// Number of workers on which the sender can start tasks; 0 if it does not schedule.
+    pub usable_workers: u32,
     /// Smoothed delay of the sender's work behind its schedule.
     pub lag: Duration,
     /// Suitability of the sender's VM.
     pub fitness: Fitness,
 }
 
-/// Suitability of a VM as the scheduler of a cell.
+/// State of the scheduler in this process, as far as the election needs it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Fitness {
-    /// Whether the VM is in the cell's data centre; `true` for a cell without one.
-    pub is_local: bool,
-    /// Processor of the VM, in tenths of a core.
-    pub cpu_tenths: u32,
-    /// Number of other cells that the VM schedules.
-    pub other_cells: u32,
+pub struct SchedulerStatus {
+    /// Whether the scheduler has open jobs, which a hand-over delays.
+    pub has_jobs: bool,
+    /// Whether the scheduler may raise its token: no claim in the store names it.
+    pub can_raise_token: bool,
+    /// Number of workers on which the scheduler can start tasks.
+    pub usable_workers: u32,
+    /// Time for which a hand-over waits for those of other cells. Load pattern: the schedulers of all
+    /// cells lose the store at the same moment, and all name the fittest VM.
+    pub hand_over_delay: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     last_heartbeat_at: Instant,
     heartbeat: Heartbeat,
+    /// Since when the peer is known to have the store; `None` if that has not changed, and the peer has
+    /// not been lost, since it was first heard.
+    has_store_since: Option<Instant>,
 }
 
 /// State transition that the host has to carry out.
@@ -128,6 +75,8 @@
     Unchanged,
     /// Start to schedule with this token.
     TakeOver(FencingToken),
+    /// Go on scheduling with this token, above that of another scheduler.
+    RaiseToken(FencingToken),
     /// Stop scheduling: the other VM has a higher token.
     StepDown(EntryVm),
     /// Stop scheduling and announce this VM as the successor.
@@ -146,6 +95,8 @@
     /// When the process started, or became eligible after that.
     grace_started_at: Instant,
     peers: Map<EntryVm, Peer>,
+    /// Other entry VMs whose connections have broken.
+    lost_peers: Set<EntryVm>,
     /// All other entry VMs in the list of entry VMs.
     members: Arc<[EntryVm]>,
     /// Highest token known.
@@ -160,14 +111,25 @@
     took_over_at: Instant,
     /// Since when the platform's store has not answered; `None` while it answers.
     store_lost_at: Option<Instant>,
+    /// When the store answered again.
+    store_back_at: Option<Instant>,
     lag: Duration,
     /// Since when `lag` has been at or above the limit.
     lagging_since: Option<Instant>,
     is_ineligible: bool,
     knows_departed: bool,
     fitness: Fitness,
-    /// Whether the former scheduler has named this VM as its successor.
-    is_named_successor: bool,
+    /// Until when the successor that the former scheduler has named may take over before others.
+    successor_grace_until: Instant,
+    /// When the former scheduler last named this VM as its successor.
+    named_successor_at: Option<Instant>,
+    status: SchedulerStatus,
+    /// Whether the scheduler must raise its token above the highest one.
+    has_to_outrank: bool,
+    /// When this scheduler last raised its token.
+    token_raised_at: Instant,
+    /// Until when this VM leaves the cell to its scheduler, whatever its time-outs and lag say.
+    no_hand_over_until: Instant,
 }
 
 impl Election {
@@ -178,6 +140,7 @@
             cfg,
             grace_started_at: now,
             peers: Map::default(),
+            lost_peers: Set::default(),
             members: Arc::default(),
             highest: FencingToken::default(),
             current: None,
@@ -185,12 +148,18 @@
             fenced_until: None,
             took_over_at: now,
             store_lost_at: Some(now),
+            store_back_at: None,
             lag: Duration::ZERO,
             lagging_since: None,
             is_ineligible: true,
             knows_departed: false,
             fitness: Fitness::default(),
-            is_named_successor: false,
+            successor_grace_until: now,
+            named_successor_at: None,
+            status: SchedulerStatus::default(),
+            has_to_outrank: false,
+            token_raised_at: now,
+            no_hand_over_until: now,
         }
     }
 
@@ -213,7 +182,9 @@
         }
         self.is_ineligible = is_ineligible;
         if has_store {
-            self.store_lost_at = None;
+            if self.store_lost_at.take().is_some() {
+                self.store_back_at = Some(now);
+            }
         } else if self.store_lost_at.is_none() {
             self.store_lost_at = Some(now);
         }
@@ -221,6 +192,7 @@
 
     /// Sets the other entry VMs in the list of entry VMs.
     pub fn set_members(&mut self, members: Arc<[EntryVm]>) {
+        self.lost_peers.retain(|vm| members.contains(vm));
         self.members = members;
     }
 
@@ -241,6 +213,36 @@
         self.fitness = fitness;
     }
 
+    /// Sets the state of the scheduler in this process.
+    pub fn set_status(&mut self, status: SchedulerStatus) {
+        self.status = status;
+    }
+
+    /// Postpones a hand-over, as this VM has handed over another cell, which may be enough.
+    pub fn postpone_hand_over(&mut self, until: Instant) {
+        self.no_hand_over_until = until;
+    }
+
+    /// The next token of this VM, at least `skip` rounds above all that are known.
+    fn next_token(&mut self, wall: SystemTime, skip: u64) -> FencingToken {
+        let since_round_zero = wall.duration_since(SystemTime::UNIX_EPOCH + ROUND_ZERO_TIME);
+        let by_clock = since_round_zero.unwrap_or_default().as_secs();
+        let round = by_clock.max(self.highest.round() + skip);
+        self.highest = FencingToken::new(round, self.vm);
+        self.highest
+    }
+
+    /// Handles a pause of this process that was long enough for a takeover by another VM: it stops
+    /// scheduling, and waits for the heartbeats that arrived meanwhile.
+    pub fn on_paused(&mut self, now: Instant) -> Transition {
+        self.grace_started_at = now;
+        self.named_successor_at = None;
+        if self.is_scheduler() {
+            return self.lose(now);
+        }
+        Transition::Unchanged
+    }
+
     /// Connected entry VMs without a heartbeat within `peer_timeout`.
     pub fn timed_out_peers(&self, now: Instant) -> Vec<EntryVm> {
         let limit = self.cfg.peer_timeout;
@@ -309,6 +311,7 @@
             successor,
             follows: self.current.map(|c| c.1),
             knows_departed: self.knows_departed,
+            usable_workers: self.status.usable_workers,
             lag: self.lag,
             fitness: self.fitness,
         }
@@ -321,18 +324,23 @@
         heartbeat: Heartbeat,
         now: Instant,
     ) -> Transition {
+        let has_store_since = self.has_store_since(from, &heartbeat, now);
         self.peers.insert(
             from,
             Peer {
                 last_heartbeat_at: now,
                 heartbeat,
+                has_store_since,
             },
         );
         if heartbeat.successor == Some(self.vm) && !self.is_scheduler() && !self.is_ineligible {
-            self.is_named_successor = true;
+            self.named_successor_at = Some(now);
         }
         let Some(token) = heartbeat.token else {
             if self.current.is_some_and(|(vm, _)| vm == from) {
+                if heartbeat.successor.is_some() {
+                    self.successor_grace_until = now + self.cfg.rank_delay;
+                }
                 return self.lose(now);
             }
             return Transition::Unchanged;
@@ -340,8 +348,16 @@
         self.highest = self.highest.max(token);
         match self.current {
             Some((vm, known)) if token > known => {
+                if vm == self.vm && self.must_outrank(&heartbeat) {
+                    self.has_to_outrank = true;
+                    return Transition::Unchanged;
+                }
+                if vm != self.vm && self.will_outrank(vm, &heartbeat, now) {
+                    return Transition::Unchanged;
+                }
                 self.current = Some((from, token));
                 if vm == self.vm {
+                    self.has_to_outrank = false;
                     Transition::StepDown(from)
                 } else {
                     Transition::Follow(from, token)
@@ -355,9 +371,28 @@
         }
     }
 
+    /// Since when the sender of `heartbeat` is known to have the store.
+    fn has_store_since(
+        &self,
+        from: EntryVm,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> Option<Instant> {
+        let Some(known) = self.peers.get(&from) else {
+            return self.lost_peers.contains(&from).then_some(now);
+        };
+        let silence = now.saturating_duration_since(known.last_heartbeat_at);
+        let is_back = heartbeat.has_store && !known.heartbeat.has_store;
+        if is_back || silence >= self.cfg.peer_freshness {
+            return Some(now);
+        }
+        known.has_store_since
+    }
+
     /// Handles a broken connection to another entry VM.
     pub fn link_lost(&mut self, vm: EntryVm, now: Instant) -> Transition {
         self.peers.remove(&vm);
+        self.lost_peers.insert(vm);
         if self.current.is_some_and(|(current, _)| current == vm) {
             return self.lose(now);
         }
@@ -374,6 +409,12 @@
     /// Checks time-outs and delays. `wall` is the time of day, from which new tokens derive.
     pub fn tick(&mut self, now: Instant, wall: SystemTime) -> Transition {
         match self.current {
+            Some((vm, _)) if vm == self.vm && self.has_to_outrank => {
+                self.has_to_outrank = false;
+                let raised = self.next_token(wall, 1);
+                self.current = Some((vm, raised));
+                Transition::RaiseToken(raised)
+            }
             Some((vm, _)) if vm == self.vm => self.check_own(now),
             Some((vm, _)) => {
                 let heard_at = self.peers.get(&vm).map(|p| p.last_heartbeat_at);
@@ -408,41 +449,11 @@
 
     fn lose(&mut self, now: Instant) -> Transition {
         self.current = None;
+        self.has_to_outrank = false;
         self.lost_at = now;
         Transition::SchedulerLost
     }
 
-    fn check_own(&mut self, now: Instant) -> Transition {
-        let since = self.store_lost_at;
-        let is_store_lost_for_long =
-            since.is_some_and(|at| now.saturating_duration_since(at) >= self.cfg.store_timeout);
-        let successor = self.successor(now);
-        let has_store = |vm: &EntryVm| self.peers.get(vm).is_some_and(|p| p.heartbeat.has_store);
-        if is_store_lost_for_long && successor.as_ref().is_some_and(has_store) {
-            return self.resign(now);
-        }
-        if successor.is_some_and(|vm| self.is_outpaced_by(vm, now)) {
-            return self.resign(now);
-        }
-        Transition::Unchanged
-    }
-
-    /// Whether this scheduler has lagged for `min_lag_duration` and `vm` does not. Load pattern: the
-    /// scheduler's VM becomes several times slower, so that the replies of all workers queue there.
-    fn is_outpaced_by(&self, vm: EntryVm, now: Instant) -> bool {
-        let age = |at| now.saturating_duration_since(at);
-        let is_lagging = self
-            .lagging_since
-            .is_some_and(|at| age(at) >= self.cfg.min_lag_duration);
-        let is_lagging = is_lagging && age(self.took_over_at) >= self.cfg.min_tenure;
-        let peer = self.peers.get(&vm).map(|p| p.heartbeat);
-        let is_better = |heartbeat: Heartbeat| {
-            heartbeat.lag * LAG_RATIO < self.lag
-                && (heartbeat.has_store || self.store_lost_at.is_some())
-        };
-        is_lagging && peer.is_some_and(is_better)
-    }
-
     /// Takes over if this VM is eligible, and no preferred VM has done so in the time left to it.
     fn try_take_over(&mut self, now: Instant, wall: SystemTime) -> Transition {
         if self.is_ineligible || self.fenced_until.is_some_and(|until| now < until) {
@@ -452,10 +463,21 @@
             return Transition::Unchanged;
         }
         let limit = self.cfg.lag_limit;
-        let own = preference(self.vm, &self.own_heartbeat(None), limit);
+        // The last heartbeats of the others may be older than the return of the store.
+        let is_back = |at| now.saturating_duration_since(at) < self.cfg.store_return_time;
+        let ignores_store = self.store_back_at.is_some_and(is_back);
+        let rank_of = |vm, heartbeat: Heartbeat| {
+            let has_store = heartbeat.has_store || ignores_store;
+            let heartbeat = Heartbeat {
+                has_store,
+                ..heartbeat
+            };
+            preference(vm, &heartbeat, limit)
+        };
+        let own = rank_of(self.vm, self.own_heartbeat(None));
         let preferred = self
             .live_peers(now)
-            .filter(|&(vm, peer)| preference(vm, &peer.heartbeat, limit) < own)
+            .filter(|&(vm, peer)| rank_of(vm, peer.heartbeat) < own)
             .count();
         let rank = u32::try_from(preferred).unwrap_or(u32::MAX);
         let grace = if self.is_cluster_start(now) {
@@ -463,21 +485,26 @@
         } else {
             self.cfg.start_grace
         };
-        let start = (self.grace_started_at + grace).max(self.lost_at);
-        if !self.is_named_successor && now < start + self.cfg.rank_delay * rank {
+        let start = (self.grace_started_at + grace)
+            .max(self.lost_at)
+            .max(self.successor_grace_until);
+        if !self.is_named_successor(now) && now < start + self.cfg.rank_delay * rank {
             return Transition::Unchanged;
         }
-        self.is_named_successor = false;
-        let since_round_zero = wall.duration_since(SystemTime::UNIX_EPOCH + ROUND_ZERO_TIME);
-        let by_clock = since_round_zero.unwrap_or_default().as_secs();
-        let round = by_clock.max(self.highest.round() + 1);
-        let token = FencingToken::new(round, self.vm);
-        self.highest = token;
+        self.named_successor_at = None;
+        let token = self.next_token(wall, 1);
         self.current = Some((self.vm, token));
         self.took_over_at = now;
         Transition::TakeOver(token)
     }
 
+    /// Whether the former scheduler has named this VM a moment ago.
+    fn is_named_successor(&self, now: Instant) -> bool {
+        let validity = self.cfg.scheduler_timeout;
+        self.named_successor_at
+            .is_some_and(|at| now.saturating_duration_since(at) < validity)
+    }
+
     /// Whether a heartbeat of an existing scheduler is likely to arrive soon: the store does not answer
     /// this VM, and another VM that reaches the store follows a scheduler.
     fn expects_scheduler(&self, now: Instant) -> bool {
@@ -501,22 +528,3 @@
             .map(|(&vm, p)| (vm, p))
     }
 }
-
-/// Sort key of entry VMs for a takeover, the preferred one first: VMs that the store answers, that
-/// do not lag, that know the departed workers and that are local; then by size, the largest first,
-/// and by the number of other cells.
-fn preference(vm: EntryVm, heartbeat: &Heartbeat, lag_limit: Duration) -> impl Ord + use<> {
-    let Fitness {
-        is_local,
-        cpu_tenths,
-        other_cells,
-    } = heartbeat.fitness;
-    let is_lagging = heartbeat.lag >= lag_limit;
-    let weaknesses = (
-        !heartbeat.has_store,
-        is_lagging,
-        !heartbeat.knows_departed,
-        !is_local,
-    );
-    (weaknesses, Reverse(cpu_tenths), other_cells, vm)
-}
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -145,6 +145,8 @@
     pub(super) in_flight_since: Option<Instant>,
     /// Whether that poll does not wait for ends.
     pub(super) is_prompt: bool,
+    /// Whether a poll has to be sent to read the clock, for which a task waits.
+    pub(super) must_read_clock: bool,
     /// Polls in a row that were not answered.
     pub(super) misses: u32,
     /// Earliest time of the next poll.
@@ -270,6 +272,12 @@
             && self.poll_state.misses < MAX_MISSES
     }
 
+    /// Whether a start order may use the reading of the worker's clock.
+    pub(super) fn has_fresh_clock(&self, now: Instant, max_age: Duration) -> bool {
+        let clock = self.clock.as_ref();
+        clock.is_some_and(|c| c.is_fresh(now, max_age))
+    }
+
     /// Whether the worker is listed and ready, and has not become unresponsive.
     pub(super) fn may_become_usable(&self) -> bool {
         let is_open_for_tasks = self.is_listed && self.entry.state == WorkerState::Ready;
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use geraniumrelay_core::leased::{Command, JobId, JobOutcome};
+use assert_matches::assert_matches;
+use geraniumrelay_core::leased::{Command, JobId, JobOutcome, WorkerState};
 
-use crate::world::{Simulation, TestJob, worker_name};
+use crate::world::{Simulation, TestJob, vm, worker_name};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -246,3 +247,146 @@
         "the scheduler must be deposed to get a higher token"
     );
 }
+
+/// As a partition heals, the scheduler of the smaller side gives up, and its workers go on to refuse the
+/// lower token of the other one, which lost a third of the workers for 2 s, and then all its state.
+#[test]
+fn a_scheduler_goes_on_with_all_workers_after_it_has_raised_its_token() {
+    let mut sim = Simulation::new(6, 1);
+    sim.hosts[0].unreachable_workers = BTreeSet::from([0, 1]);
+    sim.run_for(500 * MS);
+    let unreachable = (2..6).collect();
+    let other = sim.add_host_with(2, &unreachable, true);
+    sim.submit(other, MS, TestJob::new(1, 1, Duration::from_secs(5)));
+    sim.run_for(3 * Duration::from_secs(1));
+    let long = TestJob::new(2, 8, 700 * MS).with_slack();
+    sim.submit(0, MS, long.with_remaining_wait(Duration::from_secs(4)));
+    sim.run_for(100 * MS);
+    sim.kill(other);
+    sim.hosts[0].unreachable_workers.clear();
+    sim.run_for(250 * MS);
+    assert!(sim.hosts[0].scheduler.as_ref().unwrap().is_fenced());
+    sim.raise_token(0, 3);
+    assert!(!sim.hosts[0].scheduler.as_ref().unwrap().is_fenced());
+    // 8 of 12 slots are in use.
+    sim.submit(0, 5 * MS, TestJob::new(3, 4, 60 * MS));
+    sim.run_for(300 * MS);
+    assert_eq!(sim.outcome(3), Some(JobOutcome::Completed));
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.outcome(2), Some(JobOutcome::Completed));
+    assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
+    assert!(sim.start_counts.values().all(|&n| n == 1));
+    let running = sim.workers.iter().map(|w| w.running().count());
+    assert_eq!(
+        running.sum::<usize>(),
+        0,
+        "the run of the other side is stopped"
+    );
+}
+
+/// A job that waits at one scheduler, is started by another one, and is then sent to the first one again,
+/// which must not say that it has not run. `tells_tokens` is `false` for an entry VM that does not
+/// tell which schedulers had the job.
+fn answer_of_a_scheduler_that_has_a_job_again(tells_tokens: bool) -> (Option<JobOutcome>, u32) {
+    let mut sim = Simulation::new(2, 1);
+    let mut entry = sim.worker_entry(1);
+    entry.state = WorkerState::Draining;
+    sim.handle_command(0, Command::WorkerSeen(entry));
+    let blocking = TestJob::new(1, 2, Duration::from_secs(5)).with_estimate(50 * MS);
+    sim.submit(0, MS, blocking.with_remaining_wait(Duration::from_secs(9)));
+    sim.run_for(10 * MS);
+    let job = TestJob::new(2, 1, Duration::from_secs(1));
+    let job = job.with_remaining_wait(Duration::from_secs(4));
+    sim.submit(0, MS, job.clone());
+    sim.run_for(10 * MS);
+    assert_eq!(sim.outcome(2), None, "the job waits");
+    let other = sim.add_host_with(2, &BTreeSet::from([0]), true);
+    let tokens = [0, other].map(|host| sim.hosts[host].token());
+    let mut again = job.resubmitted();
+    if tells_tokens {
+        again.former_tokens = vec![tokens[0]];
+    }
+    sim.submit(other, MS, again.clone());
+    sim.run_for(20 * MS);
+    if tells_tokens {
+        again.former_tokens = vec![tokens[1]];
+    }
+    sim.submit(0, MS, again);
+    sim.run_for(Duration::from_secs(5));
+    let starts = sim
+        .start_counts
+        .iter()
+        .filter(|(name, _)| name.job == JobId(2));
+    (sim.outcome(2), starts.map(|(_, n)| *n).sum())
+}
+
+/// Without the tokens the first scheduler can't know it: the replay is of the fault.
+#[test]
+fn a_scheduler_that_is_not_told_of_another_one_refuses_a_job_that_runs() {
+    let (outcome, starts) = answer_of_a_scheduler_that_has_a_job_again(false);
+    assert!(starts > 0, "the other scheduler starts the job");
+    assert_matches!(outcome, Some(JobOutcome::Refused { .. }));
+}
+
+#[test]
+fn a_scheduler_that_has_a_job_again_does_not_say_that_it_has_not_run() {
+    let (outcome, starts) = answer_of_a_scheduler_that_has_a_job_again(true);
+    assert!(starts > 0, "the other scheduler starts the job");
+    assert!(
+        !matches!(outcome, Some(JobOutcome::Refused { .. })),
+        "{outcome:?}"
+    );
+}
+
+/// An entry VM follows another scheduler for a moment, so that this one drops its jobs, and returns.
+#[test]
+fn a_job_of_an_entry_vm_that_returns_is_completed() {
+    let mut sim = Simulation::new(4, 1);
+    let job = TestJob::new(1, 2, 300 * MS).with_slack();
+    sim.submit(0, MS, job.clone());
+    sim.run_for(50 * MS);
+    sim.handle_command(0, Command::EntryLeft(vm(100)));
+    sim.run_for(10 * MS);
+    sim.answers.clear();
+    resubmit(&mut sim, 0, &job);
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
+}
+
+/// The scheduler of a cut zone starts a job on an idle worker there, which the other scheduler has not
+/// polled since before the cut. As the cut heals, the job is sent to that one.
+fn job_that_moves_back_after_a_cut(raises_token: bool, unreachable: [usize; 2]) -> Simulation {
+    let mut sim = Simulation::new(4, 1);
+    sim.run_for(500 * MS);
+    let zone = sim.add_host_with(2, &BTreeSet::from(unreachable), true);
+    sim.run_for(100 * MS);
+    let job = TestJob::new(1, 1, 400 * MS).with_slack();
+    let mut again = job.clone().resubmitted();
+    sim.submit(zone, MS, job);
+    sim.run_for(20 * MS);
+    assert_eq!(sim.start_counts.len(), 1);
+    again.former_tokens = vec![sim.hosts[zone].token()];
+    sim.kill(zone);
+    if raises_token {
+        sim.raise_token(0, 3);
+    }
+    sim.submit(0, MS, again);
+    sim.run_for(Duration::from_secs(3));
+    sim
+}
+
+#[test]
+fn a_job_that_moves_back_after_a_cut_has_one_run_at_a_time() {
+    let unreachable = [[0, 1], [2, 3]];
+    let cases = unreachable.map(|u| [(false, u), (true, u)]);
+    for (raises_token, unreachable) in cases.into_iter().flatten() {
+        let sim = job_that_moves_back_after_a_cut(raises_token, unreachable);
+        assert!(
+            sim.concurrent_runs.is_empty(),
+            "{raises_token}, {unreachable:?}: {}",
+            sim.trace_of(JobId(1))
+        );
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    }
+}
--- a/crates/geraniumrelay-core/tests/leased/world.rs
+++ b/crates/geraniumrelay-core/tests/leased/world.rs
@@ -144,6 +144,8 @@
     pub(crate) waited: Duration,
     pub(crate) submitted_at: Instant,
     pub(crate) may_have_started: bool,
+    pub(crate) former_tokens: Vec<FencingToken>,
+    pub(crate) has_alternative: bool,
 }
 
 impl TestJob {
@@ -181,6 +183,8 @@
             waited: Duration::ZERO,
             submitted_at: Instant::now(),
             may_have_started: false,
+            former_tokens: Vec::new(),
+            has_alternative: false,
         }
     }
 
@@ -503,6 +507,22 @@
         }
     }
 
+    /// Raises the token of a scheduler to `round`.
+    pub(crate) fn raise_token(&mut self, host: usize, round: u64) {
+        let Host {
+            scheduler, token, ..
+        } = &mut self.hosts[host];
+        let scheduler = scheduler.as_mut().unwrap();
+        let number = u8::try_from(host).unwrap() + 1;
+        *token = FencingToken::new(round, vm(number));
+        let mut out = Vec::new();
+        let cx = Context::new(self.now, &self.cfg);
+        scheduler.raise_token(&cx, *token, &mut out);
+        for effect in out {
+            self.apply_effect(host, effect);
+        }
+    }
+
     pub(crate) fn run_for(&mut self, duration: Duration) {
         let until = self.now + duration;
         while let Some((&(at, sequence), _)) = self.events.first_key_value() {
@@ -626,6 +646,8 @@
             waited: job.waited,
             remaining_wait: job.remaining_wait,
             may_have_started: job.may_have_started,
+            former_tokens: job.former_tokens.clone(),
+            has_alternative: job.has_alternative,
         };
         self.handle_command(host, Command::Submit(submission));
     }
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -1,7 +1,7 @@
 //! A cell's state in this process: its election, its scheduler and its reported load.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
@@ -106,6 +106,22 @@
         Some(self.election.outrank(holder, now))
     }
 
+    /// A higher token for the scheduler here if single workers have fenced it and no other VM can be
+    /// scheduling the cell.
+    pub(super) fn token_to_raise(&mut self, now: Instant) -> Option<FencingToken> {
+        let scheduler = self.scheduler.as_ref()?;
+        if !scheduler.can_raise_token() || !scheduler.is_fenced() {
+            return None;
+        }
+        self.election.raise_token(now, SystemTime::now())
+    }
+
+    /// Whether a reply to a call with `token` is for the scheduler here.
+    pub(super) fn is_own_reply(&self, token: FencingToken) -> bool {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.is_some_and(|s| s.has_had_token(token))
+    }
+
     /// Starts the read of the records for the scheduler here, in place of an earlier one.
     pub(super) fn start_record_read(&mut self, read: impl Future<Output = ()> + 'static) {
         // A dropped set aborts its tasks.
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -53,6 +53,7 @@
         load_percent,
         pending,
         knows_jobs,
+        usable_workers: heartbeat.usable_workers,
     }
 }
 
@@ -69,6 +70,7 @@
         successor: cell_beat.and_then(|c| (c.successor > 0).then(|| vm_from_address(c.successor))),
         follows: cell_beat.and_then(|c| token(c.follows)),
         knows_departed: beat.knows_departed,
+        usable_workers: cell_beat.map_or(0, |c| c.usable_workers),
         lag: Duration::from_micros(beat.lag_us.into()),
         fitness: Fitness {
             is_local: is_local(cell, &beat.data_centre),
@@ -151,6 +153,8 @@
         may_have_started: submission.may_have_started,
         cell: cell.to_string(),
         is_kept: spec.is_durable,
+        former_tokens: submission.former_tokens.iter().map(|t| t.0).collect(),
+        has_alternative: submission.has_alternative,
     }
 }
 
@@ -172,6 +176,8 @@
         waited: Duration::from_micros(submit.waited_us),
         remaining_wait: Duration::from_micros(submit.patience_us),
         may_have_started: submit.may_have_started,
+        former_tokens: submit.former_tokens.into_iter().map(FencingToken).collect(),
+        has_alternative: submit.has_alternative,
     }
 }
 
@@ -183,6 +189,8 @@
         waited: Duration::ZERO,
         remaining_wait: Duration::ZERO,
         may_have_started: false,
+        former_tokens: Vec::new(),
+        has_alternative: false,
     };
     let state = match record.state {
         RecordState::Open => StoredState::Open,
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -3,14 +3,24 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use geraniumrelay_core::Context;
+use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::election::{Fitness, Transition};
+use geraniumrelay_core::leased::election::{Fitness, SchedulerStatus, Transition};
 use geraniumrelay_core::leased::{Command, FencingToken, Scheduler};
-use log::info;
+use log::{info, warn};
 
 use super::EventLoop;
 use crate::leased::convert;
 
+/// Time after a hand-over in which this VM hands no other cell over: its lag and the successor's
+/// heartbeat show by then whether that is needed.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Delay of a hand-over for each cell of the data centre that precedes this one: a takeover and the
+/// heartbeat after it.
+const HAND_OVER_STAGGER: Duration = Duration::from_millis(150);
+
 /// Number of heartbeat intervals after which an unresponsive VM is not a candidate for a takeover.
 const FRESH_HEARTBEATS: u32 = 2;
 
@@ -24,6 +34,7 @@
         match transition {
             Transition::Unchanged => return,
             Transition::TakeOver(token) => return self.take_over(name, token),
+            Transition::RaiseToken(token) => return self.raise_token(name, token),
             Transition::StepDown(vm) => {
                 info!(cell:% = name, to:% = vm, reason = "higher token"; "scheduling_ended");
                 cell.drop_scheduler();
@@ -32,6 +43,10 @@
                 info!(cell:% = name, to:% = vm, reason = "handed over"; "scheduling_ended");
                 cell.drop_scheduler();
                 self.send_heartbeat(Some((name, vm)));
+                let until = Instant::now() + HAND_OVER_PAUSE;
+                for cell in self.cells.values_mut() {
+                    cell.election.postpone_hand_over(until);
+                }
             }
             Transition::Follow(vm, token) => {
                 info!(cell:% = name, vm:% = vm, token:% = token; "scheduler_followed");
@@ -67,7 +82,7 @@
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
             .with_departed_known(false);
-        let must_read_records = self.has_durable_jobs || !self.knows_durable_jobs;
+        let must_read_records = self.store_health.may_have_durable_jobs();
         let scheduler = if must_read_records {
             scheduler.with_records(name.clone())
         } else {
@@ -95,7 +110,7 @@
     /// Updates what the elections know about this VM, its lag and its peers.
     pub(super) fn set_fitness(&mut self, now: Instant) {
         let is_ineligible = self.is_stopping || !self.directory.can_schedule();
-        let has_store = self.failing_tables.is_empty();
+        let has_store = self.store_health.has_store();
         let knows_departed = self.directory.knows_departed(now);
         let peer_fresh =
             self.follower_heartbeat_interval() * FRESH_HEARTBEATS + Duration::from_millis(50);
@@ -104,7 +119,20 @@
             .values()
             .filter(|c| c.scheduler.is_some())
             .count();
+        let mut preceding: Map<Option<Arc<str>>, u32> = Map::default();
         for cell in self.cells.values_mut() {
+            let preceding = preceding
+                .entry(cell.name.data_centre().map(Arc::from))
+                .or_default();
+            let scheduler = cell.scheduler.as_ref();
+            let usable = scheduler.map_or(0, |s| s.snapshot(now).usable);
+            cell.election.set_status(SchedulerStatus {
+                has_jobs: scheduler.is_some_and(Scheduler::has_jobs),
+                can_raise_token: scheduler.is_some_and(Scheduler::can_raise_token),
+                usable_workers: u32::try_from(usable).unwrap_or(u32::MAX),
+                hand_over_delay: HAND_OVER_STAGGER * *preceding,
+            });
+            *preceding += 1;
             let other_cells = scheduled_cells - usize::from(cell.scheduler.is_some());
             let fitness = Fitness {
                 is_local: convert::is_local(&cell.name, &self.components.data_centre),
@@ -119,6 +147,45 @@
         }
     }
 
+    /// Stops scheduling after a pause of this process that was long enough for a takeover by another VM,
+    /// before anything that has arrived meanwhile is handled: messages may be as old as the pause, and
+    /// permissions that end with time may have run out.
+    pub(super) fn on_paused(&mut self, pause: Duration) {
+        let cells = self
+            .cells
+            .values()
+            .filter(|c| c.scheduler.is_some())
+            .count();
+        warn!(pause_ms = pause.as_millis(), cells; "process_paused");
+        let now = Instant::now();
+        for name in self.cell_names() {
+            if let Some(cell) = self.cells.get_mut(&name) {
+                let transition = cell.election.on_paused(now);
+                self.apply_transition(&name, transition);
+            }
+        }
+    }
+
+    /// Raises the token of the cell's scheduler here, and announces it at once.
+    fn raise_token(&mut self, name: &CellName, token: FencingToken) {
+        let cx = Context::new(Instant::now(), &self.components.cfg);
+        let cell = self.cells.get_mut(name);
+        let Some(scheduler) = cell.and_then(|c| c.scheduler.as_mut()) else {
+            return;
+        };
+        info!(cell:% = name, former:% = scheduler.token(), token:% = token; "token_raised");
+        let mut out = Vec::new();
+        scheduler.raise_token(&cx, token, &mut out);
+        for effect in out {
+            self.execute(name, token, effect);
+        }
+        self.components.metrics.set_token(token.0);
+        self.send_heartbeat(None);
+        // Answers with the new token count only for jobs that were sent with it.
+        self.pending_jobs.mark_unsent(name);
+        self.send_unsent_jobs();
+    }
+
     /// Runs the timers of a cell's election and of its scheduler.
     pub(super) fn tick_cell(&mut self, name: &CellName, now: Instant) {
         let Some(cell) = self.cells.get_mut(name) else {
@@ -135,6 +202,10 @@
             self.apply_transition(name, transition);
             self.set_fitness(now);
         }
+        let cell = self.cells.get_mut(name);
+        if let Some(token) = cell.and_then(|c| c.token_to_raise(now)) {
+            self.raise_token(name, token);
+        }
         if has_scheduler {
             for vm in timed_out {
                 self.handle_command(name, Command::EntryLeft(vm));
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -15,7 +15,7 @@
 
 use flume::Receiver;
 use geraniumrelay_adapter::StoreClient;
-use geraniumrelay_core::collections::{Map, Set};
+use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::config_transfer::{ConfigDownload, ConfigUploads};
 use geraniumrelay_core::leased::{Command, Effect, EntryVm, FencingToken, JobId, Scheduler};
@@ -37,8 +37,10 @@
 use crate::leased::link_load::TotalLoad;
 use crate::leased::links::{self, Link};
 use crate::leased::metrics::LeasedMetrics;
+use crate::leased::pause::PauseDetector;
 use crate::leased::pending_jobs::PendingJobs;
 use crate::leased::readiness::Readiness;
+use crate::leased::store_health::StoreHealth;
 use crate::leased::worker_calls::WorkerCalls;
 
 /// Interval at which deadlines and elections are checked.
@@ -82,6 +84,8 @@
     pub(super) is_scheduler: Rc<Flag<bool>>,
     pub(super) tx: InputTx,
     pub(super) metrics: Arc<LeasedMetrics>,
+    /// Clock that goes on while the VM is suspended; time since any fixed moment.
+    pub(super) boot_clock: fn() -> Duration,
 }
 
 /// The event loop with its state.
@@ -102,16 +106,13 @@
     config_uploads: ConfigUploads,
     /// Time from which a refused upload is logged again.
     next_upload_refusal_line: Instant,
-    failing_tables: Set<&'static str>,
+    store_health: StoreHealth,
     next_tick: Instant,
     next_heartbeat: Instant,
     next_plan: Instant,
     no_scheduler_since: Instant,
     lag: Lag,
-    /// Whether a durable job has been seen, here or by a peer.
-    has_durable_jobs: bool,
-    /// Whether the records of durable jobs have been read, so that `has_durable_jobs` is reliable.
-    knows_durable_jobs: bool,
+    pause: PauseDetector,
     is_stopping: bool,
 }
 
@@ -119,6 +120,7 @@
     pub(super) fn new(components: Components) -> Self {
         let now = Instant::now();
         let vm = components.vm;
+        let pause = PauseDetector::new((components.boot_clock)());
         let directory = Directory::new(
             components.cfg.leased.departed_ttl,
             components.is_first_start,
@@ -136,14 +138,13 @@
             config_download: ConfigDownload::new(vm),
             config_uploads: ConfigUploads::default(),
             next_upload_refusal_line: now,
-            failing_tables: Set::default(),
+            store_health: StoreHealth::default(),
             next_tick: now,
             next_heartbeat: now,
             next_plan: now,
             no_scheduler_since: now,
             lag: Lag::default(),
-            has_durable_jobs: false,
-            knows_durable_jobs: false,
+            pause,
             is_stopping: false,
         };
         event_loop.reset_cells(now);
@@ -153,7 +154,11 @@
     /// Handles inputs and ticks until the process ends.
     pub(super) async fn run(mut self, rx: Receiver<Input>) {
         loop {
-            if let Ok(Ok(input)) = timeout_at(self.next_tick.into(), rx.recv_async()).await {
+            let received = timeout_at(self.next_tick.into(), rx.recv_async()).await;
+            if let Some(pause) = self.pause.observe((self.components.boot_clock)()) {
+                self.on_paused(pause);
+            }
+            if let Ok(Ok(input)) = received {
                 self.handle(input);
                 for input in rx.try_iter().take(INPUT_BATCH) {
                     self.handle(input);
@@ -176,7 +181,9 @@
                 max_wait,
                 reply,
             } => {
-                self.has_durable_jobs |= spec.is_durable;
+                if spec.is_durable {
+                    self.store_health.durable_job_seen();
+                }
                 if self.pending_jobs.add(spec, max_wait, reply, Instant::now()) {
                     self.send_unsent_jobs();
                 }
@@ -226,7 +233,7 @@
                 command,
             } => {
                 // The request may come from a former scheduler of the cell in this process.
-                if self.own_token(&cell) == Some(token) {
+                if self.cells.get(&cell).is_some_and(|c| c.is_own_reply(token)) {
                     self.handle_command(&cell, command);
                 }
             }
@@ -306,14 +313,14 @@
             .map(|cell| cell.heartbeat(successor_of(&cell.name)))
             .collect();
         let heartbeat = Beat {
-            has_store: self.failing_tables.is_empty(),
+            has_store: self.store_health.has_store(),
             is_barred: self.is_stopping || !self.directory.can_schedule(),
             knows_departed: self.directory.knows_departed(Instant::now()),
             data_centre: self.components.data_centre.to_string(),
             cpu_tenths: self.components.cpu_tenths,
             config_version: self.config_version(),
             cells,
-            has_kept_jobs: self.has_durable_jobs,
+            has_kept_jobs: self.store_health.has_durable_jobs(),
             lag_us: u32::try_from(self.lag.mean().as_micros()).unwrap_or(u32::MAX),
         };
         let message = links::frame(Body::Beat(heartbeat));
@@ -392,7 +399,9 @@
 
     fn on_heartbeat(&mut self, from: EntryVm, heartbeat: &Beat) {
         let now = Instant::now();
-        self.has_durable_jobs |= heartbeat.has_kept_jobs;
+        if heartbeat.has_kept_jobs {
+            self.store_health.durable_job_seen();
+        }
         for name in self.cell_names() {
             let Some(cell) = self.cells.get_mut(&name) else {
                 continue;
