feat(core/leased): under lasting overload jobs are admitted to shorter waits

Cause: a job is admitted if its expected wait is at most 70 % of its slack. Change: a scheduler sums up the work that the jobs of the last second ask for, refused ones as well. Above 105 % of the capacity a job may wait for 35 % of its slack.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -67,6 +67,10 @@
     pub scan_limit: usize,
     /// Maximum expected wait of an admitted job, in percent of its slack.
     pub admit_percent: u32,
+    /// Same under lasting overload: a job that ends late takes the room of one that would be in time.
+    pub overload_admit_percent: u32,
+    /// Work that callers ask for from which a service is overloaded, in percent of its capacity.
+    pub overload_percent: u32,
     /// Weight of the latest run time in the mean of its queue.
     pub estimate_weight: f64,
     /// Mean ratio of actual to expected run time from which a worker counts as slow.
@@ -100,6 +104,8 @@
             outcome_ttl: Duration::from_secs(10),
             scan_limit: 24,
             admit_percent: 70,
+            overload_admit_percent: 35,
+            overload_percent: 105,
             estimate_weight: 0.05,
             slow_factor: 2.5,
         }
--- a/crates/geraniumrelay-core/src/leased/admission.rs
+++ b/crates/geraniumrelay-core/src/leased/admission.rs
@@ -7,11 +7,17 @@
 
 use std::time::Duration;
 
+use crate::configs::leased::LeasedConfig;
+
 /// Free, queued and released processor as an arriving job finds it, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Backlog {
     /// Processor that is free on arrival.
     pub free: u64,
+    /// Processor of all workers of the service that may become usable.
+    pub capacity: u64,
+    /// Processor that is in use on average if all jobs of the last second are served, refused ones as well.
+    pub asked_for: f64,
     /// Processor that tasks queued ahead of the job need.
     pub ahead: u64,
     /// Processor that the tasks of the job that can start at once need.
@@ -41,6 +47,18 @@
     Duration::try_from_secs_f64(missing / rate).ok()
 }
 
+/// Share of its slack for which a job may wait, in percent: less under overload that lasts longer than the
+/// slack of a job, as the queue does not get shorter then.
+pub fn admit_percent(cfg: &LeasedConfig, backlog: &Backlog) -> u32 {
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    let capacity = backlog.capacity as f64;
+    if backlog.asked_for * 100.0 > capacity * f64::from(cfg.overload_percent) {
+        cfg.overload_admit_percent
+    } else {
+        cfg.admit_percent
+    }
+}
+
 /// Whether a job with the expected `wait` is admitted: `wait` must not exceed `admit_percent` of
 /// `slack`, the longest wait with which the job meets its objective.
 pub fn is_admitted(wait: Option<Duration>, slack: Duration, admit_percent: u32) -> bool {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -52,6 +52,8 @@
     estimates: Estimates,
     /// Recent processor demand of admitted jobs in thousandths of a core, by priority.
     demand: BTreeMap<u8, DecayingSum>,
+    /// Recent work of all jobs in thousandths of a core times seconds, by service.
+    work: Map<Arc<str>, DecayingSum>,
     /// Successful ends of tasks whose jobs have not been submitted to this scheduler yet, and when
     /// each was reported.
     unmatched_ends: BTreeMap<TaskName, Instant>,
@@ -115,6 +117,7 @@
             checks: BTreeSet::new(),
             estimates: Estimates::default(),
             demand: BTreeMap::new(),
+            work: Map::default(),
             unmatched_ends: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             outcome_ages: VecDeque::new(),
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -1,5 +1,6 @@
 //! Handles submissions, admission, cancellations and callers that disconnect.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
@@ -263,8 +264,11 @@
         if has_alternative && wait != Some(Duration::ZERO) {
             return Some(RefusalReason::Overload);
         }
+        self.add_work(cx.now, key);
+        let job = &self.jobs[key];
         let slack = job.rank.latest_start.saturating_duration_since(cx.now);
-        let is_admitted = admission::is_admitted(wait, slack, cx.cfg.leased.admit_percent);
+        let percent = admission::admit_percent(&cx.cfg.leased, &backlog);
+        let is_admitted = admission::is_admitted(wait, slack, percent);
         (!is_admitted).then_some(RefusalReason::Overload)
     }
 
@@ -288,6 +292,8 @@
         let (size, expected) = (job.step(position).size, job.expected_run(position));
         let mut backlog = Backlog {
             free: 0,
+            capacity: 0,
+            asked_for: self.work_asked_for(cx.now, service),
             ahead: ahead.iter().map(|&(_, needed)| needed).sum(),
             own,
             freed_per_s: 0.0,
@@ -298,6 +304,7 @@
             if worker.entry.service != *service || !worker.may_become_usable() {
                 continue;
             }
+            backlog.capacity += worker.entry.capacity.cpu_milli;
             let slowness = if is_slowness_respected {
                 worker.health.slowness(&cx.cfg.leased)
             } else {
@@ -339,6 +346,26 @@
         demand / DEMAND_WINDOW.as_secs_f64()
     }
 
+    /// Processor that the jobs of a service in the last second use on average, in thousandths of a core.
+    fn work_asked_for(&self, now: Instant, service: &str) -> f64 {
+        let work = self.work.get(service).map_or(0.0, |work| work.get(now));
+        work / DEMAND_WINDOW.as_secs_f64()
+    }
+
+    /// Adds the work of a job, admitted or not, to that of its service.
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    fn add_work(&mut self, now: Instant, key: JobKey) {
+        let job = &self.jobs[key];
+        let cpu_seconds = |(p, _)| {
+            let run = job.expected_run(p).as_secs_f64();
+            job.step(p).size.cpu_milli as f64 * run
+        };
+        let work: f64 = (0..).zip(&job.tasks).map(cpu_seconds).sum();
+        let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
+        let sum = self.work.entry(Arc::clone(&job.spec.service));
+        sum.or_insert_with(new_sum).add(now, work);
+    }
+
     /// Adds the processor need of a job's tasks to the demand of its priority.
     #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
     pub(super) fn add_demand(&mut self, now: Instant, key: JobKey) {
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -6,6 +6,7 @@
 mod durable;
 mod election;
 mod faults;
+mod goodput;
 mod jobs;
 mod load;
 mod restarts;
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -7,17 +7,16 @@
 impl Simulation {
     /// Number of the jobs matching `filter` that were completed within their objective.
     pub(crate) fn count_in_time(&self, filter: impl Fn(&TestJob) -> bool) -> usize {
-        let is_in_time = |job: &TestJob| {
-            self.answers
-                .get(&job.spec.id)
-                .is_some_and(|&(outcome, at)| {
-                    outcome == JobOutcome::Completed && at <= job.submitted_at + job.objective()
-                })
-        };
-        self.jobs
-            .values()
-            .filter(|j| filter(j) && is_in_time(j))
-            .count()
+        let jobs = self.jobs.values();
+        jobs.filter(|j| filter(j) && self.is_in_time(j)).count()
+    }
+
+    /// Whether a job was completed within its objective.
+    pub(crate) fn is_in_time(&self, job: &TestJob) -> bool {
+        let answer = self.answers.get(&job.spec.id);
+        answer.is_some_and(|&(outcome, at)| {
+            outcome == JobOutcome::Completed && at <= job.submitted_at + job.objective()
+        })
     }
 
     /// Number of the jobs matching `filter`.
