--- a/crates/geraniumrelay-core/src/leased/election/hand_over.rs
+++ b/crates/geraniumrelay-core/src/leased/election/hand_over.rs
@@ -22,6 +22,7 @@
 pub(super) const FENCED_ROUND_SKIP: u64 = 2;
 
 impl Election {
+    /// Hands over if the preferred successor can do what this scheduler can't.
     pub(super) fn check_own(&mut self, now: Instant) -> Transition {
         let Some(successor) = self.successor(now) else {
             return Transition::Unchanged;
@@ -52,7 +53,8 @@
     }
 
     /// Whether `vm` has a much larger share of processor for this cell. Load pattern: the first VM
-    /// that is up schedules several cells, and larger VMs start after it.
+    /// that is up schedules several cells, and larger VMs start after it. A VM that was just heard again is
+    /// not compared yet: behind a partition this one may have taken cells that it can't serve.
     fn is_outclassed_by(&self, vm: EntryVm, now: Instant) -> bool {
         let Some(peer) = self.peers.get(&vm) else {
             return false;
--- a/crates/geraniumrelay-core/src/leased/election/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/election/mod.rs
@@ -128,7 +128,7 @@
     has_to_outrank: bool,
     /// When this scheduler last raised its token.
     token_raised_at: Instant,
-    /// Until when this VM leaves the cell to its scheduler, whatever its time-outs and lag say.
+    /// Until when this scheduler does not hand over.
     no_hand_over_until: Instant,
 }
 
