--- a/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
@@ -149,7 +149,7 @@
 }
 
 /// A scheduler that had the job before its successor did, and has it again, knows nothing of runs that
-/// the successor started (REFUSED on koro-rent-grown).
+/// the successor started.
 #[test]
 fn a_refusal_is_not_conclusive_once_schedulers_on_two_vms_had_the_job() {
     let now = Instant::now();
