feat(leased): log which runs are lost with a worker, and why it was silent

Cause: run_over evidence=lease-lapsed is the same for a crash and for a cut, and no line says later which it was, so the hypotheses on tasks that crash workers can't be told apart. Change: runs_lost names all runs that end together with a worker, and silence_explained says why it was silent: restarted, replaced, entry-removed, answers, left. No change of decisions.

--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -66,6 +66,26 @@
     RefusedCall,
 }
 
+/// What tells whether a worker crashed whose leases lapsed while it was silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum SilenceCause {
+    /// The worker has started again: it crashed.
+    #[display("restarted")]
+    Restarted,
+    /// Another worker answers at the worker's address: it crashed.
+    #[display("replaced")]
+    Replaced,
+    /// The platform has removed the worker's entry: it crashed, or is gone for good.
+    #[display("entry-removed")]
+    EntryRemoved,
+    /// The same instance answers again: it was only out of reach.
+    #[display("answers")]
+    OutOfReach,
+    /// The worker was draining, and has left.
+    #[display("left")]
+    Left,
+}
+
 /// Condition of a worker, as observed by the scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum WorkerCondition {
@@ -167,6 +187,26 @@
         /// Last reported progress, 0 to 100.
         percent: u8,
     },
+    /// Runs have ended together with their worker, which crashed or is out of reach.
+    RunsLost {
+        /// Worker that had the runs.
+        worker: WorkerName,
+        /// Why the runs count as ended.
+        evidence: EndEvidence,
+        /// Task and number of each run.
+        runs: Vec<(TaskName, u32)>,
+        /// Number of runs there that no entry VM had claimed.
+        unclaimed: usize,
+    },
+    /// It is known why a worker was silent under which runs were lost.
+    SilenceExplained {
+        /// Worker concerned.
+        worker: WorkerName,
+        /// Why it was silent.
+        cause: SilenceCause,
+        /// Task and number of each run that was lost.
+        runs: Vec<(TaskName, u32)>,
+    },
     /// A run is being stopped.
     RunStopped {
         /// Task of the run.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -30,7 +30,9 @@
 pub use effect::{Effect, JobOutcome, PollCall, RefusalReason, StartCall, StopCall};
 pub use epoch::EpochReply;
 pub use job::JobState;
-pub use log_event::{EndEvidence, InstanceSource, LogEvent, StopCause, WorkerCondition};
+pub use log_event::{
+    EndEvidence, InstanceSource, LogEvent, SilenceCause, StopCause, WorkerCondition,
+};
 pub use names::{EntryVm, FencingToken, JobId, NameError, TaskName, WorkerName};
 pub use record::{ENDED_TTL, JobRecord, RecordReply, RecordState, TaskProgress};
 pub use report::{EndKind, EndedRun, RunningTask, WorkerReport};
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod epochs;
 mod finish;
+mod losses;
 mod pace;
 mod place;
 mod poll;
@@ -238,7 +239,7 @@
             Command::EntryLeft(vm) => self.drop_entry_jobs(cx, vm, cx.now, out),
             Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
             Command::WorkersKnown { knows_departed } => self.knows_departed = knows_departed,
-            Command::WorkerGone(name) => self.worker_gone(cx, &name),
+            Command::WorkerGone(name) => self.worker_gone(cx, &name, out),
             Command::StartReplied {
                 worker,
                 task,
@@ -385,10 +386,13 @@
         })
     }
 
-    fn worker_gone(&mut self, cx: &Context<'_>, name: &WorkerName) {
-        for &key in self.by_name.get(name).into_iter().flatten() {
+    fn worker_gone(&mut self, cx: &Context<'_>, name: &WorkerName, out: &mut Vec<Effect>) {
+        let keys = self.by_name.get(name).cloned().unwrap_or_default();
+        for key in keys {
             if self.workers[key].is_listed {
                 self.workers[key].depart(cx.now);
+                let cause = self.removal_cause(key);
+                self.explain_silence(key, cause, out);
             }
         }
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -8,7 +8,9 @@
 use crate::leased::command::PollReply;
 use crate::leased::effect::{Effect, PollCall};
 use crate::leased::health::exponential_backoff;
-use crate::leased::log_event::{EndEvidence, InstanceSource, LogEvent, StopCause, WorkerCondition};
+use crate::leased::log_event::{
+    EndEvidence, InstanceSource, LogEvent, SilenceCause, StopCause, WorkerCondition,
+};
 use crate::leased::report::{EndKind, WorkerReport};
 use crate::leased::worker::{
     MAX_MISSES, PollNumber, Run, RunState, UnclaimedRun, Worker, WorkerKey,
@@ -77,6 +79,13 @@
             worker.supersede_instance();
             worker.reset_instance();
         }
+        let cause = if is_restarted {
+            SilenceCause::Restarted
+        } else {
+            SilenceCause::OutOfReach
+        };
+        self.explain_silence(key, cause, out);
+        let worker = &mut self.workers[key];
         worker.instance = report.instance_started_unix_ms.or(worker.instance);
         worker.reported_at = Some(cx.now);
         worker.was_report_prompt = worker.poll_state.is_prompt;
@@ -273,15 +282,20 @@
         worker.reset_instance();
         worker.token_confirmed_at = Some(cx.now);
         worker.unclaimed_runs.retain(|u| u.since >= sent);
+        self.explain_silence(key, SilenceCause::Replaced, out);
+        let mut lost = Vec::new();
         let mut position = 0;
         while let Some(run) = self.workers[key].runs.get(position) {
             if !run.is_settled_before(sent) {
                 position += 1;
                 continue;
             }
-            let run = self.workers[key].remove_run(position);
+            lost.push(self.workers[key].remove_run(position));
+        }
+        self.log_lost_runs(key, &lost, EndEvidence::OtherInstance, out);
+        for run in &lost {
             let end = (EndKind::Lapsed, EndEvidence::OtherInstance);
-            self.run_ended(cx, key, &run, end, out);
+            self.run_ended(cx, key, run, end, out);
         }
         while self.workers[key].poll_state.misses < MAX_MISSES {
             self.poll_failed(cx, key, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -10,7 +10,6 @@
 use crate::leased::job::JobKey;
 use crate::leased::log_event::{EndEvidence, StopCause};
 use crate::leased::names::{EntryVm, TaskName};
-use crate::leased::report::EndKind;
 use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
 
 /// Delay before an unconfirmed stop is sent again.
@@ -145,6 +144,8 @@
         let worker = &self.workers[key];
         if worker.is_removable(cx.now, cx.cfg.leased.departed_ttl) {
             let name = worker.entry.name.clone();
+            let cause = self.removal_cause(key);
+            self.explain_silence(key, cause, out);
             self.workers.remove(key);
             if let Some(keys) = self.by_name.get_mut(&name) {
                 keys.retain(|&k| k != key);
@@ -159,11 +160,19 @@
 
     /// Ends all runs on an unreachable worker whose leases have lapsed.
     fn end_lapsed_runs(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
+        let worker = &mut self.workers[key];
+        let mut lost = Vec::new();
+        while !worker.runs.is_empty() {
+            lost.push(worker.remove_run(0));
+        }
+        worker
+            .lost_runs
+            .extend(lost.iter().map(|r| (r.name, r.run)));
+        self.end_lost_runs(cx, key, &lost, EndEvidence::LeaseLapsed, out);
         self.workers[key].unclaimed_runs.clear();
-        while !self.workers[key].runs.is_empty() {
-            let run = self.workers[key].remove_run(0);
-            let end = (EndKind::Lapsed, EndEvidence::LeaseLapsed);
-            self.end_unreported_run(cx, key, &run, end, out);
+        if !self.workers[key].is_listed {
+            let cause = self.removal_cause(key);
+            self.explain_silence(key, cause, out);
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -206,6 +206,9 @@
     pub(super) former_leases_until: Option<Instant>,
     pub(super) runs: Vec<Run>,
     pub(super) unclaimed_runs: Vec<UnclaimedRun>,
+    /// Runs that ended as the worker was silent until its leases had lapsed, while it is not known
+    /// whether the worker crashed.
+    pub(super) lost_runs: Vec<(TaskName, u32)>,
     /// Resources of all `runs`.
     pub(super) used: Resources,
     /// Number of the highest end that has been processed.
@@ -244,6 +247,7 @@
             former_leases_until: None,
             runs: Vec::new(),
             unclaimed_runs: Vec::new(),
+            lost_runs: Vec::new(),
             used: Resources::default(),
             last_processed_end: 0,
             processed_ends: BTreeSet::new(),
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -70,6 +70,24 @@
             evidence:% = evidence, took_ms = ms(*took), expected_ms = ms(*expected), percent;
             "run_over"
         ),
+        LogEvent::RunsLost {
+            worker,
+            evidence,
+            runs,
+            unclaimed,
+        } => info!(
+            cell:% = cell, worker:% = worker, evidence:% = evidence,
+            runs = run_list(runs).as_str(), unclaimed;
+            "runs_lost"
+        ),
+        LogEvent::SilenceExplained {
+            worker,
+            cause,
+            runs,
+        } => info!(
+            cell:% = cell, worker:% = worker, cause:% = cause, runs = run_list(runs).as_str();
+            "silence_explained"
+        ),
         LogEvent::RunStopped {
             task,
             run,
@@ -108,6 +126,15 @@
     list
 }
 
+/// Runs, each as `TASK:RUN`, separated by commas.
+fn run_list(runs: &[(TaskName, u32)]) -> String {
+    let runs: Vec<String> = runs
+        .iter()
+        .map(|(task, run)| format!("{task}:{run}"))
+        .collect();
+    runs.join(",")
+}
+
 fn ms(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
