test(core/leased): tasks that crash their workers are started without end

Cause: BUDGET. A run that ends with its worker counts against nothing, so such a task is started until its caller leaves, and for a durable job without end. Change: the simulation has tasks that crash their workers, and workers that return under their name, under another one, or never; six tests.

--- /dev/null
+++ b/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
@@ -0,0 +1,167 @@
+//! Tasks that crash the workers on which they run.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use geraniumrelay_core::leased::{JobId, JobOutcome, RecordState, TaskName};
+
+use crate::world::{Return, Simulation, TestJob};
+
+const MS: Duration = Duration::from_millis(1);
+const RETURNS: [Return; 3] = [Return::SameName, Return::OtherName, Return::Never];
+
+/// Starts of a task that the platform allows after three workers have crashed under it.
+const MAX_STARTS_AFTER_THREE_CRASHES: usize = 2;
+
+fn first_task(id: u64) -> TaskName {
+    TaskName {
+        job: JobId(id),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+/// A job whose caller waits for a minute.
+fn patient(id: u64, tasks: u16, run_time: Duration) -> TestJob {
+    TestJob::new(id, tasks, run_time)
+        .with_slack()
+        .with_remaining_wait(Duration::from_mins(1))
+}
+
+fn assert_is_bounded(sim: &Simulation, id: u64, case: &str) {
+    let (starts, late) = sim.starts_and_late_starts(first_task(id));
+    assert!(
+        late <= MAX_STARTS_AFTER_THREE_CRASHES,
+        "{case}: {starts} starts, {late} of them after three crashes\n{}",
+        sim.trace_of(JobId(id))
+    );
+}
+
+/// BUDGET: such a task was started for as long as its caller waited.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    for kind in RETURNS {
+        let mut sim = Simulation::new(24, 1);
+        sim.crash_mode.kind = kind;
+        sim.submit(0, MS, patient(1, 4, 60 * MS).with_deadly_tasks(1));
+        sim.run_for(Duration::from_secs(50));
+        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Failed), "{kind:?}");
+    }
+}
+
+/// BUDGET: a durable job has no caller whose wait would end it.
+#[test]
+fn a_durable_task_that_crashes_its_workers_is_given_up() {
+    for kind in RETURNS {
+        let mut sim = Simulation::new(24, 1);
+        sim.crash_mode.kind = kind;
+        let job = patient(1, 4, 60 * MS).with_deadly_tasks(1).durable();
+        sim.submit(0, MS, job);
+        sim.run_for(Duration::from_secs(50));
+        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+        let state = sim.records[&JobId(1)].0.state;
+        assert_eq!(state, RecordState::Failed, "{kind:?}");
+    }
+}
+
+/// BUDGET: a successor did not know of the crashes that its predecessor had seen.
+#[test]
+fn a_takeover_does_not_forget_which_tasks_crash_their_workers() {
+    for kind in RETURNS {
+        let mut sim = Simulation::new(24, 1);
+        sim.crash_mode.kind = kind;
+        let job = patient(1, 4, 60 * MS).with_deadly_tasks(1).durable();
+        sim.submit(0, MS, job);
+        for round in 2..20 {
+            sim.run_for(Duration::from_millis(2_700));
+            let last = sim.hosts.len() - 1;
+            sim.kill(last);
+            sim.add_host_with_records(round, &BTreeSet::new());
+        }
+        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+        let state = sim.records[&JobId(1)].0.state;
+        assert_eq!(state, RecordState::Failed, "{kind:?}");
+    }
+}
+
+/// BUDGET: a job that was sent again after a time-out started from scratch.
+#[test]
+fn a_resent_job_keeps_the_crashes_of_its_first_copy() {
+    for kind in RETURNS {
+        let mut sim = Simulation::new(24, 1);
+        sim.crash_mode.kind = kind;
+        for copy in 0..8 {
+            let after = Duration::from_millis(2_800) * copy;
+            let job = TestJob::new(1, 4, 60 * MS)
+                .with_deadly_tasks(1)
+                .with_remaining_wait(Duration::from_millis(1_500));
+            sim.submit(0, after + MS, job);
+        }
+        sim.run_for(Duration::from_secs(30));
+        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+    }
+}
+
+/// The tasks beside it are lost with the worker, and must not count as those that crash workers.
+#[test]
+fn jobs_beside_a_deadly_task_are_completed() {
+    for kind in RETURNS {
+        for seed in 0..10 {
+            let mut sim = Simulation::new(12, seed);
+            sim.crash_mode.kind = kind;
+            for id in 1..=40 {
+                let after = Duration::from_millis(60 * id);
+                let job = patient(id, 3, Duration::from_millis(100 + 20 * id));
+                let job = if id % 8 == 0 {
+                    job.with_deadly_tasks(1)
+                } else {
+                    job
+                };
+                let job = if id % 3 == 0 { job.durable() } else { job };
+                sim.submit(0, after, job);
+            }
+            sim.run_for(Duration::from_secs(58));
+            let case = format!("{kind:?}, seed {seed}");
+            for (&id, job) in &sim.jobs {
+                assert_is_bounded(&sim, id.0, &case);
+                let is_completed = if job.spec.is_durable {
+                    sim.records[&id].0.state == RecordState::Completed
+                } else {
+                    sim.outcome(id.0) == Some(JobOutcome::Completed)
+                };
+                let is_deadly = !job.deadly_tasks.is_empty();
+                assert_eq!(
+                    is_completed,
+                    !is_deadly,
+                    "{case}: job {id}\n{}",
+                    sim.trace_of(id)
+                );
+            }
+            assert!(
+                sim.concurrent_runs.is_empty(),
+                "{case}: {:?}",
+                sim.concurrent_runs
+            );
+        }
+    }
+}
+
+/// Workers that are out of reach for some seconds have not crashed.
+#[test]
+fn a_job_whose_workers_are_cut_off_again_and_again_is_not_given_up() {
+    let mut sim = Simulation::new(6, 1);
+    sim.submit(0, MS, patient(1, 2, Duration::from_secs(3)));
+    for round in 0..5 {
+        sim.run_for(Duration::from_millis(700));
+        let busy = (0..6).filter(|&w| sim.workers[w].running().next().is_some());
+        sim.hosts[0].unreachable_workers = busy.collect();
+        sim.run_for(Duration::from_millis(2_500));
+        assert_eq!(sim.outcome(1), None, "round {round}");
+        sim.hosts[0].unreachable_workers.clear();
+    }
+    sim.run_for(Duration::from_secs(20));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    assert!(sim.concurrent_runs.is_empty());
+}
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -3,6 +3,7 @@
 mod cell_choice;
 mod cell_moves;
 mod config_transfer;
+mod deadly_tasks;
 mod durable;
 mod election;
 mod faults;
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -171,6 +171,12 @@
         self.lease = self.lease.max(until.min(latest));
     }
 
+    /// Ends all runs without a trace, as the process is gone.
+    pub(crate) fn crash(&mut self) {
+        self.runs.clear();
+        self.unacknowledged_ends.clear();
+    }
+
     /// Handles a start call for a task that takes `run_time` on a worker without faults.
     pub(crate) fn start(
         &mut self,
--- a/crates/geraniumrelay-core/tests/leased/world/calls.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/calls.rs
@@ -126,7 +126,9 @@
     ) -> Option<usize> {
         let worker = worker_index(name);
         let instance = self.instance_number(worker);
-        if address == self.address(worker) && transit.received_by.is_none_or(|i| i == instance) {
+        let is_same_instance = transit.received_by.is_none_or(|i| i == instance);
+        let is_up = !self.down_workers.contains(&worker);
+        if is_up && address == self.address(worker) && is_same_instance {
             return Some(worker);
         }
         if transit.is_reply_delivered {
@@ -154,6 +156,7 @@
         let was_running = self.workers[worker].running().any(|r| r == (task, run));
         let mut reply = self.workers[worker].start(self.now, (task, run), size, run_time, lease);
         if reply == StartReply::Accepted && !was_running {
+            self.schedule_crash(worker, task);
             *self.start_counts.entry(task).or_insert(0) += 1;
             self.start_times.push((task, self.now));
             let former = self.former_instances.iter().filter(|f| f.is_up);
@@ -300,9 +303,9 @@
     }
 
     pub(super) fn is_unreachable(&self, host: usize, name: &WorkerName) -> bool {
-        self.hosts[host]
-            .unreachable_workers
-            .contains(&worker_index(name))
+        let worker = worker_index(name);
+        self.down_workers.contains(&worker)
+            || self.hosts[host].unreachable_workers.contains(&worker)
     }
 
     pub(super) fn draw_reply_delivered(&mut self) -> bool {
--- a/crates/geraniumrelay-core/tests/leased/world/job.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/job.rs
@@ -17,6 +17,8 @@
     pub(crate) may_have_started: bool,
     pub(crate) former_tokens: Vec<FencingToken>,
     pub(crate) has_alternative: bool,
+    /// Tasks of the first step that crash the worker on which they run.
+    pub(crate) deadly_tasks: std::ops::Range<u16>,
 }
 
 impl TestJob {
@@ -56,6 +58,7 @@
             may_have_started: false,
             former_tokens: Vec::new(),
             has_alternative: false,
+            deadly_tasks: 0..0,
         }
     }
 
@@ -81,6 +84,12 @@
         self
     }
 
+    /// Lets the first `count` tasks crash the workers that start them.
+    pub(crate) fn with_deadly_tasks(mut self, count: u16) -> Self {
+        self.deadly_tasks = 0..count;
+        self
+    }
+
     pub(crate) fn durable(mut self) -> Self {
         self.spec.is_durable = true;
         self
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod checks;
+mod crashes;
 mod instances;
 mod job;
 mod store;
@@ -20,6 +21,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+pub(crate) use self::crashes::{CrashMode, Return};
 pub(crate) use self::job::TestJob;
 use crate::worker::FakeWorker;
 
@@ -122,6 +124,17 @@
     Tick {
         host: usize,
     },
+    Crash {
+        worker: usize,
+        instance: u64,
+    },
+    Restart {
+        worker: usize,
+    },
+    EntryRemoved {
+        worker: usize,
+        instance: u64,
+    },
 }
 
 /// A scheduler and the state of its network.
@@ -190,6 +203,14 @@
     /// Fraction of the calls that take effect 2 to 12 s late and whose reply is lost; polls and
     /// claims are not delayed.
     pub(crate) delayed_call_share: f64,
+    /// How tasks crash their workers, and how these return.
+    pub(crate) crash_mode: CrashMode,
+    /// Workers that have crashed and are not back.
+    down_workers: BTreeSet<usize>,
+    /// Workers that the platform does not list any more.
+    removed_entries: BTreeSet<usize>,
+    /// Each crash: its time, and the tasks that ran on the worker.
+    pub(crate) crashes: Vec<(Instant, Vec<TaskName>)>,
     events: BTreeMap<(Instant, u64), Event>,
     sequence: u64,
     rng: StdRng,
@@ -236,6 +257,10 @@
             acks_while_waiting: false,
             workers_with_resent_starts: BTreeSet::new(),
             delayed_call_share: 0.0,
+            crash_mode: CrashMode::default(),
+            down_workers: BTreeSet::new(),
+            removed_entries: BTreeSet::new(),
+            crashes: Vec::new(),
             events: BTreeMap::new(),
             sequence: 0,
             rng: StdRng::seed_from_u64(seed),
@@ -295,7 +320,10 @@
             self.handle_command(host, Command::WorkerSeen(entry));
             self.handle_command(host, Command::WorkerGone(name));
         }
-        for worker in 0..self.workers.len() {
+        for worker in (0..self.workers.len())
+            .filter(|&w| self.is_listed(w))
+            .collect::<Vec<_>>()
+        {
             let entry = self.worker_entry(worker);
             self.handle_command(host, Command::WorkerSeen(entry));
         }
@@ -419,6 +447,9 @@
                 self.handle_command(host, Command::Tick);
                 self.schedule(self.now + TICK_INTERVAL, Event::Tick { host });
             }
+            Event::Crash { worker, instance } => self.crash_worker(worker, instance),
+            Event::Restart { worker } => self.return_worker(worker),
+            Event::EntryRemoved { worker, instance } => self.remove_entry(worker, instance),
         }
     }
 
