fix(leased): a task that crashes its workers is given up

A patient caller's or a durable job's task was started without end, one worker crashing after another. Cause: a run that ends with its worker counted against nothing, and what a scheduler knew was lost with it or with the first copy of the job. Change: lost runs are kept for each task, beyond the job's end; they go along in the job's record, to its entry VM and with each submission. What the worker says later tells a crash from a cut: a restart, another worker at its address, or the removal of its entry confirm the crash, the same instance's answer clears the task.

--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::epoch::EpochReply;
+use super::losses::LostRun;
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::record::{JobRecord, RecordReply};
 use super::report::WorkerReport;
@@ -27,6 +28,8 @@
     pub former_tokens: Vec<FencingToken>,
     /// Whether another cell has room by its last report, so that the job need not wait in this one.
     pub has_alternative: bool,
+    /// Runs of the job that were lost with their workers, as earlier schedulers have told.
+    pub losses: Vec<(TaskName, Vec<LostRun>)>,
 }
 
 /// Reply to the order to start a task.
--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -7,6 +7,7 @@
 use derive_more::Display;
 
 use super::log_event::LogEvent;
+use super::losses::LostRun;
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::record::JobRecord;
 use super::worker::{PollNumber, WorkerKey};
@@ -136,6 +137,15 @@
         /// Outcome for the caller.
         outcome: JobOutcome,
     },
+    /// Tell an entry VM which runs of a job were lost with their workers.
+    Losses {
+        /// Entry VM that holds a caller's connection.
+        origin: EntryVm,
+        /// Job that the caller waits for.
+        id: JobId,
+        /// All lost runs of the job that are known.
+        losses: Vec<(TaskName, Vec<LostRun>)>,
+    },
     /// Store the record of a durable job, provided that both expected versions still match.
     Record {
         /// Number of the write among those of the job's record, from 1.
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::admission::Backlog;
+use super::losses::{LostRun, Verdict};
 use super::names::{EntryVm, TaskName};
 use super::record::{RecordState, TaskProgress};
 use super::spec::{JobSpec, StepSpec};
@@ -68,6 +69,8 @@
     pub(super) failed_on: Option<WorkerKey>,
     /// Runs with a lower number are invalidated: their ends are ignored.
     pub(super) first_valid_run: u32,
+    /// What the task's lost runs say about its next start.
+    pub(super) verdict: Verdict,
 }
 
 impl Task {
@@ -78,6 +81,20 @@
         }
     }
 
+    /// Whether the task has lost a run with its worker.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.verdict != Verdict::Clear
+    }
+
+    /// Whether the task must not start at `now`.
+    pub(super) fn is_held(&self, now: Instant) -> bool {
+        match self.verdict {
+            Verdict::Clear => false,
+            Verdict::Suspect(not_before) => now < not_before,
+            Verdict::GivenUp => true,
+        }
+    }
+
     /// Whether the task has reached its maximum number of failed runs.
     pub(super) fn is_failed(&self, max_attempts: u32) -> bool {
         self.failed_runs.len() >= max_attempts as usize
@@ -167,6 +184,8 @@
     /// Until when runs of an earlier scheduler may go on; `None` if no earlier scheduler can have
     /// started tasks of the job.
     pub(super) earlier_runs_until: Option<Instant>,
+    /// Whether lost runs were counted for what an earlier scheduler may have started.
+    pub(super) are_earlier_runs_counted: bool,
     /// Synchronization with the store; `None` if the job is not durable.
     pub(super) record_sync: Option<RecordSync>,
     /// Backlog when the job arrived, and the wait expected from it.
@@ -199,6 +218,7 @@
                 last_run: 0,
                 failed_on: None,
                 first_valid_run: 0,
+                verdict: Verdict::Clear,
             }));
         }
         let left = spec.steps.iter().map(|s| s.count).collect();
@@ -215,6 +235,7 @@
             left,
             has_started: false,
             earlier_runs_until: None,
+            are_earlier_runs_counted: false,
             record_sync: None,
             admission: None,
             first_start: None,
@@ -328,14 +349,21 @@
         }
     }
 
-    /// Progress to store: the tasks with failed or invalidated runs.
-    pub(super) fn progress(&self) -> Vec<TaskProgress> {
+    /// Progress to store: the tasks with failed, invalidated or lost runs. `lost_runs` gives those of a
+    /// task.
+    pub(super) fn progress(
+        &self,
+        lost_runs: impl Fn(TaskName) -> Vec<LostRun>,
+    ) -> Vec<TaskProgress> {
         let tasks = (0..).zip(&self.tasks);
-        let tasks = tasks.filter(|(_, t)| !t.failed_runs.is_empty() || t.first_valid_run > 0);
+        let has_progress =
+            |t: &Task| !t.failed_runs.is_empty() || t.first_valid_run > 0 || t.is_suspect();
+        let tasks = tasks.filter(|(_, t)| has_progress(t));
         let progress = tasks.map(|(position, t)| TaskProgress {
             position,
             failed_runs: t.failed_runs.clone(),
             first_valid_run: t.first_valid_run,
+            lost_runs: lost_runs(self.name(position)),
         });
         progress.collect()
     }
@@ -348,6 +376,23 @@
         }
     }
 
+    /// Whether a ready task may start at `now`. A task that may crash its worker starts only if it can
+    /// end before its caller leaves.
+    pub(super) fn may_start(&self, position: u32, now: Instant) -> bool {
+        let task = self.task(position);
+        if !task.is_suspect() {
+            return true;
+        }
+        let expected = self.expected_run(position).mul_f64(TOO_LONG_FACTOR);
+        !task.is_held(now) && now + expected <= self.times.deadline
+    }
+
+    /// Processor that the tasks need that can start at `now`, in thousandths of a core.
+    pub(super) fn ready_cpu(&self, now: Instant) -> u64 {
+        let ready = self.ready.iter().filter(|&&p| self.may_start(p, now));
+        ready.map(|&p| self.step(p).size.cpu_milli).sum()
+    }
+
     pub(super) fn mark_placed(&mut self, position: u32) {
         self.ready.retain(|&p| p != position);
         self.task_mut(position).state = TaskState::Placed;
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -86,6 +86,16 @@
     Left,
 }
 
+impl SilenceCause {
+    /// Whether the worker crashed.
+    pub(super) fn is_crash(self) -> bool {
+        match self {
+            Self::Restarted | Self::Replaced | Self::EntryRemoved => true,
+            Self::OutOfReach | Self::Left => false,
+        }
+    }
+}
+
 /// Condition of a worker, as observed by the scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum WorkerCondition {
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -16,6 +16,7 @@
 mod health;
 mod job;
 mod log_event;
+mod losses;
 mod names;
 mod placement;
 mod record;
@@ -33,6 +34,7 @@
 pub use log_event::{
     EndEvidence, InstanceSource, LogEvent, SilenceCause, StopCause, WorkerCondition,
 };
+pub use losses::LostRun;
 pub use names::{EntryVm, FencingToken, JobId, NameError, TaskName, WorkerName};
 pub use record::{ENDED_TTL, JobRecord, RecordReply, RecordState, TaskProgress};
 pub use report::{EndKind, EndedRun, RunningTask, WorkerReport};
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -21,6 +21,9 @@
 /// Penalty of a worker whose last call was not answered, so that other workers are preferred.
 const MISSED_CALL_PENALTY: f64 = 200_000.0;
 
+/// Penalty for each run beside a task that may crash its worker: both prefer to run apart.
+const SUSPECT_PENALTY: f64 = 150_000.0;
+
 /// Penalty of a worker outside the rack of the task's data.
 const RACK_PENALTY: f64 = 50_000.0;
 
@@ -139,6 +142,9 @@
     if worker.missed_last_call() {
         score += MISSED_CALL_PENALTY;
     }
+    if job.task(position).is_suspect() || worker.runs.iter().any(|r| r.is_suspect) {
+        score += running as f64 * SUSPECT_PENALTY;
+    }
     if *worker.entry.data_centre != *request.data_centre {
         score += REMOTE_PENALTY;
     }
--- a/crates/geraniumrelay-core/src/leased/record.rs
+++ b/crates/geraniumrelay-core/src/leased/record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::cells::CellName;
+use super::losses::LostRun;
 use super::names::TaskName;
 use super::spec::JobSpec;
 
@@ -37,6 +38,8 @@
     pub failed_runs: Vec<u32>,
     /// Runs with a lower number are invalidated: the task runs again, and their ends are ignored.
     pub first_valid_run: u32,
+    /// Runs that were lost with their workers.
+    pub lost_runs: Vec<LostRun>,
 }
 
 /// Record of a durable job in the store.
--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -76,6 +76,7 @@
             return;
         }
         let cell = self.cell.clone();
+        let losses = &self.losses;
         let job = &mut self.jobs[key];
         let Some(record_sync) = &mut job.record_sync else {
             return;
@@ -98,7 +99,7 @@
             spec: job.spec.clone(),
             cell,
             done: done.map(|(position, _)| position).collect(),
-            progress: job.progress(),
+            progress: job.progress(|task| losses.of_task(task).to_vec()),
             state,
         };
         out.push(Effect::Record {
@@ -194,7 +195,7 @@
             RecordState::Cancelled => JobOutcome::Cancelled,
         };
         let job = &self.jobs[key];
-        let invalidated = first_valid_runs(&job.spec, &job.progress());
+        let invalidated = first_valid_runs(&job.spec, &job.progress(|_| Vec::new()));
         self.add_ended_record(cx, id, invalidated);
         self.finish(cx, key, outcome, out);
     }
@@ -267,6 +268,18 @@
         self.has_new_room = true;
     }
 
+    /// Merges failed, invalidated and lost runs from a record.
+    fn restore_progress(&mut self, cx: &Context<'_>, key: JobKey, record: &JobRecord) {
+        let job = &mut self.jobs[key];
+        job.restore_progress(&record.progress);
+        let lost = record.progress.iter().filter(|p| !p.lost_runs.is_empty());
+        let lost = lost.filter(|p| (p.position as usize) < job.tasks.len());
+        let lost: Vec<_> = lost
+            .map(|p| (job.name(p.position), p.lost_runs.clone()))
+            .collect();
+        self.restore_losses(cx, key, &lost);
+    }
+
     /// Merges a stored record into the state of its job.
     fn merge_record(
         &mut self,
@@ -277,7 +290,7 @@
     ) {
         let rank = self.jobs[key].rank;
         self.jobs[key].restore_done(&record.done);
-        self.jobs[key].restore_progress(&record.progress);
+        self.restore_progress(cx, key, record);
         if self.jobs[key].ready.is_empty() {
             self.waiting.remove(&(rank, key));
         }
@@ -285,6 +298,8 @@
         let is_done = job.is_done();
         let max_attempts = job.spec.max_attempts;
         let is_failed = job.tasks.iter().any(|t| t.is_failed(max_attempts));
+        let is_failed = is_failed || self.has_given_up(key);
+        let job = &mut self.jobs[key];
         let Some(record_sync) = &mut job.record_sync else {
             return;
         };
@@ -373,7 +388,8 @@
             record_sync.was_sent = true;
         }
         // Progress goes first, so that invalidated runs are not adopted below.
-        job.restore_progress(&record.progress);
+        self.restore_progress(cx, key, record);
+        let job = &mut self.jobs[key];
         job.restore_done(&record.done);
         job.unblock();
         self.find_earlier_runs(cx, key, true);
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -25,6 +25,7 @@
 use super::estimates::Estimates;
 use super::job::{Job, JobKey, JobState, Rank};
 use super::log_event::{InstanceSource, WorkerCondition};
+use super::losses::Losses;
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::worker::{MAX_MISSES, Worker, WorkerEntry, WorkerKey};
 use crate::collections::Map;
@@ -55,6 +56,7 @@
     demand: BTreeMap<u8, DecayingSum>,
     /// Recent work of all jobs in thousandths of a core times seconds, by service.
     work: Map<Arc<str>, DecayingSum>,
+    losses: Losses,
     /// Successful ends of tasks whose jobs have not been submitted to this scheduler yet, and when
     /// each was reported.
     unmatched_ends: BTreeMap<TaskName, Instant>,
@@ -119,6 +121,7 @@
             estimates: Estimates::default(),
             demand: BTreeMap::new(),
             work: Map::default(),
+            losses: Losses::default(),
             unmatched_ends: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             outcome_ages: VecDeque::new(),
@@ -391,8 +394,7 @@
         for key in keys {
             if self.workers[key].is_listed {
                 self.workers[key].depart(cx.now);
-                let cause = self.removal_cause(key);
-                self.explain_silence(key, cause, out);
+                self.explain_removal(cx, key, out);
             }
         }
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -24,8 +24,14 @@
         let order: Vec<_> = self.waiting.iter().copied().collect();
         for (rank, key) in order {
             let earlier_runs_until = self.jobs[key].earlier_runs_until;
-            if !are_all_runs_reported && earlier_runs_until.is_some_and(|until| cx.now < until) {
-                continue;
+            if !are_all_runs_reported && let Some(until) = earlier_runs_until {
+                if cx.now < until {
+                    continue;
+                }
+                self.suspect_earlier_runs(cx, key, out);
+                if !self.jobs.contains_key(key) {
+                    continue;
+                }
             }
             if let Some(record_sync) = &self.jobs[key].record_sync {
                 let is_open = record_sync.state == RecordState::Open && !record_sync.blocks_starts;
@@ -65,7 +71,12 @@
         let mut starts = Vec::new();
         let mut is_placed = true;
         let mut clock_reads = 0;
-        while let Some(&position) = self.jobs[key].ready.front() {
+        let mut next = 0;
+        while let Some(&position) = self.jobs[key].ready.get(next) {
+            if !self.jobs[key].may_start(position, cx.now) {
+                next += 1;
+                continue;
+            }
             let task = TaskKey { job: key, position };
             let request = PlacementRequest {
                 job: &self.jobs[key],
@@ -144,6 +155,7 @@
             unconfirmed_since: None,
             is_pace_counted: false,
             stop_sent: None,
+            is_suspect: job.task(task.position).is_suspect(),
         });
         out.push(Effect::Start(StartCall {
             worker: to,
@@ -209,6 +221,7 @@
             unconfirmed_since: None,
             is_pace_counted: false,
             stop_sent,
+            is_suspect: job.task(position).is_suspect(),
         });
     }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -11,6 +11,7 @@
 use crate::leased::log_event::{
     EndEvidence, InstanceSource, LogEvent, SilenceCause, StopCause, WorkerCondition,
 };
+use crate::leased::names::TaskName;
 use crate::leased::report::{EndKind, WorkerReport};
 use crate::leased::worker::{
     MAX_MISSES, PollNumber, Run, RunState, UnclaimedRun, Worker, WorkerKey,
@@ -84,7 +85,7 @@
         } else {
             SilenceCause::OutOfReach
         };
-        self.explain_silence(key, cause, out);
+        self.explain_silence(cx, key, cause, out);
         let worker = &mut self.workers[key];
         worker.instance = report.instance_started_unix_ms.or(worker.instance);
         worker.reported_at = Some(cx.now);
@@ -115,6 +116,8 @@
         worker.poll_state.not_before = pause.map(|p| cx.now + p);
         self.process_running(cx, key, report, out);
         if is_restarted {
+            let crashed = self.runs_of_former_instance(key, sent, report);
+            self.worker_restarted_under(cx, key, &crashed, out);
             self.stop_runs_of_former_instance(cx, key, sent, report, out);
         }
         self.end_missing_runs(cx, key, sent, report, out);
@@ -177,16 +180,30 @@
         report: &WorkerReport,
         out: &mut Vec<Effect>,
     ) {
+        for (task, run) in self.runs_of_former_instance(key, sent, report) {
+            let worker = &self.workers[key];
+            let position = worker.run_position(task, run);
+            if position.is_some_and(|p| worker.runs[p].state == RunState::Running) {
+                self.stop_with_cause(cx, key, (task, run), StopCause::Restarted, out);
+            }
+        }
+    }
+
+    /// Runs that a restarted worker does not list, and that were ordered before it restarted. An order
+    /// that was not answered may have been carried out.
+    fn runs_of_former_instance(
+        &self,
+        key: WorkerKey,
+        sent: Instant,
+        report: &WorkerReport,
+    ) -> Vec<(TaskName, u32)> {
         let is_former = |r: &&Run| {
-            r.state == RunState::Running
+            matches!(r.state, RunState::Running | RunState::Unconfirmed)
                 && r.is_settled_before(sent)
                 && !report.may_list(r.name, r.run)
         };
         let runs = self.workers[key].runs.iter().filter(is_former);
-        let former: Vec<_> = runs.map(|r| (r.name, r.run)).collect();
-        for run in former {
-            self.stop_with_cause(cx, key, run, StopCause::Restarted, out);
-        }
+        runs.map(|r| (r.name, r.run)).collect()
     }
 
     /// Ends confirmed runs, and drops unclaimed ones, that a report lists neither as running nor as
@@ -282,7 +299,7 @@
         worker.reset_instance();
         worker.token_confirmed_at = Some(cx.now);
         worker.unclaimed_runs.retain(|u| u.since >= sent);
-        self.explain_silence(key, SilenceCause::Replaced, out);
+        self.explain_silence(cx, key, SilenceCause::Replaced, out);
         let mut lost = Vec::new();
         let mut position = 0;
         while let Some(run) = self.workers[key].runs.get(position) {
@@ -292,7 +309,7 @@
             }
             lost.push(self.workers[key].remove_run(position));
         }
-        self.log_lost_runs(key, &lost, EndEvidence::OtherInstance, out);
+        self.runs_lost(cx, key, &lost, EndEvidence::OtherInstance, out);
         for run in &lost {
             let end = (EndKind::Lapsed, EndEvidence::OtherInstance);
             self.run_ended(cx, key, run, end, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -46,10 +46,12 @@
             may_have_started,
             former_tokens,
             has_alternative,
+            losses,
         } = submission;
         self.note_tokens(cx, &former_tokens, out);
         let was_elsewhere = !former_tokens.iter().all(|&t| self.has_had_token(t));
         if let Some(&key) = self.by_id.get(&spec.id) {
+            self.restore_losses(cx, key, &losses);
             let confirmed = cx.now;
             let origins = &mut self.jobs[key].origins;
             origins.retain(|o| o.vm != origin);
@@ -88,7 +90,12 @@
         if is_durable {
             self.make_durable(cx, key);
         }
+        self.restore_losses(cx, key, &losses);
         self.find_earlier_runs(cx, key, may_have_started);
+        if self.has_given_up(key) && !is_durable {
+            self.finish(cx, key, JobOutcome::Failed, out);
+            return;
+        }
         if is_durable {
             self.submit_durable(cx, key, (may_have_started, has_alternative), out);
             return;
@@ -278,16 +285,12 @@
     pub(super) fn backlog(&self, cx: &Context<'_>, key: JobKey) -> Backlog {
         let job = &self.jobs[key];
         let service = &job.spec.service;
-        let ready_cpu = |job: &Job| -> u64 {
-            let cpu = |&p: &u32| job.step(p).size.cpu_milli;
-            job.ready.iter().map(cpu).sum()
-        };
         let ahead = self.waiting.range(..(job.rank, key));
         let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
         let is_held = |j: &Job| j.earlier_runs_until.is_some_and(|until| cx.now < until);
         let ahead = ahead.filter(|j| j.spec.service == *service && !is_held(j));
-        let ahead: Vec<(&Job, u64)> = ahead.map(|j| (j, ready_cpu(j))).collect();
-        let own = ready_cpu(job);
+        let ahead: Vec<(&Job, u64)> = ahead.map(|j| (j, j.ready_cpu(cx.now))).collect();
+        let own = job.ready_cpu(cx.now);
         let position = job.ready.front().copied().unwrap_or(0);
         let (size, expected) = (job.step(position).size, job.expected_run(position));
         let mut backlog = Backlog {
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -10,6 +10,7 @@
 use crate::leased::job::JobKey;
 use crate::leased::log_event::{EndEvidence, StopCause};
 use crate::leased::names::{EntryVm, TaskName};
+use crate::leased::report::EndKind;
 use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
 
 /// Delay before an unconfirmed stop is sent again.
@@ -52,6 +53,8 @@
         self.drop_disconnected_entries(cx, out);
         self.expire_outcomes(cx);
         let now = cx.now;
+        let by_id = &self.by_id;
+        self.losses.expire(now, |id| by_id.contains_key(&id));
         self.unmatched_ends
             .retain(|_, at| now.saturating_duration_since(*at) < UNMATCHED_END_TTL);
         // Pauses, leases and the wait for earlier runs after a takeover end without a command.
@@ -144,8 +147,7 @@
         let worker = &self.workers[key];
         if worker.is_removable(cx.now, cx.cfg.leased.departed_ttl) {
             let name = worker.entry.name.clone();
-            let cause = self.removal_cause(key);
-            self.explain_silence(key, cause, out);
+            self.explain_removal(cx, key, out);
             self.workers.remove(key);
             if let Some(keys) = self.by_name.get_mut(&name) {
                 keys.retain(|&k| k != key);
@@ -165,15 +167,13 @@
         while !worker.runs.is_empty() {
             lost.push(worker.remove_run(0));
         }
-        worker
-            .lost_runs
-            .extend(lost.iter().map(|r| (r.name, r.run)));
-        self.end_lost_runs(cx, key, &lost, EndEvidence::LeaseLapsed, out);
-        self.workers[key].unclaimed_runs.clear();
-        if !self.workers[key].is_listed {
-            let cause = self.removal_cause(key);
-            self.explain_silence(key, cause, out);
+        self.runs_lost(cx, key, &lost, EndEvidence::LeaseLapsed, out);
+        for run in &lost {
+            let end = (EndKind::Lapsed, EndEvidence::LeaseLapsed);
+            self.end_unreported_run(cx, key, run, end, out);
         }
+        self.workers[key].unclaimed_runs.clear();
+        self.explain_removal(cx, key, out);
     }
 
     /// Allows the stale ends of a worker to be acknowledged once its leases have lapsed since the
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -80,6 +80,7 @@
 /// A run of a task on a worker.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_field_names, reason = "the platform numbers runs, too")]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 pub(super) struct Run {
     pub(super) task: TaskKey,
     pub(super) name: TaskName,
@@ -106,9 +107,17 @@
     pub(super) is_pace_counted: bool,
     /// When a stop order was last sent.
     pub(super) stop_sent: Option<Instant>,
+    /// Whether the task has lost a run with its worker before.
+    pub(super) is_suspect: bool,
 }
 
 impl Run {
+    /// Whether the worker has confirmed that the run has begun. An order without an answer may never
+    /// have reached it.
+    pub(super) fn has_begun(&self) -> bool {
+        self.state == RunState::Running
+    }
+
     /// Whether all that is known of the run, apart from a pending start order, dates from before
     /// `at`.
     pub(super) fn is_settled_before(&self, at: Instant) -> bool {
@@ -207,8 +216,8 @@
     pub(super) runs: Vec<Run>,
     pub(super) unclaimed_runs: Vec<UnclaimedRun>,
     /// Runs that ended as the worker was silent until its leases had lapsed, while it is not known
-    /// whether the worker crashed.
-    pub(super) lost_runs: Vec<(TaskName, u32)>,
+    /// whether the worker crashed; and whether each is known to have begun.
+    pub(super) lost_runs: Vec<(TaskName, u32, bool)>,
     /// Resources of all `runs`.
     pub(super) used: Resources,
     /// Number of the highest end that has been processed.
--- a/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
+++ b/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
@@ -80,6 +80,7 @@
             sim.kill(last);
             sim.add_host_with_records(round, &BTreeSet::new());
         }
+        sim.run_for(Duration::from_secs(30));
         assert_is_bounded(&sim, 1, &format!("{kind:?}"));
         let state = sim.records[&JobId(1)].0.state;
         assert_eq!(state, RecordState::Failed, "{kind:?}");
--- a/crates/geraniumrelay-core/tests/leased/superseded.rs
+++ b/crates/geraniumrelay-core/tests/leased/superseded.rs
@@ -143,6 +143,7 @@
         may_have_started: false,
         former_tokens: Vec::new(),
         has_alternative: false,
+        losses: Vec::new(),
     }));
     let start = cell.starts.last().expect("a start").clone();
     assert_eq!(start.task.job, JobId(1));
--- a/crates/geraniumrelay-core/tests/leased/world/instances.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/instances.rs
@@ -50,6 +50,9 @@
 
     pub(super) fn replace_instance(&mut self, worker: usize, clock_step_ms: i64, is_up: bool) {
         self.advance_workers();
+        if !is_up {
+            self.record_crash(worker);
+        }
         let entry = self.worker_entry(worker);
         let former = &self.workers[worker];
         let cpu_milli = former.capacity.cpu_milli;
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -145,9 +145,42 @@
     /// Whether another cell has room by its last report.
     #[prost(bool, tag = "16")]
     pub has_alternative: bool,
+    /// Runs of the job that were lost with their workers.
+    #[prost(message, repeated, tag = "17")]
+    pub losses: ::prost::alloc::vec::Vec<TaskLosses>,
+}
+/// Run that ended together with its worker.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LostRun {
+    #[prost(uint32, tag = "1")]
+    pub run: u32,
+    /// Whether the worker ran nothing but the job.
+    #[prost(bool, tag = "2")]
+    pub was_alone: bool,
+    /// Whether the worker is known to have crashed.
+    #[prost(bool, tag = "3")]
+    pub is_crash: bool,
+}
+/// Lost runs of a task.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TaskLosses {
+    #[prost(uint32, tag = "1")]
+    pub step: u32,
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    #[prost(message, repeated, tag = "3")]
+    pub runs: ::prost::alloc::vec::Vec<LostRun>,
+}
+/// Reports to an entry VM which runs of a job were lost.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Losses {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub tasks: ::prost::alloc::vec::Vec<TaskLosses>,
 }
 /// Stored progress of a task of a durable job, in addition to whether the task is done.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TaskProgress {
     /// Position of the task in the job, ordered by step and index.
     #[prost(uint32, tag = "1")]
@@ -158,6 +191,9 @@
     /// Lowest run number that is valid; lower ones are invalidated.
     #[prost(uint32, tag = "3")]
     pub first_valid_run: u32,
+    /// Runs that were lost with their workers.
+    #[prost(message, repeated, tag = "4")]
+    pub lost_runs: ::prost::alloc::vec::Vec<LostRun>,
 }
 /// Stored record of a durable job.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -344,7 +380,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "peer_message::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: ::core::option::Option<peer_message::Body>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -369,5 +405,7 @@
         FetchConfiguration(super::FetchConfiguration),
         #[prost(message, tag = "9")]
         ConfigurationPart(super::ConfigurationPart),
+        #[prost(message, tag = "10")]
+        Losses(super::Losses),
     }
 }
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -10,14 +10,15 @@
 use geraniumrelay_core::leased::config_transfer::{Part, PartRequest};
 use geraniumrelay_core::leased::election::{Fitness, Heartbeat};
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, RecordState, RefusalReason,
-    Resources, StepSpec, Submission, TaskProgress,
+    EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, LostRun, RecordState,
+    RefusalReason, Resources, StepSpec, Submission, TaskName, TaskProgress,
 };
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::job_record::State as StoredState;
 use geraniumrelay_wire::leased::{
     Answer, Beat, CellBeat, ConfigurationPart, FetchConfiguration, JobRecord as StoredRecord,
-    QueueCount, Step, Submit, TaskProgress as StoredProgress,
+    Losses, LostRun as WireLostRun, QueueCount, Step, Submit, TaskLosses,
+    TaskProgress as StoredProgress,
 };
 
 /// All refusal reasons, to look one up by its text.
@@ -155,11 +156,14 @@
         is_kept: spec.is_durable,
         former_tokens: submission.former_tokens.iter().map(|t| t.0).collect(),
         has_alternative: submission.has_alternative,
+        losses: losses_to(&submission.losses),
     }
 }
 
 pub(super) fn submission_from_wire(submit: Submit, origin: EntryVm) -> Submission {
+    let losses = losses_from(JobId(submit.id), &submit.losses);
     Submission {
+        losses,
         spec: JobSpec {
             id: JobId(submit.id),
             queue: submit.queue.into(),
@@ -191,6 +195,7 @@
         may_have_started: false,
         former_tokens: Vec::new(),
         has_alternative: false,
+        losses: Vec::new(),
     };
     let state = match record.state {
         RecordState::Open => StoredState::Open,
@@ -231,6 +236,12 @@
         position: progress.position,
         failed_runs: progress.failed_runs.clone(),
         first_valid_run: progress.first_valid_run,
+        lost_runs: progress
+            .lost_runs
+            .iter()
+            .copied()
+            .map(lost_run_to)
+            .collect(),
     }
 }
 
@@ -239,6 +250,58 @@
         position: stored.position,
         failed_runs: stored.failed_runs.clone(),
         first_valid_run: stored.first_valid_run,
+        lost_runs: stored
+            .lost_runs
+            .iter()
+            .copied()
+            .map(lost_run_from)
+            .collect(),
+    }
+}
+
+fn lost_run_to(lost: LostRun) -> WireLostRun {
+    WireLostRun {
+        run: lost.run,
+        was_alone: lost.was_alone,
+        is_crash: lost.is_crash,
+    }
+}
+
+fn lost_run_from(lost: WireLostRun) -> LostRun {
+    LostRun {
+        run: lost.run,
+        was_alone: lost.was_alone,
+        is_crash: lost.is_crash,
+    }
+}
+
+fn losses_to(losses: &[(TaskName, Vec<LostRun>)]) -> Vec<TaskLosses> {
+    let tasks = losses.iter().map(|(task, runs)| TaskLosses {
+        step: task.step.into(),
+        index: task.index.into(),
+        runs: runs.iter().copied().map(lost_run_to).collect(),
+    });
+    tasks.collect()
+}
+
+/// Lost runs of a job's tasks; those of tasks that no job has are left out.
+pub(super) fn losses_from(id: JobId, tasks: &[TaskLosses]) -> Vec<(TaskName, Vec<LostRun>)> {
+    let named = tasks.iter().filter_map(|t| {
+        let task = TaskName {
+            job: id,
+            occurrence: 0,
+            step: u16::try_from(t.step).ok()?,
+            index: u16::try_from(t.index).ok()?,
+        };
+        Some((task, t.runs.iter().copied().map(lost_run_from).collect()))
+    });
+    named.collect()
+}
+
+pub(super) fn losses_to_wire(id: JobId, losses: &[(TaskName, Vec<LostRun>)]) -> Losses {
+    Losses {
+        id: id.0,
+        tasks: losses_to(losses),
     }
 }
 
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -383,6 +383,11 @@
                 let cell = CellName(answer.cell.into());
                 self.on_answer(id, outcome, &cell, FencingToken(answer.token));
             }
+            Body::Losses(losses) => {
+                let id = JobId(losses.id);
+                let losses = convert::losses_from(id, &losses.tasks);
+                self.pending_jobs.set_losses(id, losses);
+            }
             Body::Configuration(configuration) => {
                 let change = convert::configuration_change(configuration.row);
                 self.apply_configuration(change, Some(from));
@@ -492,6 +497,14 @@
                     self.send(origin, Body::Answer(answer));
                 }
             }
+            Effect::Losses { origin, id, losses } => {
+                if origin == self.components.vm {
+                    self.pending_jobs.set_losses(id, losses);
+                } else {
+                    let losses = convert::losses_to_wire(id, &losses);
+                    self.send(origin, Body::Losses(losses));
+                }
+            }
             Effect::Record {
                 attempt,
                 record,
--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -39,6 +39,7 @@
         Body::Configuration(_) => "configuration",
         Body::FetchConfiguration(_) => "fetch-configuration",
         Body::ConfigurationPart(_) => "configuration-part",
+        Body::Losses(_) => "losses",
     }
 }
 
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -6,7 +6,7 @@
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, RefusalReason, Submission,
+    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, LostRun, RefusalReason, Submission, TaskName,
 };
 use tokio::sync::oneshot;
 
@@ -37,6 +37,8 @@
     refused_by: Vec<CellName>,
     /// Cell in which the job would have had to wait, and that left it to another cell.
     declined_by: Option<CellName>,
+    /// Runs that were lost with their workers, as schedulers have told.
+    losses: Vec<(TaskName, Vec<LostRun>)>,
     /// Whether the last submission said that another cell has room.
     had_alternative: bool,
     /// Tokens of all schedulers to which the job was sent since it was last refused.
@@ -104,6 +106,7 @@
             cell: None,
             refused_by: Vec::new(),
             declined_by: None,
+            losses: Vec::new(),
             had_alternative: false,
             tokens: Vec::new(),
             sent_to: None,
@@ -178,9 +181,17 @@
             may_have_started,
             former_tokens,
             has_alternative: job.had_alternative,
+            losses: job.losses.clone(),
         })
     }
 
+    /// Keeps which runs of a job were lost with their workers, for its next scheduler.
+    pub(super) fn set_losses(&mut self, id: JobId, losses: Vec<(TaskName, Vec<LostRun>)>) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.losses = losses;
+        }
+    }
+
     /// Marks a cell's jobs as unsent: its scheduler may not have them, or its answers may be lost.
     pub(super) fn mark_unsent(&mut self, cell: &CellName) {
         let of_cell = |j: &&mut OpenJob| j.cell.as_ref() == Some(cell);
--- a/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
@@ -4,7 +4,9 @@
 
 use assert_matches::assert_matches;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{EntryVm, FencingToken, JobId, JobOutcome, RefusalReason};
+use geraniumrelay_core::leased::{
+    EntryVm, FencingToken, JobId, JobOutcome, LostRun, RefusalReason, TaskName,
+};
 use tokio::sync::oneshot;
 
 use super::{MS, spec};
@@ -43,6 +45,31 @@
     assert_eq!(second.waited, 10 * MS);
 }
 
+/// BUDGET: the next scheduler must know which tasks crash their workers.
+#[test]
+fn lost_runs_go_along_to_the_next_scheduler() {
+    let now = Instant::now();
+    let (mut jobs, _rx) = one_pending_job(now);
+    let cell = CellName::single();
+    let assign =
+        |jobs: &mut PendingJobs, token| jobs.assign(ID, (&cell, false), token, vm(), now).unwrap();
+    assert!(assign(&mut jobs, OLD).losses.is_empty());
+    let task = TaskName {
+        job: ID,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let lost = LostRun {
+        run: 1,
+        was_alone: true,
+        is_crash: false,
+    };
+    jobs.set_losses(ID, vec![(task, vec![lost])]);
+    jobs.mark_unsent(&cell);
+    assert_eq!(assign(&mut jobs, NEW).losses, [(task, vec![lost])]);
+}
+
 /// A refusal by a scheduler that has been replaced must not end the job.
 #[test]
 fn only_the_last_scheduler_may_answer() {
