test(core/leased): one kind that crashes workers takes the service of all

Cause: the workers that a kind of job crashes are away for seconds, and what ran beside it is lost with them; nothing keeps that kind apart from the others. Change: a test that replays the users' mix while a share of one kind crashes its workers; the bound is that of the worst windows, 0.75.

--- a/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
+++ b/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
@@ -166,3 +166,67 @@
     assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
     assert!(sim.concurrent_runs.is_empty());
 }
+
+/// Request kinds: number of tasks, mean run time in milliseconds, requests per second.
+const KINDS: [(u16, u64, f64); 3] = [(8, 60, 34.4), (4, 900, 6.25), (2, 200, 100.0)];
+
+/// Workers of the cell; each has room for two tasks.
+const WORKERS: usize = 48;
+
+/// Time for which requests arrive, and the part of it in which some of a kind have a deadly task.
+const TRAFFIC: Duration = Duration::from_secs(16);
+const POISON: std::ops::Range<Duration> = Duration::from_secs(4)..Duration::from_secs(14);
+
+/// Length of the windows in which the share of jobs in time is measured.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// Share of jobs in time, of the worst window and of all, of the kinds without deadly tasks, while a
+/// `share` of the jobs of `kind` has one.
+fn share_of_other_kinds(kind: usize, share: f64, seed: u64) -> (f64, f64) {
+    let mut sim = Simulation::new(WORKERS, seed);
+    sim.crash_mode.kind = Return::SameName;
+    let mut id = 0;
+    for (number, (tasks, ms, per_s)) in KINDS.into_iter().enumerate() {
+        let mut at = Duration::ZERO;
+        while at < TRAFFIC {
+            id += 1;
+            let run_time = Duration::from_millis(ms).mul_f64(0.6 + 0.8 * sim.random());
+            let estimate = run_time.mul_f64(0.6 + 0.8 * sim.random());
+            let is_deadly = number == kind && POISON.contains(&at) && sim.random() < share;
+            let job = TestJob::new(id, tasks, run_time)
+                .with_priority(u8::try_from(number).unwrap())
+                .with_estimate(estimate)
+                .with_deadly_tasks(u16::from(is_deadly))
+                .with_remaining_wait(Duration::from_millis(1_500));
+            sim.submit(0, at, job);
+            at += Duration::from_secs_f64(2.0 * sim.random() / per_s);
+        }
+    }
+    let start = sim.now;
+    sim.run_for(TRAFFIC + Duration::from_secs(4));
+    assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
+    assert!(sim.false_refusals().is_empty());
+    let is_other = |j: &TestJob| usize::from(j.spec.priority) != kind;
+    let in_window = |from: Duration, to: Duration| {
+        let is_in = |j: &TestJob| {
+            is_other(j) && (from..to).contains(&j.submitted_at.saturating_duration_since(start))
+        };
+        sim.count_in_time(is_in) as f64 / sim.count_jobs(is_in) as f64
+    };
+    let windows = (0..8).map(|n| in_window(WINDOW * n, WINDOW * (n + 1)));
+    (
+        windows.fold(1.0, f64::min),
+        in_window(Duration::ZERO, TRAFFIC),
+    )
+}
+
+/// Load pattern: one kind of job crashes its workers, which are away for seconds, and takes the room of
+/// all others with them.
+#[test]
+fn a_kind_that_crashes_workers_leaves_the_others_their_service() {
+    for (kind, share) in [(0, 0.1), (0, 0.3), (1, 0.3), (2, 0.15)] {
+        let (worst, all) = share_of_other_kinds(kind, share, 1);
+        println!("kind {kind}, share {share}: worst window {worst:.2}, all {all:.2}");
+        assert!(worst >= 0.75, "kind {kind}, share {share}: {worst}, {all}");
+    }
+}
