fix(leased): a takeover brings no worker over its capacity

Callers saw: nothing yet, all deployments so far have workers that guard their capacity. Change: routes and jobs tell whether their workers enforce a capacity; on others a scheduler starts nothing until stop_grace after the worker's first report. Evidence: a_takeover_while_runs_are_stopped_brings_no_worker_over_its_capacity failed before and passes.

--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -122,6 +122,10 @@
     {
         return None;
     }
+    // A run that an earlier scheduler had stopped takes room until it has ended.
+    if !job.spec.enforces_capacity && !worker.reports_all_runs(request.now, cfg.stop_grace) {
+        return None;
+    }
     let running = worker.runs.len() + worker.unclaimed_runs.len();
     if request.respects_pauses && !worker.health.may_start(request.now, running) {
         return None;
--- a/crates/geraniumrelay-core/src/leased/routes.rs
+++ b/crates/geraniumrelay-core/src/leased/routes.rs
@@ -14,6 +14,8 @@
     pub path_prefix: String,
     /// Service whose workers run the tasks.
     pub service: Arc<str>,
+    /// Whether the workers of the service refuse what does not fit into their capacity.
+    pub enforces_capacity: bool,
     /// Priority of the jobs; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of failed runs of a task, with which the job fails.
--- a/crates/geraniumrelay-core/src/leased/spec.rs
+++ b/crates/geraniumrelay-core/src/leased/spec.rs
@@ -100,6 +100,9 @@
     pub target_latency: Duration,
     /// Input of the tasks, opaque.
     pub payload: Arc<str>,
+    /// Whether the workers refuse what does not fit into their capacity; others start whatever they are
+    /// told to.
+    pub enforces_capacity: bool,
     /// Whether the job is stored before it is accepted, and then runs to its end without its caller.
     pub is_durable: bool,
     /// Steps of the job.
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -1,5 +1,6 @@
 //! Leased jobs on simulated workers in virtual time.
 
+mod capacity;
 mod cell_choice;
 mod cell_moves;
 mod config_transfer;
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -52,6 +52,10 @@
 #[derive(Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) capacity: Resources,
+    /// Whether the worker refuses what does not fit.
+    pub(crate) enforces_capacity: bool,
+    /// Number of starts that brought the worker over its capacity.
+    pub(crate) starts_over_capacity: u32,
     pub(crate) behaviour: Behaviour,
     /// Start of this instance in Unix milliseconds, as its reports tell it.
     pub(crate) instance_started_unix_ms: Option<u64>,
@@ -85,6 +89,8 @@
                 memory_mb: 65_536,
                 gpus: 0,
             },
+            enforces_capacity: true,
+            starts_over_capacity: 0,
             behaviour: Behaviour::Healthy,
             instance_started_unix_ms: None,
             is_replaced: false,
@@ -209,7 +215,10 @@
             return StartReply::Outdated;
         }
         if self.used_cpu_milli() + size.cpu_milli > self.capacity.cpu_milli {
-            return StartReply::NoRoom;
+            if self.enforces_capacity {
+                return StartReply::NoRoom;
+            }
+            self.starts_over_capacity += 1;
         }
         let (ends_at, kind) = match self.behaviour {
             Behaviour::Healthy => (Some(now + run_time), EndKind::Done),
--- a/crates/geraniumrelay-core/tests/leased/world/job.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/job.rs
@@ -46,6 +46,7 @@
             stretch: 1.6,
             target_latency: Duration::from_millis(60),
             payload: "payload".into(),
+            enforces_capacity: true,
             is_durable: false,
             steps: vec![step],
         };
@@ -90,6 +91,12 @@
         self
     }
 
+    /// Lets the workers start what does not fit.
+    pub(crate) fn without_enforced_capacity(mut self) -> Self {
+        self.spec.enforces_capacity = false;
+        self
+    }
+
     pub(crate) fn durable(mut self) -> Self {
         self.spec.is_durable = true;
         self
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -148,6 +148,9 @@
     /// Runs of the job that were lost with their workers.
     #[prost(message, repeated, tag = "17")]
     pub losses: ::prost::alloc::vec::Vec<TaskLosses>,
+    /// Whether the workers refuse what does not fit into their capacity.
+    #[prost(bool, tag = "18")]
+    pub enforces_capacity: bool,
 }
 /// Run that ended together with its worker.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -38,6 +38,7 @@
         stretch: 1.6,
         target_latency: 60 * MS,
         payload: "payload".into(),
+        enforces_capacity: true,
         is_durable: true,
         steps: vec![StepSpec {
             count: 2,
