feat(leased): metrics of decisions are served first

Change: the counters of ended runs, instances, unclaimed runs, starts, polls and takeovers come first, histograms last; names stay.

--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -12,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use prometheus::proto::{MetricFamily, MetricType};
 use prometheus::{
     CounterVec, Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -28,6 +29,16 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.4, 0.7, 1.0, 1.5,
 ];
 
+/// Metrics that tell apart why runs ended, in the order in which they are served.
+const DECISION_METRICS: [&str; 6] = [
+    "unsuccessful_runs_total",
+    "worker_instance_changes_total",
+    "unclaimed_runs_total",
+    "starts_total",
+    "looks_total",
+    "takeovers_total",
+];
+
 /// Metrics of the entry process and the registry that serves them.
 #[derive(Debug)]
 pub(super) struct LeasedMetrics {
@@ -280,13 +291,25 @@
 
     pub(super) fn encode(&self) -> Vec<u8> {
         self.resident.set(resident_bytes().unwrap_or(0));
+        let mut families = self.registry.gather();
+        // Monitoring may cut the text off.
+        families.sort_by_key(encoding_rank);
         let mut text = Vec::new();
         // Encoding into a `Vec` does not fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        let _ = TextEncoder::new().encode(&families, &mut text);
         text
     }
 }
 
+/// Position of a metric in the text: decisions first, histograms last.
+fn encoding_rank(family: &MetricFamily) -> usize {
+    let position = DECISION_METRICS.iter().position(|&n| n == family.name());
+    position.unwrap_or(match family.get_field_type() {
+        MetricType::HISTOGRAM => usize::MAX,
+        _ => DECISION_METRICS.len(),
+    })
+}
+
 /// Resident memory of this process; `None` where the kernel's file can't be read.
 fn resident_bytes() -> Option<i64> {
     let status = std::fs::read_to_string("/proc/self/status").ok()?;
