test(core/leased): an order held up by a cut runs beside its successor

The lease of an order is a time of one instance's clock; a cut can hold the order up, and the next instance under the same name accepts it. The scheduler counts its run as over by the clock of the former instance.

--- a/crates/geraniumrelay-core/tests/leased/restarts/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts/mod.rs
@@ -3,6 +3,7 @@
 
 mod acknowledgements;
 mod addresses;
+mod held_up;
 mod instances;
 mod leases;
 mod schedules;
@@ -112,19 +113,23 @@
 fn start_on_first_worker(sim: &mut Simulation, job: TestJob) {
     let count = run_count(sim, 0) + usize::from(job.spec.steps[0].count);
     let host = sim.hosts.len() - 1;
-    let others = 1..sim.workers.len();
-    for worker in others.clone() {
-        let mut entry = sim.worker_entry(worker);
-        entry.state = WorkerState::Draining;
-        sim.handle_command(host, Command::WorkerSeen(entry));
-    }
+    drain_others(sim, host);
     sim.submit(host, MS, job);
     run_until_started(sim, 0, count);
-    for worker in others {
+    for worker in 1..sim.workers.len() {
         sim.announce_worker(host, worker);
     }
 }
 
+/// Makes all workers but the first drain.
+fn drain_others(sim: &mut Simulation, host: usize) {
+    for worker in 1..sim.workers.len() {
+        let mut entry = sim.worker_entry(worker);
+        entry.state = WorkerState::Draining;
+        sim.handle_command(host, Command::WorkerSeen(entry));
+    }
+}
+
 /// Runs the simulation until a worker has `count` runs.
 fn run_until_started(sim: &mut Simulation, worker: usize, count: usize) {
     for _ in 0..2_000 {
--- a/crates/geraniumrelay-core/tests/leased/world/calls.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/calls.rs
@@ -48,12 +48,31 @@
         }
         let timeout = start_timeout(&call);
         let name = call.name.clone();
+        if self.holds_up_starts && self.is_unreachable(host, &name) {
+            let transit = Transit {
+                host,
+                sent: self.now,
+                times_out: self.now + CALL_TIMEOUT,
+                is_reply_delivered: false,
+                received_by: None,
+                is_resent: false,
+            };
+            self.held_up_starts.push((call.clone(), transit));
+        }
         self.send_call(host, &name, timeout, |transit| Event::Start {
             call,
             transit,
         });
     }
 
+    /// Delivers the start orders that are held up to the workers that have their addresses now.
+    pub(crate) fn deliver_held_up_starts(&mut self) {
+        for (call, transit) in std::mem::take(&mut self.held_up_starts) {
+            let at = self.now + ONE_WAY_LATENCY;
+            self.schedule(at, Event::Start { call, transit });
+        }
+    }
+
     pub(super) fn send_stop(&mut self, host: usize, call: StopCall) {
         let timeout = stop_timeout(&call);
         let name = call.name.clone();
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -203,6 +203,10 @@
     /// Fraction of the calls that take effect 2 to 12 s late and whose reply is lost; polls and
     /// claims are not delayed.
     pub(crate) delayed_call_share: f64,
+    /// Whether start orders to a worker that can't be reached are held up, rather than lost.
+    pub(crate) holds_up_starts: bool,
+    /// Start orders that are held up.
+    held_up_starts: Vec<(StartCall, Transit)>,
     /// How tasks crash their workers, and how these return.
     pub(crate) crash_mode: CrashMode,
     /// Workers that have crashed and are not back.
@@ -261,6 +265,8 @@
             acks_while_waiting: false,
             workers_with_resent_starts: BTreeSet::new(),
             delayed_call_share: 0.0,
+            holds_up_starts: false,
+            held_up_starts: Vec::new(),
             crash_mode: CrashMode::default(),
             down_workers: BTreeSet::new(),
             removed_entries: BTreeSet::new(),
