fix(core/leased): a task that lost two workers runs alone on the third

Cause: a suspect only preferred a worker of its own, so a busy cell placed others beside it, also in the run whose crash condemns it. Change: from two lost runs on, a task starts only on an empty worker, and nothing is placed beside it.

--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -86,11 +86,22 @@
         self.verdict != Verdict::Clear
     }
 
+    /// Whether the task must run where nothing else runs.
+    pub(super) fn needs_own_worker(&self) -> bool {
+        matches!(
+            self.verdict,
+            Verdict::Suspect {
+                needs_own_worker: true,
+                ..
+            }
+        )
+    }
+
     /// Whether the task must not start at `now`.
     pub(super) fn is_held(&self, now: Instant) -> bool {
         match self.verdict {
             Verdict::Clear => false,
-            Verdict::Suspect(not_before) => now < not_before,
+            Verdict::Suspect { not_before, .. } => now < not_before,
             Verdict::GivenUp => true,
         }
     }
--- a/crates/geraniumrelay-core/src/leased/losses.rs
+++ b/crates/geraniumrelay-core/src/leased/losses.rs
@@ -47,8 +47,13 @@
 pub(super) enum Verdict {
     /// No run was lost.
     Clear,
-    /// The task may crash its worker: it starts where little else runs, not before this time.
-    Suspect(Instant),
+    /// The task may crash its worker: it starts where little else runs.
+    Suspect {
+        /// Earliest time of the start.
+        not_before: Instant,
+        /// Whether nothing may run beside the task, so that the next crash is certain to be its own.
+        needs_own_worker: bool,
+    },
     /// The task crashes its workers, and is given up.
     GivenUp,
 }
@@ -71,10 +76,17 @@
         };
         if count >= limit || self.runs.len() >= MAX_LOST_RUNS {
             Verdict::GivenUp
-        } else if self.runs.len() >= MAX_LOST_RUNS_AT_ONCE {
-            Verdict::Suspect(self.changed + WORD_WAIT)
         } else {
-            Verdict::Suspect(self.changed)
+            let needs_own_worker = self.runs.len() >= MAX_LOST_RUNS_AT_ONCE;
+            let wait = if needs_own_worker {
+                WORD_WAIT
+            } else {
+                Duration::ZERO
+            };
+            Verdict::Suspect {
+                not_before: self.changed + wait,
+                needs_own_worker,
+            }
         }
     }
 }
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -127,6 +127,10 @@
         return None;
     }
     let running = worker.runs.len() + worker.unclaimed_runs.len();
+    let is_occupied = job.task(position).needs_own_worker() && running > 0;
+    if is_occupied || worker.runs.iter().any(|r| r.needs_own_worker) {
+        return None;
+    }
     if request.respects_pauses && !worker.health.may_start(request.now, running) {
         return None;
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -157,6 +157,7 @@
             is_pace_counted: false,
             stop_sent: None,
             is_suspect: job.task(task.position).is_suspect(),
+            needs_own_worker: job.task(task.position).needs_own_worker(),
         });
         out.push(Effect::Start(StartCall {
             worker: to,
@@ -223,6 +224,7 @@
             is_pace_counted: false,
             stop_sent,
             is_suspect: job.task(position).is_suspect(),
+            needs_own_worker: job.task(position).needs_own_worker(),
         });
     }
 }
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -109,6 +109,8 @@
     pub(super) stop_sent: Option<Instant>,
     /// Whether the task has lost a run with its worker before.
     pub(super) is_suspect: bool,
+    /// Whether nothing may run beside it.
+    pub(super) needs_own_worker: bool,
 }
 
 impl Run {
