fix(core/leased): a lapsed lease does not end an order that nobody has answered

Cause, as far as the record tells: an order names a time of one instance's clock. A cut holds the order up; the worker starts again under its name behind the cut, and accepts the order when the cut ends, as its own clock has started anew. The scheduler counted the run as over once the leases had lapsed by the clock of the former instance. Change: an order without an answer is not over by its lease alone. It ends when the worker is reached again, which is told to refuse that run, when its entry is removed, when it answers to another scheduler, or 6 s after it was sent. The price is a later second start of a task whose first order got no answer: callers of 1.5 s are gone by then in either case.

--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -161,12 +161,20 @@
         self.schedule_poll(cx, key, out);
     }
 
-    /// Ends all runs on an unreachable worker whose leases have lapsed.
+    /// Ends all runs on an unreachable worker whose leases have lapsed. An order without an answer may
+    /// still be on its way, and another instance of the worker would accept it.
     fn end_lapsed_runs(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let worker = &mut self.workers[key];
+        // A worker that answers to another scheduler refuses the orders of this one.
+        let may_begin_later = worker.is_listed && worker.higher_token_since.is_none();
         let mut lost = Vec::new();
-        while !worker.runs.is_empty() {
-            lost.push(worker.remove_run(0));
+        let mut position = 0;
+        while let Some(run) = worker.runs.get(position) {
+            if may_begin_later && run.may_begin_later(cx.now) {
+                position += 1;
+            } else {
+                lost.push(worker.remove_run(position));
+            }
         }
         self.runs_lost(cx, key, &lost, EndEvidence::LeaseLapsed, out);
         for run in &lost {
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -31,6 +31,10 @@
 /// and a task there take together.
 const ACK_WINDOW: Duration = Duration::from_millis(50);
 
+/// Time for which an order without an answer counts as still on its way; longer than the platform lists a
+/// silent worker.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(6);
+
 /// Number of earlier instances of a worker that are remembered.
 const MAX_SUPERSEDED: usize = 8;
 
@@ -120,6 +124,15 @@
         self.state == RunState::Running
     }
 
+    /// Whether a restarted worker may carry the start order out later: nobody has answered it, and a cut
+    /// may hold it up.
+    pub(super) fn may_begin_later(&self, now: Instant) -> bool {
+        self.unconfirmed_since.is_some_and(|since| {
+            self.state == RunState::Unconfirmed
+                && now.saturating_duration_since(since) < MAX_ORDER_DELAY
+        })
+    }
+
     /// Whether all that is known of the run, apart from a pending start order, dates from before
     /// `at`.
     pub(super) fn is_settled_before(&self, at: Instant) -> bool {
