feat(leased): log which tasks are given up; quick restarts in the tests

Cause: a job that fails as one of its tasks crashes its workers had no line that says so. Change: task_given_up with the number of lost runs and crashes.

--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -218,6 +218,15 @@
         /// Task and number of each run that was lost.
         runs: Vec<(TaskName, u32)>,
     },
+    /// A task is given up, and its job fails, as it crashes its workers.
+    TaskGivenUp {
+        /// Task that is given up.
+        task: TaskName,
+        /// Number of its runs that were lost with their workers.
+        lost_runs: usize,
+        /// How many of these workers are known to have crashed.
+        crashes: usize,
+    },
     /// The tasks of a queue seem to crash workers: they run on a part of the workers only.
     QueueConfined {
         /// Queue concerned.
--- a/crates/geraniumrelay-core/src/leased/scheduler/losses.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/losses.rs
@@ -256,6 +256,19 @@
         tasks.any(|t| t.verdict == Verdict::GivenUp)
     }
 
+    /// Logs which tasks of a job are given up.
+    pub(super) fn log_given_up(&self, id: JobId, out: &mut Vec<Effect>) {
+        for (task, runs) in self.losses.of_job(id) {
+            if self.losses.verdict(task) == Verdict::GivenUp {
+                out.push(Effect::LogEvent(LogEvent::TaskGivenUp {
+                    task,
+                    lost_runs: runs.len(),
+                    crashes: runs.iter().filter(|r| r.is_crash).count(),
+                }));
+            }
+        }
+    }
+
     /// Applies a change of lost runs to the open jobs: tells those who keep them, and ends the jobs with
     /// a task that is given up.
     fn losses_changed(
@@ -281,6 +294,7 @@
         for id in changed {
             let key = self.by_id[&id];
             let is_given_up = self.has_given_up(key);
+            self.log_given_up(id, out);
             let state = if is_given_up {
                 RecordState::Failed
             } else {
--- a/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
+++ b/crates/geraniumrelay-core/tests/leased/deadly_tasks.rs
@@ -10,6 +10,9 @@
 const MS: Duration = Duration::from_millis(1);
 const RETURNS: [Return; 3] = [Return::SameName, Return::OtherName, Return::Never];
 
+/// Times for which a crashed worker is away, in milliseconds.
+const DOWN_MS: [u64; 3] = [100, 700, 3_300];
+
 /// Starts of a task that the platform allows after three workers have crashed under it.
 const MAX_STARTS_AFTER_THREE_CRASHES: usize = 2;
 
@@ -22,6 +25,19 @@
     }
 }
 
+/// A simulation of many workers for each way in which these return.
+fn simulations() -> impl Iterator<Item = (Simulation, String)> {
+    let cases = RETURNS
+        .into_iter()
+        .flat_map(|kind| DOWN_MS.map(|ms| (kind, ms)));
+    cases.map(|(kind, down_ms)| {
+        let mut sim = Simulation::new(24, 1);
+        sim.crash_mode.kind = kind;
+        sim.crash_mode.down_for = Duration::from_millis(down_ms);
+        (sim, format!("{kind:?} after {down_ms} ms"))
+    })
+}
+
 /// A job whose caller waits for a minute.
 fn patient(id: u64, tasks: u16, run_time: Duration) -> TestJob {
     TestJob::new(id, tasks, run_time)
@@ -41,37 +57,31 @@
 /// BUDGET: such a task was started for as long as its caller waited.
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up() {
-    for kind in RETURNS {
-        let mut sim = Simulation::new(24, 1);
-        sim.crash_mode.kind = kind;
+    for (mut sim, case) in simulations() {
         sim.submit(0, MS, patient(1, 4, 60 * MS).with_deadly_tasks(1));
         sim.run_for(Duration::from_secs(50));
-        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
-        assert_eq!(sim.outcome(1), Some(JobOutcome::Failed), "{kind:?}");
+        assert_is_bounded(&sim, 1, &case);
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Failed), "{case}");
     }
 }
 
 /// BUDGET: a durable job has no caller whose wait would end it.
 #[test]
 fn a_durable_task_that_crashes_its_workers_is_given_up() {
-    for kind in RETURNS {
-        let mut sim = Simulation::new(24, 1);
-        sim.crash_mode.kind = kind;
+    for (mut sim, case) in simulations() {
         let job = patient(1, 4, 60 * MS).with_deadly_tasks(1).durable();
         sim.submit(0, MS, job);
         sim.run_for(Duration::from_secs(50));
-        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+        assert_is_bounded(&sim, 1, &case);
         let state = sim.records[&JobId(1)].0.state;
-        assert_eq!(state, RecordState::Failed, "{kind:?}");
+        assert_eq!(state, RecordState::Failed, "{case}");
     }
 }
 
 /// BUDGET: a successor did not know of the crashes that its predecessor had seen.
 #[test]
 fn a_takeover_does_not_forget_which_tasks_crash_their_workers() {
-    for kind in RETURNS {
-        let mut sim = Simulation::new(24, 1);
-        sim.crash_mode.kind = kind;
+    for (mut sim, case) in simulations() {
         let job = patient(1, 4, 60 * MS).with_deadly_tasks(1).durable();
         sim.submit(0, MS, job);
         for round in 2..20 {
@@ -81,18 +91,16 @@
             sim.add_host_with_records(round, &BTreeSet::new());
         }
         sim.run_for(Duration::from_secs(30));
-        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+        assert_is_bounded(&sim, 1, &case);
         let state = sim.records[&JobId(1)].0.state;
-        assert_eq!(state, RecordState::Failed, "{kind:?}");
+        assert_eq!(state, RecordState::Failed, "{case}");
     }
 }
 
 /// BUDGET: a job that was sent again after a time-out started from scratch.
 #[test]
 fn a_resent_job_keeps_the_crashes_of_its_first_copy() {
-    for kind in RETURNS {
-        let mut sim = Simulation::new(24, 1);
-        sim.crash_mode.kind = kind;
+    for (mut sim, case) in simulations() {
         for copy in 0..8 {
             let after = Duration::from_millis(2_800) * copy;
             let job = TestJob::new(1, 4, 60 * MS)
@@ -101,7 +109,7 @@
             sim.submit(0, after + MS, job);
         }
         sim.run_for(Duration::from_secs(30));
-        assert_is_bounded(&sim, 1, &format!("{kind:?}"));
+        assert_is_bounded(&sim, 1, &case);
     }
 }
 
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -46,6 +46,7 @@
         ),
         LogEvent::RunsLost { .. }
         | LogEvent::SilenceExplained { .. }
+        | LogEvent::TaskGivenUp { .. }
         | LogEvent::QueueConfined { .. }
         | LogEvent::QueueReleased { .. } => write_crash_event(cell, event),
         LogEvent::TasksStarted { id, starts } => info!(
@@ -118,6 +119,13 @@
             cell:% = cell, worker:% = worker, cause:% = cause, runs = run_list(runs).as_str();
             "silence_explained"
         ),
+        LogEvent::TaskGivenUp {
+            task,
+            lost_runs,
+            crashes,
+        } => info!(
+            cell:% = cell, id:% = task.job, task:% = task, lost_runs, crashes; "task_given_up"
+        ),
         LogEvent::QueueConfined { queue } => info!(
             cell:% = cell, queue = &**queue; "queue_confined"
         ),
