--- a/crates/geraniumrelay-core/src/leased/bulkhead.rs
+++ b/crates/geraniumrelay-core/src/leased/bulkhead.rs
@@ -53,6 +53,8 @@
     /// Ordered map, so that equal schedulers decide alike.
     queues: BTreeMap<Arc<str>, Evidence>,
     last_event: Option<Instant>,
+    /// Whether any queue is confined.
+    has_confined: bool,
     /// Whether confined queues run only on their parts.
     is_strict: bool,
 }
@@ -93,6 +95,7 @@
                 confined.push(Arc::clone(queue));
             }
         }
+        self.has_confined |= !confined.is_empty();
         confined
     }
 
@@ -101,9 +104,10 @@
     pub(super) fn release(&mut self, now: Instant) -> Vec<Arc<str>> {
         let is_over = |e: &Evidence| now.saturating_duration_since(e.last_crash) >= RELEASE_AFTER;
         let over = self.queues.extract_if(.., |_, e| is_over(e));
-        over.filter(|(_, e)| e.is_confined)
-            .map(|(q, _)| q)
-            .collect()
+        let released = over.filter(|(_, e)| e.is_confined).map(|(q, _)| q);
+        let released = released.collect();
+        self.has_confined = self.queues.values().any(|e| e.is_confined);
+        released
     }
 
     /// Sets how many of the workers are silent.
@@ -124,6 +128,9 @@
     /// Whether a queue should rather run on another worker: a confined one runs on its part, and the
     /// others elsewhere.
     pub(super) fn is_misplaced(&self, queue: &str, worker: SocketAddr) -> bool {
+        if !self.has_confined {
+            return false;
+        }
         if self.is_confined(queue) {
             return !is_in_part(queue, worker);
         }
@@ -133,7 +140,7 @@
     }
 
     fn is_confined(&self, queue: &str) -> bool {
-        self.queues.get(queue).is_some_and(|e| e.is_confined)
+        self.has_confined && self.queues.get(queue).is_some_and(|e| e.is_confined)
     }
 }
 
