test(soak): a job that crashes its workers fails although schedulers are killed

Cause: nothing showed with real processes that what is known of a task's crashes goes along over schedulers (BUDGET).

--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -11,6 +11,7 @@
 
 mod callers;
 mod configuration;
+mod deadly_tasks;
 mod fleet;
 mod life;
 #[path = "../../../../platform/tests/stand_in/platform.rs"]
