fix(leased): each request that a stopping VM takes is answered

Callers saw: a connection closed without an answer (LOST), up to 5 s after the stop signal of their VM. Cause: a stopping VM goes on taking requests, as the balancer sends them to it while few others are ready, and waits for them until its process ends; a job that needs longer was cut off. Change: a job's wait at a stopping VM ends 100 ms before the process does. What can't end by then is refused at once, what does not end is answered as timed out. Evidence: the test, with real processes, failed before (no answer) and passes.

--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -175,7 +175,7 @@
     let started = Instant::now();
     let until = started + settings.stop_grace().mul_f64(STOP_GRACE_SHARE);
     info!(grace_s = settings.stop_grace_s; "stopping");
-    readiness.stop();
+    readiness.stop(until);
     tx.try_send(Input::Stop);
     let linger = (started + STOP_LINGER).min(until);
     tokio::time::sleep_until(linger.into()).await;
--- a/crates/geraniumrelay/src/leased/readiness.rs
+++ b/crates/geraniumrelay/src/leased/readiness.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use geraniumrelay_adapter::ingress::READINESS_PATH;
@@ -22,7 +23,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Readiness {
     can_serve: Cell<bool>,
-    is_stopping: Cell<bool>,
+    /// When a stopping process ends at the latest; `None` if it is not stopping.
+    ends_at: Cell<Option<Instant>>,
 }
 
 impl Readiness {
@@ -33,17 +35,23 @@
         }
     }
 
-    /// Makes this VM unready for good: the process stops.
-    pub(super) fn stop(&self) {
-        self.is_stopping.set(true);
+    /// Makes this VM unready for good: the process stops, and ends at `ends_at` at the latest.
+    pub(super) fn stop(&self, ends_at: Instant) {
+        self.ends_at.set(Some(ends_at));
     }
 
     pub(super) fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.ends_at.get().is_some()
+    }
+
+    /// Time left until a stopping process ends; `None` if it is not stopping.
+    pub(super) fn time_left(&self, now: Instant) -> Option<Duration> {
+        let ends_at = self.ends_at.get()?;
+        Some(ends_at.saturating_duration_since(now))
     }
 
     fn is_ready(&self) -> bool {
-        self.can_serve.get() && !self.is_stopping.get()
+        self.can_serve.get() && !self.is_stopping()
     }
 }
 
--- a/crates/geraniumrelay/src/leased/request_handler.rs
+++ b/crates/geraniumrelay/src/leased/request_handler.rs
@@ -28,6 +28,10 @@
 /// Time reserved for the answer to reach the caller within the caller's maximum wait.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 
+/// Time before the end of a stopping process by which its answers are sent: two ticks of the event loop, and
+/// the way to the caller.
+const STOP_ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Longest time for the body of a request to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -153,6 +157,10 @@
                 };
             }
         };
+        // What can't end before this process is refused, and what does not end in time is answered.
+        let time_left = self.readiness.time_left(arrived);
+        let time_left = time_left.map(|left| left.saturating_sub(STOP_ANSWER_MARGIN));
+        let max_wait = time_left.map_or(max_wait, |left| max_wait.min(left));
         let (reply, answer) = oneshot::channel();
         let is_queued = self.tx.try_send(Input::Job {
             spec,
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -18,6 +18,7 @@
 mod platform;
 mod proxy;
 mod restarter;
+mod stops;
 #[path = "../../../geraniumrelay-core/tests/leased/worker.rs"]
 #[allow(dead_code, reason = "shared with the tests in virtual time")]
 mod worker;
