refactor(core/leased): one place for the factor of a worker in run times

Cause: speeds of workers and distance of data will both change run times on a worker. Change: run_time::RunTimes::factor, 1 for now, enters placement, start orders and learnt estimates.

--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -23,6 +23,7 @@
 mod record;
 mod report;
 pub mod routes;
+mod run_time;
 mod scheduler;
 mod spec;
 mod worker;
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -9,6 +9,7 @@
 
 use super::bulkhead::Bulkheads;
 use super::job::{Job, TaskKey};
+use super::run_time::RunTimes;
 use super::worker::{Worker, WorkerKey};
 use crate::configs::leased::LeasedConfig;
 
@@ -44,6 +45,7 @@
     /// Whether slow workers only get tasks that can end in time there.
     pub(super) respects_slowness: bool,
     pub(super) bulkheads: &'a Bulkheads,
+    pub(super) run_times: &'a RunTimes,
     /// Whether leases of durable tasks may be renewed, which a start order does.
     pub(super) may_renew_durable: bool,
 }
@@ -145,14 +147,14 @@
             return None;
         }
     }
-    let expected = job.expected_run(position);
+    let nominal = job.expected_run(position);
     let slowness = worker.health.slowness(cfg);
-    let longer = expected.mul_f64(slowness - 1.0);
-    if request.respects_slowness && slowness > 1.0 && !is_in_time(request, expected + longer) {
+    let expected = nominal.mul_f64(request.run_times.factor(worker, step) * slowness);
+    if request.respects_slowness && slowness > 1.0 && !is_in_time(request, expected) {
         return None;
     }
     let mut score = (free.cpu_milli - step.size.cpu_milli) as f64;
-    score += longer.as_secs_f64() * SLOWNESS_PENALTY_PER_S;
+    score += (expected.as_secs_f64() - nominal.as_secs_f64()) * SLOWNESS_PENALTY_PER_S;
     if worker.missed_last_call() {
         score += MISSED_CALL_PENALTY;
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -155,8 +155,9 @@
         if let Some(job) = self.jobs.get(run.task.job) {
             let declared = job.step(run.task.position).estimate;
             let queue = &job.spec.queue;
+            let nominal = took.div_f64(run.factor);
             self.estimates
-                .add_sample(&cx.cfg.leased, queue, declared, took);
+                .add_sample(&cx.cfg.leased, queue, declared, nominal);
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -28,6 +28,7 @@
 use super::log_event::{InstanceSource, WorkerCondition};
 use super::losses::Losses;
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
+use super::run_time::RunTimes;
 use super::worker::{MAX_MISSES, Worker, WorkerEntry, WorkerKey};
 use crate::collections::Map;
 use crate::context::Context;
@@ -53,6 +54,7 @@
     waiting: BTreeSet<(Rank, JobKey)>,
     checks: BTreeSet<(Instant, JobKey)>,
     estimates: Estimates,
+    run_times: RunTimes,
     /// Recent processor demand of admitted jobs in thousandths of a core, by priority.
     demand: BTreeMap<u8, DecayingSum>,
     /// Recent work of all jobs in thousandths of a core times seconds, by service.
@@ -121,6 +123,7 @@
             waiting: BTreeSet::new(),
             checks: BTreeSet::new(),
             estimates: Estimates::default(),
+            run_times: RunTimes::default(),
             demand: BTreeMap::new(),
             work: Map::default(),
             losses: Losses::default(),
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -86,6 +86,7 @@
                 respects_pauses,
                 respects_slowness,
                 bulkheads: &self.bulkheads,
+                run_times: &self.run_times,
                 may_renew_durable,
             };
             let worker = match placement::choose(&cx.cfg.leased, &self.workers, request) {
@@ -138,6 +139,7 @@
         let (name, run) = (job.name(task.position), job.task(task.position).last_run);
         let worker = &mut self.workers[to];
         let Some(clock) = worker.clock else { return };
+        let factor = self.run_times.factor(worker, job.step(task.position));
         let lease_until = clock.at(cx.now).after(cx.cfg.leased.lease);
         worker.extend_lease(lease_until);
         worker.add_run(Run {
@@ -148,7 +150,8 @@
             state: RunState::Starting,
             sent: cx.now,
             confirmed_at: None,
-            expected: job.expected_run(task.position),
+            expected: job.expected_run(task.position).mul_f64(factor),
+            factor,
             is_durable: job.record_sync.is_some(),
             percent: 0,
             progressed_at: cx.now,
@@ -200,6 +203,7 @@
         let task = job.task_mut(position);
         task.last_run = task.last_run.max(run);
         let worker = &mut self.workers[on];
+        let factor = self.run_times.factor(worker, job.step(position));
         worker
             .unclaimed_runs
             .retain(|u| u.name != name || u.run != run);
@@ -215,7 +219,8 @@
             },
             sent: cx.now,
             confirmed_at: stop_sent.is_none().then_some(cx.now),
-            expected: job.expected_run(position),
+            expected: job.expected_run(position).mul_f64(factor),
+            factor,
             is_durable: job.record_sync.is_some(),
             percent: 0,
             progressed_at: cx.now,
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -98,7 +98,10 @@
     pub(super) confirmed_at: Option<Instant>,
     /// Whether the job is durable.
     pub(super) is_durable: bool,
+    /// Expected run time on this worker.
     pub(super) expected: Duration,
+    /// Factor of this worker in `expected`.
+    pub(super) factor: f64,
     /// Last reported progress, 0 to 100.
     pub(super) percent: u8,
     /// When `percent` last increased.
