feat(leased): a data centre can be evacuated

Change: evacuation::Evacuations keeps the set as of a revision of the store; it comes by the feed or from peers' heartbeats, the higher revision replaces the lower. Schedulers refuse new jobs there at once, waiting ones may start for 1 s, entry VMs send jobs to other data centres or refuse them with a spread Retry-After. A VM that knows no set does not schedule, so the fixture of the event loop's tests passes the operators' table. Cold workers come last and run one task at a time.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -71,6 +71,9 @@
     pub overload_admit_percent: u32,
     /// Work that callers ask for from which a service is overloaded, in percent of its capacity.
     pub overload_percent: u32,
+    /// Time for which jobs that were admitted before an evacuation may go on starting tasks in the data centre; most
+    /// jobs take less. The platform allows 5 s from the request, of which its news may take a part.
+    pub evacuation_grace: Duration,
     /// Weight of the latest run time in the mean of its queue.
     pub estimate_weight: f64,
     /// Mean ratio of actual to expected run time from which a worker counts as slow.
@@ -106,6 +109,7 @@
             admit_percent: 70,
             overload_admit_percent: 35,
             overload_percent: 105,
+            evacuation_grace: Duration::from_secs(1),
             estimate_weight: 0.05,
             slow_factor: 2.5,
         }
--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::epoch::EpochReply;
+use super::evacuation::EvacuatedSince;
 use super::losses::LostRun;
 use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::record::{JobRecord, RecordReply};
@@ -145,6 +146,8 @@
         /// Outcome of the poll.
         reply: PollReply,
     },
+    /// The evacuated data centres have changed, or the scheduler has just started.
+    Evacuated(EvacuatedSince),
     /// The store replied to the claim of the cell.
     EpochReplied {
         /// When the claim was sent.
--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -28,6 +28,9 @@
     /// The job was queued for its maximum wait.
     #[display("waited-too-long")]
     WaitedTooLong,
+    /// The data centres in which the job could run are evacuated.
+    #[display("evacuated")]
+    Evacuated,
     /// The cell has no scheduler at present.
     #[display("no-scheduler")]
     NoScheduler,
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -237,6 +237,13 @@
         /// Queue concerned.
         queue: Arc<str>,
     },
+    /// Waiting jobs are ended, as nothing may start any more on the workers that could run them.
+    JobsEvacuated {
+        /// Number of the jobs.
+        jobs: usize,
+        /// All evacuated data centres.
+        data_centres: Vec<Arc<str>>,
+    },
     /// A run is being stopped.
     RunStopped {
         /// Task of the run.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -13,6 +13,7 @@
 pub mod election;
 mod epoch;
 pub mod estimates;
+pub mod evacuation;
 mod fitness;
 mod health;
 mod job;
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -29,6 +29,9 @@
 /// Penalty of a worker on the other side of a bulkhead.
 const MISPLACED_PENALTY: f64 = 150_000.0;
 
+/// Penalty of a worker that is cold, or whose data centre is evacuated: it is used after all others.
+const LAST_RESORT_PENALTY: f64 = 300_000.0;
+
 /// Penalty of a worker outside the rack of the task's data.
 const RACK_PENALTY: f64 = 50_000.0;
 
@@ -117,6 +120,7 @@
     // A start order renews the leases of all runs on the worker, also of those to be stopped.
     if worker.is_full(request.now)
         || !worker.unclaimed_runs.is_empty()
+        || worker.is_closed_by_evacuation(request.now, cfg.evacuation_grace)
         || (!request.may_renew_durable && worker.has_durable_runs())
         || !free.has_room_for(&step.size)
         || !worker.is_usable()
@@ -133,6 +137,11 @@
     if is_occupied || worker.runs.iter().any(|r| r.needs_own_worker) {
         return None;
     }
+    // A cold worker takes several times as long for its first tasks.
+    let is_cold = worker.is_cold(request.now);
+    if is_cold && running > 0 {
+        return None;
+    }
     if request.respects_pauses && !worker.health.may_start(request.now, running) {
         return None;
     }
@@ -155,6 +164,9 @@
     }
     let mut score = (free.cpu_milli - step.size.cpu_milli) as f64;
     score += (expected.as_secs_f64() - nominal.as_secs_f64()) * SLOWNESS_PENALTY_PER_S;
+    if is_cold || worker.is_evacuated() {
+        score += LAST_RESORT_PENALTY;
+    }
     if worker.missed_last_call() {
         score += MISSED_CALL_PENALTY;
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod durable;
 mod ends;
 mod epochs;
+mod evacuation;
 mod finish;
 mod losses;
 mod pace;
@@ -24,6 +25,7 @@
 use super::effect::{Effect, JobOutcome};
 use super::epoch::Epoch;
 use super::estimates::Estimates;
+use super::evacuation::EvacuatedSince;
 use super::job::{Job, JobKey, JobState, Rank};
 use super::log_event::{InstanceSource, WorkerCondition};
 use super::losses::Losses;
@@ -55,6 +57,8 @@
     checks: BTreeSet<(Instant, JobKey)>,
     estimates: Estimates,
     run_times: RunTimes,
+    /// Evacuated data centres.
+    evacuated: EvacuatedSince,
     /// Recent processor demand of admitted jobs in thousandths of a core, by priority.
     demand: BTreeMap<u8, DecayingSum>,
     /// Recent work of all jobs in thousandths of a core times seconds, by service.
@@ -124,6 +128,7 @@
             checks: BTreeSet::new(),
             estimates: Estimates::default(),
             run_times: RunTimes::default(),
+            evacuated: EvacuatedSince::new(),
             demand: BTreeMap::new(),
             work: Map::default(),
             losses: Losses::default(),
@@ -268,6 +273,7 @@
                 sent,
                 reply,
             } => self.poll_replied(cx, (worker, number), sent, reply, out),
+            Command::Evacuated(evacuated) => self.set_evacuated(cx, evacuated, out),
             Command::EpochReplied { sent, reply } => self.epoch_replied(cx, sent, reply, out),
             Command::Followed { since } => self.confirm_epoch(since),
             Command::RecordReplied { id, attempt, reply } => {
@@ -323,7 +329,8 @@
     /// Processor that running and waiting tasks need, in percent of the capacity of the usable
     /// workers; `u32::MAX` without capacity.
     pub fn load_percent(&self) -> u32 {
-        let usable = self.workers.values().filter(|w| w.is_usable());
+        let workers = self.workers.values();
+        let usable = workers.filter(|w| w.is_usable() && !w.is_evacuated());
         let capacity: u64 = usable.clone().map(|w| w.entry.capacity.cpu_milli).sum();
         let used: u64 = usable.map(|w| w.used.cpu_milli).sum();
         let jobs = self.waiting.iter().map(|&(_, key)| &self.jobs[key]);
@@ -366,6 +373,9 @@
             out.push(worker.instance_event(InstanceSource::Entry, instance));
             worker.suspect_restart();
         }
+        worker.evacuated_since = self.evacuated.get(&entry.data_centre).copied();
+        worker.cold_until =
+            (!entry.cold_remaining.is_zero()).then(|| cx.now + entry.cold_remaining);
         worker.entry = entry;
         worker.is_listed = true;
         worker.departed = None;
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -262,6 +262,9 @@
         {
             return Some(RefusalReason::NoWorkerFits);
         }
+        if self.is_shut_out(job) {
+            return Some(RefusalReason::Evacuated);
+        }
         if job.is_too_long(cx.now) {
             return Some(RefusalReason::TooLong);
         }
@@ -309,7 +312,11 @@
         let is_slowness_respected = self.is_slowness_respected(cx);
         for worker in self.workers.values() {
             let may_run = self.bulkheads.may_run(queue, worker.entry.address);
-            if worker.entry.service != *service || !worker.may_become_usable() || !may_run {
+            if worker.entry.service != *service
+                || !worker.may_become_usable()
+                || worker.is_evacuated()
+                || !may_run
+            {
                 continue;
             }
             backlog.capacity += worker.entry.capacity.cpu_milli;
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -64,6 +64,8 @@
     pub capacity: Resources,
     /// Labels for the kind of the worker and its rack.
     pub labels: Vec<Arc<str>>,
+    /// Time for which the worker stays slow after its start, as of its last change; zero once it is warm.
+    pub cold_remaining: Duration,
     /// Start of this instance of the worker, in Unix milliseconds; `None` if the entry has none.
     pub instance_started_unix_ms: Option<u64>,
 }
@@ -252,6 +254,10 @@
     /// Whether a poll has to be sent to acknowledge ends.
     pub(super) has_unsent_ack: bool,
     pub(super) poll_state: PollState,
+    /// Since when the evacuation of the worker's data centre is known; `None` if it is not evacuated.
+    pub(super) evacuated_since: Option<Instant>,
+    /// Until when the worker is cold, by its entry.
+    pub(super) cold_until: Option<Instant>,
     /// Until when the worker counts as full, after it refused a task for lack of room.
     pub(super) full_until: Option<Instant>,
     pub(super) health: Health,
@@ -283,6 +289,8 @@
             stale_end: None,
             has_unsent_ack: false,
             poll_state: PollState::default(),
+            evacuated_since: None,
+            cold_until: None,
             full_until: None,
             health: Health::default(),
         }
@@ -315,6 +323,23 @@
         is_open_for_tasks && self.poll_state.misses < MAX_MISSES
     }
 
+    /// Whether the worker's data centre is evacuated: new jobs can't use the worker.
+    pub(super) fn is_evacuated(&self) -> bool {
+        self.evacuated_since.is_some()
+    }
+
+    /// Whether no task at all may start, as the evacuation has been known for `grace`.
+    pub(super) fn is_closed_by_evacuation(&self, now: Instant, grace: Duration) -> bool {
+        let age = |since| now.saturating_duration_since(since);
+        self.evacuated_since
+            .is_some_and(|since| age(since) >= grace)
+    }
+
+    /// Whether the worker is still slow after its start.
+    pub(super) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the worker refused a task for lack of room a moment ago.
     pub(super) fn is_full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
--- a/crates/geraniumrelay-core/tests/leased/superseded.rs
+++ b/crates/geraniumrelay-core/tests/leased/superseded.rs
@@ -65,6 +65,7 @@
                 gpus: 0,
             },
             labels: vec![Arc::from("a")],
+            cold_remaining: Duration::ZERO,
             instance_started_unix_ms: Some(instance),
         }));
     }
--- a/crates/geraniumrelay-core/tests/leased/world/instances.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/instances.rs
@@ -19,6 +19,7 @@
             state: WorkerState::Ready,
             capacity: self.workers[worker].capacity,
             labels: vec![Arc::from("a"), Arc::from("r-1")],
+            cold_remaining: Duration::ZERO,
             instance_started_unix_ms: self.workers[worker].instance_started_unix_ms,
         }
     }
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -81,6 +81,21 @@
     /// Smoothed delay of the sender's event loop behind schedule, in microseconds.
     #[prost(uint32, tag = "9")]
     pub lag_us: u32,
+    /// Revision of the store as of which the sender knows the evacuated data centres; 0 if it does not know them.
+    #[prost(uint64, tag = "10")]
+    pub evacuation_revision: u64,
+    /// Data centres that are evacuated as of that revision.
+    #[prost(message, repeated, tag = "11")]
+    pub evacuated: ::prost::alloc::vec::Vec<Evacuation>,
+}
+/// Data centre in which nothing more may start.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuation {
+    #[prost(string, tag = "1")]
+    pub data_centre: ::prost::alloc::string::String,
+    /// Time for which the request has been known to any entry VM.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -22,11 +22,12 @@
 };
 
 /// All refusal reasons, to look one up by its text.
-const REASONS: [RefusalReason; 6] = [
+const REASONS: [RefusalReason; 7] = [
     RefusalReason::Overload,
     RefusalReason::NoWorkerFits,
     RefusalReason::TooLong,
     RefusalReason::WaitedTooLong,
+    RefusalReason::Evacuated,
     RefusalReason::NoScheduler,
     RefusalReason::Unsupported,
 ];
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -49,6 +49,10 @@
         | LogEvent::TaskGivenUp { .. }
         | LogEvent::QueueConfined { .. }
         | LogEvent::QueueReleased { .. } => write_crash_event(cell, event),
+        LogEvent::JobsEvacuated { jobs, data_centres } => {
+            let data_centres = data_centres.join(",");
+            info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
+        }
         LogEvent::TasksStarted { id, starts } => info!(
             cell:% = cell, id:% = id, starts = start_list(starts).as_str();
             "tasks_started"
--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -81,6 +81,12 @@
         self.workers.len()
     }
 
+    /// Whether any listed worker is in a data centre.
+    pub(super) fn has_workers_in(&self, data_centre: &str) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|w| *w.entry.data_centre == *data_centre)
+    }
+
     /// Listed workers that belong to a cell by the present plan.
     pub(super) fn workers_of(&self, cell: &CellName) -> Vec<WorkerEntry> {
         let workers = self.workers.values().map(|w| &w.entry);
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -90,6 +90,8 @@
         };
         cell.scheduler = Some(scheduler);
         cell.epoch_lost = None;
+        let evacuated = self.evacuations.evacuated().clone();
+        self.handle_command(name, Command::Evacuated(evacuated));
         // A worker may have departed from one address and be listed at another one.
         for entry in departed {
             let worker = entry.name.clone();
@@ -109,7 +111,7 @@
 
     /// Updates what the elections know about this VM, its lag and its peers.
     pub(super) fn set_fitness(&mut self, now: Instant) {
-        let is_ineligible = self.is_stopping || !self.directory.can_schedule();
+        let is_ineligible = !self.can_schedule();
         let has_store = self.store_health.has_store();
         let knows_departed = self.directory.knows_departed(now);
         let peer_fresh =
--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -39,6 +39,7 @@
     fn assign_job(&mut self, unsent: &UnsentJob, full: &mut Set<EntryVm>) {
         let id = unsent.id;
         let Some(name) = unsent.cell.clone().or_else(|| self.choose_cell(unsent)) else {
+            self.refuse_evacuated(id);
             return;
         };
         let current = self.cells.get(&name).and_then(|c| c.election.current());
@@ -94,11 +95,13 @@
         })
     }
 
-    /// Cells that have a scheduler and have not refused the job.
+    /// Cells that have a scheduler, are not evacuated and have not refused the job.
     fn candidates(&self, unsent: &UnsentJob) -> impl Iterator<Item = &Cell> {
-        self.cells
-            .values()
-            .filter(|c| c.election.current().is_some() && !unsent.refused_by.contains(&c.name))
+        self.cells.values().filter(|c| {
+            c.election.current().is_some()
+                && !unsent.refused_by.contains(&c.name)
+                && !self.is_evacuated(c)
+        })
     }
 
     /// Whether a cell of the same data centre as `chosen`, which has not had the job, has room by its last
@@ -201,6 +204,17 @@
                 self.answer(id, JobOutcome::TimedOut);
                 return;
             }
+            let is_evacuated = matches!(
+                outcome,
+                JobOutcome::Refused {
+                    reason: RefusalReason::Evacuated,
+                    ..
+                }
+            );
+            if is_evacuated {
+                self.on_refused_by_evacuation(id, cell);
+                return;
+            }
             if is_overload && self.cells.len() > 1 && self.pending_jobs.try_other_cell(id) {
                 self.send_refused_job(id, outcome);
                 return;
@@ -213,7 +227,7 @@
     }
 
     /// Sends a job that a cell has refused to another one, or answers it if there is none.
-    fn send_refused_job(&mut self, id: JobId, refusal: JobOutcome) {
+    pub(super) fn send_refused_job(&mut self, id: JobId, refusal: JobOutcome) {
         self.send_unsent_jobs();
         if self.pending_jobs.is_unsent(id) {
             self.answer(id, refusal);
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod election;
+mod evacuation;
 mod jobs;
 mod records;
 mod tables;
@@ -18,6 +19,7 @@
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::config_transfer::{ConfigDownload, ConfigUploads};
+use geraniumrelay_core::leased::evacuation::Evacuations;
 use geraniumrelay_core::leased::{Command, Effect, EntryVm, FencingToken, JobId, Scheduler};
 use geraniumrelay_core::{Config, Context};
 use geraniumrelay_wire::leased::Beat;
@@ -100,6 +102,7 @@
     connections: Map<EntryVm, IncomingConnection>,
     /// The other entry VMs that are registered in the store.
     members: Arc<[EntryVm]>,
+    evacuations: Evacuations,
     /// The row of the configuration in force, for peers that the store does not serve.
     configuration: Rc<[u8]>,
     config_download: ConfigDownload,
@@ -134,6 +137,7 @@
             link_load: TotalLoad::default(),
             connections: Map::default(),
             members: Arc::default(),
+            evacuations: Evacuations::default(),
             configuration: Rc::default(),
             config_download: ConfigDownload::new(vm),
             config_uploads: ConfigUploads::default(),
@@ -247,6 +251,11 @@
         scheduler.map(Scheduler::token)
     }
 
+    /// Whether this VM knows all that a scheduler needs, and goes on running.
+    fn can_schedule(&self) -> bool {
+        !self.is_stopping && self.directory.can_schedule() && self.evacuations.is_known()
+    }
+
     fn cell_names(&self) -> Vec<CellName> {
         self.cells.keys().cloned().collect()
     }
@@ -312,9 +321,10 @@
         let cells = cells
             .map(|cell| cell.heartbeat(successor_of(&cell.name)))
             .collect();
+        let (evacuation_revision, evacuated) = self.evacuations_to_wire(Instant::now());
         let heartbeat = Beat {
             has_store: self.store_health.has_store(),
-            is_barred: self.is_stopping || !self.directory.can_schedule(),
+            is_barred: !self.can_schedule(),
             knows_departed: self.directory.knows_departed(Instant::now()),
             data_centre: self.components.data_centre.to_string(),
             cpu_tenths: self.components.cpu_tenths,
@@ -322,6 +332,8 @@
             cells,
             has_kept_jobs: self.store_health.has_durable_jobs(),
             lag_us: u32::try_from(self.lag.mean().as_micros()).unwrap_or(u32::MAX),
+            evacuation_revision,
+            evacuated,
         };
         let message = links::frame(Body::Beat(heartbeat));
         for link in self.links.values() {
@@ -407,6 +419,7 @@
         if heartbeat.has_kept_jobs {
             self.store_health.durable_job_seen();
         }
+        self.on_peer_evacuations(from, heartbeat);
         for name in self.cell_names() {
             let Some(cell) = self.cells.get_mut(&name) else {
                 continue;
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -39,6 +39,7 @@
                 for change in rows {
                     self.apply_configuration(change.clone(), None);
                 }
+                self.apply_evacuation_rows(is_snapshot, rows, revision);
             }
             Table::Workers => {
                 let changes = self
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -58,6 +58,7 @@
     state: IntGaugeVec,
     configuration: IntGauge,
     token: IntGauge,
+    evacuated: IntGauge,
     store_errors: IntCounterVec,
     store_reads: IntCounterVec,
     store_read_seconds: CounterVec,
@@ -158,6 +159,10 @@
                 "scheduler_token",
                 "Fencing token of the scheduler that is followed",
             )?,
+            evacuated: gauge(
+                "evacuated_data_centres",
+                "Data centres in which nothing more may start",
+            )?,
             store_errors: counters("store_errors_total", "Failed reads by table", "table")?,
             start_latency: histogram("start_seconds", "Time from an order to start to its reply")?,
             commit_latency: histogram("commit_seconds", "Time to store a change of a kept job")?,
@@ -189,6 +194,11 @@
         }
     }
 
+    pub(super) fn set_evacuated(&self, data_centres: usize) {
+        self.evacuated
+            .set(i64::try_from(data_centres).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn observe_commit(&self, took: Duration) {
         self.commit_latency.observe(took.as_secs_f64());
     }
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -35,6 +35,8 @@
     cell: Option<CellName>,
     /// Cells that have refused the job.
     refused_by: Vec<CellName>,
+    /// How many of these refused it because of an evacuation.
+    evacuated_cells: usize,
     /// Cell in which the job would have had to wait, and that left it to another cell.
     declined_by: Option<CellName>,
     /// Runs that were lost with their workers, as schedulers have told.
@@ -49,6 +51,16 @@
     was_sent: bool,
 }
 
+impl OpenJob {
+    /// Lets the job be sent to another cell. After a refusal no task has started, so another cell is safe.
+    fn forget_assignment(&mut self) {
+        self.had_alternative = false;
+        self.sent_to = None;
+        self.was_sent = false;
+        self.tokens.clear();
+    }
+}
+
 /// A job that must be sent to a scheduler.
 #[derive(Debug)]
 pub(super) struct UnsentJob {
@@ -105,6 +117,7 @@
             replies: vec![reply],
             cell: None,
             refused_by: Vec::new(),
+            evacuated_cells: 0,
             declined_by: None,
             losses: Vec::new(),
             had_alternative: false,
@@ -226,16 +239,24 @@
         };
         if job.had_alternative {
             job.declined_by = job.cell.take();
-        } else if job.refused_by.len() + 1 >= MAX_CELLS {
+        } else if job.refused_by.len() - job.evacuated_cells + 1 >= MAX_CELLS {
             return false;
         } else {
             job.refused_by.extend(job.cell.take());
         }
-        job.had_alternative = false;
-        job.sent_to = None;
-        // After a refusal no task has started, so another cell is safe.
-        job.was_sent = false;
-        job.tokens.clear();
+        job.forget_assignment();
+        true
+    }
+
+    /// Records that the job's cell is evacuated; `true` where the job is pending. Such a refusal says nothing of the
+    /// load, so it does not count towards the cells that a job is offered to.
+    pub(super) fn leave_evacuated_cell(&mut self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        job.evacuated_cells += 1;
+        job.refused_by.extend(job.cell.take());
+        job.forget_assignment();
         true
     }
 
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -207,6 +207,7 @@
 async fn start_scheduler_with(boot_clock: fn() -> Duration) -> InputTx {
     let tx = start_event_loop_with(start_store(Rc::default()).await, boot_clock);
     send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+    send_rows(&tx, Table::Configuration, Vec::new()).await;
     send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
     let has_begun = async {
         while takeovers(&tx) == 0 {
@@ -224,6 +225,7 @@
         let reads = Rc::new(Cell::new(0));
         let tx = start_event_loop(start_store(Rc::clone(&reads)).await);
         send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+        send_rows(&tx, Table::Configuration, Vec::new()).await;
         send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
         let has_begun = async {
             while reads.get() < 2 {
