--- a/crates/geraniumrelay-core/src/leased/evacuation.rs
+++ b/crates/geraniumrelay-core/src/leased/evacuation.rs
@@ -114,7 +114,9 @@
             return Vec::new();
         }
         let since = |age| cx.now.checked_sub(age).unwrap_or(cx.now);
-        let set = ages.iter().map(|(name, age)| (name.clone(), since(*age)));
+        let set = ages
+            .iter()
+            .map(|(name, age)| (Arc::clone(name), since(*age)));
         self.replace(cx, set.collect(), revision)
     }
 
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -19,6 +19,7 @@
 };
 use tokio::task::spawn_local;
 
+use super::decision_metrics::DecisionMetrics;
 use super::server;
 
 /// Port of the metrics endpoint; the same as in `deploy/system.toml`.
@@ -58,7 +59,7 @@
     state: IntGaugeVec,
     configuration: IntGauge,
     token: IntGauge,
-    evacuated: IntGauge,
+    decisions: DecisionMetrics,
     store_errors: IntCounterVec,
     store_reads: IntCounterVec,
     store_read_seconds: CounterVec,
@@ -159,10 +160,7 @@
                 "scheduler_token",
                 "Fencing token of the scheduler that is followed",
             )?,
-            evacuated: gauge(
-                "evacuated_data_centres",
-                "Data centres in which nothing more may start",
-            )?,
+            decisions: DecisionMetrics::new(&registry)?,
             store_errors: counters("store_errors_total", "Failed reads by table", "table")?,
             start_latency: histogram("start_seconds", "Time from an order to start to its reply")?,
             commit_latency: histogram("commit_seconds", "Time to store a change of a kept job")?,
@@ -195,8 +193,7 @@
     }
 
     pub(super) fn set_evacuated(&self, data_centres: usize) {
-        self.evacuated
-            .set(i64::try_from(data_centres).unwrap_or(i64::MAX));
+        self.decisions.set_evacuated(data_centres);
     }
 
     pub(super) fn observe_commit(&self, took: Duration) {
@@ -219,6 +216,7 @@
 
     /// Counts the events of a scheduler that tell how runs have ended.
     pub(super) fn count_event(&self, event: &LogEvent) {
+        self.decisions.count_event(event);
         match event {
             LogEvent::RunEnded { kind, evidence, .. } => {
                 let labels = [kind.to_string(), evidence.to_string()];
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -9,6 +9,7 @@
 mod cell;
 mod convert;
 mod decision_log;
+mod decision_metrics;
 mod directory;
 mod durable_jobs;
 mod event_loop;
