fix(leased): an entry VM that an evacuation leaves without workers reports not ready

Change: after 0.3 s without an open cell whose workers answer, a VM reports not ready and closes connections after their responses, so that callers connect to another data centre. Nothing changes without an evacuation.

--- a/crates/geraniumrelay/src/leased/event_loop/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/evacuation.rs
@@ -21,6 +21,10 @@
 /// Number of seconds over which the callers' returns are spread.
 const RETRY_SPREAD_S: u64 = 5;
 
+/// Time without an open cell after which this VM reports that it is not ready; longer than the first polls of a
+/// new scheduler.
+const NO_OPEN_CELL_TIMEOUT: Duration = Duration::from_millis(300);
+
 impl EventLoop {
     /// Applies rows of the operators' table: all of them, or those changed up to `revision`.
     pub(super) fn apply_evacuation_rows(
@@ -98,6 +102,24 @@
         data_centre.is_some_and(|name| self.evacuations.contains(name))
     }
 
+    /// Whether an evacuation has left no cell with workers in reach for some time. Load pattern: a data centre is cut off
+    /// while it is evacuated, so that its callers can only be served through entry VMs elsewhere.
+    pub(super) fn has_no_open_cell(&mut self, now: Instant) -> bool {
+        let is_open = |cell: &Cell| {
+            let has_workers = cell.load_percent != u32::MAX;
+            cell.election.current().is_some() && has_workers && !self.is_evacuated(cell)
+        };
+        // Where all data centres are evacuated, callers get their refusals here.
+        let is_all_evacuated = self.cells.values().all(|cell| self.is_evacuated(cell));
+        let has_evacuations = !self.evacuations.evacuated().is_empty();
+        if !has_evacuations || is_all_evacuated || self.cells.values().any(is_open) {
+            self.no_open_cell_since = None;
+            return false;
+        }
+        let since = *self.no_open_cell_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= NO_OPEN_CELL_TIMEOUT
+    }
+
     /// Refuses a job that no scheduler has, if all cells are evacuated.
     pub(super) fn refuse_evacuated(&mut self, id: JobId) {
         let is_shut_out = self.cells.values().all(|cell| self.is_evacuated(cell));
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -114,6 +114,8 @@
     next_heartbeat: Instant,
     next_plan: Instant,
     no_scheduler_since: Instant,
+    /// Since when an evacuation leaves no cell with workers in reach.
+    no_open_cell_since: Option<Instant>,
     lag: Lag,
     pause: PauseDetector,
     is_stopping: bool,
@@ -147,6 +149,7 @@
             next_heartbeat: now,
             next_plan: now,
             no_scheduler_since: now,
+            no_open_cell_since: None,
             lag: Lag::default(),
             pause,
             is_stopping: false,
@@ -308,9 +311,13 @@
             (false, "no configuration")
         } else if without_scheduler >= NO_SCHEDULER_TIMEOUT {
             (false, "no scheduler")
+        } else if self.has_no_open_cell(now) {
+            (false, "evacuated, and no other data centre in reach")
         } else {
             (true, "configuration and scheduler are known")
         };
+        let is_shut_out = !can_serve && self.no_open_cell_since.is_some();
+        self.components.readiness.set_shut_out(is_shut_out);
         self.components.readiness.set(can_serve, reason);
     }
 
--- a/crates/geraniumrelay/src/leased/readiness.rs
+++ b/crates/geraniumrelay/src/leased/readiness.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Readiness {
     can_serve: Cell<bool>,
+    /// Whether callers should leave, as another data centre's entry VMs can serve them.
+    is_shut_out: Cell<bool>,
     /// When a stopping process ends at the latest; `None` if it is not stopping.
     ends_at: Cell<Option<Instant>>,
 }
@@ -35,6 +37,16 @@
         }
     }
 
+    /// Sets whether callers should connect to the entry VMs of another data centre.
+    pub(super) fn set_shut_out(&self, is_shut_out: bool) {
+        self.is_shut_out.set(is_shut_out);
+    }
+
+    /// Whether connections are closed after the next response, so that callers connect elsewhere.
+    pub(super) fn closes_connections(&self) -> bool {
+        self.is_stopping() || self.is_shut_out.get()
+    }
+
     /// Makes this VM unready for good: the process stops, and ends at `ends_at` at the latest.
     pub(super) fn stop(&self, ends_at: Instant) {
         self.ends_at.set(Some(ends_at));
--- a/crates/geraniumrelay/src/leased/request_handler.rs
+++ b/crates/geraniumrelay/src/leased/request_handler.rs
@@ -85,10 +85,10 @@
         }
     }
 
-    /// Handles one request; closes the connection after the response if this VM is stopping.
+    /// Handles one request; closes the connection after the response if the caller should connect to another VM.
     pub(super) async fn serve(&self, req: Request<Incoming>) -> Result<HttpResponse, Infallible> {
         let mut res = self.route(req).await;
-        if self.readiness.is_stopping() {
+        if self.readiness.closes_connections() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
