test(leased): evacuation of data centres

Cause: the evacuation had no tests of its own, and the simulated cell had one data centre. Change: workers of the simulation can be in several data centres, and a new scheduler gets the known set first.

--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -7,6 +7,7 @@
 mod deadly_tasks;
 mod durable;
 mod election;
+mod evacuation;
 mod faults;
 mod goodput;
 mod jobs;
--- a/crates/geraniumrelay-core/tests/leased/world/calls.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/calls.rs
@@ -178,6 +178,7 @@
             self.schedule_crash(worker, task);
             *self.start_counts.entry(task).or_insert(0) += 1;
             self.start_times.push((task, self.now));
+            self.start_places.push((worker, self.now));
             let former = self.former_instances.iter().filter(|f| f.is_up);
             let others = self.workers.iter().chain(former.map(|f| &f.instance));
             let others = others.flat_map(FakeWorker::running);
--- a/crates/geraniumrelay-core/tests/leased/world/instances.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/instances.rs
@@ -15,7 +15,7 @@
             name: worker_name(worker),
             service: "service".into(),
             address: self.address(worker),
-            data_centre: "a".into(),
+            data_centre: self.data_centre(worker).into(),
             state: WorkerState::Ready,
             capacity: self.workers[worker].capacity,
             labels: vec![Arc::from("a"), Arc::from("r-1")],
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod checks;
 mod crashes;
+mod evacuation;
 mod instances;
 mod job;
 mod store;
@@ -13,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::evacuation::EvacuatedSince;
 use geraniumrelay_core::leased::{
     Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LostRun, PollCall,
     RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName, WorkerEntry, WorkerName,
@@ -163,6 +165,10 @@
     restarts: BTreeMap<usize, u64>,
     /// Ports of the workers that have moved to another address.
     ports: BTreeMap<usize, u16>,
+    /// Data centres of the workers that are not in `a`, where the schedulers run.
+    data_centres: BTreeMap<usize, &'static str>,
+    /// Evacuated data centres, as each new scheduler learns them.
+    evacuated: EvacuatedSince,
     pub(crate) hosts: Vec<Host>,
     pub(crate) jobs: BTreeMap<JobId, TestJob>,
     /// First outcome of each job, and its time.
@@ -175,6 +181,8 @@
     pub(crate) refused_starts: u32,
     /// Task and time of each accepted start.
     pub(crate) start_times: Vec<(TaskName, Instant)>,
+    /// Worker and time of each accepted start.
+    start_places: Vec<(usize, Instant)>,
     /// Starts, stops and takeovers, for the message of a failed assertion.
     pub(crate) trace: Vec<String>,
     /// Stored records of durable jobs, and their versions.
@@ -245,6 +253,8 @@
             former_instances: Vec::new(),
             restarts: BTreeMap::new(),
             ports: BTreeMap::new(),
+            data_centres: BTreeMap::new(),
+            evacuated: EvacuatedSince::new(),
             hosts: Vec::new(),
             jobs: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -252,6 +262,7 @@
             concurrent_runs: Vec::new(),
             refused_starts: 0,
             start_times: Vec::new(),
+            start_places: Vec::new(),
             trace: Vec::new(),
             records: BTreeMap::new(),
             epoch: (FencingToken::default(), 0),
@@ -325,6 +336,8 @@
             is_deposed: false,
             token,
         });
+        let evacuated = self.evacuated.clone();
+        self.handle_command(host, Command::Evacuated(evacuated));
         let former = self.former_instances.iter().filter(|f| f.is_up);
         let departed: Vec<_> = former.map(|f| f.entry.clone()).collect();
         for entry in departed {
--- /dev/null
+++ b/crates/geraniumrelay/src/leased/tests/evacuation.rs
@@ -0,0 +1,359 @@
+//! Evacuations at an entry VM: where jobs go, what is refused, and how the set is learnt.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use geraniumrelay_adapter::{Change, Table};
+use geraniumrelay_core::leased::{JobOutcome, JobSpec, RefusalReason};
+use geraniumrelay_wire::leased::answer::Outcome;
+use geraniumrelay_wire::leased::peer_message::Body;
+use geraniumrelay_wire::leased::{Answer, Beat, CellBeat, Evacuation};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot::{self, Receiver};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use super::directory::worker;
+use super::event_loop::{
+    FORMER, OWN, PEER, READS_TIMEOUT, entry_vm, from_peer, send_rows, start_event_loop,
+    start_store, takeovers,
+};
+use super::{MS, block_on, spec};
+use crate::leased::input::{Input, InputTx};
+
+/// Fencing token of the peer, which schedules the cells of these tests; above that of any other VM.
+const TOKEN: u64 = 1 << 52;
+
+/// Time within which a refusal counts as immediate: a few passes of the event loop.
+const AT_ONCE: Duration = Duration::from_millis(200);
+
+async fn start() -> InputTx {
+    start_event_loop(start_store(Rc::default()).await)
+}
+
+fn plan(text: &str) -> Change {
+    Change {
+        key: "cells".to_owned(),
+        value: Some(text.into()),
+        version: 1,
+    }
+}
+
+async fn send_evacuation_rows(tx: &InputTx, revision: u64, zones: &[(&str, bool)]) {
+    let row = |&(zone, is_requested): &(&str, bool)| Change {
+        key: format!("evacuate/{zone}"),
+        value: is_requested.then(Vec::new),
+        version: revision,
+    };
+    tx.send(Input::Rows {
+        table: Table::Configuration,
+        is_snapshot: false,
+        rows: zones.iter().map(row).collect(),
+        revision,
+    })
+    .await;
+}
+
+/// A job that fits the worker of the tests.
+fn small_job(id: u64) -> JobSpec {
+    let mut spec = JobSpec {
+        service: "s".into(),
+        is_durable: false,
+        ..spec(id)
+    };
+    spec.steps[0].required_label = None;
+    spec.steps[0].size.memory_mb = 0;
+    spec
+}
+
+async fn submit(tx: &InputTx, id: u64) -> Receiver<JobOutcome> {
+    let (reply, answer) = oneshot::channel();
+    let job = Input::Job {
+        spec: small_job(id),
+        max_wait: Duration::from_millis(1_500),
+        reply,
+    };
+    tx.send(job).await;
+    answer
+}
+
+/// The outcome of a job that must be answered at once.
+async fn answered_at_once(answer: Receiver<JobOutcome>) -> JobOutcome {
+    timeout(AT_ONCE, answer).await.expect("no answer").unwrap()
+}
+
+fn evacuated_data_centres(tx: &InputTx) -> u64 {
+    let text = String::from_utf8(tx.metrics().encode()).unwrap();
+    let mut lines = text.lines();
+    let count = lines.find_map(|l| l.strip_prefix("evacuated_data_centres "));
+    count.unwrap().parse().unwrap()
+}
+
+/// A peer that schedules all cells of a plan, and reports these loads.
+struct Peer {
+    heartbeat: Rc<RefCell<Beat>>,
+}
+
+impl Peer {
+    fn start(tx: &InputTx, cells: &[(&str, u32)]) -> Self {
+        let cell = |&(cell, load_percent): &(&str, u32)| CellBeat {
+            cell: cell.to_owned(),
+            token: TOKEN,
+            follows: TOKEN,
+            load_percent,
+            ..CellBeat::default()
+        };
+        let heartbeat = Rc::new(RefCell::new(Beat {
+            has_store: true,
+            knows_departed: true,
+            data_centre: "z".to_owned(),
+            cpu_tenths: 10,
+            cells: cells.iter().map(cell).collect(),
+            ..Beat::default()
+        }));
+        let (sent, tx) = (Rc::clone(&heartbeat), tx.clone());
+        spawn_local(async move {
+            loop {
+                let body = Body::Beat(sent.borrow().clone());
+                tx.send(from_peer(FORMER, body)).await;
+                sleep(25 * MS).await;
+            }
+        });
+        Self { heartbeat }
+    }
+
+    /// Lets the heartbeats tell of these evacuations, as of a revision.
+    fn tell(&self, revision: u64, zones: &[&str]) {
+        let evacuation = |zone: &&str| Evacuation {
+            data_centre: (*zone).to_owned(),
+            age_ms: 2_000,
+        };
+        let mut heartbeat = self.heartbeat.borrow_mut();
+        heartbeat.evacuation_revision = revision;
+        heartbeat.evacuated = zones.iter().map(evacuation).collect();
+    }
+}
+
+/// Accepts the links to the peer, and reads what is sent to it.
+async fn accept_links() -> SocketAddr {
+    let listener = TcpListener::bind((PEER.0, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            spawn_local(async move { tokio::io::copy(&mut stream, &mut tokio::io::sink()).await });
+        }
+    });
+    address
+}
+
+/// Answer of the scheduler of a cell that refuses a job.
+async fn refuse(tx: &InputTx, id: u64, cell: &str, reason: RefusalReason) {
+    let answer = Answer {
+        id,
+        outcome: Outcome::Refused.into(),
+        reason: reason.to_string(),
+        retry_after_ms: 1_000,
+        token: TOKEN,
+        cell: cell.to_owned(),
+    };
+    tx.send(from_peer(FORMER, Body::Answer(answer))).await;
+}
+
+/// Starts an event loop in the data centre `z` that follows the peer in all cells of a plan.
+async fn start_follower(plan_text: &str, cells: &[(&str, u32)]) -> (InputTx, Peer) {
+    let tx = start().await;
+    let peer_entry = Change {
+        value: Some(accept_links().await.to_string().into_bytes()),
+        ..entry_vm(PEER)
+    };
+    let rows = vec![entry_vm(OWN), peer_entry, plan(plan_text)];
+    send_rows(&tx, Table::EntryVms, rows).await;
+    send_rows(&tx, Table::Configuration, Vec::new()).await;
+    let peer = Peer::start(&tx, cells);
+    sleep(100 * MS).await;
+    (tx, peer)
+}
+
+/// Callers that all return after the same delay would come as a burst.
+#[test]
+fn with_all_cells_evacuated_jobs_are_refused_at_once_with_spread_retry_delays() {
+    block_on(async {
+        let (tx, _peer) = start_follower("y 1\nz 1\n", &[("y/0", 0), ("z/0", 0)]).await;
+        send_evacuation_rows(&tx, 2, &[("y", true), ("z", true)]).await;
+        let mut delays = std::collections::BTreeSet::new();
+        for id in 1..=40 {
+            let outcome = answered_at_once(submit(&tx, id).await).await;
+            let JobOutcome::Refused {
+                reason: RefusalReason::Evacuated,
+                retry_after,
+            } = outcome
+            else {
+                panic!("{outcome:?}");
+            };
+            assert!((5..=10).contains(&retry_after.as_secs()), "{retry_after:?}");
+            delays.insert(retry_after);
+        }
+        assert!(delays.len() >= 4, "{delays:?}");
+        send_evacuation_rows(&tx, 3, &[("y", false)]).await;
+        let waiting = timeout(AT_ONCE, submit(&tx, 41).await).await;
+        assert!(waiting.is_err(), "a cell is open again: {waiting:?}");
+    });
+}
+
+/// In a deployment with one cell, only its scheduler can tell whether a job fits elsewhere.
+#[test]
+fn the_scheduler_of_a_single_cell_refuses_jobs_for_evacuated_workers() {
+    block_on(async {
+        let tx = start().await;
+        send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN)]).await;
+        send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
+        send_rows(&tx, Table::Configuration, Vec::new()).await;
+        let has_begun = async {
+            while takeovers(&tx) == 0 {
+                sleep(10 * MS).await;
+            }
+        };
+        timeout(READS_TIMEOUT, has_begun).await.unwrap();
+        send_evacuation_rows(&tx, 2, &[("z", true)]).await;
+        let outcome = answered_at_once(submit(&tx, 7).await).await;
+        assert_matches!(
+            outcome,
+            JobOutcome::Refused { reason: RefusalReason::Evacuated, retry_after }
+                if (5..=10).contains(&retry_after.as_secs())
+        );
+        assert_eq!(evacuated_data_centres(&tx), 1);
+        send_evacuation_rows(&tx, 3, &[("z", false)]).await;
+        let again = timeout(AT_ONCE, submit(&tx, 7).await).await;
+        assert!(
+            !matches!(
+                again,
+                Ok(Ok(JobOutcome::Refused {
+                    reason: RefusalReason::Evacuated,
+                    ..
+                }))
+            ),
+            "withdrawn: {again:?}"
+        );
+        assert_eq!(evacuated_data_centres(&tx), 0);
+    });
+}
+
+/// Such a VM would start tasks in a data centre that its peers leave alone.
+#[test]
+fn a_vm_that_knows_no_set_does_not_become_a_scheduler() {
+    block_on(async {
+        let tx = start().await;
+        send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+        send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
+        sleep(2_500 * MS).await;
+        assert_eq!(takeovers(&tx), 0);
+        let heartbeat = Beat {
+            is_barred: true,
+            evacuation_revision: 9,
+            evacuated: vec![Evacuation {
+                data_centre: "z".to_owned(),
+                age_ms: 5_000,
+            }],
+            ..Beat::default()
+        };
+        tx.send(from_peer(FORMER, Body::Beat(heartbeat))).await;
+        let has_begun = async {
+            while takeovers(&tx) == 0 {
+                sleep(10 * MS).await;
+            }
+        };
+        timeout(READS_TIMEOUT, has_begun).await.unwrap();
+        let outcome = answered_at_once(submit(&tx, 1).await).await;
+        assert_matches!(
+            outcome,
+            JobOutcome::Refused {
+                reason: RefusalReason::Evacuated,
+                ..
+            },
+            "the new scheduler has the set of the peer"
+        );
+    });
+}
+
+/// The VM reads nothing from the store meanwhile, and older news must not undo newer ones.
+#[test]
+fn a_vm_without_the_store_learns_begin_and_end_from_heartbeats() {
+    block_on(async {
+        let (tx, peer) = start_follower("y 1\nz 1\n", &[("y/0", 0), ("z/0", 0)]).await;
+        peer.tell(5, &["y", "z"]);
+        sleep(100 * MS).await;
+        assert_eq!(evacuated_data_centres(&tx), 2);
+        assert_matches!(
+            answered_at_once(submit(&tx, 1).await).await,
+            JobOutcome::Refused {
+                reason: RefusalReason::Evacuated,
+                ..
+            }
+        );
+        peer.tell(6, &[]);
+        sleep(100 * MS).await;
+        assert_eq!(evacuated_data_centres(&tx), 0);
+        peer.tell(5, &["y", "z"]);
+        send_evacuation_rows(&tx, 4, &[("y", true)]).await;
+        sleep(100 * MS).await;
+        assert_eq!(evacuated_data_centres(&tx), 0, "older news");
+        let waiting = timeout(AT_ONCE, submit(&tx, 2).await).await;
+        assert!(waiting.is_err(), "{waiting:?}");
+    });
+}
+
+/// A job in the evacuated data centre of its entry VM goes to another one, and is not refused.
+#[test]
+fn a_job_that_an_evacuated_cell_refuses_is_sent_to_another_data_centre() {
+    block_on(async {
+        let (tx, _peer) = start_follower("y 1\nz 1\n", &[("y/0", 50), ("z/0", 0)]).await;
+        // The scheduler of the cell knows of the evacuation before this VM does.
+        let answer = submit(&tx, 1).await;
+        refuse(&tx, 1, "z/0", RefusalReason::Evacuated).await;
+        refuse(&tx, 1, "y/0", RefusalReason::TooLong).await;
+        assert_matches!(
+            answered_at_once(answer).await,
+            JobOutcome::Refused {
+                reason: RefusalReason::TooLong,
+                ..
+            },
+            "the answer of the other data centre"
+        );
+        send_evacuation_rows(&tx, 2, &[("z", true)]).await;
+        let answer = submit(&tx, 2).await;
+        refuse(&tx, 2, "z/0", RefusalReason::Overload).await;
+        refuse(&tx, 2, "y/0", RefusalReason::TooLong).await;
+        assert_matches!(
+            answered_at_once(answer).await,
+            JobOutcome::Refused {
+                reason: RefusalReason::TooLong,
+                ..
+            }
+        );
+    });
+}
+
+/// Refusals by evacuated cells do not use up the offers of a job, and each cell gets it once.
+#[test]
+fn a_job_visits_each_evacuated_cell_once_and_is_then_refused() {
+    block_on(async {
+        let cells = [("x/0", 0), ("y/0", 0), ("z/0", 0)];
+        let (tx, _peer) = start_follower("x 1\ny 1\nz 1\n", &cells).await;
+        let mut answer = submit(&tx, 1).await;
+        refuse(&tx, 1, "z/0", RefusalReason::Evacuated).await;
+        sleep(50 * MS).await;
+        assert!(answer.try_recv().is_err(), "two cells are left");
+        // The second refusal by `x/0` counts only if the job went to `y/0` first.
+        for cell in ["x/0", "y/0", "x/0"] {
+            refuse(&tx, 1, cell, RefusalReason::Evacuated).await;
+        }
+        assert_matches!(
+            answered_at_once(answer).await,
+            JobOutcome::Refused { reason: RefusalReason::Evacuated, retry_after }
+                if (5..=10).contains(&retry_after.as_secs())
+        );
+    });
+}
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -4,6 +4,7 @@
 mod call_retry;
 mod convert;
 mod directory;
+mod evacuation;
 mod event_loop;
 mod links;
 mod metrics;
