fix(core/leased): no overflow for a cell without capacity

Cause: a scheduler without a usable worker reports u32::MAX as its load, which every scheduler of an evacuated data centre now does. `choose` adds the margin of other data centres to it: a debug build panics, a release build wraps to 24 % and sends jobs of a full data centre there. Change: the addition saturates. Result: the new test panicked before; the tests of the evacuation and of the choice of cells pass.

--- a/crates/geraniumrelay-core/src/leased/cells.rs
+++ b/crates/geraniumrelay-core/src/leased/cells.rs
@@ -145,7 +145,7 @@
     let least_remote = remote.clone().map(|c| c.load).min();
     let goes_elsewhere = match (least_local, least_remote) {
         (Some(local), Some(remote)) => {
-            local >= FULL_LOAD_PERCENT && remote + REMOTE_MARGIN_PERCENT <= local
+            local >= FULL_LOAD_PERCENT && remote.saturating_add(REMOTE_MARGIN_PERCENT) <= local
         }
         (local, _) => local.is_none(),
     };
--- a/crates/geraniumrelay-core/tests/leased/evacuation.rs
+++ b/crates/geraniumrelay-core/tests/leased/evacuation.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use geraniumrelay_core::leased::cells::{Candidate, CellName, choose};
 use geraniumrelay_core::leased::evacuation::{EvacuationChange, EvacuationRow, Evacuations};
 use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RefusalReason, WorkerState};
 use geraniumrelay_core::{Config, Context};
@@ -480,3 +481,17 @@
     sim.run_for(50 * MS);
     assert_eq!(sim.workers[1].running().count(), 2, "it is warm again");
 }
+
+/// A cell in an evacuated data centre reports no capacity, the highest possible load. Adding the margin to it overflowed.
+#[test]
+fn a_cell_without_capacity_is_not_chosen_for_jobs_of_a_full_data_centre() {
+    let candidate = |name: &str, load| Candidate {
+        name: CellName(name.into()),
+        load,
+    };
+    let candidates = [candidate("a/0", 130), candidate("b/0", u32::MAX)];
+    for id in 0..100 {
+        let chosen = choose(JobId(id), "a", &candidates);
+        assert_eq!(chosen, Some(CellName("a/0".into())), "job {id}");
+    }
+}
