fix(core/leased): an evacuation ends only jobs that it shuts out

Cause: while any evacuation was past its grace, each tick ended every waiting job with a task that fits no listed worker, also where no evacuated worker could run the task. A job that waited for a worker whose entry was away for 100 ms was refused as evacuated, or timed out if it had started. Change: a task counts as shut out if at least one worker could run it, and all of these are closed. Result: the new test failed for an evacuation of the other data centre, and passed without one; the leased tests pass.

--- a/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
@@ -55,15 +55,15 @@
             return;
         }
         let is_closed = |job: &Job| {
-            let is_placeable = |p| {
-                self.workers.values().any(|w| {
-                    !w.is_closed_by_evacuation(cx.now, grace)
-                        && placement::could_run(w, job, p, &self.bulkheads)
-                })
+            // A task that fits no worker at all waits for one to be listed, as without an evacuation.
+            let is_shut_out = |p| {
+                let could_run = |w: &&Worker| placement::could_run(w, job, p, &self.bulkheads);
+                let mut able = self.workers.values().filter(could_run).peekable();
+                able.peek().is_some() && able.all(|w| w.is_closed_by_evacuation(cx.now, grace))
             };
             // Runs of an earlier scheduler may still be found.
             let is_held = job.earlier_runs_until.is_some_and(|until| cx.now < until);
-            job.record_sync.is_none() && !is_held && !job.ready.iter().copied().all(is_placeable)
+            job.record_sync.is_none() && !is_held && job.ready.iter().copied().any(is_shut_out)
         };
         let waiting = self.waiting.iter().map(|&(_, key)| key);
         let closed: Vec<JobKey> = waiting.filter(|&k| is_closed(&self.jobs[k])).collect();
--- a/crates/geraniumrelay-core/tests/leased/evacuation.rs
+++ b/crates/geraniumrelay-core/tests/leased/evacuation.rs
@@ -10,7 +10,7 @@
 use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RefusalReason, WorkerState};
 use geraniumrelay_core::{Config, Context};
 
-use crate::world::{Simulation, TestJob};
+use crate::world::{Simulation, TestJob, worker_name};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -412,6 +412,31 @@
     assert_eq!(sim.starts_in("b", reopened), 0);
 }
 
+/// An evacuation elsewhere ended every job that had to wait because its worker was not listed for a moment.
+#[test]
+fn a_job_that_waits_for_a_worker_is_not_ended_by_an_evacuation_elsewhere() {
+    for evacuated in [&[][..], &["b"]] {
+        let mut sim = Simulation::with_data_centres(2, 1, &["a", "b"]);
+        sim.evacuate(evacuated);
+        sim.run_for(2 * Duration::from_secs(1));
+        let mut entry = sim.worker_entry(0);
+        entry.labels.push("only-in-a".into());
+        sim.handle_command(0, Command::WorkerSeen(entry.clone()));
+        for id in 1..=2 {
+            let mut job = TestJob::new(id, 2, 200 * MS).with_slack();
+            job.spec.steps[0].required_label = Some("only-in-a".into());
+            sim.submit(0, Duration::from_millis(id), job);
+        }
+        sim.run_for(50 * MS);
+        sim.handle_command(0, Command::WorkerGone(worker_name(0)));
+        sim.run_for(100 * MS);
+        sim.handle_command(0, Command::WorkerSeen(entry));
+        sim.run_for(2 * Duration::from_secs(1));
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Completed), "{evacuated:?}");
+        assert_eq!(sim.outcome(2), Some(JobOutcome::Completed), "{evacuated:?}");
+    }
+}
+
 /// Durable jobs may wait for long, and are not lost with the evacuation.
 #[test]
 fn a_durable_job_waits_for_the_end_of_the_evacuation() {
