fix(leased): a job left to a neighbour cell leaves an evacuated data centre

Cause: a job that one cell has left to its neighbour is tied to their data centre. When both were evacuated, it was refused as evacuated, or as overloaded, while the cells of other data centres were free. Change: the tie ends with a refusal because of an evacuation, and counts for nothing while the entry VM knows the data centre to be evacuated.

--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -76,13 +76,17 @@
     }
 
     /// Chooses among the cells that have a scheduler and have not refused the job; the cell that has left
-    /// it to another one comes last.
+    /// it to another one comes last. A job is not tied to that cell's data centre while it is evacuated.
     pub(super) fn choose_cell(&self, unsent: &UnsentJob) -> Option<CellName> {
         let is_open = |c: &&Cell| unsent.declined_by.as_ref() != Some(&c.name);
         let open = self.candidates(unsent).filter(is_open).map(candidate);
         let open: Vec<Candidate> = open.collect();
         let chosen = cells::choose(unsent.id, &self.components.data_centre, &open);
-        let Some(declined) = &unsent.declined_by else {
+        let is_evacuated = |c: &&CellName| {
+            c.data_centre()
+                .is_some_and(|n| self.evacuations.contains(n))
+        };
+        let Some(declined) = unsent.declined_by.as_ref().filter(|c| !is_evacuated(c)) else {
             return chosen;
         };
         // A cell elsewhere is chosen only if those of this data centre are full.
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -256,6 +256,8 @@
         };
         job.evacuated_cells += 1;
         job.refused_by.extend(job.cell.take());
+        // The cell that left the job to this one is in the same data centre, to which the job is not tied any more.
+        job.declined_by = None;
         job.forget_assignment();
         true
     }
--- a/crates/geraniumrelay/src/leased/tests/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/tests/evacuation.rs
@@ -7,7 +7,8 @@
 
 use assert_matches::assert_matches;
 use geraniumrelay_adapter::{Change, Table};
-use geraniumrelay_core::leased::{JobOutcome, JobSpec, RefusalReason};
+use geraniumrelay_core::leased::cells::{Candidate, CellName, choose};
+use geraniumrelay_core::leased::{JobId, JobOutcome, JobSpec, RefusalReason};
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::peer_message::Body;
 use geraniumrelay_wire::leased::{Answer, Beat, CellBeat, Evacuation};
@@ -357,3 +358,66 @@
         );
     });
 }
+
+/// An id of which the job goes to `z/0` first while both cells of `z` are idle.
+fn id_for_first_cell() -> u64 {
+    let candidate = |name: &str| Candidate {
+        name: CellName(name.into()),
+        load: 0,
+    };
+    let idle = [candidate("z/0"), candidate("z/1")];
+    let goes_first = |&id: &u64| choose(JobId(id), "z", &idle) == Some(CellName("z/0".into()));
+    (1..100).find(goes_first).unwrap()
+}
+
+/// A job that one cell had left to its neighbour was refused when both were evacuated, as it was tied to its data
+/// centre, while all cells of another one were free.
+#[test]
+fn a_job_left_to_a_neighbour_cell_leaves_the_data_centre_that_is_evacuated_then() {
+    for is_known_here in [false, true] {
+        block_on(async {
+            let cells = [("y/0", 0), ("z/0", 0), ("z/1", 0)];
+            let (tx, _peer) = start_follower("y 1\nz 2\n", &cells).await;
+            let id = id_for_first_cell();
+            let mut answer = submit(&tx, id).await;
+            refuse(&tx, id, "z/0", RefusalReason::Overload).await;
+            if is_known_here {
+                send_evacuation_rows(&tx, 2, &[("z", true)]).await;
+            }
+            refuse(&tx, id, "z/1", RefusalReason::Evacuated).await;
+            refuse(&tx, id, "z/0", RefusalReason::Evacuated).await;
+            sleep(50 * MS).await;
+            assert!(answer.try_recv().is_err(), "another data centre is open");
+            refuse(&tx, id, "y/0", RefusalReason::TooLong).await;
+            assert_matches!(
+                answered_at_once(answer).await,
+                JobOutcome::Refused {
+                    reason: RefusalReason::TooLong,
+                    ..
+                }
+            );
+        });
+    }
+}
+
+/// A job that waits for its neighbour cell's answer must not be refused as overloaded when its own data centre is
+/// evacuated meanwhile.
+#[test]
+fn a_job_left_to_a_neighbour_cell_goes_elsewhere_when_its_data_centre_is_evacuated() {
+    block_on(async {
+        let cells = [("y/0", 0), ("z/0", 0), ("z/1", 0)];
+        let (tx, _peer) = start_follower("y 1\nz 2\n", &cells).await;
+        let id = id_for_first_cell();
+        let answer = submit(&tx, id).await;
+        send_evacuation_rows(&tx, 2, &[("z", true)]).await;
+        refuse(&tx, id, "z/0", RefusalReason::Overload).await;
+        refuse(&tx, id, "y/0", RefusalReason::TooLong).await;
+        assert_matches!(
+            answered_at_once(answer).await,
+            JobOutcome::Refused {
+                reason: RefusalReason::TooLong,
+                ..
+            }
+        );
+    });
+}
