feat(leased): speed factors of workers

Cause: with a third of the workers at 1.7 times the nominal run time and the others at 0.7 times, runs on the slow kind counted as on faulty workers and were stopped, and long jobs were late while fast workers were free. Change: speed::Speeds compares the runs of a job with each other when the job ends, or a lone run with the estimate of its queue. Labels give the prior of their workers; factors are centred and stay 1 until they are certain to differ by more than 10 %. RunTimes::factor uses them. Placement prefers fast workers, near full load slow ones for tasks with slack, and waits for a worker that frees up in time rather than to start where the objective is missed. A run is stopped only if it ends sooner on a worker that has room now and in time for the objective; if its caller would not wait for it where it is, in time for the caller. Load and admission divide capacity by the factor. Log events tell when factors of labels or of outlying workers become or cease to be certain.

--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -13,6 +13,7 @@
 pub mod retry;
 pub mod shares;
 pub mod sheet;
+pub mod speed;
 
 use admission::AdmissionConfig;
 use claim_table::ClaimTableConfig;
@@ -27,6 +28,7 @@
 use retry::RetryConfig;
 use shares::SharesConfig;
 use sheet::SheetConfig;
+use speed::SpeedConfig;
 
 /// Settings of all modules.
 #[derive(Debug, Clone, Default)]
@@ -57,4 +59,6 @@
     pub shares: SharesConfig,
     /// Distribution of sheets between entry VMs.
     pub sheet: SheetConfig,
+    /// Learnt speed factors of workers.
+    pub speed: SpeedConfig,
 }
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -9,6 +9,7 @@
 use super::names::{EntryVm, TaskName};
 use super::record::{RecordState, TaskProgress};
 use super::spec::{JobSpec, StepSpec};
+use super::speed::RunSample;
 use super::worker::WorkerKey;
 
 slotmap::new_key_type! {
@@ -209,6 +210,8 @@
     pub(super) check_at: Instant,
     /// Whether the job ranks behind all jobs that can still end in time.
     pub(super) is_deprioritized: bool,
+    /// Successful runs that tell the speed of their workers.
+    pub(super) run_samples: Vec<RunSample>,
 }
 
 impl Job {
@@ -253,6 +256,7 @@
             reruns: 0,
             check_at: times.deadline,
             is_deprioritized: false,
+            run_samples: Vec::new(),
         };
         job.unblock();
         job
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -244,6 +244,28 @@
         /// All evacuated data centres.
         data_centres: Vec<Arc<str>>,
     },
+    /// The speed factor of a label of workers has become certain to differ from 1, or has ceased to be.
+    LabelSpeedChanged {
+        /// Label concerned.
+        label: Arc<str>,
+        /// Present estimate of the factor.
+        factor: f64,
+        /// Standard deviation of the logarithm of the factor.
+        deviation: f64,
+        /// Number of the workers with the label.
+        workers: usize,
+        /// Whether the factor is certain now.
+        is_certain: bool,
+    },
+    /// Workers have become certain to differ from the others of their labels, or have ceased to be.
+    WorkerSpeedsChanged {
+        /// Some of the workers, with their factors.
+        workers: Vec<(WorkerName, f64)>,
+        /// Number of further workers.
+        others: usize,
+        /// Whether their factors are certain now.
+        is_certain: bool,
+    },
     /// A run is being stopped.
     RunStopped {
         /// Task of the run.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -27,6 +27,7 @@
 mod run_time;
 mod scheduler;
 mod spec;
+mod speed;
 mod worker;
 mod worker_clock;
 
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -10,7 +10,7 @@
 use super::bulkhead::Bulkheads;
 use super::job::{Job, TaskKey};
 use super::run_time::RunTimes;
-use super::worker::{Worker, WorkerKey};
+use super::worker::{Run, Worker, WorkerKey};
 use crate::configs::leased::LeasedConfig;
 
 /// Penalty of a worker in another data centre, in thousandths of a core left idle: between similar
@@ -35,6 +35,13 @@
 /// Penalty of a worker outside the rack of the task's data.
 const RACK_PENALTY: f64 = 50_000.0;
 
+/// Multiple of the expected run time that must fit before the objective where a slow worker is preferred: run
+/// times of a job and callers' estimates are off by some tens of percent.
+const SLACK_FACTOR: f64 = 1.3;
+
+/// Least remaining share of the expected run time of a run, as the end of an overdue run is unknown.
+const MIN_REMAINING_SHARE: f64 = 0.25;
+
 /// A task to place, and the constraints of its placement.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlacementRequest<'a> {
@@ -51,6 +58,17 @@
     pub(super) run_times: &'a RunTimes,
     /// Whether leases of durable tasks may be renewed, which a start order does.
     pub(super) may_renew_durable: bool,
+    /// How the speeds of the workers are weighed; `None` while no worker differs from the others.
+    pub(super) speeds: Option<SpeedRequest>,
+}
+
+/// How speeds of workers are weighed in a choice.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SpeedRequest {
+    /// Whether fast workers are kept for the tasks that need them, as few workers are free.
+    pub(super) is_near_full: bool,
+    /// Number of tasks ahead that wait for room, and of the job's tasks that can start.
+    pub(super) waiting: usize,
 }
 
 /// The worker that the task can start on, by the age of the reading of its clock.
@@ -70,28 +88,99 @@
     workers: &SlotMap<WorkerKey, Worker>,
     request: PlacementRequest<'_>,
 ) -> Choice {
-    let mut best: Option<(f64, WorkerKey)> = None;
-    let mut best_stale: Option<(f64, WorkerKey)> = None;
+    let mut in_time = Candidates::default();
+    let mut late = Candidates::default();
+    let mut freed_in_time = 0;
     for (key, worker) in workers {
         let Some(score) = score(cfg, key, worker, request) else {
+            let is_freed_in_time =
+                request.speeds.is_some() && is_freed_in_time(cfg, worker, request);
+            freed_in_time += usize::from(is_freed_in_time);
             continue;
         };
-        let best = if worker.has_fresh_clock(request.now, cfg.max_clock_age) {
-            &mut best
-        } else if worker.poll_state.must_read_clock {
+        let is_fresh = worker.has_fresh_clock(request.now, cfg.max_clock_age);
+        if !is_fresh && worker.poll_state.must_read_clock {
             continue;
+        }
+        let is_late =
+            request.speeds.is_some() && !is_in_time(request, expected_run(cfg, worker, request));
+        let candidates = if is_late { &mut late } else { &mut in_time };
+        candidates.add(score, key, is_fresh);
+    }
+    match (in_time.choice(), late.choice(), request.speeds) {
+        (Choice::Wait, Choice::Start(_) | Choice::ReadClock(_), Some(speeds))
+            if freed_in_time >= speeds.waiting =>
+        {
+            Choice::Wait
+        }
+        (Choice::Wait, late, _) => late,
+        (in_time, _, _) => in_time,
+    }
+}
+
+/// The workers with the lowest scores, by the age of the readings of their clocks.
+#[derive(Debug, Default)]
+struct Candidates {
+    fresh: Option<(f64, WorkerKey)>,
+    stale: Option<(f64, WorkerKey)>,
+}
+
+impl Candidates {
+    fn add(&mut self, score: f64, key: WorkerKey, is_fresh: bool) {
+        let best = if is_fresh {
+            &mut self.fresh
         } else {
-            &mut best_stale
+            &mut self.stale
         };
         if best.is_none_or(|(least, _)| score < least) {
             *best = Some((score, key));
         }
     }
-    match (best, best_stale) {
-        (Some((_, key)), _) => Choice::Start(key),
-        (None, Some((_, key))) => Choice::ReadClock(key),
-        (None, None) => Choice::Wait,
+
+    fn choice(&self) -> Choice {
+        match (self.fresh, self.stale) {
+            (Some((_, key)), _) => Choice::Start(key),
+            (None, Some((_, key))) => Choice::ReadClock(key),
+            (None, None) => Choice::Wait,
+        }
+    }
+}
+
+/// Whether a worker without room for the task now will have it early enough for the objective, by the expected
+/// ends of its runs.
+fn is_freed_in_time(cfg: &LeasedConfig, worker: &Worker, request: PlacementRequest<'_>) -> bool {
+    let step = request.job.step(request.task.position);
+    let is_open = worker.is_usable()
+        && !worker.is_closed_by_evacuation(request.now, cfg.evacuation_grace)
+        && !worker.health.is_paused(request.now)
+        && could_run(
+            worker,
+            request.job,
+            request.task.position,
+            request.bulkheads,
+        );
+    if !is_open || worker.free().has_room_for(&step.size) {
+        return false;
     }
+    let remaining = |run: &Run| {
+        let took = request.now.saturating_duration_since(run.sent);
+        let least = run.expected.mul_f64(MIN_REMAINING_SHARE);
+        run.expected.saturating_sub(took).max(least)
+    };
+    let cpu_after = |run: &Run| worker.free().cpu_milli + run.size.cpu_milli;
+    let suffices = |run: &&Run| cpu_after(run) >= step.size.cpu_milli;
+    let first = worker.runs.iter().filter(suffices).map(remaining).min();
+    let last = || worker.runs.iter().map(remaining).max();
+    let wait = first.or_else(last);
+    wait.is_some_and(|wait| is_in_time(request, wait + expected_run(cfg, worker, request)))
+}
+
+/// Expected run time of the task on a worker.
+fn expected_run(cfg: &LeasedConfig, worker: &Worker, request: PlacementRequest<'_>) -> Duration {
+    let position = request.task.position;
+    let step = request.job.step(position);
+    let factor = request.run_times.factor(worker, step) * worker.health.slowness(cfg);
+    request.job.expected_run(position).mul_f64(factor)
 }
 
 /// Whether the worker could run the task if no other task ran there.
@@ -158,12 +247,20 @@
     }
     let nominal = job.expected_run(position);
     let slowness = worker.health.slowness(cfg);
-    let expected = nominal.mul_f64(request.run_times.factor(worker, step) * slowness);
+    let expected = expected_run(cfg, worker, request);
     if request.respects_slowness && slowness > 1.0 && !is_in_time(request, expected) {
         return None;
     }
     let mut score = (free.cpu_milli - step.size.cpu_milli) as f64;
-    score += (expected.as_secs_f64() - nominal.as_secs_f64()) * SLOWNESS_PENALTY_PER_S;
+    let excess = expected.as_secs_f64() - nominal.as_secs_f64();
+    let is_slow_preferred = request.speeds.is_some_and(|s| s.is_near_full)
+        && slowness <= 1.0
+        && is_in_time(request, expected.mul_f64(SLACK_FACTOR));
+    score += if is_slow_preferred {
+        -excess * SLOWNESS_PENALTY_PER_S
+    } else {
+        excess * SLOWNESS_PENALTY_PER_S
+    };
     if is_cold || worker.is_evacuated() {
         score += LAST_RESORT_PENALTY;
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -8,6 +8,7 @@
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
 use crate::leased::report::EndKind;
+use crate::leased::speed::RunSample;
 use crate::leased::worker::{Run, RunState, WorkerKey};
 
 impl Scheduler {
@@ -22,6 +23,8 @@
         let Some(job) = self.jobs.remove(key) else {
             return;
         };
+        let speeds = &mut self.run_times.speeds;
+        speeds.add_job(&cx.cfg.speed, &job.run_samples);
         self.by_id.remove(&job.spec.id);
         self.waiting.remove(&(job.rank, key));
         self.checks.remove(&(job.check_at, key));
@@ -136,9 +139,9 @@
         }
     }
 
-    /// Adds the run time of a successful run to the worker's slowness and to the estimates of its
-    /// queue. Adopted runs count for neither, as their starts are unknown; runs on a slow worker do
-    /// not count for the estimates.
+    /// Adds the run time of a successful run to the worker's slowness, relative to its own speed, to the
+    /// estimates of its queue and to the samples of the worker's speed. Adopted runs count for none, as their
+    /// starts are unknown; runs on a worker that counts as slow only count for its slowness.
     fn record_run_time(&mut self, cx: &Context<'_>, on: WorkerKey, run: &Run) {
         let is_slowness_respected = self.is_slowness_respected(cx);
         let health = &mut self.workers[on].health;
@@ -152,12 +155,19 @@
         if is_slowness_respected && health.slowness(&cx.cfg.leased) > 1.0 {
             return;
         }
-        if let Some(job) = self.jobs.get(run.task.job) {
+        if let Some(job) = self.jobs.get_mut(run.task.job) {
             let declared = job.step(run.task.position).estimate;
             let queue = &job.spec.queue;
             let nominal = took.div_f64(run.factor);
             self.estimates
                 .add_sample(&cx.cfg.leased, queue, declared, nominal);
+            let sample = RunSample {
+                worker: on,
+                step: run.name.step,
+                took: took.mul_f64(run.speed / run.factor),
+                expected: job.expected_run(run.task.position),
+            };
+            job.run_samples.push(sample);
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod place;
 mod poll;
 mod replies;
+mod speeds;
 mod submit;
 mod tick;
 
@@ -157,6 +158,13 @@
         self
     }
 
+    /// Sets the speed factors of labels of workers, taken over from another scheduler.
+    #[must_use]
+    pub fn with_speeds(mut self, factors: &[(Arc<str>, f64)]) -> Self {
+        self.run_times.speeds.inherit(factors);
+        self
+    }
+
     /// Sets whether all workers are known on which an earlier scheduler may have started tasks;
     /// `true` by default.
     #[must_use]
@@ -239,6 +247,11 @@
         &self.estimates
     }
 
+    /// Speed factors of the labels of workers that are certain to differ from 1.
+    pub fn label_speeds(&self) -> Vec<(Arc<str>, f64)> {
+        self.run_times.speeds.by_label()
+    }
+
     /// Processes one command and pushes the effects for the host to `out`; does nothing once the
     /// scheduler is deposed.
     pub fn handle(&mut self, cx: &Context<'_>, cmd: Command, out: &mut Vec<Effect>) {
@@ -327,12 +340,9 @@
     }
 
     /// Processor that running and waiting tasks need, in percent of the capacity of the usable
-    /// workers; `u32::MAX` without capacity.
+    /// workers, divided by their speed factors; `u32::MAX` without capacity.
     pub fn load_percent(&self) -> u32 {
-        let workers = self.workers.values();
-        let usable = workers.filter(|w| w.is_usable() && !w.is_evacuated());
-        let capacity: u64 = usable.clone().map(|w| w.entry.capacity.cpu_milli).sum();
-        let used: u64 = usable.map(|w| w.used.cpu_milli).sum();
+        let (used, capacity) = self.effective_load();
         let jobs = self.waiting.iter().map(|&(_, key)| &self.jobs[key]);
         let ready_cpu = |job: &Job| -> u64 {
             let cpu = |&p: &u32| job.step(p).size.cpu_milli;
@@ -400,6 +410,7 @@
         }
         known.unwrap_or_else(|| {
             let key = workers.insert(Worker::new(entry.clone()));
+            self.run_times.speeds.worker_added();
             keys.push(key);
             key
         })
--- a/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: workers become several times slower, and some tasks take longer than their callers
 //! wait. A task on a slow worker that would miss its objective is restarted elsewhere if it ends
-//! sooner there; a job that can't end in time is ended, which frees its capacity.
+//! sooner there, in time for the objective; a job that can't end in time is ended, which frees its capacity.
+//! Workers of a slower kind are not slow in this sense, as `Run::expected` has their factor.
 
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,7 @@
     pub(super) fn check_paces(&mut self, cx: &Context<'_>, key: WorkerKey, out: &mut Vec<Effect>) {
         let mut slow_runs: Vec<(TaskName, u32)> = Vec::new();
         let mut overdue_jobs: Vec<JobKey> = Vec::new();
+        let mut late_runs: Vec<(Run, Instant)> = Vec::new();
         let worker = &mut self.workers[key];
         for run in &mut worker.runs {
             let Some(end) = projected_end(run, cx.now) else {
@@ -45,13 +47,29 @@
                 continue;
             };
             let is_slow = worker.health.slowness(&cx.cfg.leased) > 1.0;
-            let restarted_end = cx.now + RESTART_TIME + run.expected;
-            if is_slow && restarted_end < end && end > job.times.objective {
-                slow_runs.push((run.name, run.run));
+            if is_slow && end > job.times.objective {
+                late_runs.push((run.clone(), end));
             } else if end > job.times.deadline + PROJECTED_END_MARGIN {
                 overdue_jobs.push(run.task.job);
             }
         }
+        for (run, end) in late_runs {
+            let job = &self.jobs[run.task.job];
+            let is_overdue = end > job.times.deadline + PROJECTED_END_MARGIN;
+            // A run that its caller does not wait for is of no use.
+            let limit = if is_overdue {
+                job.times.deadline
+            } else {
+                job.times.objective
+            };
+            let elsewhere = self.run_time_elsewhere(cx, key, job, &run);
+            let restarted_end = elsewhere.map(|run| cx.now + RESTART_TIME + run);
+            if restarted_end.is_some_and(|at| at < end && at <= limit) {
+                slow_runs.push((run.name, run.run));
+            } else if is_overdue {
+                overdue_jobs.push(run.task.job);
+            }
+        }
         for run in slow_runs {
             self.stop_with_cause(cx, key, run, StopCause::SlowWorker, out);
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -5,7 +5,7 @@
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, TaskKey, TaskState};
 use crate::leased::log_event::LogEvent;
-use crate::leased::placement::{self, Choice, PlacementRequest};
+use crate::leased::placement::{self, Choice, PlacementRequest, SpeedRequest};
 use crate::leased::record::RecordState;
 use crate::leased::worker::{Run, RunState, UnclaimedRun, Worker, WorkerKey};
 
@@ -20,6 +20,12 @@
         let are_all_runs_reported =
             self.knows_departed && workers.all(|w| w.reports_all_runs(cx.now, grace));
         let is_epoch_confirmed = self.is_epoch_confirmed(cx);
+        let has_speeds = self.run_times.speeds.has_differences();
+        let is_near_full = has_speeds && self.is_near_full(cx);
+        let mut speeds = has_speeds.then_some(SpeedRequest {
+            is_near_full,
+            waiting: 0,
+        });
         let mut unplaced_jobs = 0;
         let order: Vec<_> = self.waiting.iter().copied().collect();
         for (rank, key) in order {
@@ -47,9 +53,13 @@
                 cx,
                 key,
                 (respects_pauses, respects_slowness, is_epoch_confirmed),
+                speeds,
                 out,
             ) {
                 unplaced_jobs += 1;
+                if let Some(speeds) = &mut speeds {
+                    speeds.waiting += self.jobs[key].ready.len();
+                }
             }
             if self.jobs[key].ready.is_empty() {
                 self.waiting.remove(&(rank, key));
@@ -66,6 +76,7 @@
         cx: &Context<'_>,
         key: JobKey,
         (respects_pauses, respects_slowness, may_renew_durable): (bool, bool, bool),
+        speeds: Option<SpeedRequest>,
         out: &mut Vec<Effect>,
     ) -> bool {
         let mut starts = Vec::new();
@@ -88,6 +99,10 @@
                 bulkheads: &self.bulkheads,
                 run_times: &self.run_times,
                 may_renew_durable,
+                speeds: speeds.map(|s| SpeedRequest {
+                    waiting: s.waiting + self.jobs[key].ready.len(),
+                    ..s
+                }),
             };
             let worker = match placement::choose(&cx.cfg.leased, &self.workers, request) {
                 Choice::Start(worker) => worker,
@@ -152,6 +167,7 @@
             confirmed_at: None,
             expected: job.expected_run(task.position).mul_f64(factor),
             factor,
+            speed: worker.speed,
             is_durable: job.record_sync.is_some(),
             percent: 0,
             progressed_at: cx.now,
@@ -221,6 +237,7 @@
             confirmed_at: stop_sent.is_none().then_some(cx.now),
             expected: job.expected_run(position).mul_f64(factor),
             factor,
+            speed: worker.speed,
             is_durable: job.record_sync.is_some(),
             percent: 0,
             progressed_at: cx.now,
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -285,7 +285,12 @@
 
     /// Backlog ahead of a job. Free processor is counted in whole tasks of the job, as the
     /// remainder on a worker is of no use to it.
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a rough estimate"
+    )]
     pub(super) fn backlog(&self, cx: &Context<'_>, key: JobKey) -> Backlog {
         let job = &self.jobs[key];
         let service = &job.spec.service;
@@ -310,6 +315,9 @@
             urgent_per_s: self.urgent_demand(cx.now, job.spec.priority),
         };
         let is_slowness_respected = self.is_slowness_respected(cx);
+        let step = job.step(position);
+        let has_speeds = self.run_times.speeds.has_differences();
+        let mut capacity = 0.0;
         for worker in self.workers.values() {
             let may_run = self.bulkheads.may_run(queue, worker.entry.address);
             if worker.entry.service != *service
@@ -319,15 +327,18 @@
             {
                 continue;
             }
-            backlog.capacity += worker.entry.capacity.cpu_milli;
+            capacity += worker.entry.capacity.cpu_milli as f64 / worker.speed;
             let slowness = if is_slowness_respected {
                 worker.health.slowness(&cx.cfg.leased)
             } else {
                 1.0
             };
             let is_open = worker.health.may_start(cx.now, 0) && !worker.is_full(cx.now);
-            // Slow workers do not count as free, as few jobs can wait for them.
-            if is_open && slowness <= 1.0 {
+            let run = expected.mul_f64(self.run_times.factor(worker, step));
+            let is_in_time = !has_speeds || cx.now + run <= job.times.objective;
+            // Faulty workers do not count as free, as few jobs can wait for them, nor those of a slow kind on
+            // which the job would miss its objective.
+            if is_open && slowness <= 1.0 && is_in_time {
                 backlog.free += worker.free().count_of(&size) * size.cpu_milli;
             }
             for run in &worker.runs {
@@ -337,6 +348,7 @@
                 backlog.freed_per_s += run.size.cpu_milli as f64 / run_time.max(0.001);
             }
         }
+        backlog.capacity = capacity as u64;
         // Processor of tasks that start now is free again after one run time.
         let mut room = backlog.free;
         for (other, needed) in ahead {
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -49,6 +49,7 @@
         for key in keys {
             self.tick_worker(cx, key, out);
         }
+        self.refresh_speeds(cx, out);
         self.tick_epoch(cx, out);
         self.tick_records(cx, out);
         self.drop_disconnected_entries(cx, out);
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -104,6 +104,8 @@
     pub(super) expected: Duration,
     /// Factor of this worker in `expected`.
     pub(super) factor: f64,
+    /// Part of `factor` that is the speed of the worker.
+    pub(super) speed: f64,
     /// Last reported progress, 0 to 100.
     pub(super) percent: u8,
     /// When `percent` last increased.
@@ -261,6 +263,8 @@
     /// Until when the worker counts as full, after it refused a task for lack of room.
     pub(super) full_until: Option<Instant>,
     pub(super) health: Health,
+    /// Speed factor in run times: 1 is nominal, and more is slower. It stays 1 until it is certain to differ.
+    pub(super) speed: f64,
 }
 
 impl Worker {
@@ -293,6 +297,7 @@
             cold_until: None,
             full_until: None,
             health: Health::default(),
+            speed: 1.0,
         }
     }
 
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod load;
 mod restarts;
+mod speeds;
 mod superseded;
 mod takeover;
 mod worker;
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -1,5 +1,6 @@
 //! Simulated worker: leases, fencing, ended runs, capacity and faults.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::{
@@ -57,6 +58,9 @@
     /// Number of starts that brought the worker over its capacity.
     pub(crate) starts_over_capacity: u32,
     pub(crate) behaviour: Behaviour,
+    /// Factor of run times on this worker: 1 is nominal, and more is slower.
+    pub(crate) speed: f64,
+    pub(crate) labels: Vec<Arc<str>>,
     /// Start of this instance in Unix milliseconds, as its reports tell it.
     pub(crate) instance_started_unix_ms: Option<u64>,
     /// Whether another worker instance now answers at the address.
@@ -92,6 +96,8 @@
             enforces_capacity: true,
             starts_over_capacity: 0,
             behaviour: Behaviour::Healthy,
+            speed: 1.0,
+            labels: vec![Arc::from("a"), Arc::from("r-1")],
             instance_started_unix_ms: None,
             is_replaced: false,
             answered_polls: 0,
@@ -220,6 +226,7 @@
             }
             self.starts_over_capacity += 1;
         }
+        let run_time = run_time.mul_f64(self.speed);
         let (ends_at, kind) = match self.behaviour {
             Behaviour::Healthy => (Some(now + run_time), EndKind::Done),
             Behaviour::Slow(factor) => (Some(now + run_time.mul_f64(factor)), EndKind::Done),
--- a/crates/geraniumrelay-core/tests/leased/world/calls.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/calls.rs
@@ -170,7 +170,16 @@
         let job = &self.jobs[&task.job];
         let size = job.spec.steps[usize::from(task.step)].size;
         let lease = (call.lease_until, call.token);
-        let run_time = job.run_time;
+        let (deviation, long_share) = (job.task_deviation, job.long_task_share);
+        let mut run_time = job.run_time;
+        if deviation > 0.0 {
+            // The sum of three evenly distributed numbers has a variance of 1/4.
+            let sum = self.random() + self.random() + self.random();
+            run_time = run_time.mul_f64(((sum - 1.5) * 2.0 * deviation).exp());
+        }
+        if long_share > 0.0 && self.random() < long_share {
+            run_time *= 7;
+        }
         self.advance_workers();
         let was_running = self.workers[worker].running().any(|r| r == (task, run));
         let mut reply = self.workers[worker].start(self.now, (task, run), size, run_time, lease);
@@ -178,6 +187,7 @@
             self.schedule_crash(worker, task);
             *self.start_counts.entry(task).or_insert(0) += 1;
             self.start_times.push((task, self.now));
+            self.placements.push((task, worker));
             let former = self.former_instances.iter().filter(|f| f.is_up);
             let others = self.workers.iter().chain(former.map(|f| &f.instance));
             let others = others.flat_map(FakeWorker::running);
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -1,6 +1,6 @@
 //! What the tests ask the simulation, and its trace.
 
-use geraniumrelay_core::leased::{JobId, JobOutcome, LogEvent, TaskName};
+use geraniumrelay_core::leased::{JobId, JobOutcome, LogEvent, StopCause, TaskName};
 
 use super::{Simulation, TestJob};
 
@@ -84,6 +84,12 @@
             LogEvent::InstanceChanged { worker, source, .. } => self.log(&format!(
                 "host {host} learns of another instance of {worker}: {source:?}"
             )),
+            LogEvent::RunStopped { cause, .. } => {
+                self.slow_worker_stops += u32::from(*cause == StopCause::SlowWorker);
+            }
+            LogEvent::LabelSpeedChanged { .. } | LogEvent::WorkerSpeedsChanged { .. } => {
+                self.speed_events.push(event.clone());
+            }
             LogEvent::QueueConfined { queue } => {
                 self.confined_queues.push(queue.to_string());
                 self.log(&format!("host {host} confines {queue}"));
--- a/crates/geraniumrelay-core/tests/leased/world/instances.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/instances.rs
@@ -1,7 +1,6 @@
 //! Entries of workers, and instances that replace each other.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use geraniumrelay_core::leased::{Command, WorkerEntry, WorkerState};
@@ -18,7 +17,7 @@
             data_centre: "a".into(),
             state: WorkerState::Ready,
             capacity: self.workers[worker].capacity,
-            labels: vec![Arc::from("a"), Arc::from("r-1")],
+            labels: self.workers[worker].labels.clone(),
             cold_remaining: Duration::ZERO,
             instance_started_unix_ms: self.workers[worker].instance_started_unix_ms,
         }
@@ -57,7 +56,9 @@
         let entry = self.worker_entry(worker);
         let former = &self.workers[worker];
         let cpu_milli = former.capacity.cpu_milli;
+        let (speed, labels) = (former.speed, former.labels.clone());
         let mut instance = FakeWorker::new(self.now, cpu_milli);
+        (instance.speed, instance.labels) = (speed, labels);
         instance.clock_rate = former.clock_rate;
         let started = former.instance_started_unix_ms;
         instance.instance_started_unix_ms =
--- a/crates/geraniumrelay-core/tests/leased/world/job.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/job.rs
@@ -19,6 +19,10 @@
     pub(crate) has_alternative: bool,
     /// Tasks of the first step that crash the worker on which they run.
     pub(crate) deadly_tasks: std::ops::Range<u16>,
+    /// Share by which the run times of the job's tasks differ.
+    pub(crate) task_deviation: f64,
+    /// Share of the tasks that take seven times as long.
+    pub(crate) long_task_share: f64,
 }
 
 impl TestJob {
@@ -60,6 +64,8 @@
             former_tokens: Vec::new(),
             has_alternative: false,
             deadly_tasks: 0..0,
+            task_deviation: 0.0,
+            long_task_share: 0.0,
         }
     }
 
@@ -79,6 +85,18 @@
         self
     }
 
+    /// Sets how much the run times of the job's tasks differ, and the share of those that take seven times as long.
+    pub(crate) fn with_deviations(mut self, task_deviation: f64, long_task_share: f64) -> Self {
+        self.task_deviation = task_deviation;
+        self.long_task_share = long_task_share;
+        self
+    }
+
+    pub(crate) fn with_cpu(mut self, cpu_milli: u64) -> Self {
+        self.spec.steps[0].size.cpu_milli = cpu_milli;
+        self
+    }
+
     /// Sets a loose target latency of 5 s.
     pub(crate) fn with_slack(mut self) -> Self {
         self.spec.target_latency = Duration::from_secs(5);
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -14,8 +14,9 @@
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LostRun, PollCall,
-    RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName, WorkerEntry, WorkerName,
+    Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LogEvent, LostRun,
+    PollCall, RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName, WorkerEntry,
+    WorkerName,
 };
 use geraniumrelay_core::{Config, Context};
 use rand::rngs::StdRng;
@@ -175,6 +176,12 @@
     pub(crate) refused_starts: u32,
     /// Task and time of each accepted start.
     pub(crate) start_times: Vec<(TaskName, Instant)>,
+    /// Task and worker of each accepted start.
+    pub(crate) placements: Vec<(TaskName, usize)>,
+    /// Number of runs that were stopped as being on a slow worker.
+    pub(crate) slow_worker_stops: u32,
+    /// Events that tell of learnt speeds of workers.
+    pub(crate) speed_events: Vec<LogEvent>,
     /// Starts, stops and takeovers, for the message of a failed assertion.
     pub(crate) trace: Vec<String>,
     /// Stored records of durable jobs, and their versions.
@@ -252,6 +259,9 @@
             concurrent_runs: Vec::new(),
             refused_starts: 0,
             start_times: Vec::new(),
+            placements: Vec::new(),
+            slow_worker_stops: 0,
+            speed_events: Vec::new(),
             trace: Vec::new(),
             records: BTreeMap::new(),
             epoch: (FencingToken::default(), 0),
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -53,6 +53,9 @@
             let data_centres = data_centres.join(",");
             info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
         }
+        LogEvent::LabelSpeedChanged { .. } | LogEvent::WorkerSpeedsChanged { .. } => {
+            write_speed_event(cell, event);
+        }
         LogEvent::TasksStarted { id, starts } => info!(
             cell:% = cell, id:% = id, starts = start_list(starts).as_str();
             "tasks_started"
@@ -140,6 +143,40 @@
     }
 }
 
+/// Logs an event about learnt speeds of workers.
+fn write_speed_event(cell: &CellName, event: &LogEvent) {
+    match event {
+        LogEvent::LabelSpeedChanged {
+            label,
+            factor,
+            deviation,
+            workers,
+            is_certain,
+        } => info!(
+            cell:% = cell, label = &**label, factor, deviation, workers, is_certain;
+            "label_speed_changed"
+        ),
+        LogEvent::WorkerSpeedsChanged {
+            workers,
+            others,
+            is_certain,
+        } => info!(
+            cell:% = cell, workers = speed_list(workers).as_str(), others, is_certain;
+            "worker_speeds_changed"
+        ),
+        _ => {}
+    }
+}
+
+/// Workers, each as `NAME:FACTOR`, separated by commas.
+fn speed_list(workers: &[(WorkerName, f64)]) -> String {
+    let workers: Vec<String> = workers
+        .iter()
+        .map(|(name, factor)| format!("{name}:{factor:.3}"))
+        .collect();
+    workers.join(",")
+}
+
 /// Starts of one job, each as `STEP.INDEX:RUN@WORKER`, separated by commas.
 fn start_list(starts: &[(TaskName, u32, WorkerName)]) -> String {
     let mut list = String::new();
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -35,6 +35,22 @@
     pub(super) fn count_event(&self, event: &LogEvent) {
         let (decision, count) = match event {
             LogEvent::JobsEvacuated { jobs, .. } => ("job-leaves-evacuated-workers", *jobs),
+            LogEvent::LabelSpeedChanged {
+                is_certain: true, ..
+            } => ("label-speed-certain", 1),
+            LogEvent::LabelSpeedChanged { .. } => ("label-speed-uncertain", 1),
+            LogEvent::WorkerSpeedsChanged {
+                workers,
+                others,
+                is_certain,
+            } => {
+                let count = workers.len() + others;
+                if *is_certain {
+                    ("worker-speed-certain", count)
+                } else {
+                    ("worker-speed-uncertain", count)
+                }
+            }
             _ => return,
         };
         let count = u64::try_from(count).unwrap_or(u64::MAX);
