feat(leased): a takeover keeps the speed factors of labels

Cause: a new scheduler would place long tasks on slow workers until it has learnt their factors again. Each VM keeps the last ones and gives them to the scheduler that it starts.

--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -52,6 +52,18 @@
     /// Number of workers on which the sender can start tasks; set only by the cell's scheduler.
     #[prost(uint32, tag = "8")]
     pub usable_workers: u32,
+    /// Speed factors of labels of workers that are certain to differ from 1; set only by the cell's scheduler.
+    #[prost(message, repeated, tag = "9")]
+    pub speeds: ::prost::alloc::vec::Vec<LabelSpeed>,
+}
+/// Speed factor of the workers with a label.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LabelSpeed {
+    #[prost(string, tag = "1")]
+    pub label: ::prost::alloc::string::String,
+    /// Factor of run times in thousandths: 1000 is nominal, and more is slower.
+    #[prost(uint32, tag = "2")]
+    pub thousandths: u32,
 }
 /// Heartbeat of an entry VM, sent several times a second.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -29,6 +29,8 @@
     pub(super) scheduler: Option<Scheduler>,
     /// Estimated run times from the last time this process scheduled the cell.
     pub(super) estimates: Estimates,
+    /// Speed factors of labels of workers, as last reported by a scheduler of the cell.
+    pub(super) speeds: Vec<(Arc<str>, f64)>,
     /// Token of the scheduler that holds the cell's row in the store in place of the scheduler
     /// here, and the time at which this process learned of it.
     pub(super) epoch_lost: Option<(FencingToken, Instant)>,
@@ -48,6 +50,7 @@
             election: Election::new(ElectionConfig::default(), vm, now),
             scheduler: None,
             estimates: Estimates::default(),
+            speeds: Vec::new(),
             epoch_lost: None,
             load_percent: 0,
             record_read: JoinSet::new(),
@@ -60,6 +63,7 @@
         let own = self.election.own_heartbeat(successor);
         let mut counts = Vec::new();
         let mut knows_jobs = false;
+        let mut speeds = Vec::new();
         if let Some(scheduler) = &self.scheduler {
             self.load_percent = scheduler.load_percent();
             knows_jobs = scheduler.knows_jobs();
@@ -68,13 +72,20 @@
                 pending,
             };
             counts = scheduler.pending().into_iter().map(count).collect();
+            self.speeds = scheduler.label_speeds();
+            speeds = convert::label_speeds_to_wire(&self.speeds);
+        }
+        let pending = (knows_jobs, counts);
+        CellBeat {
+            speeds,
+            ..convert::cell_heartbeat_to_wire(&self.name, &own, self.load_percent, pending)
         }
-        convert::cell_heartbeat_to_wire(&self.name, &own, self.load_percent, (knows_jobs, counts))
     }
 
-    /// Records the load and the pending jobs from a heartbeat of the cell's scheduler.
+    /// Records the load, the pending jobs and the speeds of workers from a heartbeat of the cell's scheduler.
     pub(super) fn apply_status(&mut self, heartbeat: &CellBeat, now: Instant) {
         self.load_percent = heartbeat.load_percent;
+        self.speeds = convert::label_speeds_from_wire(&heartbeat.speeds);
         let count = |c: &QueueCount| (c.queue.as_str().into(), c.pending);
         let counts = heartbeat.pending.iter().map(count).collect();
         self.pending = heartbeat.knows_jobs.then_some((counts, now));
@@ -129,11 +140,12 @@
         self.record_read.spawn_local(read);
     }
 
-    /// Drops the scheduler, and keeps its estimated run times for a later takeover.
+    /// Drops the scheduler, and keeps its estimated run times and speeds of workers for a later takeover.
     pub(super) fn drop_scheduler(&mut self) {
         self.record_read.abort_all();
         if let Some(scheduler) = self.scheduler.take() {
             self.estimates = scheduler.estimates().clone();
+            self.speeds = scheduler.label_speeds();
         }
     }
 }
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -17,7 +17,7 @@
 use geraniumrelay_wire::leased::job_record::State as StoredState;
 use geraniumrelay_wire::leased::{
     Answer, Beat, CellBeat, ConfigurationPart, FetchConfiguration, JobRecord as StoredRecord,
-    Losses, LostRun as WireLostRun, QueueCount, Step, Submit, TaskLosses,
+    LabelSpeed, Losses, LostRun as WireLostRun, QueueCount, Step, Submit, TaskLosses,
     TaskProgress as StoredProgress,
 };
 
@@ -56,9 +56,32 @@
         pending,
         knows_jobs,
         usable_workers: heartbeat.usable_workers,
+        speeds: Vec::new(),
     }
 }
 
+/// Speed factors of labels, in whole thousandths.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a conversion from floats saturates"
+)]
+pub(super) fn label_speeds_to_wire(speeds: &[(Arc<str>, f64)]) -> Vec<LabelSpeed> {
+    let speed = |(label, factor): &(Arc<str>, f64)| LabelSpeed {
+        label: label.to_string(),
+        thousandths: (factor * 1e3).round() as u32,
+    };
+    speeds.iter().map(speed).collect()
+}
+
+/// Speed factors of labels, without those that are no positive number.
+pub(super) fn label_speeds_from_wire(speeds: &[LabelSpeed]) -> Vec<(Arc<str>, f64)> {
+    let speeds = speeds.iter().filter(|s| s.thousandths > 0);
+    speeds
+        .map(|s| (s.label.as_str().into(), f64::from(s.thousandths) / 1e3))
+        .collect()
+}
+
 /// The sender's election state for `cell`; a token or successor of 0 means none.
 pub(super) fn heartbeat_from_wire(beat: &Beat, cell: &CellName) -> Heartbeat {
     let cell_beat = beat.cells.iter().find(|c| c.cell == *cell.0);
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -81,6 +81,7 @@
         };
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
+            .with_speeds(&cell.speeds)
             .with_departed_known(false);
         let must_read_records = self.store_health.may_have_durable_jobs();
         let scheduler = if must_read_records {
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -8,6 +8,7 @@
 mod links;
 mod metrics;
 mod pending_jobs;
+mod speeds;
 mod store_health;
 mod table_watch;
 
