--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -9,6 +9,7 @@
 mod links;
 mod metrics;
 mod pending_jobs;
+mod speeds;
 mod store_health;
 mod table_watch;
 
