feat(geraniumctl): findings on a configuration

Cause: an entry process refuses a configuration that it can't read, and says nothing of a route that never matches or of limits that contradict each other. Nothing checked a configuration before it was stored. Change: `configuration` reads a configuration and finds, without any I/O, fields that can't be read or that nothing reads, entries that can never match, contradicting limits, and what differs from another configuration.

--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod client;
 pub mod commands;
+pub mod configuration;
 pub mod exit;
 pub mod table;
 
