feat(geraniumctl): config check

Cause: operators and their scripts need the findings on a configuration before they store it. Change: `geraniumctl config check FILE [--against FILE]` prints one finding a line, or all as JSON. Exit codes are 0 without errors and warnings, 9 for input that can't be read, 10 for warnings only and 11 for errors; changes against the other file don't count.

--- a/crates/geraniumctl/src/cli.rs
+++ b/crates/geraniumctl/src/cli.rs
@@ -6,6 +6,7 @@
 
 use clap::{Args, Parser, Subcommand};
 
+use crate::commands::config_check;
 use crate::commands::journal::JournalArgs;
 
 /// Operates geraniumrelay and applies configuration sheets.
@@ -86,6 +87,9 @@
         #[arg(long, default_value_t = 0)]
         after: u64,
     },
+    /// Work with configurations of routes, services and limits; needs no connection.
+    #[command(subcommand)]
+    Config(ConfigAction),
     /// Create keys and certificates for entry processes, or renew them with an existing CA.
     Certs(CertsArgs),
     /// Create a token for an operator or a team, and the matching settings entry.
@@ -95,6 +99,25 @@
     },
 }
 
+/// Subcommands of `config`.
+#[derive(Debug, Subcommand)]
+pub enum ConfigAction {
+    /// Check a configuration and list the findings, one per line.
+    #[command(after_help = config_check::HELP)]
+    Check(ConfigCheckArgs),
+}
+
+/// Arguments of `config check`.
+#[derive(Debug, Clone, Args)]
+pub struct ConfigCheckArgs {
+    /// Configuration file (JSON, as the row op/config holds it).
+    pub file: PathBuf,
+
+    /// Configuration file to compare with, usually the one in force.
+    #[arg(long, value_name = "FILE")]
+    pub against: Option<PathBuf>,
+}
+
 /// Arguments of `apply`.
 #[derive(Debug, Clone, Args)]
 pub struct ApplyArgs {
--- a/crates/geraniumctl/src/commands/mod.rs
+++ b/crates/geraniumctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod certs;
 pub mod check;
+pub mod config_check;
 mod in_force;
 pub mod jobs;
 pub mod journal;
--- a/crates/geraniumctl/src/exit.rs
+++ b/crates/geraniumctl/src/exit.rs
@@ -16,7 +16,9 @@
   6  no entry VM or platform could be reached; nothing changed
   7  not signed in; nothing changed
   8  not confirmed; nothing changed
-  9  a file could not be read or written";
+  9  a file could not be read or written
+  10 the configuration has findings, all of them warnings
+  11 the configuration has errors";
 
 /// Exit code of a failed command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +41,10 @@
     NotConfirmed = 8,
     /// A file could not be read or written.
     File = 9,
+    /// The configuration has findings, all of them warnings.
+    Warnings = 10,
+    /// The configuration has errors.
+    BadConfiguration = 11,
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/geraniumctl/src/lib.rs
+++ b/crates/geraniumctl/src/lib.rs
@@ -10,8 +10,8 @@
 use std::io::{self, Write};
 use std::process::ExitCode;
 
-use crate::cli::Action;
 pub use crate::cli::Cli;
+use crate::cli::{Action, ConfigAction};
 pub use crate::exit::{Exit, Failure};
 
 /// Runs a command, with its output on standard output and its failure on standard error.
@@ -42,6 +42,9 @@
         Action::Targets => commands::targets::run(session, out),
         Action::Jobs { limit, journal } => commands::jobs::run(session, *limit, journal, out),
         Action::Audit { after } => commands::audit::run(session, *after, out),
+        Action::Config(ConfigAction::Check(args)) => {
+            commands::config_check::run(args, session.json, out)
+        }
         Action::Certs(args) => commands::certs::run(args, out),
         Action::Token { name } => commands::token::run(name, out),
     }
