feat(leased): jobs leave full cells for free ones in any data centre

Cause: a job left its data centre only when all cells there were at 100 % and another one 25 points lower, and a job that would have to wait was left only to a cell of the same data centre. Change: cell_choice draws the share of jobs that exceeds the near cells' capacity to leave, in proportion to the free capacity elsewhere less the cost of crossing. Jobs with a preferred rack go to the data centre of that rack, which the directory counts by label. Loads older than 250 ms and cells without a usable worker report no free capacity.

--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 mod bulkhead;
+pub mod cell_choice;
 pub mod cells;
 mod command;
 pub mod config_transfer;
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -17,6 +17,13 @@
 /// takeover.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum age of a reported load: three reports at ticks of 25 ms. Less than the time-out of a silent scheduler.
+const LOAD_TTL: Duration = Duration::from_millis(250);
+
+/// Load that a cell counts as having at least without a recent report, in percent: no job is sent there from
+/// another cell.
+const UNKNOWN_LOAD_PERCENT: u32 = 200;
+
 /// Maximum age of a count of pending jobs; the platform accepts counts up to 2 s old.
 const PENDING_TTL: Duration = Duration::from_millis(1_500);
 
@@ -33,7 +40,9 @@
     /// here, and the time at which this process learned of it.
     pub(super) epoch_lost: Option<(FencingToken, Instant)>,
     /// Load of the cell in percent of its capacity, as reported by its scheduler.
-    pub(super) load_percent: u32,
+    load_percent: u32,
+    /// Time of the last report of the load.
+    load_reported_at: Option<Instant>,
     /// The task that reads the records of durable jobs for the scheduler here.
     record_read: JoinSet<()>,
     /// Pending jobs by queue, as reported by the scheduler, and the time of the report; `None`
@@ -50,18 +59,20 @@
             estimates: Estimates::default(),
             epoch_lost: None,
             load_percent: 0,
+            load_reported_at: None,
             record_read: JoinSet::new(),
             pending: None,
         }
     }
 
     /// The cell's part of the heartbeat to the other entry VMs; `successor` is set on a hand-over.
-    pub(super) fn heartbeat(&mut self, successor: Option<EntryVm>) -> CellBeat {
+    pub(super) fn heartbeat(&mut self, successor: Option<EntryVm>, now: Instant) -> CellBeat {
         let own = self.election.own_heartbeat(successor);
         let mut counts = Vec::new();
         let mut knows_jobs = false;
         if let Some(scheduler) = &self.scheduler {
             self.load_percent = scheduler.load_percent();
+            self.load_reported_at = Some(now);
             knows_jobs = scheduler.knows_jobs();
             let count = |(queue, pending): (Arc<str>, u32)| QueueCount {
                 queue: queue.to_string(),
@@ -75,11 +86,22 @@
     /// Records the load and the pending jobs from a heartbeat of the cell's scheduler.
     pub(super) fn apply_status(&mut self, heartbeat: &CellBeat, now: Instant) {
         self.load_percent = heartbeat.load_percent;
+        self.load_reported_at = Some(now);
         let count = |c: &QueueCount| (c.queue.as_str().into(), c.pending);
         let counts = heartbeat.pending.iter().map(count).collect();
         self.pending = heartbeat.knows_jobs.then_some((counts, now));
     }
 
+    /// Load of the cell in percent of its capacity, for the choice of a job's cell: `u32::MAX` without capacity.
+    pub(super) fn load(&self, now: Instant) -> u32 {
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < LOAD_TTL;
+        if self.load_reported_at.is_some_and(is_fresh) {
+            self.load_percent
+        } else {
+            self.load_percent.max(UNKNOWN_LOAD_PERCENT)
+        }
+    }
+
     /// Number of jobs of a queue of which no task has started; `None` while the scheduler has not
     /// read all jobs, or its last report is too old.
     pub(super) fn pending_of(&self, queue: &str, now: Instant) -> Option<u32> {
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -3,6 +3,8 @@
 use geraniumrelay_core::leased::LogEvent;
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
+use super::crossing_reason::CrossingReason;
+
 /// Counters and gauges of these decisions.
 #[derive(Debug)]
 pub(super) struct DecisionMetrics {
@@ -31,6 +33,18 @@
             .set(i64::try_from(data_centres).unwrap_or(i64::MAX));
     }
 
+    /// Counts a job that leaves its data centre.
+    pub(super) fn count_crossing(&self, reason: CrossingReason) {
+        let decision = match reason {
+            CrossingReason::Data => "job-goes-to-data",
+            CrossingReason::NoNearCell => "job-leaves-without-near-cell",
+            CrossingReason::Excess => "job-leaves-full-cells",
+            CrossingReason::Declined => "job-leaves-instead-of-waiting",
+            CrossingReason::Refused => "job-leaves-after-refusal",
+        };
+        self.decisions.with_label_values(&[decision]).inc();
+    }
+
     /// Counts the decision that a log event tells of, if it is one of these.
     pub(super) fn count_event(&self, event: &LogEvent) {
         let (decision, count) = match event {
--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub(super) struct Directory {
     workers: Map<WorkerName, ListedWorker>,
+    /// Number of listed workers with each label, by data centre.
+    labels: Map<Arc<str>, BTreeMap<Arc<str>, usize>>,
     /// Version of the store up to which all changes of the workers' entries have been applied.
     workers_version: u64,
     /// Time of the first read of the workers' entries, and time of the last change of their number.
@@ -52,6 +54,7 @@
     pub(super) fn new(departed_ttl: Duration, is_first_start: bool) -> Self {
         Self {
             workers: Map::default(),
+            labels: Map::default(),
             workers_version: 0,
             workers_since: None,
             departed: Map::default(),
@@ -87,6 +90,52 @@
         workers.any(|w| *w.entry.data_centre == *data_centre)
     }
 
+    /// Data centre of a rack; `None` unless all workers with this label are in the same one.
+    pub(super) fn data_centre_of_rack(&self, rack: &str) -> Option<&Arc<str>> {
+        let mut data_centres = self.labels.get(rack)?.keys();
+        data_centres
+            .next()
+            .filter(|_| data_centres.next().is_none())
+    }
+
+    /// Data centre in which the most tasks of a job have their data, by the number of tasks that prefer each
+    /// rack.
+    pub(super) fn data_centre_of_data(&self, racks: &[(Arc<str>, u32)]) -> Option<&Arc<str>> {
+        let mut tasks: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+        for (rack, count) in racks {
+            if let Some(data_centre) = self.data_centre_of_rack(rack) {
+                *tasks.entry(data_centre).or_default() += u64::from(*count);
+            }
+        }
+        let most = tasks.into_iter().max_by_key(|&(_, count)| count);
+        most.map(|(data_centre, _)| data_centre)
+    }
+
+    fn add_labels(&mut self, entry: &WorkerEntry) {
+        for label in &entry.labels {
+            let data_centres = self.labels.entry(Arc::clone(label)).or_default();
+            let data_centre = Arc::clone(&entry.data_centre);
+            *data_centres.entry(data_centre).or_default() += 1;
+        }
+    }
+
+    fn remove_labels(&mut self, entry: &WorkerEntry) {
+        for label in &entry.labels {
+            let Some(data_centres) = self.labels.get_mut(label) else {
+                continue;
+            };
+            if let Some(count) = data_centres.get_mut(&entry.data_centre) {
+                *count -= 1;
+                if *count == 0 {
+                    data_centres.remove(&entry.data_centre);
+                }
+            }
+            if data_centres.is_empty() {
+                self.labels.remove(label);
+            }
+        }
+    }
+
     /// Listed workers that belong to a cell by the present plan.
     pub(super) fn workers_of(&self, cell: &CellName) -> Vec<WorkerEntry> {
         let workers = self.workers.values().map(|w| &w.entry);
@@ -212,6 +261,10 @@
             version,
         };
         let former = self.workers.insert(name, worker).map(|w| w.entry);
+        self.add_labels(&entry);
+        if let Some(former) = &former {
+            self.remove_labels(former);
+        }
         if let Some(former) = former.filter(|f| f.address != address) {
             self.add_departed(former, now);
         }
@@ -220,6 +273,7 @@
 
     fn worker_gone(&mut self, name: &WorkerName, now: Instant) -> Option<WorkerChange> {
         let ListedWorker { entry, .. } = self.workers.remove(name)?;
+        self.remove_labels(&entry);
         info!(worker:% = name, state:% = entry.state; "worker_gone");
         if entry.state == WorkerState::Ready {
             self.add_departed(entry.clone(), now);
--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -1,9 +1,11 @@
 //! Jobs of the callers at this VM: sent to schedulers, answered, withdrawn.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use geraniumrelay_core::collections::Set;
-use geraniumrelay_core::leased::cells::{self, Candidate, CellName};
+use geraniumrelay_core::leased::cell_choice::{self, Candidate, Request};
+use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
     Command, EntryVm, FencingToken, JobId, JobOutcome, JobState, RefusalReason, Submission,
 };
@@ -12,15 +14,24 @@
 use log::{info, warn};
 
 use super::EventLoop;
+use super::crossings::crossing_reason;
 use crate::leased::cell::Cell;
 use crate::leased::convert;
 use crate::leased::links;
-use crate::leased::pending_jobs::{self, UnsentJob};
+use crate::leased::pending_jobs::UnsentJob;
 
-fn candidate(cell: &Cell) -> Candidate {
-    Candidate {
-        name: cell.name.clone(),
-        load: cell.load_percent,
+/// Chooses a cell for a job that has none.
+pub(in crate::leased) fn choose_cell(
+    req: &Request<'_>,
+    is_refused: bool,
+    candidates: &[Candidate],
+) -> Option<CellName> {
+    if is_refused {
+        cell_choice::choose_after_refusal(req, candidates)
+    } else if req.declined_by.is_empty() {
+        cell_choice::choose(req, candidates)
+    } else {
+        cell_choice::choose_alternative(req, candidates)
     }
 }
 
@@ -37,8 +48,23 @@
     /// Assigns a job to a cell with a scheduler, and sends it; unsent where there is no scheduler, or
     /// its queue is full. Adds such a scheduler to `full`.
     fn assign_job(&mut self, unsent: &UnsentJob, full: &mut Set<EntryVm>) {
-        let id = unsent.id;
-        let Some(name) = unsent.cell.clone().or_else(|| self.choose_cell(unsent)) else {
+        let (id, now) = (unsent.id, Instant::now());
+        let data_centre = Arc::clone(&self.components.data_centre);
+        let data = self.directory.data_centre_of_data(&unsent.racks).cloned();
+        let req = Request {
+            id,
+            data_centre: &data_centre,
+            data: data.as_deref(),
+            declined_by: &unsent.declined_by,
+            refused_by: &unsent.refused_by,
+        };
+        let candidates = match unsent.cell {
+            Some(_) => Vec::new(),
+            None => self.candidates(now),
+        };
+        let cell = unsent.cell.clone();
+        let cell = cell.or_else(|| choose_cell(&req, unsent.is_refused, &candidates));
+        let Some(name) = cell else {
             self.refuse_evacuated(id);
             return;
         };
@@ -47,12 +73,17 @@
         if full.contains(&to) {
             return;
         }
-        let (own, now) = (self.components.vm, Instant::now());
-        let has_alternative = self.has_alternative(unsent, &name);
+        let own = self.components.vm;
+        let has_alternative = cell_choice::has_alternative(&req, &name, &candidates);
         let cell = (&name, has_alternative);
         let Some(submission) = self.pending_jobs.assign(id, cell, token, own, now) else {
             return;
         };
+        if unsent.cell.is_none()
+            && let Some(reason) = crossing_reason(&req, unsent, &name, &candidates)
+        {
+            self.on_crossing(&req, (&name, reason), &candidates);
+        }
         if !self.send_job(to, &name, submission) {
             full.insert(to);
         }
@@ -75,45 +106,15 @@
         is_sent
     }
 
-    /// Chooses among the cells that have a scheduler and have not refused the job; the cell that has left
-    /// it to another one comes last.
-    pub(super) fn choose_cell(&self, unsent: &UnsentJob) -> Option<CellName> {
-        let is_open = |c: &&Cell| unsent.declined_by.as_ref() != Some(&c.name);
-        let open = self.candidates(unsent).filter(is_open).map(candidate);
-        let open: Vec<Candidate> = open.collect();
-        let chosen = cells::choose(unsent.id, &self.components.data_centre, &open);
-        let Some(declined) = &unsent.declined_by else {
-            return chosen;
-        };
-        // A cell elsewhere is chosen only if those of this data centre are full.
-        let is_same_data_centre = |c: &CellName| c.data_centre() == declined.data_centre();
-        let other = chosen.filter(is_same_data_centre);
-        other.or_else(|| {
-            let mut candidates = self.candidates(unsent);
-            let is_declined = |c: &&Cell| c.name == *declined;
-            candidates.find(is_declined).map(|c| c.name.clone())
-        })
-    }
-
-    /// Cells that have a scheduler, are not evacuated and have not refused the job.
-    fn candidates(&self, unsent: &UnsentJob) -> impl Iterator<Item = &Cell> {
-        self.cells.values().filter(|c| {
-            c.election.current().is_some()
-                && !unsent.refused_by.contains(&c.name)
-                && !self.is_evacuated(c)
-        })
-    }
-
-    /// Whether a cell of the same data centre as `chosen`, which has not had the job, has room by its last
-    /// report.
-    fn has_alternative(&self, unsent: &UnsentJob, chosen: &CellName) -> bool {
-        let is_other = |c: &&Cell| {
-            c.name != *chosen
-                && c.name.data_centre() == chosen.data_centre()
-                && unsent.declined_by.as_ref() != Some(&c.name)
+    /// Cells that have a scheduler and are not evacuated.
+    fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let is_open = |c: &&Cell| c.election.current().is_some() && !self.is_evacuated(c);
+        let candidate = |c: &Cell| Candidate {
+            name: c.name.clone(),
+            load: c.load(now),
         };
-        let mut others = self.candidates(unsent).filter(is_other);
-        others.any(|c| pending_jobs::has_room(c.load_percent))
+        let open = self.cells.values().filter(is_open);
+        open.map(candidate).collect()
     }
 
     /// Withdraws and removes a job once no caller waits for it.
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -2,6 +2,7 @@
 //! executes the effects of their decisions.
 
 mod configuration;
+mod crossings;
 mod election;
 mod evacuation;
 mod jobs;
@@ -27,6 +28,7 @@
 use log::info;
 use tokio::time::timeout_at;
 
+use self::crossings::Crossings;
 use crate::leased::Routes;
 use crate::leased::archive::Archive;
 use crate::leased::cell::Cell;
@@ -109,6 +111,7 @@
     config_uploads: ConfigUploads,
     /// Time from which a refused upload is logged again.
     next_upload_refusal_line: Instant,
+    crossings: Crossings,
     store_health: StoreHealth,
     next_tick: Instant,
     next_heartbeat: Instant,
@@ -142,6 +145,7 @@
             config_download: ConfigDownload::new(vm),
             config_uploads: ConfigUploads::default(),
             next_upload_refusal_line: now,
+            crossings: Crossings::default(),
             store_health: StoreHealth::default(),
             next_tick: now,
             next_heartbeat: now,
@@ -317,9 +321,10 @@
     /// Sends a heartbeat to the other entry VMs, with the successor of a cell on a hand-over.
     fn send_heartbeat(&mut self, successor: Option<(&CellName, EntryVm)>) {
         let successor_of = |name: &CellName| successor.filter(|s| s.0 == name).map(|s| s.1);
+        let now = Instant::now();
         let cells = self.cells.values_mut();
         let cells = cells
-            .map(|cell| cell.heartbeat(successor_of(&cell.name)))
+            .map(|cell| cell.heartbeat(successor_of(&cell.name), now))
             .collect();
         let (evacuation_revision, evacuated) = self.evacuations_to_wire(Instant::now());
         let heartbeat = Beat {
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -19,6 +19,7 @@
 };
 use tokio::task::spawn_local;
 
+use super::crossing_reason::CrossingReason;
 use super::decision_metrics::DecisionMetrics;
 use super::server;
 
@@ -196,6 +197,10 @@
         self.decisions.set_evacuated(data_centres);
     }
 
+    pub(super) fn count_crossing(&self, reason: CrossingReason) {
+        self.decisions.count_crossing(reason);
+    }
+
     pub(super) fn observe_commit(&self, took: Duration) {
         self.commit_latency.observe(took.as_secs_f64());
     }
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -8,6 +8,7 @@
 mod call_retry;
 mod cell;
 mod convert;
+mod crossing_reason;
 mod decision_log;
 mod decision_metrics;
 mod directory;
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -6,7 +6,8 @@
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, LostRun, RefusalReason, Submission, TaskName,
+    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, LostRun, RefusalReason, StepSpec,
+    Submission, TaskName,
 };
 use tokio::sync::oneshot;
 
@@ -19,12 +20,9 @@
 /// Time after a caller's maximum wait at which a job without an answer times out here.
 const ANSWER_MARGIN: Duration = Duration::from_millis(5);
 
-/// Maximum number of cells to which a job is offered.
+/// Maximum number of cells that may refuse a job because of overload.
 const MAX_CELLS: usize = 2;
 
-/// Load up to which a cell may have room, in percent of its capacity.
-const ROOM_LOAD_PERCENT: u32 = 100;
-
 #[derive(Debug)]
 struct OpenJob {
     spec: JobSpec,
@@ -37,8 +35,8 @@
     refused_by: Vec<CellName>,
     /// How many of these refused it because of an evacuation.
     evacuated_cells: usize,
-    /// Cell in which the job would have had to wait, and that left it to another cell.
-    declined_by: Option<CellName>,
+    /// Cells in which the job would have had to wait, and that left it to another cell.
+    declined_by: Vec<CellName>,
     /// Runs that were lost with their workers, as schedulers have told.
     losses: Vec<(TaskName, Vec<LostRun>)>,
     /// Whether the last submission said that another cell has room.
@@ -52,6 +50,12 @@
 }
 
 impl OpenJob {
+    fn racks(&self) -> Vec<(Arc<str>, u32)> {
+        let steps = self.spec.steps.iter();
+        let rack = |s: &StepSpec| Some((s.preferred_rack.clone()?, s.count.into()));
+        steps.filter_map(rack).collect()
+    }
+
     /// Lets the job be sent to another cell. After a refusal no task has started, so another cell is safe.
     fn forget_assignment(&mut self) {
         self.had_alternative = false;
@@ -70,8 +74,12 @@
     pub(super) cell: Option<CellName>,
     /// Cells that have refused the job.
     pub(super) refused_by: Vec<CellName>,
-    /// Cell in which the job would have had to wait.
-    pub(super) declined_by: Option<CellName>,
+    /// Whether a cell has refused the job because of overload.
+    pub(super) is_refused: bool,
+    /// Cells in which the job would have had to wait.
+    pub(super) declined_by: Vec<CellName>,
+    /// Racks of the job's data, with the number of tasks that prefer each.
+    pub(super) racks: Vec<(Arc<str>, u32)>,
 }
 
 /// Figures of an answered job, for its log line.
@@ -84,11 +92,6 @@
     pub(super) estimate: Duration,
 }
 
-/// Whether a cell with this reported load may have room for a job.
-pub(super) fn has_room(load_percent: u32) -> bool {
-    load_percent < ROOM_LOAD_PERCENT
-}
-
 /// Jobs whose callers wait at this entry VM.
 #[derive(Debug, Default)]
 pub(super) struct PendingJobs {
@@ -118,7 +121,7 @@
             cell: None,
             refused_by: Vec::new(),
             evacuated_cells: 0,
-            declined_by: None,
+            declined_by: Vec::new(),
             losses: Vec::new(),
             had_alternative: false,
             tokens: Vec::new(),
@@ -161,7 +164,9 @@
                 id,
                 cell: job.cell.clone().filter(|_| job.was_sent),
                 refused_by: job.refused_by.clone(),
+                is_refused: job.refused_by.len() > job.evacuated_cells,
                 declined_by: job.declined_by.clone(),
+                racks: job.racks(),
             })
             .collect()
     }
@@ -178,7 +183,8 @@
     ) -> Option<Submission> {
         let job = self.jobs.get_mut(&id)?;
         let may_have_started = job.was_sent;
-        job.had_alternative = has_alternative && !may_have_started && job.declined_by.is_none();
+        job.had_alternative =
+            has_alternative && !may_have_started && !job.declined_by.contains(cell);
         let former_tokens: Vec<_> = job.tokens.iter().copied().filter(|&t| t != token).collect();
         if former_tokens.len() == job.tokens.len() {
             job.tokens.push(token);
@@ -238,7 +244,7 @@
             return false;
         };
         if job.had_alternative {
-            job.declined_by = job.cell.take();
+            job.declined_by.extend(job.cell.take());
         } else if job.refused_by.len() - job.evacuated_cells + 1 >= MAX_CELLS {
             return false;
         } else {
--- a/crates/geraniumrelay/src/leased/tests/directory.rs
+++ b/crates/geraniumrelay/src/leased/tests/directory.rs
@@ -238,3 +238,45 @@
         .unwrap();
     assert_eq!(plan.names().len(), 2);
 }
+
+fn worker_with(name: &str, zone: &str, labels: &str) -> Change {
+    let value = format!(
+        r#"{{"service":"s","address":"10.1.2.3:80","zone":"{zone}","state":"ready",
+            "capacity":{{"cpu":64000,"mem_mb":1,"gpu":0}},"labels":[{labels}],"born":1}}"#
+    );
+    Change {
+        value: Some(value.into_bytes()),
+        ..worker(name, "ready")
+    }
+}
+
+/// A job was sent to its own data centre although its data was in another one.
+#[test]
+fn the_data_centre_of_a_rack_follows_from_the_labels_of_its_workers() {
+    let (mut directory, now) = (empty_directory(), Instant::now());
+    let rows = [
+        worker_with("a", "x", r#""r1","big""#),
+        worker_with("b", "x", r#""r1""#),
+        worker_with("c", "y", r#""r2","big""#),
+    ];
+    directory.apply_worker_rows(true, &rows, 1, now);
+    let of_rack = |directory: &Directory, rack: &str| {
+        let data_centre = directory.data_centre_of_rack(rack);
+        data_centre.map(ToString::to_string)
+    };
+    assert_eq!(of_rack(&directory, "r1").as_deref(), Some("x"));
+    assert_eq!(of_rack(&directory, "r2").as_deref(), Some("y"));
+    assert_eq!(of_rack(&directory, "big"), None, "workers in both");
+    assert_eq!(of_rack(&directory, "r3"), None, "no such rack");
+    let data = directory.data_centre_of_data(&[("r1".into(), 2), ("r2".into(), 8)]);
+    assert_eq!(data.map(|d| &**d), Some("y"), "most tasks");
+    // The last worker of a rack goes, and another one moves.
+    let rows = [at(2, removed("c")), at(3, worker_with("b", "y", r#""r1""#))];
+    directory.apply_worker_rows(false, &rows, 3, now);
+    assert_eq!(of_rack(&directory, "r2"), None);
+    assert_eq!(of_rack(&directory, "big").as_deref(), Some("x"));
+    assert_eq!(of_rack(&directory, "r1"), None, "workers in both");
+    let rows = [at(4, worker_with("a", "y", r#""r1""#))];
+    directory.apply_worker_rows(false, &rows, 4, now);
+    assert_eq!(of_rack(&directory, "r1").as_deref(), Some("y"));
+}
