test(leased): choices of cells, and jobs that leave their data centre at an event loop

Change: tests of each rule, of stale loads, and of an event loop whose peer schedules a cell here and one elsewhere. The latter showed that a job was counted as leaving at each attempt while the link was down; it counts once it is sent. A job that its own cell refuses does not return to a cell elsewhere that left it. Where no cell has a usable worker, a job stays in its data centre.

--- a/crates/geraniumrelay-core/src/leased/cell_choice.rs
+++ b/crates/geraniumrelay-core/src/leased/cell_choice.rs
@@ -148,10 +148,7 @@
     let split = Split::new(req, candidates);
     let id = req.id;
     if split.near.is_empty() {
-        let is_open = |c: &&Candidate| !req.refused_by.contains(&c.name);
-        let open: Vec<&Candidate> = candidates.iter().filter(is_open).collect();
-        let usable = draw(id, &split.remote, Candidate::room);
-        return usable.or_else(|| draw(id, &open, Candidate::room));
+        return draw(id, &split.remote, Candidate::room).or_else(|| draw_unusable(req, candidates));
     }
     let drawn = uniform(hash_of(&key(id, "leave")));
     if drawn <= split.leaving_share() {
@@ -160,6 +157,15 @@
     draw(id, &split.near, Candidate::room)
 }
 
+/// Draws a cell where none has a usable worker, in the entry VM's data centre if possible: its workers answer soon
+/// after a takeover.
+fn draw_unusable(req: &Request<'_>, candidates: &[Candidate]) -> Option<CellName> {
+    let is_open = |c: &&Candidate| !req.refused_by.contains(&c.name);
+    let is_own = |c: &&Candidate| c.name.data_centre() == Some(req.data_centre);
+    let (own, others): (Vec<_>, Vec<_>) = candidates.iter().filter(is_open).partition(is_own);
+    draw(req.id, &own, Candidate::room).or_else(|| draw(req.id, &others, Candidate::room))
+}
+
 /// Whether a job that would have to wait in `cell` is to be left to another one. In a single data centre only the
 /// first cell may leave it. Elsewhere each of up to [`MAX_DECLINES`] cells may leave it to one that has not had it;
 /// a cell of another data centre may always give it back.
@@ -223,9 +229,12 @@
 
 /// Chooses the next cell for a job that a cell has refused because of overload: the one with most free capacity,
 /// a near one among equals. A remote cell without free capacity is not chosen. In a single data centre the cell is
-/// drawn in proportion to the room. Without any, the job goes back to the first cell that has left it.
+/// drawn in proportion to the room. Without any, the job goes back to the first near cell that
+/// has left it.
 pub fn choose_after_refusal(req: &Request<'_>, candidates: &[Candidate]) -> Option<CellName> {
-    let split = Split::new(req, candidates).without_declined(req);
+    let split = Split::new(req, candidates);
+    let home = split.near.clone();
+    let split = split.without_declined(req);
     let is_same_data_centre = !split.has_several_data_centres;
     let Split { near, remote, .. } = split;
     let most = |cells: &[&Candidate]| cells.iter().map(|c| c.free()).max().unwrap_or(0);
@@ -237,7 +246,8 @@
     let is_open = |c: &&Candidate| is_same_data_centre || c.free() == near_most;
     let best = near.into_iter().filter(is_open);
     let drawn = draw(req.id, &best.collect::<Vec<_>>(), Candidate::room);
-    drawn.or_else(|| returns_to(req, candidates))
+    let is_near = |name: &CellName| home.iter().any(|c| c.name == *name);
+    drawn.or_else(|| returns_to(req, candidates).filter(is_near))
 }
 
 /// Draws one of `candidates` in proportion to `weight`: the smallest of exponentially distributed values with
--- a/crates/geraniumrelay-core/tests/leased/cell_choice.rs
+++ b/crates/geraniumrelay-core/tests/leased/cell_choice.rs
@@ -440,3 +440,159 @@
         }
     });
 }
+
+fn candidates(loads: &[(&str, u32)]) -> Vec<Candidate> {
+    let candidate = |&(name, load): &(&str, u32)| Candidate {
+        name: CellName(name.into()),
+        load,
+    };
+    loads.iter().map(candidate).collect()
+}
+
+/// Number of 2,000 jobs whose first cell is in each of `data_centres`, for jobs of data centre a.
+fn first_cells(data: Option<&str>, loads: &[(&str, u32)], data_centres: &[&str]) -> Vec<usize> {
+    let candidates = candidates(loads);
+    let chosen = (0..2_000).map(|id| {
+        let req = Request {
+            data,
+            ..request(id, "a")
+        };
+        choose(&req, &candidates).unwrap()
+    });
+    let chosen: Vec<CellName> = chosen.collect();
+    let count = |name: &&str| {
+        let is_there = |c: &&CellName| c.data_centre() == Some(*name);
+        chosen.iter().filter(is_there).count()
+    };
+    data_centres.iter().map(count).collect()
+}
+
+#[test]
+fn no_job_is_drawn_to_leave_at_equal_loads() {
+    for load in [0, 50, 90, 100, 130] {
+        let loads = CELLS.map(|name| (name, load));
+        assert_eq!(first_cells(None, &loads, &DATA_CENTRES), [2_000, 0, 0]);
+    }
+}
+
+/// All jobs left at once when the cells were full.
+#[test]
+fn the_share_that_leaves_is_the_excess_of_the_near_cells() {
+    let with = |near| [("a/0", near), ("a/1", near), ("b/0", 40), ("c/0", 80)];
+    let mut last = 0;
+    for (near, expected) in [(100, 0), (110, 180), (125, 400)] {
+        let counts = first_cells(None, &with(near), &DATA_CENTRES);
+        let left = counts[1] + counts[2];
+        assert!(left.abs_diff(expected) <= 50, "{near}: {counts:?}");
+        assert!(left >= last);
+        last = left;
+        assert!(counts[1] >= counts[2] * 5, "in proportion: {counts:?}");
+    }
+}
+
+/// A cell without workers was drawn with the weight of a full one, and its jobs were refused.
+#[test]
+fn a_cell_without_a_usable_worker_gets_no_job_while_another_one_has_some() {
+    let loads = [("a/0", u32::MAX), ("a/1", 60), ("b/0", 10)];
+    let candidates = candidates(&loads);
+    for id in 0..500 {
+        let chosen = choose(&request(id, "a"), &candidates);
+        assert_eq!(chosen, Some(CellName("a/1".into())));
+    }
+    let loads = [("a/0", u32::MAX), ("b/0", 100), ("c/0", u32::MAX)];
+    assert_eq!(first_cells(None, &loads, &DATA_CENTRES), [0, 2_000, 0]);
+    let loads = [("a/0", u32::MAX), ("b/0", u32::MAX)];
+    assert_eq!(first_cells(None, &loads, &DATA_CENTRES), [2_000, 0, 0]);
+}
+
+#[test]
+fn jobs_go_to_the_data_centre_of_their_data_while_it_has_free_capacity() {
+    let with = |data| [("a/0", 50), ("b/0", data), ("c/0", 50)];
+    let counts = |load| first_cells(Some("b"), &with(load), &DATA_CENTRES);
+    assert_eq!(counts(50), [0, 2_000, 0]);
+    assert_eq!(counts(95), [0, 2_000, 0]);
+    assert!(counts(130)[1] < 1_700, "{:?}", counts(130));
+    assert_eq!(counts(u32::MAX), [2_000, 0, 0], "no usable worker there");
+    let evacuated = [("a/0", 50), ("c/0", 50)];
+    assert_eq!(first_cells(Some("b"), &evacuated, &["a"]), [2_000]);
+}
+
+/// A refused job went to the other cell of its data centre, which was as full.
+#[test]
+fn a_refused_job_goes_to_the_cell_with_most_free_capacity_anywhere() {
+    let refused_by = [CellName("a/0".into())];
+    let next = |loads: &[(&str, u32)]| {
+        let req = Request {
+            refused_by: &refused_by,
+            ..request(1, "a")
+        };
+        let chosen = choose_after_refusal(&req, &candidates(loads));
+        chosen.map(|name| name.to_string())
+    };
+    let loads = [("a/0", 20), ("a/1", 97), ("b/0", 70), ("c/0", 60)];
+    assert_eq!(next(&loads).as_deref(), Some("c/0"));
+    let loads = [("a/0", 120), ("a/1", 60), ("b/0", 60)];
+    assert_eq!(next(&loads).as_deref(), Some("a/1"), "near among equals");
+    let loads = [("a/0", 120), ("b/0", 110)];
+    assert_eq!(next(&loads), None, "no crossing to a full cell");
+    let loads = [("a/0", 120), ("a/1", 110)];
+    assert_eq!(next(&loads).as_deref(), Some("a/1"), "as before");
+}
+
+#[test]
+fn a_job_that_its_own_cell_refuses_does_not_return_to_a_cell_elsewhere_that_left_it() {
+    let cells = candidates(&[("a/0", 120), ("a/1", 120), ("b/0", 99)]);
+    let (refused_by, b) = ([CellName("a/0".into())], CellName("b/0".into()));
+    let next = |declined_by: &[CellName]| {
+        let req = Request {
+            declined_by,
+            refused_by: &refused_by,
+            ..request(1, "a")
+        };
+        choose_after_refusal(&req, &cells)
+    };
+    let a = CellName("a/1".into());
+    assert_eq!(next(&[b.clone(), a.clone()]), Some(a));
+    assert_eq!(next(&[]), Some(b.clone()));
+    let cells = candidates(&[("a/0", 120), ("b/0", 99)]);
+    let req = Request {
+        declined_by: std::slice::from_ref(&b),
+        refused_by: &refused_by,
+        ..request(1, "a")
+    };
+    assert_eq!(choose_after_refusal(&req, &cells), None);
+}
+
+#[test]
+fn in_a_single_data_centre_only_the_first_cell_may_leave_a_job_to_another_one() {
+    let cells = candidates(&[("a/0", 90), ("a/1", 90), ("a/2", 99), ("a/3", 105)]);
+    let req = request(1, "a");
+    let name = |position: usize| cells[position].name.clone();
+    assert!(has_alternative(&req, &name(0), &cells));
+    let declined_by = [name(0)];
+    assert!(!has_alternative(
+        &after(&req, &declined_by),
+        &name(1),
+        &cells
+    ));
+    let full = [cells[0].clone(), cells[3].clone()];
+    assert!(!has_alternative(&req, &name(0), &full), "as before");
+    let single = candidates(&[("all", 10)]);
+    assert!(!has_alternative(&req, &CellName::single(), &single));
+}
+
+/// A job that no cell has room for waits near its data centre, not where it was offered last.
+#[test]
+fn a_job_that_all_cells_decline_returns_to_the_first_one() {
+    let cells = candidates(&[("a/0", 100), ("b/0", 100), ("c/0", 100)]);
+    let req = request(1, "a");
+    let mut declined_by = vec![CellName("a/0".into())];
+    while let Some(next) = choose_alternative(&after(&req, &declined_by), &cells)
+        && has_alternative(&after(&req, &declined_by), &next, &cells)
+    {
+        declined_by.push(next);
+    }
+    assert_eq!(declined_by.len(), 3, "{declined_by:?}");
+    let last = choose_alternative(&after(&req, &declined_by), &cells);
+    assert_eq!(last, Some(CellName("a/0".into())));
+}
--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -79,14 +79,13 @@
         let Some(submission) = self.pending_jobs.assign(id, cell, token, own, now) else {
             return;
         };
-        if unsent.cell.is_none()
+        if !self.send_job(to, &name, submission) {
+            full.insert(to);
+        } else if unsent.cell.is_none()
             && let Some(reason) = crossing_reason(&req, unsent, &name, &candidates)
         {
             self.on_crossing(&req, (&name, reason), &candidates);
         }
-        if !self.send_job(to, &name, submission) {
-            full.insert(to);
-        }
     }
 
     /// Sends a submission to a scheduler here or on a peer; `false` if the send failed and left the
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -40,14 +40,14 @@
 use crate::leased::pause;
 use crate::leased::worker_calls::WorkerCalls;
 
-const OWN: EntryVm = EntryVm(Ipv4Addr::LOCALHOST);
-const PEER: EntryVm = EntryVm(Ipv4Addr::new(127, 0, 0, 2));
+pub(super) const OWN: EntryVm = EntryVm(Ipv4Addr::LOCALHOST);
+pub(super) const PEER: EntryVm = EntryVm(Ipv4Addr::new(127, 0, 0, 2));
 
 /// Longest wait for the reads of a new scheduler.
 const READS_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Starts a store with one worker that refuses reads of the records, and counts these reads.
-async fn start_store(reads: Rc<Cell<u32>>) -> SocketAddr {
+pub(super) async fn start_store(reads: Rc<Cell<u32>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     spawn_local(async move {
@@ -86,7 +86,7 @@
 }
 
 /// Starts the event loop of a VM whose only peer can't be reached.
-fn start_event_loop(store: SocketAddr) -> InputTx {
+pub(super) fn start_event_loop(store: SocketAddr) -> InputTx {
     start_event_loop_with(store, pause::boot_clock)
 }
 
@@ -122,7 +122,7 @@
     tx
 }
 
-async fn send_rows(tx: &InputTx, table: Table, rows: Vec<Change>) {
+pub(super) async fn send_rows(tx: &InputTx, table: Table, rows: Vec<Change>) {
     let rows = Input::Rows {
         table,
         is_snapshot: true,
@@ -132,7 +132,7 @@
     tx.send(rows).await;
 }
 
-fn entry_vm(vm: EntryVm) -> Change {
+pub(super) fn entry_vm(vm: EntryVm) -> Change {
     Change {
         key: vm.to_string(),
         value: Some(format!("{vm}:1").into_bytes()),
@@ -163,7 +163,7 @@
     })
 }
 
-fn from_peer(connection: IncomingConnection, body: Body) -> Input {
+pub(super) fn from_peer(connection: IncomingConnection, body: Body) -> Input {
     Input::Peer {
         from: PEER,
         connection,
@@ -180,7 +180,7 @@
 }
 
 /// Connection of the peer's first process.
-const FORMER: IncomingConnection = IncomingConnection {
+pub(super) const FORMER: IncomingConnection = IncomingConnection {
     number: 1,
     incarnation: 7,
 };
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -2,9 +2,11 @@
 
 mod archive;
 mod call_retry;
+mod cell;
 mod convert;
 mod directory;
 mod event_loop;
+mod event_loop_crossings;
 mod links;
 mod metrics;
 mod pending_jobs;
