--- a/crates/geraniumrelay-core/tests/leased/evacuation.rs
+++ b/crates/geraniumrelay-core/tests/leased/evacuation.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use geraniumrelay_core::leased::cells::{Candidate, CellName, choose};
+use geraniumrelay_core::leased::cell_choice::{Candidate, Request, choose};
+use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::evacuation::{EvacuationChange, EvacuationRow, Evacuations};
 use geraniumrelay_core::leased::{Command, JobId, JobOutcome, RefusalReason, WorkerState};
 use geraniumrelay_core::{Config, Context};
@@ -516,7 +517,18 @@
     };
     let candidates = [candidate("a/0", 130), candidate("b/0", u32::MAX)];
     for id in 0..100 {
-        let chosen = choose(JobId(id), "a", &candidates);
+        let chosen = choose(&request(JobId(id), "a"), &candidates);
         assert_eq!(chosen, Some(CellName("a/0".into())), "job {id}");
     }
 }
+
+/// Request for a job without preferred racks that no cell has had.
+fn request(id: JobId, data_centre: &str) -> Request<'_> {
+    Request {
+        id,
+        data_centre,
+        data: None,
+        declined_by: &[],
+        refused_by: &[],
+    }
+}
--- a/crates/geraniumrelay/src/leased/event_loop/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/evacuation.rs
@@ -106,7 +106,7 @@
     /// while it is evacuated, so that its callers can only be served through entry VMs elsewhere.
     pub(super) fn has_no_open_cell(&mut self, now: Instant) -> bool {
         let is_open = |cell: &Cell| {
-            let has_workers = cell.load_percent != u32::MAX;
+            let has_workers = cell.load(now) != u32::MAX;
             cell.election.current().is_some() && has_workers && !self.is_evacuated(cell)
         };
         // Where all data centres are evacuated, callers get their refusals here.
--- a/crates/geraniumrelay/src/leased/tests/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/tests/evacuation.rs
@@ -8,7 +8,8 @@
 
 use assert_matches::assert_matches;
 use geraniumrelay_adapter::{Change, Table};
-use geraniumrelay_core::leased::cells::{Candidate, CellName, choose};
+use geraniumrelay_core::leased::cell_choice::{Candidate, Request, choose};
+use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{JobId, JobOutcome, JobSpec, RefusalReason};
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::peer_message::Body;
@@ -413,7 +414,8 @@
         load: 0,
     };
     let idle = [candidate("z/0"), candidate("z/1")];
-    let goes_first = |&id: &u64| choose(JobId(id), "z", &idle) == Some(CellName("z/0".into()));
+    let goes_first =
+        |&id: &u64| choose(&request(JobId(id), "z"), &idle) == Some(CellName("z/0".into()));
     (1..100).find(goes_first).unwrap()
 }
 
@@ -463,3 +465,14 @@
         assert!(answer.try_recv().is_err());
     });
 }
+
+/// Request for a job without preferred racks that no cell has had.
+fn request(id: JobId, data_centre: &str) -> Request<'_> {
+    Request {
+        id,
+        data_centre,
+        data: None,
+        declined_by: &[],
+        refused_by: &[],
+    }
+}
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -2,10 +2,12 @@
 
 mod archive;
 mod call_retry;
+mod cell;
 mod convert;
 mod directory;
 mod evacuation;
 mod event_loop;
+mod event_loop_crossings;
 mod links;
 mod metrics;
 mod pending_jobs;
