--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -21,11 +21,7 @@
 use crate::leased::pending_jobs::UnsentJob;
 
 /// Chooses a cell for a job that has none.
-pub(in crate::leased) fn choose_cell(
-    req: &Request<'_>,
-    is_refused: bool,
-    candidates: &[Candidate],
-) -> Option<CellName> {
+fn choose_cell(req: &Request<'_>, is_refused: bool, candidates: &[Candidate]) -> Option<CellName> {
     if is_refused {
         cell_choice::choose_after_refusal(req, candidates)
     } else if req.declined_by.is_empty() {
