feat(leased): tasks wait for a place near their data by expected time

Cause: a task that found the rack of its data full for some milliseconds ran elsewhere and took remote_factor times as long. Many jobs missed their objective by that, and used capacity of other racks. The fixed penalty also let a better fit elsewhere win over an idle near worker.

Change: leased::locality decides at each placement pass between a start elsewhere and a wait, from the expected releases of the rack after the tasks ahead, the run times, the slack and the demand for other places. A wait ends 30 ms (one tick and a call) before the latest start elsewhere. Near workers come first unless their expected run is longer or something speaks against them. A job that would be late elsewhere is admitted by the expected wait for the rack. remote_factor is 1 by default, with which nothing waits.

--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::locality::LocalityConfig;
+
 /// Times and limits of the scheduler.
 #[derive(Debug, Clone)]
 pub struct LeasedConfig {
@@ -78,6 +80,8 @@
     pub estimate_weight: f64,
     /// Mean ratio of actual to expected run time from which a worker counts as slow.
     pub slow_factor: f64,
+    /// Waits for places near the data.
+    pub locality: LocalityConfig,
 }
 
 impl Default for LeasedConfig {
@@ -112,6 +116,7 @@
             evacuation_grace: Duration::from_secs(1),
             estimate_weight: 0.05,
             slow_factor: 2.5,
+            locality: LocalityConfig::default(),
         }
     }
 }
--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -9,6 +9,7 @@
 pub mod journal;
 pub mod leased;
 pub mod loans;
+pub mod locality;
 pub mod membership;
 pub mod retry;
 pub mod shares;
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -175,6 +175,14 @@
     }
 }
 
+/// Wait of a job's tasks for places near their data.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct NearWait {
+    pub(super) since: Instant,
+    /// Whether no task waits any more; a later wait of the same job is not logged.
+    pub(super) is_over: bool,
+}
+
 /// A job that has not ended.
 #[derive(Debug, Clone)]
 pub(super) struct Job {
@@ -209,6 +217,8 @@
     pub(super) check_at: Instant,
     /// Whether the job ranks behind all jobs that can still end in time.
     pub(super) is_deprioritized: bool,
+    /// First wait for a place near the data; `None` if there was none.
+    pub(super) near_wait: Option<NearWait>,
 }
 
 impl Job {
@@ -253,6 +263,7 @@
             reruns: 0,
             check_at: times.deadline,
             is_deprioritized: false,
+            near_wait: None,
         };
         job.unblock();
         job
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -1,12 +1,13 @@
 //! Log events: the scheduler's decisions and their causes.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use derive_more::Display;
 
 use super::admission::Backlog;
 use super::effect::JobOutcome;
+use super::locality::Inputs;
 use super::names::{JobId, TaskName, WorkerName};
 use super::report::EndKind;
 
@@ -149,6 +150,34 @@
         id: JobId,
         /// Task, number of its run, and worker that the order goes to.
         starts: Vec<(TaskName, u32, WorkerName)>,
+        /// Number of the tasks that prefer a rack and start there.
+        near: usize,
+        /// Number of the tasks that prefer a rack and start elsewhere.
+        far: usize,
+    },
+    /// A task of a job waits for a place near its data, although another place is free.
+    NearWaitBegun {
+        /// Job that waits.
+        id: JobId,
+        /// Label of the rack of the data.
+        rack: Arc<str>,
+        /// What the decision depended on.
+        inputs: Inputs,
+        /// Until when the task waits at most.
+        until: Instant,
+    },
+    /// No task of a job waits for a place near its data any more.
+    NearWaitEnded {
+        /// Job that waited.
+        id: JobId,
+        /// Time since the wait began.
+        waited: Duration,
+        /// Number of tasks that started near the data as the wait ended.
+        near: usize,
+        /// Number of tasks that started elsewhere as the wait ended.
+        far: usize,
+        /// Time left until the objective of the job.
+        slack: Duration,
     },
     /// A poll listed a run that this scheduler does not know.
     RunUnclaimed {
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -17,6 +17,7 @@
 mod fitness;
 mod health;
 mod job;
+pub mod locality;
 mod log_event;
 mod losses;
 mod names;
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -32,9 +32,6 @@
 /// Penalty of a worker that is cold, or whose data centre is evacuated: it is used after all others.
 const LAST_RESORT_PENALTY: f64 = 300_000.0;
 
-/// Penalty of a worker outside the rack of the task's data.
-const RACK_PENALTY: f64 = 50_000.0;
-
 /// A task to place, and the constraints of its placement.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlacementRequest<'a> {
@@ -64,36 +61,86 @@
     Wait,
 }
 
-/// The worker with the lowest score for the task, first among those whose clocks were read lately.
+/// The worker with the lowest score for the task, first among those whose clocks were read lately. For a task with a
+/// preferred rack, workers on it go first unless the expected run there is longer, or something speaks against them;
+/// also those whose clocks have to be read, which takes less time than a run elsewhere costs.
 pub(super) fn choose(
     cfg: &LeasedConfig,
     workers: &SlotMap<WorkerKey, Worker>,
     request: PlacementRequest<'_>,
 ) -> Choice {
-    let mut best: Option<(f64, WorkerKey)> = None;
-    let mut best_stale: Option<(f64, WorkerKey)> = None;
+    let (mut fresh, mut stale) = (Best::default(), Best::default());
     for (key, worker) in workers {
         let Some(score) = score(cfg, key, worker, request) else {
             continue;
         };
         let best = if worker.has_fresh_clock(request.now, cfg.max_clock_age) {
-            &mut best
+            &mut fresh
         } else if worker.poll_state.must_read_clock {
             continue;
         } else {
-            &mut best_stale
+            &mut stale
         };
-        if best.is_none_or(|(least, _)| score < least) {
-            *best = Some((score, key));
-        }
+        best.add(score, key);
     }
-    match (best, best_stale) {
+    match (fresh.get(), stale.get()) {
+        (Some((fresh, _)), Some((stale, key)))
+            if stale.is_near && !fresh.is_near && stale.goes_before_far(&fresh) =>
+        {
+            Choice::ReadClock(key)
+        }
         (Some((_, key)), _) => Choice::Start(key),
         (None, Some((_, key))) => Choice::ReadClock(key),
         (None, None) => Choice::Wait,
     }
 }
 
+/// Workers with the lowest scores, near the data of a task and elsewhere.
+#[derive(Debug, Default)]
+struct Best {
+    near: Option<(Score, WorkerKey)>,
+    far: Option<(Score, WorkerKey)>,
+}
+
+impl Best {
+    fn add(&mut self, score: Score, key: WorkerKey) {
+        let best = if score.is_near {
+            &mut self.near
+        } else {
+            &mut self.far
+        };
+        if best.is_none_or(|(least, _)| score.total < least.total) {
+            *best = Some((score, key));
+        }
+    }
+
+    fn get(&self) -> Option<(Score, WorkerKey)> {
+        match (self.near, self.far) {
+            (Some(near), Some(far)) if !near.0.goes_before_far(&far.0) => Some(far),
+            (near, far) => near.or(far),
+        }
+    }
+}
+
+/// Score of a worker for a task; lower is better.
+#[derive(Debug, Clone, Copy)]
+struct Score {
+    total: f64,
+    /// Part of `total` for what speaks against the worker, apart from the fit, the run time and the distance.
+    reluctance: f64,
+    /// Expected run time in seconds.
+    run: f64,
+    is_near: bool,
+}
+
+impl Score {
+    /// Whether this worker near the data goes before `far`. The fit does not count: a run elsewhere takes its place for
+    /// longer than a better fit of a larger task is worth.
+    fn goes_before_far(&self, far: &Self) -> bool {
+        self.reluctance <= far.reluctance && self.run <= far.run
+    }
+}
+
 /// Whether the worker could run the task if no other task ran there.
 pub(super) fn could_run(worker: &Worker, job: &Job, position: u32, bulkheads: &Bulkheads) -> bool {
     let step = job.step(position);
@@ -113,7 +160,7 @@
     key: WorkerKey,
     worker: &Worker,
     request: PlacementRequest<'_>,
-) -> Option<f64> {
+) -> Option<Score> {
     let (job, position) = (request.job, request.task.position);
     let step = job.step(position);
     let free = worker.free();
@@ -162,37 +209,39 @@
     if request.respects_slowness && slowness > 1.0 && !is_in_time(request, expected) {
         return None;
     }
-    let mut score = (free.cpu_milli - step.size.cpu_milli) as f64;
-    score += (expected.as_secs_f64() - nominal.as_secs_f64()) * SLOWNESS_PENALTY_PER_S;
+    let fit = (free.cpu_milli - step.size.cpu_milli) as f64;
+    let run = expected.as_secs_f64();
+    let slowness_score = (run - nominal.as_secs_f64()) * SLOWNESS_PENALTY_PER_S;
+    let mut reluctance = 0.0;
     if is_cold || worker.is_evacuated() {
-        score += LAST_RESORT_PENALTY;
+        reluctance += LAST_RESORT_PENALTY;
     }
     if worker.missed_last_call() {
-        score += MISSED_CALL_PENALTY;
+        reluctance += MISSED_CALL_PENALTY;
     }
     if job.task(position).is_suspect() || worker.runs.iter().any(|r| r.is_suspect) {
-        score += running as f64 * SUSPECT_PENALTY;
+        reluctance += running as f64 * SUSPECT_PENALTY;
     }
     if request
         .bulkheads
         .is_misplaced(&job.spec.queue, worker.entry.address)
     {
-        score += MISPLACED_PENALTY;
-    }
-    if *worker.entry.data_centre != *request.data_centre {
-        score += REMOTE_PENALTY;
-    }
-    if step
-        .preferred_rack
-        .as_ref()
-        .is_some_and(|rack| !worker.has_label(rack))
-    {
-        score += RACK_PENALTY;
+        reluctance += MISPLACED_PENALTY;
     }
+    let distance = if *worker.entry.data_centre == *request.data_centre {
+        0.0
+    } else {
+        REMOTE_PENALTY
+    };
     if job.task(position).failed_on == Some(key) {
-        score += SLOWNESS_PENALTY_PER_S;
-    }
-    Some(score)
+        reluctance += SLOWNESS_PENALTY_PER_S;
+    }
+    Some(Score {
+        total: fit + slowness_score + distance + reluctance,
+        reluctance,
+        run,
+        is_near: step.is_near(worker),
+    })
 }
 
 fn is_in_time(request: PlacementRequest<'_>, run: Duration) -> bool {
--- a/crates/geraniumrelay-core/src/leased/run_time.rs
+++ b/crates/geraniumrelay-core/src/leased/run_time.rs
@@ -7,13 +7,29 @@
 use super::worker::Worker;
 
 /// What is known of the workers' effect on run times.
-#[derive(Debug, Default)]
-pub(super) struct RunTimes {}
+#[derive(Debug)]
+pub(super) struct RunTimes {
+    /// Multiple of the run time away from the preferred rack, at least 1.
+    pub(super) remote_factor: f64,
+}
+
+impl Default for RunTimes {
+    fn default() -> Self {
+        Self { remote_factor: 1.0 }
+    }
+}
 
 impl RunTimes {
     /// Factor for the run time of a task of `step` on `worker`: 1 on a nominal worker near the task's data.
-    #[expect(clippy::unused_self, reason = "no property of a worker is learnt yet")]
-    pub(super) fn factor(&self, _worker: &Worker, _step: &StepSpec) -> f64 {
-        1.0
+    pub(super) fn factor(&self, worker: &Worker, step: &StepSpec) -> f64 {
+        self.locality_factor(worker, step)
+    }
+
+    fn locality_factor(&self, worker: &Worker, step: &StepSpec) -> f64 {
+        if step.is_near(worker) {
+            1.0
+        } else {
+            self.remote_factor
+        }
     }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -1,6 +1,7 @@
 //! Handles ends of runs and of jobs: answers, retries, stops and worker health.
 
 use super::Scheduler;
+use super::locality::near_wait_ended;
 use crate::context::Context;
 use crate::leased::effect::{Effect, JobOutcome, StopCall};
 use crate::leased::job::{JobKey, TaskKey};
@@ -30,6 +31,9 @@
         }
         self.outcomes.insert(job.spec.id, (cx.now, outcome));
         self.outcome_ages.push_back((cx.now, job.spec.id));
+        if job.near_wait.is_some_and(|w| !w.is_over) {
+            out.push(near_wait_ended(cx, &job, (0, 0)));
+        }
         out.push(Effect::LogEvent(LogEvent::JobEnded {
             id: job.spec.id,
             outcome,
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -5,6 +5,7 @@
 mod epochs;
 mod evacuation;
 mod finish;
+mod locality;
 mod losses;
 mod pace;
 mod place;
@@ -245,6 +246,7 @@
         if self.is_deposed {
             return;
         }
+        self.run_times.remote_factor = cx.cfg.leased.locality.remote_factor;
         match cmd {
             Command::Submit(submission) => self.submit(cx, submission, out),
             Command::Withdraw { id, origin } => self.withdraw(cx, id, origin, out),
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -1,6 +1,7 @@
 //! Places waiting tasks on workers, and adopts runs of earlier schedulers.
 
 use super::Scheduler;
+use super::locality::NearPass;
 use crate::context::Context;
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, TaskKey, TaskState};
@@ -21,6 +22,7 @@
             self.knows_departed && workers.all(|w| w.reports_all_runs(cx.now, grace));
         let is_epoch_confirmed = self.is_epoch_confirmed(cx);
         let mut unplaced_jobs = 0;
+        let mut near_pass = NearPass::new(respects_pauses);
         let order: Vec<_> = self.waiting.iter().copied().collect();
         for (rank, key) in order {
             let earlier_runs_until = self.jobs[key].earlier_runs_until;
@@ -47,6 +49,7 @@
                 cx,
                 key,
                 (respects_pauses, respects_slowness, is_epoch_confirmed),
+                &mut near_pass,
                 out,
             ) {
                 unplaced_jobs += 1;
@@ -60,18 +63,22 @@
         }
     }
 
-    /// Starts ready tasks of one job; `false` if one has to wait for a worker.
+    /// Starts ready tasks of one job; `false` if one has to wait for a worker. A task that waits for a place near its data
+    /// does not count, as it leaves free places to others.
     fn place_job(
         &mut self,
         cx: &Context<'_>,
         key: JobKey,
         (respects_pauses, respects_slowness, may_renew_durable): (bool, bool, bool),
+        near_pass: &mut NearPass,
         out: &mut Vec<Effect>,
     ) -> bool {
         let mut starts = Vec::new();
         let mut is_placed = true;
         let mut clock_reads = 0;
         let mut next = 0;
+        let (mut near, mut far) = (0, 0);
+        let mut waits_near = false;
         while let Some(&position) = self.jobs[key].ready.get(next) {
             if !self.jobs[key].may_start(position, cx.now) {
                 next += 1;
@@ -89,7 +96,15 @@
                 run_times: &self.run_times,
                 may_renew_durable,
             };
-            let worker = match placement::choose(&cx.cfg.leased, &self.workers, request) {
+            let choice = placement::choose(&cx.cfg.leased, &self.workers, request);
+            if let Choice::Start(worker) | Choice::ReadClock(worker) = choice
+                && self.waits_for_near(cx, task, worker, near_pass, out)
+            {
+                waits_near = true;
+                next += 1;
+                continue;
+            }
+            let worker = match choice {
                 Choice::Start(worker) => worker,
                 Choice::ReadClock(worker) if clock_reads < self.jobs[key].ready.len() => {
                     clock_reads += 1;
@@ -103,13 +118,28 @@
                 }
             };
             self.start(cx, task, worker, out);
+            near_pass.started(self, worker);
+            let step = self.jobs[key].step(position);
+            if step.preferred_rack.is_some() {
+                let is_near = step.is_near(&self.workers[worker]);
+                near += usize::from(is_near);
+                far += usize::from(!is_near);
+            }
             let job = &self.jobs[key];
             let name = self.workers[worker].entry.name.clone();
             starts.push((job.name(position), job.task(position).last_run, name));
         }
         if !starts.is_empty() {
             let id = self.jobs[key].spec.id;
-            out.push(Effect::LogEvent(LogEvent::TasksStarted { id, starts }));
+            out.push(Effect::LogEvent(LogEvent::TasksStarted {
+                id,
+                starts,
+                near,
+                far,
+            }));
+        }
+        if !waits_near && is_placed {
+            self.end_near_wait(cx, key, (near, far), out);
         }
         is_placed
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -270,6 +270,8 @@
         }
         let backlog = self.backlog(cx, key);
         let wait = admission::expected_wait(&backlog);
+        let near_wait = self.near_wait_on_arrival(cx, key);
+        let wait = wait.and_then(|wait| Some(wait.max(near_wait?)));
         let job = &mut self.jobs[key];
         job.admission = Some((backlog, wait));
         if has_alternative && wait != Some(Duration::ZERO) {
--- a/crates/geraniumrelay-core/src/leased/spec.rs
+++ b/crates/geraniumrelay-core/src/leased/spec.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::names::{JobId, TaskName};
+use super::worker::Worker;
 
 /// Limit of the number of tasks that fit on one worker, for tasks that need no resources.
 const MAX_COUNT: u64 = 1_000;
@@ -81,6 +82,14 @@
     pub max_per_worker: Option<u16>,
 }
 
+impl StepSpec {
+    /// Whether a worker is near the data of the tasks, or the tasks prefer no rack.
+    pub(super) fn is_near(&self, worker: &Worker) -> bool {
+        let rack = self.preferred_rack.as_ref();
+        rack.is_none_or(|rack| worker.has_label(rack))
+    }
+}
+
 /// Specification of a job.
 #[derive(Debug, Clone, PartialEq)]
 pub struct JobSpec {
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -11,6 +11,7 @@
 mod goodput;
 mod jobs;
 mod load;
+mod locality;
 mod restarts;
 mod superseded;
 mod takeover;
--- a/crates/geraniumrelay-core/tests/leased/world/calls.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/calls.rs
@@ -170,7 +170,12 @@
         let job = &self.jobs[&task.job];
         let size = job.spec.steps[usize::from(task.step)].size;
         let lease = (call.lease_until, call.token);
-        let run_time = job.run_time;
+        let rack = job.spec.steps[usize::from(task.step)]
+            .preferred_rack
+            .as_ref();
+        let is_near = rack.is_none_or(|r| *r == self.rack(worker));
+        let factor = if is_near { 1.0 } else { job.remote_factor };
+        let run_time = job.run_time.mul_f64(factor);
         self.advance_workers();
         let was_running = self.workers[worker].running().any(|r| r == (task, run));
         let mut reply = self.workers[worker].start(self.now, (task, run), size, run_time, lease);
@@ -178,6 +183,7 @@
             self.schedule_crash(worker, task);
             *self.start_counts.entry(task).or_insert(0) += 1;
             self.start_times.push((task, self.now));
+            self.placements.push((task, worker));
             let former = self.former_instances.iter().filter(|f| f.is_up);
             let others = self.workers.iter().chain(former.map(|f| &f.instance));
             let others = others.flat_map(FakeWorker::running);
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -84,6 +84,12 @@
             LogEvent::InstanceChanged { worker, source, .. } => self.log(&format!(
                 "host {host} learns of another instance of {worker}: {source:?}"
             )),
+            LogEvent::TasksStarted { near, far, .. } => {
+                self.preferred_starts.0 += near;
+                self.preferred_starts.1 += far;
+            }
+            LogEvent::NearWaitBegun { id, .. } => self.near_waits.0.push(*id),
+            LogEvent::NearWaitEnded { id, .. } => self.near_waits.1.push(*id),
             LogEvent::QueueConfined { queue } => {
                 self.confined_queues.push(queue.to_string());
                 self.log(&format!("host {host} confines {queue}"));
--- a/crates/geraniumrelay-core/tests/leased/world/instances.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/instances.rs
@@ -18,12 +18,27 @@
             data_centre: "a".into(),
             state: WorkerState::Ready,
             capacity: self.workers[worker].capacity,
-            labels: vec![Arc::from("a"), Arc::from("r-1")],
+            labels: vec![Arc::from("a"), self.rack(worker)],
             cold_remaining: Duration::ZERO,
             instance_started_unix_ms: self.workers[worker].instance_started_unix_ms,
         }
     }
 
+    /// Label of the rack of a worker.
+    pub(crate) fn rack(&self, worker: usize) -> Arc<str> {
+        let count = self.racks.len().max(1);
+        let rack = self.racks.get(worker % count);
+        rack.map_or_else(|| Arc::from("r-1"), Arc::clone)
+    }
+
+    /// Distributes the workers over racks, and announces their entries.
+    pub(crate) fn set_racks(&mut self, racks: &[&str]) {
+        self.racks = racks.iter().map(|&r| Arc::from(r)).collect();
+        for worker in 0..self.workers.len() {
+            self.announce_worker(0, worker);
+        }
+    }
+
     pub(super) fn address(&self, worker: usize) -> SocketAddr {
         let first = 1_000 + u16::try_from(worker).unwrap();
         let port = self.ports.get(&worker).copied().unwrap_or(first);
--- a/crates/geraniumrelay-core/tests/leased/world/job.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/job.rs
@@ -10,6 +10,8 @@
     pub(crate) spec: JobSpec,
     /// Actual run time of each task on a worker without faults.
     pub(crate) run_time: Duration,
+    /// Multiple of the run time away from the preferred rack.
+    pub(crate) remote_factor: f64,
     pub(crate) remaining_wait: Duration,
     /// How long the job had waited before its submission to the scheduler.
     pub(crate) waited: Duration,
@@ -53,6 +55,7 @@
         Self {
             spec,
             run_time,
+            remote_factor: 1.0,
             remaining_wait: Duration::from_secs(4),
             waited: Duration::ZERO,
             submitted_at: Instant::now(),
@@ -79,6 +82,13 @@
         self
     }
 
+    /// Lets the tasks prefer a rack, and take `remote_factor` times as long elsewhere.
+    pub(crate) fn with_preferred_rack(mut self, rack: &str, remote_factor: f64) -> Self {
+        self.spec.steps[0].preferred_rack = Some(rack.into());
+        self.remote_factor = remote_factor;
+        self
+    }
+
     /// Sets a loose target latency of 5 s.
     pub(crate) fn with_slack(mut self) -> Self {
         self.spec.target_latency = Duration::from_secs(5);
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -209,6 +209,14 @@
     held_up_starts: Vec<(StartCall, Transit)>,
     /// How tasks crash their workers, and how these return.
     pub(crate) crash_mode: CrashMode,
+    /// Racks of the workers, in turn; all are on `r-1` if there is none.
+    pub(crate) racks: Vec<std::sync::Arc<str>>,
+    /// Starts of tasks with a preferred rack: there, and elsewhere.
+    pub(crate) preferred_starts: (usize, usize),
+    /// Jobs whose wait for a near place has begun, and those whose wait has ended.
+    pub(crate) near_waits: (Vec<JobId>, Vec<JobId>),
+    /// Worker of each accepted start.
+    pub(crate) placements: Vec<(TaskName, usize)>,
     /// Workers that have crashed and are not back.
     down_workers: BTreeSet<usize>,
     /// Workers that the platform does not list any more.
@@ -268,6 +276,10 @@
             holds_up_starts: false,
             held_up_starts: Vec::new(),
             crash_mode: CrashMode::default(),
+            racks: Vec::new(),
+            preferred_starts: (0, 0),
+            near_waits: (Vec::new(), Vec::new()),
+            placements: Vec::new(),
             down_workers: BTreeSet::new(),
             removed_entries: BTreeSet::new(),
             losses: BTreeMap::new(),
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -1,7 +1,7 @@
 //! Logs the scheduler's decisions.
 
 use std::fmt::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{LogEvent, TaskName, WorkerName};
@@ -53,10 +53,13 @@
             let data_centres = data_centres.join(",");
             info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
         }
-        LogEvent::TasksStarted { id, starts } => info!(
+        LogEvent::TasksStarted { id, starts, .. } => info!(
             cell:% = cell, id:% = id, starts = start_list(starts).as_str();
             "tasks_started"
         ),
+        LogEvent::NearWaitBegun { .. } | LogEvent::NearWaitEnded { .. } => {
+            write_near_wait(cell, event);
+        }
         LogEvent::RunUnclaimed { task, run, worker } => info!(
             cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker;
             "run_unclaimed"
@@ -140,6 +143,38 @@
     }
 }
 
+/// Logs the begin or the end of a job's wait for a place near its data.
+fn write_near_wait(cell: &CellName, event: &LogEvent) {
+    match event {
+        LogEvent::NearWaitBegun {
+            id,
+            rack,
+            inputs,
+            until,
+        } => {
+            let after = |at: Instant| ms(at.saturating_duration_since(inputs.now));
+            info!(
+                cell:% = cell, id:% = id, rack = &**rack, near_after_ms:? = inputs.near_at.map(after),
+                ahead = inputs.ahead, near_run_ms = ms(inputs.run_near),
+                far_run_ms = ms(inputs.run_far), slack_ms = after(inputs.latest_end),
+                is_contended = inputs.is_contended, max_wait_ms = after(*until);
+                "near_wait_begun"
+            );
+        }
+        LogEvent::NearWaitEnded {
+            id,
+            waited,
+            near,
+            far,
+            slack,
+        } => info!(
+            cell:% = cell, id:% = id, waited_ms = ms(*waited), near, far, slack_ms = ms(*slack);
+            "near_wait_ended"
+        ),
+        _ => {}
+    }
+}
+
 /// Starts of one job, each as `STEP.INDEX:RUN@WORKER`, separated by commas.
 fn start_list(starts: &[(TaskName, u32, WorkerName)]) -> String {
     let mut list = String::new();
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -33,11 +33,23 @@
 
     /// Counts the decision that a log event tells of, if it is one of these.
     pub(super) fn count_event(&self, event: &LogEvent) {
-        let (decision, count) = match event {
-            LogEvent::JobsEvacuated { jobs, .. } => ("job-leaves-evacuated-workers", *jobs),
-            _ => return,
-        };
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        self.decisions.with_label_values(&[decision]).inc_by(count);
+        match event {
+            LogEvent::JobsEvacuated { jobs, .. } => {
+                self.count("job-leaves-evacuated-workers", *jobs);
+            }
+            LogEvent::TasksStarted { near, far, .. } => {
+                self.count("task-starts-near-data", *near);
+                self.count("task-starts-far-from-data", *far);
+            }
+            LogEvent::NearWaitBegun { .. } => self.count("job-waits-for-near-place", 1),
+            _ => {}
+        }
+    }
+
+    fn count(&self, decision: &str, count: usize) {
+        if count > 0 {
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            self.decisions.with_label_values(&[decision]).inc_by(count);
+        }
     }
 }
