feat(settings): remote_factor from the deployment's bounds

Cause: the scheduler needs the run time of tasks away from their data, which differs by deployment and is absent in those without preferred racks.

--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -210,5 +210,6 @@
     let max_lease = Duration::from_millis(settings.max_lease_ms);
     cfg.leased.lease = cfg.leased.lease.min(max_lease.mul_f64(0.95));
     cfg.leased.takeover_wait = max_lease.mul_f64(1.1);
+    cfg.leased.locality.remote_factor = settings.remote_factor;
     cfg
 }
