--- a/crates/geraniumrelay-core/tests/leased/locality.rs
+++ b/crates/geraniumrelay-core/tests/leased/locality.rs
@@ -344,6 +344,53 @@
     }
 }
 
+/// The slack of a first step is not its own: the steps that follow need their run times.
+#[test]
+fn a_first_step_leaves_the_time_of_the_steps_after_it() {
+    let mut sim = simulation(Policy::Expected, 1.5, 1);
+    fill_hot_rack(&mut sim, Duration::from_secs(2), 60 * MS);
+    let mut job = TestJob::new(1, 2, 600 * MS).with_preferred_rack(RACKS[0], 1.5);
+    let mut second = job.spec.steps[0].clone();
+    second.preferred_rack = None;
+    second.after = vec![0];
+    job.spec.steps.push(second);
+    // The objective is 1,610 ms, and 1,500 ms are needed with the first step elsewhere.
+    job.spec.stretch = 1.3;
+    job.spec.target_latency = 50 * MS;
+    sim.submit(0, MS, job);
+    sim.run_for(Duration::from_secs(3));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    let took = sim.answers[&JobId(1)].1 - sim.jobs[&JobId(1)].submitted_at;
+    assert!(took <= 1_610 * MS, "{took:?}");
+    assert_eq!(sim.near_waits.0, vec![JobId(1)]);
+}
+
+/// The successor of a scheduler that fails while a job waits counts the time that the job has waited.
+#[test]
+fn a_wait_is_not_renewed_by_a_takeover() {
+    let mut sim = simulation(Policy::Expected, 1.5, 1);
+    fill_hot_rack(&mut sim, Duration::from_secs(3), 300 * MS);
+    let mut job = TestJob::new(1, 2, Duration::from_secs(1)).with_preferred_rack(RACKS[0], 1.5);
+    job.spec.target_latency = Duration::from_secs(1);
+    sim.submit(0, MS, job.clone());
+    sim.run_for(100 * MS);
+    assert_eq!(sim.near_waits.0, vec![JobId(1)]);
+    assert!(!sim.start_counts.keys().any(|n| n.job == JobId(1)));
+    sim.kill(0);
+    let next = sim.add_host(2);
+    let running = sim.jobs[&JobId(900_000)].clone().resubmitted();
+    sim.submit(next, MS, running);
+    job.waited = 100 * MS;
+    sim.submit(next, MS, job);
+    sim.run_for(Duration::from_secs(4));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+    let (_, ended_at) = sim.answers[&JobId(1)];
+    // The objective is 2.6 s after the arrival.
+    let took = ended_at - sim.jobs[&JobId(1)].submitted_at + 100 * MS;
+    assert!(took <= 2_600 * MS, "{took:?}");
+    assert!(sim.concurrent_runs.is_empty());
+}
+
 /// The tasks of one job that wait, and start one after the other, make one line at the begin and one at the end.
 #[test]
 fn a_job_that_waits_starts_near_its_data() {
