--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -176,6 +176,14 @@
     }
 }
 
+/// Wait of a job's tasks for places near their data.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct NearWait {
+    pub(super) since: Instant,
+    /// Whether no task waits any more; a later wait of the same job is not logged.
+    pub(super) is_over: bool,
+}
+
 /// A job that has not ended.
 #[derive(Debug, Clone)]
 pub(super) struct Job {
@@ -212,6 +220,8 @@
     pub(super) is_deprioritized: bool,
     /// Successful runs that tell the speed of their workers.
     pub(super) run_samples: Vec<RunSample>,
+    /// First wait for a place near the data; `None` if there was none.
+    pub(super) near_wait: Option<NearWait>,
 }
 
 impl Job {
@@ -257,6 +267,7 @@
             check_at: times.deadline,
             is_deprioritized: false,
             run_samples: Vec::new(),
+            near_wait: None,
         };
         job.unblock();
         job
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -12,6 +12,7 @@
 mod goodput;
 mod jobs;
 mod load;
+mod locality;
 mod restarts;
 mod speeds;
 mod superseded;
--- a/crates/geraniumrelay-core/tests/leased/world/calls.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/calls.rs
@@ -170,8 +170,13 @@
         let job = &self.jobs[&task.job];
         let size = job.spec.steps[usize::from(task.step)].size;
         let lease = (call.lease_until, call.token);
+        let rack = job.spec.steps[usize::from(task.step)]
+            .preferred_rack
+            .as_ref();
+        let is_near = rack.is_none_or(|r| *r == self.rack(worker));
+        let factor = if is_near { 1.0 } else { job.remote_factor };
         let (deviation, long_share) = (job.task_deviation, job.long_task_share);
-        let mut run_time = job.run_time;
+        let mut run_time = job.run_time.mul_f64(factor);
         if deviation > 0.0 {
             // The sum of three evenly distributed numbers has a variance of 1/4.
             let sum = self.random() + self.random() + self.random();
--- a/crates/geraniumrelay-core/tests/leased/world/instances.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/instances.rs
@@ -1,6 +1,7 @@
 //! Entries of workers, and instances that replace each other.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use geraniumrelay_core::leased::{Command, WorkerEntry, WorkerState};
@@ -17,12 +18,36 @@
             data_centre: self.data_centre(worker).into(),
             state: WorkerState::Ready,
             capacity: self.workers[worker].capacity,
-            labels: self.workers[worker].labels.clone(),
+            labels: self.labels(worker),
             cold_remaining: Duration::ZERO,
             instance_started_unix_ms: self.workers[worker].instance_started_unix_ms,
         }
     }
 
+    /// Labels of a worker: its own, or the kind and rack once the workers are distributed over racks.
+    fn labels(&self, worker: usize) -> Vec<Arc<str>> {
+        if self.racks.is_empty() {
+            self.workers[worker].labels.clone()
+        } else {
+            vec![Arc::from("a"), self.rack(worker)]
+        }
+    }
+
+    /// Label of the rack of a worker.
+    pub(crate) fn rack(&self, worker: usize) -> Arc<str> {
+        let count = self.racks.len().max(1);
+        let rack = self.racks.get(worker % count);
+        rack.map_or_else(|| Arc::from("r-1"), Arc::clone)
+    }
+
+    /// Distributes the workers over racks, and announces their entries.
+    pub(crate) fn set_racks(&mut self, racks: &[&str]) {
+        self.racks = racks.iter().map(|&r| Arc::from(r)).collect();
+        for worker in 0..self.workers.len() {
+            self.announce_worker(0, worker);
+        }
+    }
+
     pub(super) fn address(&self, worker: usize) -> SocketAddr {
         let first = 1_000 + u16::try_from(worker).unwrap();
         let port = self.ports.get(&worker).copied().unwrap_or(first);
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -1,7 +1,7 @@
 //! Logs the scheduler's decisions.
 
 use std::fmt::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{LogEvent, TaskName, WorkerName};
@@ -56,10 +56,13 @@
         LogEvent::LabelSpeedChanged { .. } | LogEvent::WorkerSpeedsChanged { .. } => {
             write_speed_event(cell, event);
         }
-        LogEvent::TasksStarted { id, starts } => info!(
+        LogEvent::TasksStarted { id, starts, .. } => info!(
             cell:% = cell, id:% = id, starts = start_list(starts).as_str();
             "tasks_started"
         ),
+        LogEvent::NearWaitBegun { .. } | LogEvent::NearWaitEnded { .. } => {
+            write_near_wait(cell, event);
+        }
         LogEvent::RunUnclaimed { task, run, worker } => info!(
             cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker;
             "run_unclaimed"
@@ -168,6 +171,38 @@
     }
 }
 
+/// Logs the begin or the end of a job's wait for a place near its data.
+fn write_near_wait(cell: &CellName, event: &LogEvent) {
+    match event {
+        LogEvent::NearWaitBegun {
+            id,
+            rack,
+            inputs,
+            until,
+        } => {
+            let after = |at: Instant| ms(at.saturating_duration_since(inputs.now));
+            info!(
+                cell:% = cell, id:% = id, rack = &**rack, near_after_ms:? = inputs.near_at.map(after),
+                ahead = inputs.ahead, near_run_ms = ms(inputs.run_near),
+                far_run_ms = ms(inputs.run_far), slack_ms = after(inputs.latest_end),
+                is_contended = inputs.is_contended, max_wait_ms = after(*until);
+                "near_wait_begun"
+            );
+        }
+        LogEvent::NearWaitEnded {
+            id,
+            waited,
+            near,
+            far,
+            slack,
+        } => info!(
+            cell:% = cell, id:% = id, waited_ms = ms(*waited), near, far, slack_ms = ms(*slack);
+            "near_wait_ended"
+        ),
+        _ => {}
+    }
+}
+
 /// Workers, each as `NAME:FACTOR`, separated by commas.
 fn speed_list(workers: &[(WorkerName, f64)]) -> String {
     let workers: Vec<String> = workers
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -47,27 +47,39 @@
 
     /// Counts the decision that a log event tells of, if it is one of these.
     pub(super) fn count_event(&self, event: &LogEvent) {
-        let (decision, count) = match event {
-            LogEvent::JobsEvacuated { jobs, .. } => ("job-leaves-evacuated-workers", *jobs),
+        match event {
+            LogEvent::JobsEvacuated { jobs, .. } => {
+                self.count("job-leaves-evacuated-workers", *jobs);
+            }
+            LogEvent::TasksStarted { near, far, .. } => {
+                self.count("task-starts-near-data", *near);
+                self.count("task-starts-far-from-data", *far);
+            }
+            LogEvent::NearWaitBegun { .. } => self.count("job-waits-for-near-place", 1),
             LogEvent::LabelSpeedChanged {
                 is_certain: true, ..
-            } => ("label-speed-certain", 1),
-            LogEvent::LabelSpeedChanged { .. } => ("label-speed-uncertain", 1),
+            } => self.count("label-speed-certain", 1),
+            LogEvent::LabelSpeedChanged { .. } => self.count("label-speed-uncertain", 1),
             LogEvent::WorkerSpeedsChanged {
                 workers,
                 others,
                 is_certain,
             } => {
-                let count = workers.len() + others;
-                if *is_certain {
-                    ("worker-speed-certain", count)
+                let decision = if *is_certain {
+                    "worker-speed-certain"
                 } else {
-                    ("worker-speed-uncertain", count)
-                }
+                    "worker-speed-uncertain"
+                };
+                self.count(decision, workers.len() + others);
             }
-            _ => return,
-        };
-        let count = u64::try_from(count).unwrap_or(u64::MAX);
-        self.decisions.with_label_values(&[decision]).inc_by(count);
+            _ => {}
+        }
+    }
+
+    fn count(&self, decision: &str, count: usize) {
+        if count > 0 {
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            self.decisions.with_label_values(&[decision]).inc_by(count);
+        }
     }
 }
