refactor(core/leased): recent demand in a file of its own

Change: `urgent_demand`, `work_asked_for`, `add_work`, `add_demand` and their window move from submit.rs to demand.rs. Nothing else changes, apart from the visibility that the move requires.

--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler: a state machine that takes commands and emits effects.
 
+mod demand;
 mod durable;
 mod ends;
 mod epochs;
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -1,6 +1,5 @@
 //! Handles submissions, admission, cancellations and callers that disconnect.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
@@ -13,15 +12,10 @@
 use crate::leased::placement;
 use crate::leased::record::RecordState;
 use crate::leased::spec::JobSpec;
-use crate::modules::decaying_sum::DecayingSum;
 
 /// Minimum retry delay given to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Window over which the processor demand of each priority is averaged: spans several bursts and
-/// several tasks.
-const DEMAND_WINDOW: Duration = Duration::from_secs(1);
-
 /// Maximum wait for a durable job: in practice unlimited, as the job runs until it has ended.
 pub(super) const DURABLE_MAX_WAIT: Duration = Duration::from_hours(24 * 365);
 
@@ -353,45 +347,6 @@
         backlog
     }
 
-    /// Recent processor demand per second of jobs with lower priority numbers, in thousandths of a
-    /// core.
-    fn urgent_demand(&self, now: Instant, priority: u8) -> f64 {
-        let urgent = self.demand.range(..priority);
-        let demand: f64 = urgent.map(|(_, demand)| demand.get(now)).sum();
-        demand / DEMAND_WINDOW.as_secs_f64()
-    }
-
-    /// Processor that the jobs of a service in the last second use on average, in thousandths of a core.
-    fn work_asked_for(&self, now: Instant, service: &str) -> f64 {
-        let work = self.work.get(service).map_or(0.0, |work| work.get(now));
-        work / DEMAND_WINDOW.as_secs_f64()
-    }
-
-    /// Adds the work of a job, admitted or not, to that of its service.
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    fn add_work(&mut self, now: Instant, key: JobKey) {
-        let job = &self.jobs[key];
-        let cpu_seconds = |(p, _)| {
-            let run = job.expected_run(p).as_secs_f64();
-            job.step(p).size.cpu_milli as f64 * run
-        };
-        let work: f64 = (0..).zip(&job.tasks).map(cpu_seconds).sum();
-        let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
-        let sum = self.work.entry(Arc::clone(&job.spec.service));
-        sum.or_insert_with(new_sum).add(now, work);
-    }
-
-    /// Adds the processor need of a job's tasks to the demand of its priority.
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    pub(super) fn add_demand(&mut self, now: Instant, key: JobKey) {
-        let job = &self.jobs[key];
-        let tasks = (0..).zip(&job.tasks);
-        let cpu: u64 = tasks.map(|(p, _)| job.step(p).size.cpu_milli).sum();
-        let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
-        let demand = self.demand.entry(job.spec.priority).or_insert_with(new_sum);
-        demand.add(now, cpu as f64);
-    }
-
     /// Ends a job as refused; the retry delay is the expected wait, at least [`MIN_RETRY_AFTER`].
     pub(super) fn refuse(
         &mut self,
