feat(core/leased): a queue above its share pays for its own burst

Cause: under overload, admission and the order of waiting jobs know no queues. A burst of 2.6 times the usual traffic of one kind takes capacity from the others, and jobs of several long tasks are refused most.

Change: leased::contention keeps the recent (1 s) and usual (10 s) demand of each queue of a service and computes weighted max-min shares. While the service is overloaded (overload_percent as before, held for 1 s), a queue whose demand exceeds its share by 15 % and by its standard deviation has its jobs refused if they would have to wait. Its waiting jobs rank behind those of the others, which are admitted to the longer wait of a service without overload. A queue of which less than 60 % of its share was admitted lately is not restricted. Retry-After covers the wait and the time in which the share serves the excess, spread over a factor of 1 to 3 by the job's id. Changes are logged (queue_share) and counted (decisions_total). The demand above a share counts a quarter in the usual demand, so that a burst does not raise its own weight.

--- a/crates/geraniumrelay-core/src/configs/mod.rs
+++ b/crates/geraniumrelay-core/src/configs/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod claim_table;
 pub mod config_transfer;
+pub mod contention;
 pub mod handover;
 pub mod headroom;
 pub mod health;
@@ -17,6 +18,7 @@
 use admission::AdmissionConfig;
 use claim_table::ClaimTableConfig;
 use config_transfer::ConfigTransferConfig;
+use contention::ContentionConfig;
 use handover::HandOverConfig;
 use headroom::HeadroomConfig;
 use health::HealthConfig;
@@ -37,6 +39,8 @@
     pub claim_table: ClaimTableConfig,
     /// Transfer of configurations between entry VMs.
     pub config_transfer: ConfigTransferConfig,
+    /// Shares of the queues of an overloaded service.
+    pub contention: ContentionConfig,
     /// Limits and time-outs of the hand-over during a graceful stop.
     pub handover: HandOverConfig,
     /// Limits of the journal buffer.
--- a/crates/geraniumrelay-core/src/leased/admission.rs
+++ b/crates/geraniumrelay-core/src/leased/admission.rs
@@ -47,12 +47,17 @@
     Duration::try_from_secs_f64(missing / rate).ok()
 }
 
+/// Whether the service is asked for more work than its capacity.
+pub fn is_overloaded(cfg: &LeasedConfig, backlog: &Backlog) -> bool {
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    let capacity = backlog.capacity as f64;
+    backlog.asked_for * 100.0 > capacity * f64::from(cfg.overload_percent)
+}
+
 /// Share of its slack for which a job may wait, in percent: less under overload that lasts longer than the
 /// slack of a job, as the queue does not get shorter then.
 pub fn admit_percent(cfg: &LeasedConfig, backlog: &Backlog) -> u32 {
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    let capacity = backlog.capacity as f64;
-    if backlog.asked_for * 100.0 > capacity * f64::from(cfg.overload_percent) {
+    if is_overloaded(cfg, backlog) {
         cfg.overload_admit_percent
     } else {
         cfg.admit_percent
--- a/crates/geraniumrelay-core/src/leased/bulkhead.rs
+++ b/crates/geraniumrelay-core/src/leased/bulkhead.rs
@@ -115,6 +115,11 @@
         self.is_strict = silent * 100 >= listed * STRICT_PERCENT;
     }
 
+    /// Whether all queues have the same workers to wait for.
+    pub(super) fn is_open(&self) -> bool {
+        !self.is_strict || !self.has_confined
+    }
+
     /// Whether two queues have the same workers to wait for.
     pub(super) fn share_workers(&self, queue: &str, other: &str) -> bool {
         !self.is_strict || self.is_confined(queue) == self.is_confined(other)
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -115,6 +115,8 @@
 /// Order of a job in the queue, lowest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
+    /// Whether the queue of the job exceeds its share of the capacity while others do not.
+    pub(super) is_above_share: bool,
     /// Latest start at which the objective is met.
     pub(super) latest_start: Instant,
     pub(super) priority: u8,
@@ -404,6 +406,16 @@
         ready.map(|&p| self.step(p).size.cpu_milli).sum()
     }
 
+    /// Work of all tasks, in thousandths of a core times seconds.
+    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
+    pub(super) fn work(&self) -> f64 {
+        let cpu_seconds = |(p, _)| {
+            let run = self.expected_run(p).as_secs_f64();
+            self.step(p).size.cpu_milli as f64 * run
+        };
+        (0..).zip(&self.tasks).map(cpu_seconds).sum()
+    }
+
     pub(super) fn mark_placed(&mut self, position: u32) {
         self.ready.retain(|&p| p != position);
         self.task_mut(position).state = TaskState::Placed;
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 
 use super::admission::Backlog;
+use super::contention::Change;
 use super::effect::JobOutcome;
 use super::names::{JobId, TaskName, WorkerName};
 use super::report::EndKind;
@@ -244,6 +245,8 @@
         /// All evacuated data centres.
         data_centres: Vec<Arc<str>>,
     },
+    /// A queue exceeds its share of its service's capacity, or has returned to it.
+    ShareChanged(Change),
     /// A run is being stopped.
     RunStopped {
         /// Task of the run.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -9,6 +9,7 @@
 pub mod cells;
 mod command;
 pub mod config_transfer;
+pub mod contention;
 mod effect;
 pub mod election;
 mod epoch;
--- a/crates/geraniumrelay-core/src/leased/scheduler/demand.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/demand.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
+use crate::context::Context;
 use crate::leased::job::JobKey;
 use crate::modules::decaying_sum::DecayingSum;
 
@@ -26,24 +27,29 @@
         work / DEMAND_WINDOW.as_secs_f64()
     }
 
-    /// Adds the work of a job, admitted or not, to that of its service.
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    pub(super) fn add_work(&mut self, now: Instant, key: JobKey) {
+    /// Adds the work of a job, admitted or not, to that of its service and of its queue.
+    pub(super) fn add_work(&mut self, cx: &Context<'_>, key: JobKey) {
         let job = &self.jobs[key];
-        let cpu_seconds = |(p, _)| {
-            let run = job.expected_run(p).as_secs_f64();
-            job.step(p).size.cpu_milli as f64 * run
-        };
-        let work: f64 = (0..).zip(&job.tasks).map(cpu_seconds).sum();
-        let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
+        let work = job.work();
+        let new_sum = || DecayingSum::new(cx.now, DEMAND_WINDOW);
         let sum = self.work.entry(Arc::clone(&job.spec.service));
-        sum.or_insert_with(new_sum).add(now, work);
+        sum.or_insert_with(new_sum).add(cx.now, work);
+        let queue = (&job.spec.service, &job.spec.queue);
+        self.contention.add(&cx.cfg.contention, cx.now, queue, work);
     }
 
-    /// Adds the processor need of a job's tasks to the demand of its priority.
+    /// Adds the processor need of a job's tasks to the demand of its priority. A job above its queue's share takes
+    /// no capacity for which jobs of other queues wait.
     #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    pub(super) fn add_demand(&mut self, now: Instant, key: JobKey) {
+    pub(super) fn add_demand(&mut self, cx: &Context<'_>, key: JobKey) {
+        let now = cx.now;
         let job = &self.jobs[key];
+        let queue = (&*job.spec.service, &*job.spec.queue);
+        let cfg = &cx.cfg.contention;
+        self.contention.add_admitted(cfg, now, queue, job.work());
+        if job.rank.is_above_share {
+            return;
+        }
         let tasks = (0..).zip(&job.tasks);
         let cpu: u64 = tasks.map(|(p, _)| job.step(p).size.cpu_milli).sum();
         let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -259,7 +259,7 @@
 
     /// Queues an accepted job for placement.
     fn enqueue_accepted(&mut self, cx: &Context<'_>, key: JobKey) {
-        self.add_demand(cx.now, key);
+        self.add_demand(cx, key);
         self.schedule_check(key);
         let job = &self.jobs[key];
         if !job.ready.is_empty() {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler: a state machine that takes commands and emits effects.
 
+mod contention;
 mod demand;
 mod durable;
 mod ends;
@@ -23,6 +24,7 @@
 use super::bulkhead::Bulkheads;
 use super::cells::CellName;
 use super::command::Command;
+use super::contention::Contention;
 use super::effect::{Effect, JobOutcome};
 use super::epoch::Epoch;
 use super::estimates::Estimates;
@@ -64,6 +66,7 @@
     demand: BTreeMap<u8, DecayingSum>,
     /// Recent work of all jobs in thousandths of a core times seconds, by service.
     work: Map<Arc<str>, DecayingSum>,
+    contention: Contention,
     losses: Losses,
     bulkheads: Bulkheads,
     /// Successful ends of tasks whose jobs have not been submitted to this scheduler yet, and when
@@ -132,6 +135,7 @@
             evacuated: EvacuatedSince::new(),
             demand: BTreeMap::new(),
             work: Map::default(),
+            contention: Contention::default(),
             losses: Losses::default(),
             bulkheads: Bulkheads::default(),
             unmatched_ends: BTreeMap::new(),
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -6,6 +6,7 @@
 use crate::context::Context;
 use crate::leased::admission::{self, Backlog};
 use crate::leased::command::Submission;
+use crate::leased::contention::Verdict;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
 use crate::leased::job::{Job, JobKey, Origin, Rank, TaskKey, Times};
 use crate::leased::names::{EntryVm, JobId};
@@ -101,12 +102,12 @@
         }
         if !self.jobs[key].has_started
             && !may_have_started
-            && let Some(reason) = self.refusal(cx, key, has_alternative)
+            && let Some(reason) = self.refusal(cx, key, has_alternative, out)
         {
             self.refuse(cx, key, reason, out);
             return;
         }
-        self.add_demand(cx.now, key);
+        self.add_demand(cx, key);
         self.schedule_check(key);
         if !self.jobs[key].ready.is_empty() {
             self.waiting.insert((self.jobs[key].rank, key));
@@ -133,7 +134,7 @@
             self.refuse(cx, key, RefusalReason::NoScheduler, out);
         } else if may_refuse
             && self.knows_records
-            && let Some(reason) = self.refusal(cx, key, has_alternative)
+            && let Some(reason) = self.refusal(cx, key, has_alternative, out)
         {
             self.refuse(cx, key, reason, out);
         } else {
@@ -208,6 +209,7 @@
         let objective = (arrived + chain.mul_f64(spec.stretch) + spec.target_latency).min(deadline);
         self.sequence += 1;
         let rank = Rank {
+            is_above_share: false,
             priority: spec.priority,
             latest_start: objective.checked_sub(chain).unwrap_or(arrived),
             sequence: self.sequence,
@@ -243,6 +245,7 @@
         cx: &Context<'_>,
         key: JobKey,
         has_alternative: bool,
+        out: &mut Vec<Effect>,
     ) -> Option<RefusalReason> {
         let job = &self.jobs[key];
         let can_run = |p| {
@@ -269,10 +272,19 @@
         if has_alternative && wait != Some(Duration::ZERO) {
             return Some(RefusalReason::Overload);
         }
-        self.add_work(cx.now, key);
+        self.add_work(cx, key);
+        let verdict = self.judge(cx, key, &backlog, out);
+        if verdict == Verdict::AboveShare {
+            let wait = self.wait_above_share(cx, key);
+            return (wait != Some(Duration::ZERO)).then_some(RefusalReason::Overload);
+        }
         let job = &self.jobs[key];
         let slack = job.rank.latest_start.saturating_duration_since(cx.now);
-        let percent = admission::admit_percent(&cx.cfg.leased, &backlog);
+        let percent = if verdict == Verdict::WithinShare {
+            cx.cfg.leased.admit_percent
+        } else {
+            admission::admit_percent(&cx.cfg.leased, &backlog)
+        };
         let is_admitted = admission::is_admitted(wait, slack, percent);
         (!is_admitted).then_some(RefusalReason::Overload)
     }
@@ -347,7 +359,8 @@
         backlog
     }
 
-    /// Ends a job as refused; the retry delay is the expected wait, at least [`MIN_RETRY_AFTER`].
+    /// Ends a job as refused; the retry delay is the expected wait, at least [`MIN_RETRY_AFTER`]. Under overload it
+    /// covers the excess of the job's queue as well.
     pub(super) fn refuse(
         &mut self,
         cx: &Context<'_>,
@@ -356,7 +369,8 @@
         out: &mut Vec<Effect>,
     ) {
         let wait = admission::expected_wait(&self.backlog(cx, key));
-        let retry_after = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        let retry_after = self.contended_retry_after(cx, key, wait).unwrap_or(wait);
         let outcome = JobOutcome::Refused {
             reason,
             retry_after,
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -44,6 +44,7 @@
     /// Runs all time-driven checks.
     pub(super) fn tick(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         self.check_deadlines(cx, out);
+        self.tick_contention(cx, out);
         self.end_unplaceable_jobs(cx, out);
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -84,6 +84,10 @@
             LogEvent::InstanceChanged { worker, source, .. } => self.log(&format!(
                 "host {host} learns of another instance of {worker}: {source:?}"
             )),
+            LogEvent::ShareChanged(change) => {
+                self.share_changes.push((self.now, change.clone()));
+                self.log(&format!("host {host} sees a change of shares: {change:?}"));
+            }
             LogEvent::QueueConfined { queue } => {
                 self.confined_queues.push(queue.to_string());
                 self.log(&format!("host {host} confines {queue}"));
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::contention::Change;
 use geraniumrelay_core::leased::{
     Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LostRun, PollCall,
     RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName, WorkerEntry, WorkerName,
@@ -217,6 +218,8 @@
     pub(crate) losses: BTreeMap<JobId, Vec<(TaskName, Vec<LostRun>)>>,
     /// Queues that a scheduler has confined to a part of the workers.
     pub(crate) confined_queues: Vec<String>,
+    /// Queues that have exceeded their shares or returned to them, and when.
+    pub(crate) share_changes: Vec<(Instant, Change)>,
     /// Each crash: its time, and the tasks that ran on the worker.
     pub(crate) crashes: Vec<(Instant, Vec<TaskName>)>,
     events: BTreeMap<(Instant, u64), Event>,
@@ -272,6 +275,7 @@
             removed_entries: BTreeSet::new(),
             losses: BTreeMap::new(),
             confined_queues: Vec::new(),
+            share_changes: Vec::new(),
             crashes: Vec::new(),
             events: BTreeMap::new(),
             sequence: 0,
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -53,6 +53,13 @@
             let data_centres = data_centres.join(",");
             info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
         }
+        LogEvent::ShareChanged(change) => info!(
+            cell:% = cell, service = &*change.service, queue = &*change.queue,
+            exceeds = change.exceeds, demand_cpu = whole(change.standing.demand),
+            share_cpu = whole(change.standing.share),
+            capacity_cpu = whole(change.standing.capacity);
+            "queue_share"
+        ),
         LogEvent::TasksStarted { id, starts } => info!(
             cell:% = cell, id:% = id, starts = start_list(starts).as_str();
             "tasks_started"
@@ -164,6 +171,16 @@
     runs.join(",")
 }
 
+/// Thousandths of a core, without the fraction.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a figure for the log"
+)]
+fn whole(cpu_milli: f64) -> u64 {
+    cpu_milli.round() as u64
+}
+
 fn ms(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -35,6 +35,8 @@
     pub(super) fn count_event(&self, event: &LogEvent) {
         let (decision, count) = match event {
             LogEvent::JobsEvacuated { jobs, .. } => ("job-leaves-evacuated-workers", *jobs),
+            LogEvent::ShareChanged(change) if change.exceeds => ("queue-exceeds-share", 1),
+            LogEvent::ShareChanged(_) => ("queue-returns-to-share", 1),
             _ => return,
         };
         let count = u64::try_from(count).unwrap_or(u64::MAX);
