fix(core/leased): running jobs also return to the usual rank with their queue

Cause: when a queue returned to its share, only its waiting jobs were ranked with the others again. A task whose run was lost later would have waited behind all other queues.

Change: all jobs of the queue are ranked, found by reading the code; no test reproduces the lost run.

--- a/crates/geraniumrelay-core/src/leased/scheduler/contention.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/contention.rs
@@ -68,23 +68,20 @@
         }
     }
 
-    /// Ranks the waiting jobs of a queue that have not started by whether it exceeds its share. The other tasks of a
-    /// job that has started keep their place, as its work would be wasted.
+    /// Ranks the jobs of a queue by whether it exceeds its share. The other tasks of a job that has started keep their
+    /// place in a burst, as its work would be wasted. Jobs that do not wait now are ranked as well, as a task whose
+    /// run is lost waits again.
     fn share_changed(&mut self, change: Change, out: &mut Vec<Effect>) {
-        let is_of_queue = |key: JobKey| {
-            let job = &self.jobs[key];
-            job.spec.queue == change.queue && job.spec.service == change.service
-        };
-        let waiting = self.waiting.iter().copied();
-        let waiting: Vec<_> = waiting.filter(|&(_, key)| is_of_queue(key)).collect();
-        for (rank, key) in waiting {
-            let job = &mut self.jobs[key];
-            if change.exceeds && job.has_started {
+        for (key, job) in &mut self.jobs {
+            let is_of_queue = job.spec.queue == change.queue && job.spec.service == change.service;
+            if !is_of_queue || (change.exceeds && job.has_started) {
                 continue;
             }
-            self.waiting.remove(&(rank, key));
+            let was_waiting = self.waiting.remove(&(job.rank, key));
             job.rank.is_above_share = change.exceeds;
-            self.waiting.insert((job.rank, key));
+            if was_waiting {
+                self.waiting.insert((job.rank, key));
+            }
         }
         self.has_new_room = true;
         out.push(Effect::LogEvent(LogEvent::ShareChanged(change)));
--- a/crates/geraniumrelay-core/tests/leased/contention.rs
+++ b/crates/geraniumrelay-core/tests/leased/contention.rs
@@ -3,10 +3,12 @@
 //! Load pattern: the kinds of jobs of the deployment in which callers compete for too little capacity, at 0.9 of the
 //! capacity, with a burst of 2.6 times the usual traffic of one kind or of all kinds.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use geraniumrelay_core::leased::contention::{Demand, shares};
-use geraniumrelay_core::leased::{JobOutcome, RefusalReason};
+use geraniumrelay_core::configs::contention::ContentionConfig;
+use geraniumrelay_core::leased::contention::{Demand, retry_after, shares};
+use geraniumrelay_core::leased::{JobId, JobOutcome, RefusalReason};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -225,6 +227,25 @@
     assert!(most * 2 <= above.len(), "{by_second:?}");
 }
 
+/// A delay of less than a second, or one that shrinks with the excess, brings the burst back at once.
+#[test]
+fn a_retry_delay_covers_the_wait_and_the_excess() {
+    let cfg = ContentionConfig::default();
+    let second = Duration::from_secs(1);
+    let delay = |wait, excess, id| retry_after(&cfg, wait, excess, JobId(id));
+    for id in 0..100 {
+        let shortest = delay(Duration::ZERO, 0.0, id);
+        assert!((second..=3 * second).contains(&shortest), "{shortest:?}");
+        assert!(delay(2 * second, 0.0, id) >= 2 * second);
+        assert!(delay(second, 1.6, id) > delay(second, 0.3, id));
+        assert!(delay(Duration::MAX, f64::INFINITY, id) <= 3 * cfg.max_retry_after);
+    }
+    let different: BTreeSet<u128> = (0..100)
+        .map(|id| delay(second, 0.0, id).as_millis() / 250)
+        .collect();
+    assert_eq!(different.len(), 8, "{different:?}");
+}
+
 /// One line for each change: a queue near its share must not fill the log.
 #[test]
 fn a_burst_is_logged_when_it_begins_and_ends() {
