--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 
 use super::admission::Backlog;
+use super::contention::Change;
 use super::effect::JobOutcome;
 use super::locality::Inputs;
 use super::names::{JobId, TaskName, WorkerName};
@@ -295,6 +296,8 @@
         /// Whether their factors are certain now.
         is_certain: bool,
     },
+    /// A queue exceeds its share of its service's capacity, or has returned to it.
+    ShareChanged(Change),
     /// A run is being stopped.
     RunStopped {
         /// Task of the run.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -10,6 +10,7 @@
 pub mod cells;
 mod command;
 pub mod config_transfer;
+pub mod contention;
 mod effect;
 pub mod election;
 mod epoch;
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -1,27 +1,22 @@
 //! Handles submissions, admission, cancellations and callers that disconnect.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
 use crate::context::Context;
 use crate::leased::admission::{self, Backlog};
 use crate::leased::command::Submission;
+use crate::leased::contention::Verdict;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
 use crate::leased::job::{Job, JobKey, Origin, Rank, TaskKey, Times};
 use crate::leased::names::{EntryVm, JobId};
 use crate::leased::placement;
 use crate::leased::record::RecordState;
 use crate::leased::spec::JobSpec;
-use crate::modules::decaying_sum::DecayingSum;
 
 /// Minimum retry delay given to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Window over which the processor demand of each priority is averaged: spans several bursts and
-/// several tasks.
-const DEMAND_WINDOW: Duration = Duration::from_secs(1);
-
 /// Maximum wait for a durable job: in practice unlimited, as the job runs until it has ended.
 pub(super) const DURABLE_MAX_WAIT: Duration = Duration::from_hours(24 * 365);
 
@@ -107,12 +102,12 @@
         }
         if !self.jobs[key].has_started
             && !may_have_started
-            && let Some(reason) = self.refusal(cx, key, has_alternative)
+            && let Some(reason) = self.refusal(cx, key, has_alternative, out)
         {
             self.refuse(cx, key, reason, out);
             return;
         }
-        self.add_demand(cx.now, key);
+        self.add_demand(cx, key);
         self.schedule_check(key);
         if !self.jobs[key].ready.is_empty() {
             self.waiting.insert((self.jobs[key].rank, key));
@@ -139,7 +134,7 @@
             self.refuse(cx, key, RefusalReason::NoScheduler, out);
         } else if may_refuse
             && self.knows_records
-            && let Some(reason) = self.refusal(cx, key, has_alternative)
+            && let Some(reason) = self.refusal(cx, key, has_alternative, out)
         {
             self.refuse(cx, key, reason, out);
         } else {
@@ -214,6 +209,7 @@
         let objective = (arrived + chain.mul_f64(spec.stretch) + spec.target_latency).min(deadline);
         self.sequence += 1;
         let rank = Rank {
+            is_above_share: false,
             priority: spec.priority,
             latest_start: objective.checked_sub(chain).unwrap_or(arrived),
             sequence: self.sequence,
@@ -249,6 +245,7 @@
         cx: &Context<'_>,
         key: JobKey,
         has_alternative: bool,
+        out: &mut Vec<Effect>,
     ) -> Option<RefusalReason> {
         let job = &self.jobs[key];
         let can_run = |p| {
@@ -277,10 +274,19 @@
         if has_alternative && wait != Some(Duration::ZERO) {
             return Some(RefusalReason::Overload);
         }
-        self.add_work(cx.now, key);
+        self.add_work(cx, key);
+        let verdict = self.judge(cx, key, &backlog, out);
+        if verdict == Verdict::AboveShare {
+            let wait = self.wait_above_share(cx, key);
+            return (wait != Some(Duration::ZERO)).then_some(RefusalReason::Overload);
+        }
         let job = &self.jobs[key];
         let slack = job.rank.latest_start.saturating_duration_since(cx.now);
-        let percent = admission::admit_percent(&cx.cfg.leased, &backlog);
+        let percent = if verdict == Verdict::WithinShare {
+            cx.cfg.leased.admit_percent
+        } else {
+            admission::admit_percent(&cx.cfg.leased, &backlog)
+        };
         let is_admitted = admission::is_admitted(wait, slack, percent);
         (!is_admitted).then_some(RefusalReason::Overload)
     }
@@ -367,46 +373,8 @@
         backlog
     }
 
-    /// Recent processor demand per second of jobs with lower priority numbers, in thousandths of a
-    /// core.
-    fn urgent_demand(&self, now: Instant, priority: u8) -> f64 {
-        let urgent = self.demand.range(..priority);
-        let demand: f64 = urgent.map(|(_, demand)| demand.get(now)).sum();
-        demand / DEMAND_WINDOW.as_secs_f64()
-    }
-
-    /// Processor that the jobs of a service in the last second use on average, in thousandths of a core.
-    fn work_asked_for(&self, now: Instant, service: &str) -> f64 {
-        let work = self.work.get(service).map_or(0.0, |work| work.get(now));
-        work / DEMAND_WINDOW.as_secs_f64()
-    }
-
-    /// Adds the work of a job, admitted or not, to that of its service.
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    fn add_work(&mut self, now: Instant, key: JobKey) {
-        let job = &self.jobs[key];
-        let cpu_seconds = |(p, _)| {
-            let run = job.expected_run(p).as_secs_f64();
-            job.step(p).size.cpu_milli as f64 * run
-        };
-        let work: f64 = (0..).zip(&job.tasks).map(cpu_seconds).sum();
-        let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
-        let sum = self.work.entry(Arc::clone(&job.spec.service));
-        sum.or_insert_with(new_sum).add(now, work);
-    }
-
-    /// Adds the processor need of a job's tasks to the demand of its priority.
-    #[expect(clippy::cast_precision_loss, reason = "a rough estimate")]
-    pub(super) fn add_demand(&mut self, now: Instant, key: JobKey) {
-        let job = &self.jobs[key];
-        let tasks = (0..).zip(&job.tasks);
-        let cpu: u64 = tasks.map(|(p, _)| job.step(p).size.cpu_milli).sum();
-        let new_sum = || DecayingSum::new(now, DEMAND_WINDOW);
-        let demand = self.demand.entry(job.spec.priority).or_insert_with(new_sum);
-        demand.add(now, cpu as f64);
-    }
-
-    /// Ends a job as refused; the retry delay is the expected wait, at least [`MIN_RETRY_AFTER`].
+    /// Ends a job as refused; the retry delay is the expected wait, at least [`MIN_RETRY_AFTER`]. Under overload it
+    /// covers the excess of the job's queue as well.
     pub(super) fn refuse(
         &mut self,
         cx: &Context<'_>,
@@ -415,7 +383,8 @@
         out: &mut Vec<Effect>,
     ) {
         let wait = admission::expected_wait(&self.backlog(cx, key));
-        let retry_after = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        let retry_after = self.contended_retry_after(cx, key, wait).unwrap_or(wait);
         let outcome = JobOutcome::Refused {
             reason,
             retry_after,
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -96,6 +96,10 @@
             }
             LogEvent::NearWaitBegun { id, .. } => self.near_waits.0.push(*id),
             LogEvent::NearWaitEnded { id, .. } => self.near_waits.1.push(*id),
+            LogEvent::ShareChanged(change) => {
+                self.share_changes.push((self.now, change.clone()));
+                self.log(&format!("host {host} sees a change of shares: {change:?}"));
+            }
             LogEvent::QueueConfined { queue } => {
                 self.confined_queues.push(queue.to_string());
                 self.log(&format!("host {host} confines {queue}"));
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::contention::Change;
 use geraniumrelay_core::leased::evacuation::EvacuatedSince;
 use geraniumrelay_core::leased::{
     Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LogEvent, LostRun,
@@ -238,6 +239,8 @@
     pub(crate) losses: BTreeMap<JobId, Vec<(TaskName, Vec<LostRun>)>>,
     /// Queues that a scheduler has confined to a part of the workers.
     pub(crate) confined_queues: Vec<String>,
+    /// Queues that have exceeded their shares or returned to them, and when.
+    pub(crate) share_changes: Vec<(Instant, Change)>,
     /// Each crash: its time, and the tasks that ran on the worker.
     pub(crate) crashes: Vec<(Instant, Vec<TaskName>)>,
     events: BTreeMap<(Instant, u64), Event>,
@@ -302,6 +305,7 @@
             removed_entries: BTreeSet::new(),
             losses: BTreeMap::new(),
             confined_queues: Vec::new(),
+            share_changes: Vec::new(),
             crashes: Vec::new(),
             events: BTreeMap::new(),
             sequence: 0,
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -49,20 +49,16 @@
         | LogEvent::TaskGivenUp { .. }
         | LogEvent::QueueConfined { .. }
         | LogEvent::QueueReleased { .. } => write_crash_event(cell, event),
-        LogEvent::JobsEvacuated { jobs, data_centres } => {
-            let data_centres = data_centres.join(",");
-            info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
-        }
-        LogEvent::LabelSpeedChanged { .. } | LogEvent::WorkerSpeedsChanged { .. } => {
-            write_speed_event(cell, event);
-        }
+        LogEvent::JobsEvacuated { .. }
+        | LogEvent::ShareChanged(_)
+        | LogEvent::LabelSpeedChanged { .. }
+        | LogEvent::WorkerSpeedsChanged { .. }
+        | LogEvent::NearWaitBegun { .. }
+        | LogEvent::NearWaitEnded { .. } => write_load_event(cell, event),
         LogEvent::TasksStarted { id, starts, .. } => info!(
             cell:% = cell, id:% = id, starts = start_list(starts).as_str();
             "tasks_started"
         ),
-        LogEvent::NearWaitBegun { .. } | LogEvent::NearWaitEnded { .. } => {
-            write_near_wait(cell, event);
-        }
         LogEvent::RunUnclaimed { task, run, worker } => info!(
             cell:% = cell, id:% = task.job, task:% = task, run, worker:% = worker;
             "run_unclaimed"
@@ -146,6 +142,30 @@
     }
 }
 
+/// Logs an event about placement or load.
+fn write_load_event(cell: &CellName, event: &LogEvent) {
+    match event {
+        LogEvent::JobsEvacuated { jobs, data_centres } => {
+            let data_centres = data_centres.join(",");
+            info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
+        }
+        LogEvent::LabelSpeedChanged { .. } | LogEvent::WorkerSpeedsChanged { .. } => {
+            write_speed_event(cell, event);
+        }
+        LogEvent::ShareChanged(change) => info!(
+            cell:% = cell, service = &*change.service, queue = &*change.queue,
+            exceeds = change.exceeds, demand_cpu = whole(change.standing.demand),
+            share_cpu = whole(change.standing.share),
+            capacity_cpu = whole(change.standing.capacity);
+            "queue_share"
+        ),
+        LogEvent::NearWaitBegun { .. } | LogEvent::NearWaitEnded { .. } => {
+            write_near_wait(cell, event);
+        }
+        _ => {}
+    }
+}
+
 /// Logs an event about learnt speeds of workers.
 fn write_speed_event(cell: &CellName, event: &LogEvent) {
     match event {
@@ -236,6 +256,16 @@
     runs.join(",")
 }
 
+/// Thousandths of a core, without the fraction.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a figure for the log"
+)]
+fn whole(cpu_milli: f64) -> u64 {
+    cpu_milli.round() as u64
+}
+
 fn ms(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -72,6 +72,10 @@
                 };
                 self.count(decision, workers.len() + others);
             }
+            LogEvent::ShareChanged(change) if change.exceeds => {
+                self.count("queue-exceeds-share", 1);
+            }
+            LogEvent::ShareChanged(_) => self.count("queue-returns-to-share", 1),
             _ => {}
         }
     }
