fix(leased): no stop while the speed of a worker is uncertain

Change: a run is stopped only if it takes longer than the worker's own runs, the uncertainty of its factor and the error of the estimate can explain. Sums over a job's runs take each logarithm once.

--- a/crates/geraniumrelay-core/src/configs/speed.rs
+++ b/crates/geraniumrelay-core/src/configs/speed.rs
@@ -19,6 +19,9 @@
     /// Variance of the logarithm of a run time around the estimate of its queue: callers' estimates are off by
     /// 40 %, and run times vary by as much.
     pub queue_variance: f64,
+    /// Variance of the logarithm of a run time around its estimate, for the check of a running task: callers'
+    /// estimates are off by 40 %, which the mean of the queue corrects in part.
+    pub estimate_variance: f64,
     /// Latency of orders and reports that counts as an error of a run time.
     pub latency: Duration,
     /// Maximum difference of the logarithms of two run times that a sample counts with, so that a task that takes
@@ -42,6 +45,7 @@
             uncertain_deviations: 0.5,
             job_variance: 0.05,
             queue_variance: 0.4,
+            estimate_variance: 0.1,
             latency: Duration::from_millis(5),
             max_deviation: 1.0,
             max_precision: 1_000.0,
--- a/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/pace.rs
@@ -62,7 +62,11 @@
             } else {
                 job.times.objective
             };
-            let elsewhere = self.run_time_elsewhere(cx, key, job, &run);
+            let run_time = end.saturating_duration_since(run.sent);
+            let is_too_long = self.is_run_too_long(cx, key, (job, &run), run_time);
+            let elsewhere = is_too_long
+                .then(|| self.run_time_elsewhere(cx, key, job, &run))
+                .flatten();
             let restarted_end = elsewhere.map(|run| cx.now + RESTART_TIME + run);
             if restarted_end.is_some_and(|at| at < end && at <= limit) {
                 slow_runs.push((run.name, run.run));
--- a/crates/geraniumrelay-core/src/leased/scheduler/speeds.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/speeds.rs
@@ -45,7 +45,7 @@
     }
 
     /// Shortest expected run time that a task which runs on `on` would have on another worker with room for it
-    /// now; `None` without such a worker. The work of the task is that of the job's other tasks, where known.
+    /// now; `None` without such a worker.
     pub(super) fn run_time_elsewhere(
         &self,
         cx: &Context<'_>,
@@ -68,10 +68,30 @@
         let open = self.workers.iter().filter(is_open);
         let factors = open.map(|(_, worker)| self.run_times.factor(worker, step));
         let factor = factors.min_by(f64::total_cmp)?;
+        Some(self.nominal_run(on, job, run).0.mul_f64(factor))
+    }
+
+    /// Whether a run takes longer than the speed of its worker explains.
+    pub(super) fn is_run_too_long(
+        &self,
+        cx: &Context<'_>,
+        on: WorkerKey,
+        (job, run): (&Job, &Run),
+        run_time: Duration,
+    ) -> bool {
+        let nominal = self.nominal_run(on, job, run);
         let speeds = &self.run_times.speeds;
-        let nominal = speeds.nominal_run(&job.run_samples, run.name.step, on);
-        let nominal = nominal.unwrap_or_else(|| job.expected_run(position));
-        Some(nominal.mul_f64(factor))
+        run_time > speeds.longest_run(&cx.cfg.speed, nominal, on)
+    }
+
+    /// Run time of a task on a nominal worker by the job's other tasks; without those, by its estimate. The second
+    /// value tells which.
+    fn nominal_run(&self, on: WorkerKey, job: &Job, run: &Run) -> (Duration, bool) {
+        let speeds = &self.run_times.speeds;
+        match speeds.nominal_run(&job.run_samples, run.name.step, on) {
+            Some(nominal) => (nominal, false),
+            None => (job.expected_run(run.task.position), true),
+        }
     }
 
     /// Processor in use on usable workers, and their whole processor, in thousandths of a core of a nominal worker.
--- a/crates/geraniumrelay-core/src/leased/speed.rs
+++ b/crates/geraniumrelay-core/src/leased/speed.rs
@@ -46,6 +46,16 @@
     pub(super) expected: Duration,
 }
 
+/// The run time of a task on a nominal worker, by what is known of the worker on which it ran.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    worker: WorkerKey,
+    step: u16,
+    log: f64,
+    /// Variance of the worker's factor.
+    variance: f64,
+}
+
 /// A belief in a logarithm of a factor.
 #[derive(Debug, Clone, Copy)]
 struct Belief {
@@ -263,11 +273,45 @@
         (count > 0.0).then(|| Duration::from_secs_f64((sum / count).exp()))
     }
 
+    /// Longest run time of a task that the worker's speed and the error of `nominal`, its run time on a nominal
+    /// worker, may explain: a new scheduler takes no slow kind for a fault. `is_estimate` tells that no other task
+    /// of the job confirms `nominal`.
+    pub(super) fn longest_run(
+        &self,
+        cfg: &SpeedConfig,
+        (nominal, is_estimate): (Duration, bool),
+        on: WorkerKey,
+    ) -> Duration {
+        let speed = self.workers.get(on).copied().unwrap_or_default();
+        // A label may be known by its fast workers only, so that just the worker's own runs tell that it is fast.
+        let own = UNKNOWN_VARIANCE.min(1.0 / speed.precision.max(f64::MIN_POSITIVE));
+        let variance = speed.belief.variance.max(own);
+        let error = if is_estimate {
+            cfg.estimate_variance
+        } else {
+            cfg.job_variance
+        };
+        let deviation = (variance + error).sqrt();
+        let log =
+            speed.belief.mean.max(speed.measured).max(0.0) + cfg.certain_deviations * deviation;
+        nominal.mul_f64(log.clamp(-cfg.max_log, cfg.max_log).exp())
+    }
+
     /// Learns from the runs of one job. The cost is the square of their number.
     pub(super) fn add_job(&mut self, cfg: &SpeedConfig, samples: &[RunSample]) {
+        let works: Vec<Work> = samples
+            .iter()
+            .map(|s| Work {
+                worker: s.worker,
+                step: s.step,
+                log: self.log_work(s),
+                variance: self.log_factor(s.worker).variance,
+            })
+            .collect();
         let updates: Vec<_> = samples
             .iter()
-            .map(|s| (s.worker, self.measure(cfg, samples, s)))
+            .zip(&works)
+            .map(|(sample, work)| (work.worker, self.measure(cfg, &works, sample, work)))
             .collect();
         for (worker, measured) in updates {
             let Some(entry) = self.workers.entry(worker) else {
@@ -283,34 +327,29 @@
 
     /// What one run says about its worker.
     #[expect(clippy::cast_precision_loss, reason = "a number of runs")]
-    fn measure(&self, cfg: &SpeedConfig, samples: &[RunSample], own: &RunSample) -> Belief {
-        let log = log_s(own.took);
+    fn measure(&self, cfg: &SpeedConfig, works: &[Work], sample: &RunSample, own: &Work) -> Belief {
         let bounded = |deviation: f64| deviation.clamp(-cfg.max_deviation, cfg.max_deviation);
-        let latency = cfg.latency.as_secs_f64() / own.took.as_secs_f64().max(0.001);
+        let latency = cfg.latency.as_secs_f64() / sample.took.as_secs_f64().max(0.001);
         let latency = latency * latency;
-        let others = samples
-            .iter()
-            .filter(|s| s.step == own.step && s.worker != own.worker);
         let known = self.log_factor(own.worker).mean;
-        let deviations: Vec<_> = others
-            .map(|s| {
-                let deviation = bounded(log - self.log_work(s) - known);
-                (deviation, self.log_factor(s.worker).variance)
-            })
-            .collect();
-        if deviations.is_empty() {
-            let deviation = bounded(log - log_s(own.expected) - known);
+        let (mut count, mut deviations, mut unknown) = (0_usize, 0.0, 0.0);
+        for other in works {
+            if other.step == own.step && other.worker != own.worker {
+                count += 1;
+                deviations += bounded(own.log - other.log);
+                unknown += other.variance;
+            }
+        }
+        if count == 0 {
             return Belief {
-                mean: known + deviation,
+                mean: known + bounded(own.log - log_s(sample.expected)),
                 variance: cfg.queue_variance + latency,
             };
         }
-        let count = deviations.len() as f64;
-        let mean = deviations.iter().map(|d| d.0).sum::<f64>() / count;
-        let unknown = deviations.iter().map(|d| d.1).sum::<f64>() / (count * count);
+        let count = count as f64;
         Belief {
-            mean: known + mean,
-            variance: cfg.job_variance * (1.0 + 1.0 / count) + unknown + latency,
+            mean: known + deviations / count,
+            variance: cfg.job_variance * (1.0 + 1.0 / count) + unknown / (count * count) + latency,
         }
     }
 
