test(soak): nothing starts in an evacuated data centre

Cause: the soak did not know evacuations. No start may come later than 5 s after the request, tasks start there again after the withdrawal, and no refused job has run.

--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod configuration;
 mod deadly_tasks;
+mod evacuations;
 mod fleet;
 mod life;
 #[path = "../../../../platform/tests/stand_in/platform.rs"]
