feat(leased): an evacuation is reported as in force; its readiness has a test

Cause: operators saw the request and its end, but not when nothing starts any more; the readiness of an entry VM that an evacuation leaves without workers had no test, and a VM that read the request before the workers warned of a data centre without workers. Change: evacuation_in_force once its grace is over, with the runs that are left; the warning needs known workers.

--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -267,6 +267,15 @@
         /// Queue concerned.
         queue: Arc<str>,
     },
+    /// The grace of an evacuation is over: nothing starts in the data centre any more.
+    EvacuationInForce {
+        /// Data centre concerned.
+        data_centre: Arc<str>,
+        /// Time for which the request has been known to any process.
+        known_for: Duration,
+        /// Number of runs that are still there.
+        runs: usize,
+    },
     /// Waiting jobs are ended, as nothing may start any more on the workers that could run them.
     JobsEvacuated {
         /// Number of the jobs.
--- a/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
@@ -4,6 +4,7 @@
 //! jobs are refused at once, so that their entry VMs send them elsewhere while their slack lasts; waiting ones may
 //! start in the grace, and leave after it.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use super::Scheduler;
@@ -24,10 +25,33 @@
         out: &mut Vec<Effect>,
     ) {
         self.evacuated = evacuated;
+        let evacuated = &self.evacuated;
+        self.evacuations_in_force
+            .retain(|name| evacuated.contains_key(name));
         for worker in self.workers.values_mut() {
             worker.evacuated_since = self.evacuated.get(&worker.entry.data_centre).copied();
         }
         self.has_new_room = true;
+        self.tick_evacuations(cx, out);
+    }
+
+    /// Logs the evacuations whose grace is over, and ends the jobs that they shut out.
+    pub(super) fn tick_evacuations(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let grace = cx.cfg.leased.evacuation_grace;
+        for (name, &since) in &self.evacuated {
+            let known_for = cx.now.saturating_duration_since(since);
+            if known_for < grace || !self.evacuations_in_force.insert(Arc::clone(name)) {
+                continue;
+            }
+            let workers = self.workers.values();
+            let workers = workers.filter(|w| w.entry.data_centre == *name);
+            let runs = workers.map(|w| w.runs.len()).sum();
+            out.push(Effect::LogEvent(LogEvent::EvacuationInForce {
+                data_centre: Arc::clone(name),
+                known_for,
+                runs,
+            }));
+        }
         self.end_unplaceable_jobs(cx, out);
     }
 
@@ -48,7 +72,7 @@
 
     /// Ends the waiting jobs whose tasks can start nowhere any more, as the grace is over: one that has not started is
     /// refused, and its entry VM sends it to another data centre. Durable jobs wait for the end of the evacuation.
-    pub(super) fn end_unplaceable_jobs(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+    fn end_unplaceable_jobs(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         let grace = cx.cfg.leased.evacuation_grace;
         let is_over = |since: &Instant| cx.now.saturating_duration_since(*since) >= grace;
         if !self.evacuated.values().any(is_over) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -64,6 +64,8 @@
     run_times: RunTimes,
     /// Evacuated data centres.
     evacuated: EvacuatedSince,
+    /// Evacuations whose grace is over.
+    evacuations_in_force: BTreeSet<Arc<str>>,
     /// Recent processor demand of admitted jobs in thousandths of a core, by priority.
     demand: BTreeMap<u8, DecayingSum>,
     /// Recent work of all jobs in thousandths of a core times seconds, by service.
@@ -135,6 +137,7 @@
             estimates: Estimates::default(),
             run_times: RunTimes::default(),
             evacuated: EvacuatedSince::new(),
+            evacuations_in_force: BTreeSet::new(),
             demand: BTreeMap::new(),
             work: Map::default(),
             contention: Contention::default(),
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -45,7 +45,7 @@
     pub(super) fn tick(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         self.check_deadlines(cx, out);
         self.tick_contention(cx, out);
-        self.end_unplaceable_jobs(cx, out);
+        self.tick_evacuations(cx, out);
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             self.tick_worker(cx, key, out);
--- a/crates/geraniumrelay-core/tests/leased/evacuation.rs
+++ b/crates/geraniumrelay-core/tests/leased/evacuation.rs
@@ -413,6 +413,28 @@
     assert_eq!(sim.starts_in("b", reopened), 0);
 }
 
+/// Operators need to see when nothing starts any more, once for each evacuation.
+#[test]
+fn an_evacuation_is_reported_as_in_force_once_its_grace_is_over() {
+    let mut sim = Simulation::with_data_centres(4, 1, &["a", "b"]);
+    let mut requested = Vec::new();
+    for _ in 0..2 {
+        requested.push(sim.now);
+        sim.evacuate(&["a"]);
+        sim.run_for(3 * Duration::from_secs(1));
+        sim.evacuate(&[]);
+        sim.run_for(100 * MS);
+    }
+    let reports = &sim.evacuations_in_force;
+    assert_eq!(reports.len(), 2, "{reports:?}");
+    for ((data_centre, at), requested) in reports.iter().zip(requested) {
+        assert_eq!(data_centre, "a");
+        let grace = sim.cfg.leased.evacuation_grace;
+        let tick = 25 * MS;
+        assert!(*at >= requested + grace && *at <= requested + grace + tick);
+    }
+}
+
 /// An evacuation elsewhere ended every job that had to wait because its worker was not listed for a moment.
 #[test]
 fn a_job_that_waits_for_a_worker_is_not_ended_by_an_evacuation_elsewhere() {
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -100,6 +100,10 @@
                 self.share_changes.push((self.now, change.clone()));
                 self.log(&format!("host {host} sees a change of shares: {change:?}"));
             }
+            LogEvent::EvacuationInForce { data_centre, .. } => {
+                self.evacuations_in_force
+                    .push((data_centre.to_string(), self.now));
+            }
             LogEvent::QueueConfined { queue } => {
                 self.confined_queues.push(queue.to_string());
                 self.log(&format!("host {host} confines {queue}"));
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -237,6 +237,8 @@
     removed_entries: BTreeSet<usize>,
     /// Lost runs of the open jobs, as the entry VM keeps them.
     pub(crate) losses: BTreeMap<JobId, Vec<(TaskName, Vec<LostRun>)>>,
+    /// Evacuations that a scheduler has reported as in force, and when.
+    pub(crate) evacuations_in_force: Vec<(String, Instant)>,
     /// Queues that a scheduler has confined to a part of the workers.
     pub(crate) confined_queues: Vec<String>,
     /// Queues that have exceeded their shares or returned to them, and when.
@@ -304,6 +306,7 @@
             down_workers: BTreeSet::new(),
             removed_entries: BTreeSet::new(),
             losses: BTreeMap::new(),
+            evacuations_in_force: Vec::new(),
             confined_queues: Vec::new(),
             share_changes: Vec::new(),
             crashes: Vec::new(),
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -49,7 +49,8 @@
         | LogEvent::TaskGivenUp { .. }
         | LogEvent::QueueConfined { .. }
         | LogEvent::QueueReleased { .. } => write_crash_event(cell, event),
-        LogEvent::JobsEvacuated { .. }
+        LogEvent::EvacuationInForce { .. }
+        | LogEvent::JobsEvacuated { .. }
         | LogEvent::ShareChanged(_)
         | LogEvent::LabelSpeedChanged { .. }
         | LogEvent::WorkerSpeedsChanged { .. }
@@ -145,6 +146,14 @@
 /// Logs an event about placement or load.
 fn write_load_event(cell: &CellName, event: &LogEvent) {
     match event {
+        LogEvent::EvacuationInForce {
+            data_centre,
+            known_for,
+            runs,
+        } => info!(
+            cell:% = cell, data_centre = &**data_centre, known_ms = ms(*known_for), runs;
+            "evacuation_in_force"
+        ),
         LogEvent::JobsEvacuated { jobs, data_centres } => {
             let data_centres = data_centres.join(",");
             info!(cell:% = cell, jobs, data_centres = data_centres.as_str(); "jobs_evacuated");
--- a/crates/geraniumrelay/src/leased/event_loop/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/evacuation.rs
@@ -82,7 +82,8 @@
             };
             let (revision, known_ms) = (self.evacuations.revision(), change.age.as_millis());
             info!(data_centre = name, source, revision, known_ms; "{event}");
-            if change.is_requested && !self.directory.has_workers_in(name) {
+            let knows_workers = self.directory.worker_count() > 0;
+            if change.is_requested && knows_workers && !self.directory.has_workers_in(name) {
                 warn!(data_centre = name; "evacuation_without_workers");
             }
         }
--- a/crates/geraniumrelay/src/leased/readiness.rs
+++ b/crates/geraniumrelay/src/leased/readiness.rs
@@ -62,7 +62,7 @@
         Some(ends_at.saturating_duration_since(now))
     }
 
-    fn is_ready(&self) -> bool {
+    pub(super) fn is_ready(&self) -> bool {
         self.can_serve.get() && !self.is_stopping()
     }
 }
--- a/crates/geraniumrelay/src/leased/tests/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/tests/evacuation.rs
@@ -24,10 +24,12 @@
 use super::directory::worker;
 use super::event_loop::{
     FORMER, OWN, PEER, READS_TIMEOUT, entry_vm, from_peer, send_rows, start_event_loop,
-    start_store, takeovers,
+    start_event_loop_of, start_store, takeovers,
 };
 use super::{MS, block_on, spec};
 use crate::leased::input::{Input, InputTx};
+use crate::leased::pause;
+use crate::leased::readiness::Readiness;
 
 /// Fencing token of the peer, which schedules the cells of these tests; above that of any other VM.
 const TOKEN: u64 = 1 << 52;
@@ -208,7 +210,11 @@
 
 /// Starts an event loop in the data centre `z` that follows the peer in all cells of a plan.
 async fn start_follower(plan_text: &str, cells: &[(&str, u32)]) -> (InputTx, Peer) {
-    let tx = start().await;
+    follow(start().await, plan_text, cells).await
+}
+
+/// Lets an event loop follow the peer in all cells of a plan.
+async fn follow(tx: InputTx, plan_text: &str, cells: &[(&str, u32)]) -> (InputTx, Peer) {
     let (address, submissions, follows) = accept_links().await;
     let peer_entry = Change {
         value: Some(address.to_string().into_bytes()),
@@ -476,3 +482,37 @@
         refused_by: &[],
     }
 }
+
+/// A data centre was cut off while it was evacuated: its entry VMs refused all callers until the cut healed, although
+/// entry VMs of other data centres could have served them.
+#[test]
+fn a_vm_that_an_evacuation_leaves_without_workers_reports_not_ready() {
+    block_on(async {
+        let readiness = Rc::new(Readiness::default());
+        let store = start_store(Rc::default()).await;
+        let tx = start_event_loop_of(store, pause::boot_clock, Rc::clone(&readiness));
+        let cells = [("y/0", u32::MAX), ("z/0", 0)];
+        let (tx, peer) = follow(tx, "y 1\nz 1\n", &cells).await;
+        let limits = r#"{"max_body_bytes":1000,"header_timeout_ms":1000}"#;
+        let configuration = Change {
+            key: "config".to_owned(),
+            value: Some(format!(r#"{{"version":1,"limits":{limits}}}"#).into()),
+            version: 2,
+        };
+        tx.send(Input::Rows {
+            table: Table::Configuration,
+            is_snapshot: false,
+            rows: vec![configuration],
+            revision: 2,
+        })
+        .await;
+        sleep(500 * MS).await;
+        assert!(readiness.is_ready(), "its own data centre is open");
+        send_evacuation_rows(&tx, 3, &[("z", true)]).await;
+        sleep(700 * MS).await;
+        assert!(!readiness.is_ready() && readiness.closes_connections());
+        peer.heartbeat.borrow_mut().cells[0].load_percent = 10;
+        sleep(200 * MS).await;
+        assert!(readiness.is_ready() && !readiness.closes_connections());
+    });
+}
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -38,6 +38,7 @@
 use crate::leased::input::{self, IncomingConnection, Input, InputTx};
 use crate::leased::metrics::LeasedMetrics;
 use crate::leased::pause;
+use crate::leased::readiness::Readiness;
 use crate::leased::worker_calls::WorkerCalls;
 
 pub(super) const OWN: EntryVm = EntryVm(Ipv4Addr::LOCALHOST);
@@ -91,6 +92,15 @@
 }
 
 fn start_event_loop_with(store: SocketAddr, boot_clock: fn() -> Duration) -> InputTx {
+    start_event_loop_of(store, boot_clock, Rc::default())
+}
+
+/// Starts an event loop that sets this readiness.
+pub(super) fn start_event_loop_of(
+    store: SocketAddr,
+    boot_clock: fn() -> Duration,
+    readiness: Rc<Readiness>,
+) -> InputTx {
     let http = Rc::new(HttpClient::new());
     let store = StoreClient::new(Rc::clone(&http), store);
     let metrics = Arc::new(LeasedMetrics::new().unwrap());
@@ -112,7 +122,7 @@
         archive: Archive::start(store, || false),
         worker_calls,
         routes: Rc::default(),
-        readiness: Rc::default(),
+        readiness,
         is_scheduler: Rc::default(),
         tx: tx.clone(),
         metrics,
