feat(leased): the log tells how many tasks start near their data

Cause: whether jobs of a deployment prefer racks at all could be read only from metrics. Change: tasks_started has near and far.

--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -56,8 +56,13 @@
         | LogEvent::WorkerSpeedsChanged { .. }
         | LogEvent::NearWaitBegun { .. }
         | LogEvent::NearWaitEnded { .. } => write_load_event(cell, event),
-        LogEvent::TasksStarted { id, starts, .. } => info!(
-            cell:% = cell, id:% = id, starts = start_list(starts).as_str();
+        LogEvent::TasksStarted {
+            id,
+            starts,
+            near,
+            far,
+        } => info!(
+            cell:% = cell, id:% = id, starts = start_list(starts).as_str(), near, far;
             "tasks_started"
         ),
         LogEvent::RunUnclaimed { task, run, worker } => info!(
