fix(geraniumctl): fields of the platform without effect are no findings

Change: fields that the platform defines and that have no effect here are not reported; misspelt ones still are.

--- a/crates/geraniumctl/src/configuration/shape.rs
+++ b/crates/geraniumctl/src/configuration/shape.rs
@@ -70,6 +70,23 @@
     ("header_timeout_ms", Count(u64::MAX), Required),
 ];
 
+/// Fields of routes that the platform defines and that have no effect here: every configuration holds some of them.
+const UNUSED_ROUTE: [&str; 4] = ["kind", "allowed_regions", "rate_per_s", "advisor"];
+
+/// Same of services.
+const UNUSED_SERVICE: [&str; 7] = [
+    "health_path",
+    "max_connections",
+    "protocol",
+    "tls",
+    "cold_start_s",
+    "cold_per_s",
+    "standby",
+];
+
+/// Same of the limits.
+const UNUSED_LIMITS: [&str; 2] = ["max_header_bytes", "idle_timeout_ms"];
+
 /// Fields of the whole configuration.
 const ALL: [&str; 4] = ["version", "routes", "services", "limits"];
 
@@ -83,12 +100,12 @@
         return shape.out;
     };
     shape.field("", object, ("version", Count(u64::MAX), Required));
-    shape.list(object, "routes", &ROUTE);
-    shape.list(object, "services", &SERVICE);
+    shape.list(object, "routes", &ROUTE, &UNUSED_ROUTE);
+    shape.list(object, "services", &SERVICE, &UNUSED_SERVICE);
     if let Some(limits) = shape.object("limits", object.get("limits")) {
-        shape.fields("limits", limits, &LIMITS);
+        shape.fields("limits", limits, &LIMITS, &UNUSED_LIMITS);
     }
-    shape.unknown("", object, &ALL);
+    shape.unknown("", object, &ALL, &[]);
     shape.out
 }
 
@@ -111,7 +128,7 @@
         object
     }
 
-    fn list(&mut self, object: &Map<String, Value>, name: &str, fields: &[Field]) {
+    fn list(&mut self, object: &Map<String, Value>, name: &str, fields: &[Field], unused: &[&str]) {
         let Some(value) = object.get(name) else {
             return;
         };
@@ -122,17 +139,23 @@
         for (number, entry) in list.iter().enumerate() {
             let place = format!("{name}[{number}]");
             if let Some(entry) = self.object(&place, Some(entry)) {
-                self.fields(&place, entry, fields);
+                self.fields(&place, entry, fields, unused);
             }
         }
     }
 
-    fn fields(&mut self, place: &str, object: &Map<String, Value>, fields: &[Field]) {
+    fn fields(
+        &mut self,
+        place: &str,
+        object: &Map<String, Value>,
+        fields: &[Field],
+        unused: &[&str],
+    ) {
         for &field in fields {
             self.field(place, object, field);
         }
         let names: Vec<&str> = fields.iter().map(|f| f.0).collect();
-        self.unknown(place, object, &names);
+        self.unknown(place, object, &names, unused);
     }
 
     fn field(&mut self, place: &str, object: &Map<String, Value>, (name, kind, presence): Field) {
@@ -159,9 +182,16 @@
         self.out.push(finding.allowing(allowed));
     }
 
-    fn unknown(&mut self, place: &str, object: &Map<String, Value>, known: &[&str]) {
+    fn unknown(
+        &mut self,
+        place: &str,
+        object: &Map<String, Value>,
+        known: &[&str],
+        unused: &[&str],
+    ) {
         for (name, value) in object {
-            if !known.contains(&name.as_str()) {
+            let name = name.as_str();
+            if !known.contains(&name) && !unused.contains(&name) {
                 let place = join(place, &field_name(name));
                 let message = "no process reads this field";
                 let finding = Finding::warning(self.source, place, message).with_value(value);
--- a/crates/geraniumctl/tests/configuration.rs
+++ b/crates/geraniumctl/tests/configuration.rs
@@ -364,3 +364,16 @@
         assert!(finding.len() < 400, "{finding}");
     }
 }
+
+/// Every configuration of the platform was reported with a dozen warnings, for fields that have no effect here.
+#[test]
+fn fields_of_the_platform_without_effect_are_not_reported() {
+    let value = json!({"version": 7,
+        "routes": [{"name": "r", "host": "h.example", "path_prefix": "/q/", "kind": "unsafe", "timeout_ms": 1500,
+            "target_latency_ms": 60, "priority": 0, "service": "s", "max_attempts": 2, "stretch": 1.6}],
+        "services": [{"name": "s", "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
+            "cold_start_s": 0.0, "cold_per_s": 0.0, "enforces_capacity": true, "standby": false}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000}});
+    assert_eq!(findings(&value), Vec::<String>::new());
+}
