--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases.
 
+pub mod chained;
 pub mod crashes;
-pub mod growth;
 mod idle;
 pub mod resend;
-pub mod starved;
 pub mod taken;
+pub mod thawed;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -23,9 +23,9 @@
     let dir = Path::new(dir);
     let verdict = match case.as_str() {
         "resend" => cases::resend::run(dir),
-        "starved" => cases::starved::run(dir),
-        "growth" => cases::growth::run(dir),
         "taken" => cases::taken::run(dir),
+        "chained" => cases::chained::run(dir),
+        "thawed" => cases::thawed::run(dir),
         "crashes" => cases::crashes::run(dir),
         _ => Verdict::CannotRun,
     };
