--- a/review/standin/cases/thawed.rs
+++ b/review/standin/cases/thawed.rs
@@ -1,12 +1,15 @@
 //! The entry process that schedules is frozen, and goes on while clients at it still wait. More jobs come than there is
-//! room for.
+//! room for. Several deployments, as it depends on chance in which order the process handles what has come meanwhile.
 
 use std::path::Path;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+use crate::record::Record;
 use crate::world::{Step, Verdict, World};
 
+const DEPLOYMENTS: usize = 3;
 const WORKERS: usize = 24;
 /// Jobs at the process that is frozen, from before the end of the freeze until after it, and the pause between them.
 const JOBS: u64 = 160;
@@ -26,12 +29,31 @@
 
 pub fn run(dir: &Path) -> Verdict {
     let zones = ["viti-a", "viti-b", "viti-c", "viti-d"];
-    let started = World::start(dir, &zones[..3], |workers| {
-        for number in 0..WORKERS {
-            workers.add(zones[number % 4], ["a", "a", "b"][number / 4 % 3], "r-1", 32_000, 65_536);
-        }
-    });
-    let Some(world) = started else { return Verdict::CannotRun };
+    let record = Arc::new(Record::create(dir));
+    let mut worlds = Vec::new();
+    for _ in 0..DEPLOYMENTS {
+        let started = World::start_with(&record, &zones[..3], |workers| {
+            for number in 0..WORKERS {
+                workers.add(zones[number % 4], ["a", "a", "b"][number / 4 % 3], "r-1", 32_000, 65_536);
+            }
+        });
+        let Some(world) = started else { return Verdict::CannotRun };
+        worlds.push(world);
+    }
+    let played: Vec<_> = worlds.into_iter().map(|world| thread::spawn(move || play(&world))).collect();
+    let verdicts: Vec<Verdict> = played.into_iter().map(|p| p.join().unwrap_or(Verdict::CannotRun)).collect();
+    let broken = verdicts.iter().filter(|v| matches!(v, Verdict::Broken)).count();
+    record.line(&format!("REFUSED is broken in {broken} of {DEPLOYMENTS} deployments"));
+    if broken > 0 {
+        Verdict::Broken
+    } else if verdicts.iter().all(|v| matches!(v, Verdict::Held)) {
+        Verdict::Held
+    } else {
+        Verdict::CannotRun
+    }
+}
+
+fn play(world: &World) -> Verdict {
     let Some(scheduler) = world.entries.scheduler() else { return Verdict::CannotRun };
     let id = |number: u64| format!("5c0e7a21d94b{number:04x}");
     let steps = [Step { count: 1, work_ms: WORK_MS, label: "" }];
