--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -4,5 +4,5 @@
 pub mod crashes;
 mod idle;
 pub mod resend;
+pub mod starved;
 pub mod taken;
-pub mod thawed;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -25,7 +25,7 @@
         "resend" => cases::resend::run(dir),
         "taken" => cases::taken::run(dir),
         "chained" => cases::chained::run(dir),
-        "thawed" => cases::thawed::run(dir),
+        "starved" => cases::starved::run(dir),
         "crashes" => cases::crashes::run(dir),
         _ => Verdict::CannotRun,
     };
