fix(core/leased): all starts pass a gate that adopts earlier runs of the task

Cause: a run that an earlier scheduler had started was adopted only by a task that waits. Runs of a later step were listed while the step was blocked, and nobody looked for them as it was released. Ruled out: that workers had not reported yet.

Change: Scheduler::start_gate gives the only StartPermit; it adopts a listed run, and holds the task while an invalidated one is at work. A run or an end of a later step of a best-effort job shows that the steps before it are done. A requeued task of a step that is not released is blocked again, and a listed end of an unknown run counts also where the job was not held. What concerns earlier runs moved from submit.rs and place.rs to earlier_runs.rs.

--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -430,14 +430,44 @@
         progress.collect()
     }
 
-    /// Lets a task whose run has ended start again, before the other tasks of the job.
+    /// Marks the tasks of all steps as done that must be done before `step` starts: a run of that step
+    /// shows that they are.
+    pub(super) fn mark_required_steps_done(&mut self, step: u16) {
+        let mut required = self.spec.steps[usize::from(step)].after.clone();
+        while let Some(step) = required.pop() {
+            let index = usize::from(step);
+            if self.left[index] == 0 {
+                continue;
+            }
+            required.extend_from_slice(&self.spec.steps[index].after);
+            let positions = (0..).zip(&self.tasks).filter(|(_, t)| t.step == step);
+            let positions: Vec<u32> = positions.map(|(position, _)| position).collect();
+            for position in positions {
+                self.mark_done(position);
+            }
+        }
+    }
+
+    /// Lets a task whose run has ended start again, before the other tasks of the job, or once its step
+    /// is released.
     pub(super) fn requeue(&mut self, position: u32) {
-        if self.task(position).state == TaskState::Placed {
+        if self.task(position).state != TaskState::Placed {
+            return;
+        }
+        if self.is_released(self.task(position).step) {
             self.task_mut(position).state = TaskState::Waiting;
             self.ready.push_front(position);
+        } else {
+            self.task_mut(position).state = TaskState::Blocked;
         }
     }
 
+    /// Whether all steps that `step` requires are done.
+    fn is_released(&self, step: u16) -> bool {
+        let mut required = self.spec.steps[usize::from(step)].after.iter();
+        required.all(|&s| self.left[usize::from(s)] == 0)
+    }
+
     /// Whether a ready task may start at `now`. A task that may crash its worker starts only if it can
     /// end before its caller leaves.
     pub(super) fn may_start(&self, position: u32, now: Instant) -> bool {
--- /dev/null
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -0,0 +1,226 @@
+//! Runs of a job that this scheduler has not started: they are found, adopted or waited for before a task starts.
+
+use super::Scheduler;
+use crate::context::Context;
+use crate::leased::job::{JobKey, TaskKey, TaskState};
+use crate::leased::names::{FencingToken, TaskName};
+use crate::leased::worker::{Run, RunState, UnclaimedRun, WorkerKey};
+
+/// Added to the run numbers of a task that an earlier scheduler may have started: more runs than
+/// that scheduler can have made, so that new numbers are higher.
+const RUNS_BEFORE_TAKEOVER: u32 = 10_000;
+
+/// Proof that no worker lists another run of a task, so that it may start. Only [`Scheduler::start_gate`] gives it.
+#[derive(Debug)]
+pub(super) struct StartPermit(TaskKey);
+
+impl StartPermit {
+    pub(super) fn task(&self) -> TaskKey {
+        self.0
+    }
+}
+
+/// Whether a ready task may start.
+#[derive(Debug)]
+pub(super) enum StartGate {
+    /// The task may start.
+    Open(StartPermit),
+    /// A run of an earlier scheduler was adopted in its place.
+    Adopted,
+    /// An invalidated run of the task is at work.
+    Held,
+}
+
+impl Scheduler {
+    /// Whether a ready task may start. A run of it that a worker lists is adopted instead; while an invalidated run is at
+    /// work, the task waits. All starts pass this gate, by whatever way the task has become ready.
+    pub(super) fn start_gate(&mut self, cx: &Context<'_>, task: TaskKey) -> StartGate {
+        let name = self.jobs[task.job].name(task.position);
+        let listed = self.workers.iter().find_map(|(key, worker)| {
+            let run = worker.unclaimed_runs.iter().find(|u| u.name == name)?;
+            Some((key, *run))
+        });
+        match listed {
+            None => StartGate::Open(StartPermit(task)),
+            Some((on, run)) if self.adopt(cx, task.job, on, &run) => StartGate::Adopted,
+            Some(_) => StartGate::Held,
+        }
+    }
+
+    /// Attaches the runs and ends of a new job that are known already. With `may_have_started`,
+    /// holds its other tasks until unknown runs must have ended or all workers have reported.
+    pub(super) fn find_earlier_runs(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        may_have_started: bool,
+    ) {
+        self.reattach_runs(key);
+        self.adopt_unclaimed_runs(cx, key);
+        if may_have_started {
+            self.hold_for_earlier_runs(cx, key);
+        }
+    }
+
+    /// Holds the tasks of a job that are not placed until runs by another scheduler must have ended or
+    /// all workers have reported.
+    fn hold_for_earlier_runs(&mut self, cx: &Context<'_>, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let cfg = &cx.cfg.leased;
+        let wait = if job.record_sync.is_some() {
+            cfg.takeover_wait + cfg.epoch_ttl
+        } else if job.last_sign().is_some() || job.highest_former_token != FencingToken::default() {
+            cfg.bounded_runs_wait()
+        } else {
+            cfg.takeover_wait
+        };
+        job.earlier_runs_until = Some(cx.now + wait);
+        for task in &mut job.tasks {
+            let before = task.first_valid_run + RUNS_BEFORE_TAKEOVER;
+            task.last_run = task.last_run.max(before);
+        }
+    }
+
+    /// Takes note that the scheduler with `token` had a known job meanwhile, and may have started it: no refusal may say
+    /// any more that it has not run. Load pattern: callers' jobs are sent to one scheduler, then to its successor, and back,
+    /// as connections between VMs break.
+    pub(super) fn find_runs_elsewhere(&mut self, cx: &Context<'_>, key: JobKey, token: FencingToken) {
+        let job = &mut self.jobs[key];
+        if token <= job.highest_former_token {
+            return;
+        }
+        job.highest_former_token = token;
+        self.adopt_unclaimed_runs(cx, key);
+        self.hold_for_earlier_runs(cx, key);
+        self.schedule_check(key);
+    }
+
+    /// Attaches to a resubmitted job the runs of its earlier submission: they are being stopped,
+    /// and no other run of the same tasks may start before they have ended.
+    fn reattach_runs(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let id = job.spec.id;
+        let runs = self.workers.values_mut().flat_map(|w| &mut w.runs);
+        for run in runs.filter(|r| r.name.job == id) {
+            let Some(position) = job.position(run.name) else {
+                continue;
+            };
+            if job.record_sync.is_none() {
+                job.mark_required_steps_done(run.name.step);
+            }
+            job.mark_placed(position);
+            let task = job.task_mut(position);
+            task.last_run = task.last_run.max(run.run);
+            run.task = TaskKey { job: key, position };
+        }
+    }
+
+    /// Adopts the unclaimed runs and unmatched ends of a job, which an earlier scheduler started.
+    fn adopt_unclaimed_runs(&mut self, cx: &Context<'_>, key: JobKey) {
+        let id = self.jobs[key].spec.id;
+        let ends: Vec<_> = self
+            .unmatched_ends
+            .keys()
+            .filter(|n| n.job == id)
+            .copied()
+            .collect();
+        for name in ends {
+            self.unmatched_ends.remove(&name);
+            let job = &mut self.jobs[key];
+            let Some(position) = job.position(name) else {
+                continue;
+            };
+            if job.record_sync.is_none() {
+                job.mark_required_steps_done(name.step);
+            }
+            job.mark_done(position);
+        }
+        self.adopt_listed_runs(cx, key);
+    }
+
+    /// Adopts the unclaimed runs of a job that workers list.
+    pub(super) fn adopt_listed_runs(&mut self, cx: &Context<'_>, key: JobKey) {
+        let id = self.jobs[key].spec.id;
+        let workers: Vec<_> = self.workers.keys().collect();
+        for worker in workers {
+            let is_of_job = |name: TaskName| name.job == id;
+            let unclaimed: Vec<_> = self.workers[worker]
+                .unclaimed_runs
+                .iter()
+                .filter(|u| is_of_job(u.name))
+                .copied()
+                .collect();
+            for run in unclaimed {
+                self.adopt(cx, key, worker, &run);
+            }
+        }
+    }
+
+    /// Adopts an unclaimed run whose task is ready to start, unless the run is invalidated; `false` if the run stays
+    /// unclaimed. A run of a blocked task shows that the steps before it are done; for a durable job its record tells.
+    pub(super) fn adopt(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        on: WorkerKey,
+        unclaimed: &UnclaimedRun,
+    ) -> bool {
+        let UnclaimedRun {
+            name,
+            run,
+            stop_sent,
+            unanswered_stop,
+            ..
+        } = *unclaimed;
+        let job = &mut self.jobs[key];
+        let Some(position) = job.position(name) else {
+            return false;
+        };
+        if job.task(position).state == TaskState::Blocked && job.record_sync.is_none() {
+            job.mark_required_steps_done(name.step);
+            self.waiting.insert((job.rank, key));
+        }
+        let task = job.task(position);
+        if task.state != TaskState::Waiting || run < task.first_valid_run {
+            return false;
+        }
+        job.mark_placed(position);
+        let task = job.task_mut(position);
+        task.last_run = task.last_run.max(run);
+        let worker = &mut self.workers[on];
+        let factor = self.run_times.factor(worker, job.step(position));
+        worker
+            .unclaimed_runs
+            .retain(|u| u.name != name || u.run != run);
+        worker.add_run(Run {
+            task: TaskKey { job: key, position },
+            name,
+            run,
+            size: job.step(position).size,
+            token: self.token,
+            is_for_former_instance: false,
+            state: if stop_sent.is_some() {
+                RunState::Stopping
+            } else {
+                RunState::Running
+            },
+            sent: cx.now,
+            confirmed_at: stop_sent.is_none().then_some(cx.now),
+            expected: job.expected_run(position).mul_f64(factor),
+            factor,
+            speed: worker.speed,
+            is_durable: job.record_sync.is_some(),
+            percent: 0,
+            progressed_at: cx.now,
+            is_adopted: true,
+            unconfirmed_since: None,
+            is_pace_counted: false,
+            stop_sent,
+            unanswered_stop,
+            is_suspect: job.task(position).is_suspect(),
+            needs_own_worker: job.task(position).needs_own_worker(),
+            may_run_until: job.may_run_until(cx.cfg.leased.confirmation_ttl),
+        });
+        true
+    }
+}
--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use crate::context::Context;
 use crate::leased::effect::Effect;
-use crate::leased::job::TaskKey;
+use crate::leased::job::{TaskKey, TaskState};
 use crate::leased::log_event::{EndEvidence, WorkerCondition};
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
@@ -120,19 +120,22 @@
     }
 
     /// Marks a task as done whose successful run an earlier scheduler started; if the job is unknown,
-    /// keeps the end for it.
+    /// keeps the end for it. The end of a blocked task shows that the steps before it are done; for a durable job its
+    /// record tells.
     fn earlier_run_done(&mut self, cx: &Context<'_>, name: TaskName, out: &mut Vec<Effect>) {
-        let Some(&job) = self.by_id.get(&name.job) else {
+        let Some(&key) = self.by_id.get(&name.job) else {
             self.unmatched_ends.insert(name, cx.now);
             return;
         };
-        if self.jobs[job].earlier_runs_until.is_none() {
-            return;
-        }
-        let Some(position) = self.jobs[job].position(name) else {
+        let job = &mut self.jobs[key];
+        let Some(position) = job.position(name) else {
             return;
         };
-        if self.jobs[job].ready.contains(&position) {
+        if job.task(position).state == TaskState::Blocked && job.record_sync.is_none() {
+            job.mark_required_steps_done(name.step);
+        }
+        if job.task(position).state == TaskState::Waiting {
+            let job = key;
             self.task_done(cx, TaskKey { job, position }, out);
         }
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -4,7 +4,7 @@
 use super::locality::near_wait_ended;
 use crate::context::Context;
 use crate::leased::effect::{Effect, JobOutcome, StopCall};
-use crate::leased::job::{JobKey, TaskKey};
+use crate::leased::job::{JobKey, TaskKey, TaskState};
 use crate::leased::log_event::{EndEvidence, LogEvent, StopCause, WorkerCondition};
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
@@ -141,7 +141,11 @@
             }));
         }
         let TaskKey { job: key, position } = run.task;
-        if !self.jobs.contains_key(key) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        // An earlier run of the task has turned out to be done.
+        if job.task(position).state == TaskState::Done {
             return;
         }
         match kind {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod contention;
 mod demand;
 mod durable;
+mod earlier_runs;
 mod ends;
 mod epochs;
 mod evacuation;
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -1,16 +1,17 @@
-//! Places waiting tasks on workers, and adopts runs of earlier schedulers.
+//! Places waiting tasks on workers.
 
 use super::Scheduler;
 use super::confirmations::limited_lease;
+use super::earlier_runs::{StartGate, StartPermit};
 use super::locality::NearPass;
 use crate::context::Context;
 use crate::leased::effect::{Effect, StartCall};
-use crate::leased::job::{JobKey, TaskKey, TaskState};
+use crate::leased::job::{JobKey, TaskKey};
 use crate::leased::log_event::LogEvent;
 use crate::leased::placement::{self, Choice, PlacementRequest, SpeedRequest};
 use crate::leased::record::RecordState;
 use crate::leased::unanswered_stop::UnansweredStop;
-use crate::leased::worker::{Run, RunState, UnclaimedRun, Worker, WorkerKey};
+use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
 
 impl Scheduler {
     /// Starts the tasks that fit, in order of job rank, until `scan_limit` jobs did not fit. A
@@ -138,7 +139,15 @@
                     break;
                 }
             };
-            self.start(cx, task, worker, out);
+            let permit = match self.start_gate(cx, task) {
+                StartGate::Open(permit) => permit,
+                StartGate::Adopted => continue,
+                StartGate::Held => {
+                    next += 1;
+                    continue;
+                }
+            };
+            self.start(cx, permit, worker, out);
             near_pass.started(self, worker);
             let step = self.jobs[key].step(position);
             if step.preferred_rack.is_some() {
@@ -181,7 +190,14 @@
     }
 
     /// Starts the next run of a task on a worker whose clock is known.
-    fn start(&mut self, cx: &Context<'_>, task: TaskKey, to: WorkerKey, out: &mut Vec<Effect>) {
+    fn start(
+        &mut self,
+        cx: &Context<'_>,
+        permit: StartPermit,
+        to: WorkerKey,
+        out: &mut Vec<Effect>,
+    ) {
+        let task = permit.task();
         let job = &mut self.jobs[task.job];
         let has_started_before = job.has_started;
         job.first_start.get_or_insert(cx.now);
@@ -235,66 +251,4 @@
             self.schedule_check(task.job);
         }
     }
-
-    /// Adopts an unclaimed run whose task is ready to start, unless the run is invalidated.
-    pub(super) fn adopt(
-        &mut self,
-        cx: &Context<'_>,
-        key: JobKey,
-        on: WorkerKey,
-        unclaimed: &UnclaimedRun,
-    ) {
-        let UnclaimedRun {
-            name,
-            run,
-            stop_sent,
-            unanswered_stop,
-            ..
-        } = *unclaimed;
-        let job = &mut self.jobs[key];
-        let Some(position) = job.position(name) else {
-            return;
-        };
-        let task = job.task(position);
-        if task.state != TaskState::Waiting || run < task.first_valid_run {
-            return;
-        }
-        job.mark_placed(position);
-        let task = job.task_mut(position);
-        task.last_run = task.last_run.max(run);
-        let worker = &mut self.workers[on];
-        let factor = self.run_times.factor(worker, job.step(position));
-        worker
-            .unclaimed_runs
-            .retain(|u| u.name != name || u.run != run);
-        worker.add_run(Run {
-            task: TaskKey { job: key, position },
-            name,
-            run,
-            size: job.step(position).size,
-            token: self.token,
-            is_for_former_instance: false,
-            state: if stop_sent.is_some() {
-                RunState::Stopping
-            } else {
-                RunState::Running
-            },
-            sent: cx.now,
-            confirmed_at: stop_sent.is_none().then_some(cx.now),
-            expected: job.expected_run(position).mul_f64(factor),
-            factor,
-            speed: worker.speed,
-            is_durable: job.record_sync.is_some(),
-            percent: 0,
-            progressed_at: cx.now,
-            is_adopted: true,
-            unconfirmed_since: None,
-            is_pace_counted: false,
-            stop_sent,
-            unanswered_stop,
-            is_suspect: job.task(position).is_suspect(),
-            needs_own_worker: job.task(position).needs_own_worker(),
-            may_run_until: job.may_run_until(cx.cfg.leased.confirmation_ttl),
-        });
-    }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -8,9 +8,9 @@
 use crate::leased::command::Submission;
 use crate::leased::contention::Verdict;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
-use crate::leased::job::{Job, JobKey, Origin, Rank, TaskKey, Times};
+use crate::leased::job::{Job, JobKey, Origin, Rank, Times};
 use crate::leased::log_event::{EntryLossCause, LogEvent};
-use crate::leased::names::{EntryVm, FencingToken, JobId};
+use crate::leased::names::{EntryVm, JobId};
 use crate::leased::placement;
 use crate::leased::record::RecordState;
 use crate::leased::spec::JobSpec;
@@ -21,10 +21,6 @@
 /// Maximum wait for a durable job: in practice unlimited, as the job runs until it has ended.
 pub(super) const DURABLE_MAX_WAIT: Duration = Duration::from_hours(24 * 365);
 
-/// Added to the run numbers of a task that an earlier scheduler may have started: more runs than
-/// that scheduler can have made, so that new numbers are higher.
-const RUNS_BEFORE_TAKEOVER: u32 = 10_000;
-
 impl Scheduler {
     /// Processes a submission: adds a waiting entry VM to a known job, answers an ended one, and
     /// admits or refuses a new one.
@@ -165,40 +161,6 @@
         key
     }
 
-    /// Attaches the runs and ends of a new job that are known already. With `may_have_started`,
-    /// holds its other tasks until unknown runs must have ended or all workers have reported.
-    pub(super) fn find_earlier_runs(
-        &mut self,
-        cx: &Context<'_>,
-        key: JobKey,
-        may_have_started: bool,
-    ) {
-        self.reattach_runs(key);
-        self.adopt_unclaimed_runs(cx, key);
-        if may_have_started {
-            self.hold_for_earlier_runs(cx, key);
-        }
-    }
-
-    /// Holds the tasks of a job that are not placed until runs by another scheduler must have ended or
-    /// all workers have reported.
-    fn hold_for_earlier_runs(&mut self, cx: &Context<'_>, key: JobKey) {
-        let job = &mut self.jobs[key];
-        let cfg = &cx.cfg.leased;
-        let wait = if job.record_sync.is_some() {
-            cfg.takeover_wait + cfg.epoch_ttl
-        } else if job.last_sign().is_some() || job.highest_former_token != FencingToken::default() {
-            cfg.bounded_runs_wait()
-        } else {
-            cfg.takeover_wait
-        };
-        job.earlier_runs_until = Some(cx.now + wait);
-        for task in &mut job.tasks {
-            let before = task.first_valid_run + RUNS_BEFORE_TAKEOVER;
-            task.last_run = task.last_run.max(before);
-        }
-    }
-
     fn new_job(
         &mut self,
         cx: &Context<'_>,
@@ -234,20 +196,6 @@
         Job::new(spec, origin, times, rank, expected)
     }
 
-    /// Takes note that the scheduler with `token` had a known job meanwhile, and may have started it: no refusal may say
-    /// any more that it has not run. Load pattern: callers' jobs are sent to one scheduler, then to its successor, and back,
-    /// as connections between VMs break.
-    fn find_runs_elsewhere(&mut self, cx: &Context<'_>, key: JobKey, token: FencingToken) {
-        let job = &mut self.jobs[key];
-        if token <= job.highest_former_token {
-            return;
-        }
-        job.highest_former_token = token;
-        self.adopt_unclaimed_runs(cx, key);
-        self.hold_for_earlier_runs(cx, key);
-        self.schedule_check(key);
-    }
-
     /// Why a newly submitted job can't be served; `None` if it is admitted. With `has_alternative`, a
     /// job that would have to wait is left to the other cell.
     fn refusal(
@@ -515,58 +463,6 @@
         }
     }
 
-    /// Attaches to a resubmitted job the runs of its earlier submission: they are being stopped,
-    /// and no other run of the same tasks may start before they have ended.
-    fn reattach_runs(&mut self, key: JobKey) {
-        let job = &mut self.jobs[key];
-        let id = job.spec.id;
-        let runs = self.workers.values_mut().flat_map(|w| &mut w.runs);
-        for run in runs.filter(|r| r.name.job == id) {
-            let Some(position) = job.position(run.name) else {
-                continue;
-            };
-            job.mark_placed(position);
-            let task = job.task_mut(position);
-            task.last_run = task.last_run.max(run.run);
-            run.task = TaskKey { job: key, position };
-        }
-    }
-
-    /// Adopts the unclaimed runs and unmatched ends of a job, which an earlier scheduler started.
-    fn adopt_unclaimed_runs(&mut self, cx: &Context<'_>, key: JobKey) {
-        let id = self.jobs[key].spec.id;
-        let ends: Vec<_> = self
-            .unmatched_ends
-            .keys()
-            .filter(|n| n.job == id)
-            .copied()
-            .collect();
-        for name in ends {
-            self.unmatched_ends.remove(&name);
-            if let Some(position) = self.jobs[key].position(name) {
-                self.jobs[key].mark_done(position);
-            }
-        }
-        self.adopt_listed_runs(cx, key);
-    }
-
-    /// Adopts the unclaimed runs of a job that workers list.
-    pub(super) fn adopt_listed_runs(&mut self, cx: &Context<'_>, key: JobKey) {
-        let id = self.jobs[key].spec.id;
-        let workers: Vec<_> = self.workers.keys().collect();
-        for worker in workers {
-            let is_of_job = |name: crate::leased::TaskName| name.job == id;
-            let unclaimed: Vec<_> = self.workers[worker]
-                .unclaimed_runs
-                .iter()
-                .filter(|u| is_of_job(u.name))
-                .copied()
-                .collect();
-            for run in unclaimed {
-                self.adopt(cx, key, worker, &run);
-            }
-        }
-    }
 }
 
 /// Expected run time of the longest chain of dependent steps, with unlimited workers.
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -33,6 +33,67 @@
     );
 }
 
+/// Guards against second runs of tasks whose step was blocked when their runs were reported to the successor.
+#[test]
+fn a_successor_adopts_running_tasks_of_later_steps() {
+    for resubmitted_after in [1, 5, 20, 100] {
+        let mut sim = Simulation::new(4, 1);
+        let job = TestJob::new(1, 3, 300 * MS)
+            .with_next_step()
+            .with_next_step();
+        sim.submit(0, MS, job.clone());
+        sim.run_for(750 * MS);
+        sim.kill(0);
+        let next = sim.add_host(2);
+        sim.submit(next, resubmitted_after * MS, job.resubmitted());
+        sim.run_for(Duration::from_secs(2));
+        let trace = sim.trace_of(JobId(1));
+        assert!(
+            sim.concurrent_runs.is_empty(),
+            "after {resubmitted_after} ms:\n{trace}"
+        );
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+        assert!(sim.start_counts.values().all(|&n| n == 1), "{trace}");
+    }
+}
+
+/// Guards against a start of a later step before the steps that it depends on are done.
+#[test]
+fn a_resubmitted_job_whose_runs_are_being_stopped_keeps_the_order_of_its_steps() {
+    let mut sim = Simulation::new(4, 1);
+    let job = TestJob::new(1, 2, 300 * MS).with_next_step();
+    sim.submit(0, MS, job.clone());
+    sim.run_for(400 * MS);
+    sim.handle_command(0, Command::Cancel { id: JobId(1) });
+    sim.answers.clear();
+    sim.submit(0, MS, job);
+    sim.run_for(Duration::from_secs(2));
+    let trace = sim.trace_of(JobId(1));
+    assert!(sim.concurrent_runs.is_empty(), "{trace}");
+    let starts_of = |step| {
+        let of_step = sim.start_counts.iter().filter(move |(n, _)| n.step == step);
+        of_step.map(|(_, &n)| n).collect::<Vec<_>>()
+    };
+    assert_eq!((starts_of(0), starts_of(1)), (vec![1, 1], vec![2, 2]));
+}
+
+/// Guards against second runs of tasks of a later step whose ends were reported before the job was known.
+#[test]
+fn a_successor_counts_ends_of_later_steps() {
+    let mut sim = Simulation::new(4, 1);
+    let job = TestJob::new(1, 3, 300 * MS).with_next_step();
+    sim.submit(0, MS, job.clone());
+    sim.run_for(500 * MS);
+    sim.kill(0);
+    sim.run_for(150 * MS);
+    let next = sim.add_host(2);
+    resubmit(&mut sim, next, &job);
+    sim.run_for(Duration::from_secs(2));
+    let trace = sim.trace_of(JobId(1));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed), "{trace}");
+    assert!(sim.start_counts.values().all(|&n| n == 1), "{trace}");
+}
+
 #[test]
 fn a_deposed_scheduler_starts_no_tasks() {
     let mut sim = Simulation::new(4, 1);
--- a/crates/geraniumrelay-core/tests/leased/world/job.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/job.rs
@@ -92,6 +92,15 @@
         self
     }
 
+    /// Adds a step like the last one, which starts once that one is done.
+    pub(crate) fn with_next_step(mut self) -> Self {
+        let steps = &mut self.spec.steps;
+        let mut next = steps[steps.len() - 1].clone();
+        next.after = vec![u16::try_from(steps.len() - 1).unwrap()];
+        steps.push(next);
+        self
+    }
+
     /// Sets how much the run times of the job's tasks differ, and the share of those that take seven times as long.
     pub(crate) fn with_deviations(mut self, task_deviation: f64, long_task_share: f64) -> Self {
         self.task_deviation = task_deviation;
