fix(core/leased): a job that another cell has stored is accepted and left to it

Cause: the first write of the second cell conflicts with the record of the first one; the conflict was taken for an earlier write of the same scheduler, the record was written again with the second cell, and its tasks were started. Ruled out: a second record, as the key is the id of the job.

Change: a record of another cell in a conflict answers the caller (accepted), and the job is dropped here. A cancellation that comes before a record is read is stored, and no longer lost as the record is adopted. The simulated store knows claims by cell.

--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -142,6 +142,12 @@
                 // Records are removed long after their jobs have ended.
                 self.finish(cx, key, JobOutcome::Accepted, out);
             }
+            RecordReply::Conflict {
+                stored: Some((record, _)),
+            } if record.cell != self.cell => {
+                // The job is stored, and the scheduler of the record's cell runs it.
+                self.finish(cx, key, JobOutcome::Accepted, out);
+            }
             RecordReply::Conflict {
                 stored: Some((record, version)),
             } => {
@@ -387,7 +393,8 @@
         let job = &mut self.jobs[key];
         if let Some(record_sync) = &mut job.record_sync {
             record_sync.version = version;
-            record_sync.is_dirty = false;
+            // A cancellation that arrived first has yet to be stored.
+            record_sync.is_dirty = record_sync.state != RecordState::Open;
             record_sync.in_flight_since = None;
             record_sync.was_sent = true;
         }
--- a/crates/geraniumrelay-core/tests/leased/durable.rs
+++ b/crates/geraniumrelay-core/tests/leased/durable.rs
@@ -57,6 +57,42 @@
     assert!(sim.start_counts.values().all(|&n| n == 1));
 }
 
+/// Guards against second runs of a durable job that its caller sends again to another cell.
+#[test]
+fn a_job_that_another_cell_has_stored_is_accepted_and_runs_only_there() {
+    let mut sim = Simulation::with_cells((2, 4), 0, 1);
+    let job = TestJob::new(1, 4, Duration::from_secs(2)).durable();
+    sim.submit(0, MS, job.clone());
+    sim.run_for(500 * MS);
+    for _ in 0..2 {
+        sim.answers.clear();
+        sim.submit(1, MS, job.clone());
+        sim.run_for(200 * MS);
+        assert_eq!(sim.outcome(1), Some(JobOutcome::Accepted));
+    }
+    sim.run_for(Duration::from_secs(6));
+    let trace = sim.trace_of(JobId(1));
+    assert!(sim.start_counts.values().all(|&n| n == 1), "{trace}");
+    assert_eq!(record_state(&sim, 1), RecordState::Completed);
+}
+
+/// Guards against a job that stands still after it was cancelled before a new scheduler had read its record.
+#[test]
+fn a_job_that_is_cancelled_before_its_record_is_read_is_cancelled() {
+    let mut sim = Simulation::new(4, 1);
+    let job = TestJob::new(1, 4, Duration::from_secs(3)).durable();
+    sim.submit(0, MS, job.clone());
+    sim.run_for(500 * MS);
+    sim.kill(0);
+    sim.store_latency = 100 * MS;
+    let next = sim.add_host_with_records(2, &BTreeSet::new());
+    sim.submit(next, MS, job.resubmitted());
+    sim.run_for(10 * MS);
+    sim.handle_command(next, Command::Cancel { id: JobId(1) });
+    sim.run_for(Duration::from_secs(3));
+    assert_eq!(record_state(&sim, 1), RecordState::Cancelled);
+}
+
 #[test]
 fn no_job_is_accepted_while_the_store_is_unavailable() {
     let mut sim = Simulation::new(4, 1);
--- a/crates/geraniumrelay-core/tests/leased/world/cells.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/cells.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use geraniumrelay_core::leased::cells::CellName;
+
 use super::Simulation;
 use crate::worker::FakeWorker;
 
@@ -39,6 +41,14 @@
         self.worker_cells.get(&worker).copied().unwrap_or(0)
     }
 
+    pub(super) fn cell_name(&self, cell: usize) -> CellName {
+        if self.worker_cells.is_empty() {
+            CellName::single()
+        } else {
+            CellName(format!("a/{cell}").into())
+        }
+    }
+
     /// Schedulers of a cell, also those that have ended.
     pub(crate) fn hosts_of(&self, cell: usize) -> Vec<usize> {
         let of_cell = |&host: &usize| self.hosts[host].cell == cell;
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -19,7 +19,6 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::contention::Change;
 use geraniumrelay_core::leased::evacuation::EvacuatedSince;
 use geraniumrelay_core::leased::{
@@ -212,9 +211,9 @@
     pub(crate) trace: Vec<String>,
     /// Stored records of durable jobs, and their versions.
     pub(crate) records: BTreeMap<JobId, (JobRecord, u64)>,
-    /// Fencing token of the scheduler that has claimed the cell in the store, and the version of
-    /// the claim.
-    epoch: (FencingToken, u64),
+    /// Fencing token of the scheduler that has claimed each cell in the store, and the version of the
+    /// claim.
+    epochs: BTreeMap<usize, (FencingToken, u64)>,
     /// Whether the store is unavailable to all schedulers.
     pub(crate) is_store_down: bool,
     /// Latency of a call to the store.
@@ -316,7 +315,7 @@
             speed_events: Vec::new(),
             trace: Vec::new(),
             records: BTreeMap::new(),
-            epoch: (FencingToken::default(), 0),
+            epochs: BTreeMap::new(),
             is_store_down: false,
             store_latency: STORE_LATENCY,
             lost_store_reply_share: 0.0,
@@ -362,7 +361,7 @@
     ) -> usize {
         let host = self.add_host_with(round, unreachable, true);
         let scheduler = self.hosts[host].scheduler.take();
-        let scheduler = scheduler.map(|s| s.with_records(CellName::single()));
+        let scheduler = scheduler.map(|s| s.with_records(self.cell_name(0)));
         self.hosts[host].scheduler = scheduler;
         host
     }
@@ -393,7 +392,9 @@
         self.trace.push(format!(
             "{ms} ms: host {host} takes over, unreachable workers: {unreachable:?}"
         ));
-        let scheduler = Scheduler::new(token, "a".into()).with_departed_known(knows_departed);
+        let scheduler = Scheduler::new(token, "a".into())
+            .with_departed_known(knows_departed)
+            .with_cell(self.cell_name(cell));
         self.hosts.push(Host {
             scheduler: Some(scheduler),
             unreachable_workers: unreachable.clone(),
@@ -514,7 +515,7 @@
                 is_reply_delivered,
             } => {
                 let id = record.spec.id;
-                let reply = self.store_record(record, (expected, epoch));
+                let reply = self.store_record(host, record, (expected, epoch));
                 let is_stored = matches!(reply, RecordReply::Stored { .. });
                 let cmd = Command::RecordReplied { id, attempt, reply };
                 self.send_store_reply(host, is_reply_delivered, cmd);
--- a/crates/geraniumrelay-core/tests/leased/world/store.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/store.rs
@@ -2,7 +2,7 @@
 
 use geraniumrelay_core::leased::{Command, EpochReply, JobId, JobRecord, RecordReply};
 
-use super::{Event, MAX_FEED_DELAY, ONE_WAY_LATENCY, STORE_TIMEOUT, Simulation};
+use super::{Event, Host, MAX_FEED_DELAY, ONE_WAY_LATENCY, STORE_TIMEOUT, Simulation};
 
 impl Simulation {
     pub(super) fn is_store_unavailable(&self, host: usize) -> bool {
@@ -44,10 +44,12 @@
     /// Stores a record if the stored version and the claim of the cell are the expected ones.
     pub(super) fn store_record(
         &mut self,
+        host: usize,
         record: JobRecord,
         (expected, epoch): (u64, u64),
     ) -> RecordReply {
-        if epoch != self.epoch.1 {
+        let claim = self.epochs.get(&self.hosts[host].cell);
+        if claim.map_or(0, |c| c.1) != epoch {
             return RecordReply::EpochOver;
         }
         let id = record.spec.id;
@@ -97,8 +99,8 @@
     }
 
     pub(super) fn claim_epoch(&mut self, host: usize) -> EpochReply {
-        let token = self.hosts[host].token;
-        let (holder, version) = self.epoch;
+        let Host { token, cell, .. } = self.hosts[host];
+        let (holder, version) = self.epochs.get(&cell).copied().unwrap_or_default();
         if holder > token {
             return EpochReply::HeldByOther { token: holder };
         }
@@ -106,7 +108,7 @@
             return EpochReply::Held { version };
         }
         self.sequence += 1;
-        self.epoch = (token, self.sequence);
+        self.epochs.insert(cell, (token, self.sequence));
         EpochReply::Held {
             version: self.sequence,
         }
