fix(core/leased): each new scheduler claims its cell and reads the records

Cause: a new scheduler read the records only if its VM had heard of a durable job, and without that it acknowledged the ends of unknown jobs. Ruled out: a lost record.

Change: each new scheduler claims the cell and reads the records; until then no end of an unknown job is acknowledged. Best-effort jobs do not wait: their listed ends are known at once, prompt polls for strict acknowledgements are sent only if there may be durable jobs, and only workers with such ends are polled again after the read. A raised token claims the cell again; it may be raised as long as there was no durable job.

--- a/crates/geraniumrelay-core/src/leased/epoch.rs
+++ b/crates/geraniumrelay-core/src/leased/epoch.rs
@@ -30,6 +30,8 @@
 /// State of a scheduler's claim to its cell.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Epoch {
+    /// When the scheduler's token was raised, so that it claims the cell again; `None` for its first token.
+    begun: Option<Instant>,
     /// Version of the cell's row when it last named this scheduler; `None` if it has to be read.
     version: Option<u64>,
     /// Latest time at which no other scheduler had claimed the cell.
@@ -42,6 +44,19 @@
 }
 
 impl Epoch {
+    /// Starts to claim the cell again, with a token that was raised at `now`.
+    pub(super) fn begun_at(now: Instant) -> Self {
+        Self {
+            begun: Some(now),
+            ..Self::default()
+        }
+    }
+
+    /// Whether a claim sent at `sent` named a former token.
+    pub(super) fn is_of_former_token(&self, sent: Instant) -> bool {
+        self.begun.is_some_and(|begun| sent < begun)
+    }
+
     pub(super) fn version(&self) -> Option<u64> {
         self.version
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -24,6 +24,7 @@
 impl Scheduler {
     /// Marks a job as durable, with no record stored yet.
     pub(super) fn make_durable(&mut self, cx: &Context<'_>, key: JobKey) {
+        self.has_durable_jobs = true;
         self.jobs[key].record_sync = Some(RecordSync {
             version: 0,
             is_accepted: false,
@@ -236,6 +237,7 @@
     }
 
     fn add_ended_record(&mut self, cx: &Context<'_>, id: JobId, invalidated: Vec<(TaskName, u32)>) {
+        self.has_durable_jobs = true;
         if self.ended_jobs.insert(id, invalidated).is_none() {
             self.ended_job_ages.push_back((cx.now, id));
         }
@@ -407,9 +409,18 @@
         self.merge_record(cx, key, record, out);
     }
 
-    /// Marks all records as read at `version`, and polls all workers again for ends that could not
-    /// be classified before.
+    /// Whether the jobs of unknown ends and runs may be durable: one is known, or records may be unread.
+    pub(super) fn may_have_durable_jobs(&self) -> bool {
+        self.has_durable_jobs || !self.knows_records
+    }
+
+    /// Marks all records as read at `version`, and polls the workers again for ends that could not be classified
+    /// before: all of them if there are durable jobs, else those that list such ends.
     pub(super) fn records_known(&mut self, cx: &Context<'_>, version: u64, out: &mut Vec<Effect>) {
+        // They are read again once the cell is claimed: until then another scheduler may change them.
+        if self.epoch.as_ref().is_some_and(|e| e.version().is_none()) {
+            return;
+        }
         self.records_version = version;
         if std::mem::replace(&mut self.knows_records, true) {
             return;
@@ -421,6 +432,9 @@
         let workers: Vec<WorkerKey> = self.workers.keys().collect();
         for key in workers {
             let worker = &mut self.workers[key];
+            if !self.has_durable_jobs && worker.first_unclassified_end.is_none() {
+                continue;
+            }
             worker.token_confirmed_at = None;
             worker.poll_state.not_before = None;
             self.schedule_poll(cx, key, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -127,13 +127,14 @@
         for name in ends {
             self.unmatched_ends.remove(&name);
             let job = &mut self.jobs[key];
-            let Some(position) = job.position(name) else {
+            // The ends of a durable job are listed until they are stored.
+            if job.record_sync.is_some() {
                 continue;
-            };
-            if job.record_sync.is_none() {
+            }
+            if let Some(position) = job.position(name) {
                 job.mark_required_steps_done(name.step);
+                job.mark_done(position);
             }
-            job.mark_done(position);
         }
         self.adopt_listed_runs(cx, key);
     }
--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -57,6 +57,9 @@
         worker.unclaimed_runs.retain(|u| !has_ended(u));
         if ack_condition == AckCondition::AwaitsRecords {
             worker.first_unclassified_end.get_or_insert(end.number);
+            if end.kind == EndKind::Done && !self.by_id.contains_key(&end.task.job) {
+                self.unmatched_ends.insert(end.task, cx.now);
+            }
             return;
         }
         if !worker.processed_ends.insert(end.number) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/epochs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/epochs.rs
@@ -49,6 +49,9 @@
         let Some(epoch) = &mut self.epoch else {
             return;
         };
+        if epoch.is_of_former_token(sent) {
+            return;
+        }
         match reply {
             EpochReply::Held { version } => {
                 if !epoch.hold(version, sent) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -91,6 +91,8 @@
     epoch: Option<Epoch>,
     /// Whether all records of durable jobs have been read.
     knows_records: bool,
+    /// Whether any durable job is or was known.
+    has_durable_jobs: bool,
     /// Version of the store at which the records were listed.
     records_version: u64,
     /// Ended durable jobs and the times at which their ends were recorded, oldest first.
@@ -155,6 +157,7 @@
             cell: CellName::single(),
             epoch: None,
             knows_records: true,
+            has_durable_jobs: false,
             records_version: 0,
             ended_job_ages: VecDeque::new(),
             ended_jobs: BTreeMap::new(),
@@ -208,10 +211,10 @@
         self.token
     }
 
-    /// Whether the token may be raised. `false` for a scheduler of durable jobs, whose claim of the cell
-    /// names its token.
+    /// Whether the token may be raised. `false` once there are durable jobs, which only the claim of the cell with
+    /// this token may change.
     pub fn can_raise_token(&self) -> bool {
-        self.epoch.is_none() && !self.is_deposed
+        !self.has_durable_jobs && !self.is_deposed
     }
 
     /// Whether a listed worker follows a scheduler with a higher token.
@@ -223,6 +226,11 @@
     /// Goes on with a higher token, once the workers have answered to it.
     pub fn raise_token(&mut self, cx: &Context<'_>, token: FencingToken, out: &mut Vec<Effect>) {
         self.token = token;
+        // Another scheduler may have held the cell meanwhile, and stored jobs.
+        if self.epoch.is_some() {
+            self.epoch = Some(Epoch::begun_at(cx.now));
+            self.knows_records = false;
+        }
         self.raised_rounds.clear();
         for worker in self.workers.values_mut() {
             worker.raised_rounds = 0;
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -387,6 +387,7 @@
         }
         let has_runs = !worker.runs.is_empty();
         let limit = self.lease_limit(cx, key);
+        let has_durable_jobs = self.may_have_durable_jobs();
         let worker = &mut self.workers[key];
         let lease_until = worker
             .clock
@@ -401,7 +402,6 @@
         }
         // An end of a durable job must not be lost to the acknowledgement of a former instance, also
         // not while the poll that carries it waits.
-        let has_durable_jobs = self.epoch.is_some();
         let has_ends = worker.has_unsent_ack || !worker.unstored_ends.is_empty();
         let is_prompt = (has_durable_jobs && has_ends)
             || worker.token_confirmed_at.is_none()
--- a/crates/geraniumrelay-core/tests/leased/durable.rs
+++ b/crates/geraniumrelay-core/tests/leased/durable.rs
@@ -129,6 +129,18 @@
     assert!(!sim.records.contains_key(&JobId(3)));
 }
 
+/// Guards against records that can't be written after the token was raised.
+#[test]
+fn a_scheduler_with_a_raised_token_claims_its_cell_again() {
+    let mut sim = Simulation::new(4, 1);
+    let host = take_over(&mut sim, 2);
+    sim.raise_token(host, 3);
+    sim.submit(host, MS, TestJob::new(1, 4, 100 * MS).durable());
+    sim.run_for(Duration::from_secs(2));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Accepted));
+    assert_eq!(record_state(&sim, 1), RecordState::Completed);
+}
+
 /// A partition leaves some workers to the previous scheduler and, for three of four seeds, cuts
 /// that scheduler off from the store. Both sides go on, and workers on both sides may report ends
 /// of the same task.
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -84,13 +84,8 @@
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
             .with_speeds(&cell.speeds)
-            .with_departed_known(false);
-        let must_read_records = self.store_health.may_have_durable_jobs();
-        let scheduler = if must_read_records {
-            scheduler.with_records(name.clone())
-        } else {
-            scheduler.with_cell(name.clone())
-        };
+            .with_departed_known(false)
+            .with_records(name.clone());
         cell.scheduler = Some(scheduler);
         cell.epoch_lost = None;
         let evacuated = self.evacuations.evacuated().clone();
@@ -177,10 +172,13 @@
     /// Raises the token of the cell's scheduler here, and announces it at once.
     fn raise_token(&mut self, name: &CellName, token: FencingToken) {
         let cx = Context::new(Instant::now(), &self.components.cfg);
-        let cell = self.cells.get_mut(name);
-        let Some(scheduler) = cell.and_then(|c| c.scheduler.as_mut()) else {
+        let Some(cell) = self.cells.get_mut(name) else {
             return;
         };
+        let Some(scheduler) = &mut cell.scheduler else {
+            return;
+        };
+        cell.epoch_lost = None;
         info!(cell:% = name, former:% = scheduler.token(), token:% = token; "token_raised");
         let mut out = Vec::new();
         scheduler.raise_token(&cx, token, &mut out);
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -234,6 +234,26 @@
     tx
 }
 
+/// Guards against durable jobs that stand still, and whose ends are acknowledged unread, once the VM that accepted the
+/// first of them has died.
+#[test]
+fn a_new_scheduler_reads_the_records_although_it_knows_of_no_durable_job() {
+    block_on(async {
+        let reads = Rc::new(Cell::new(0));
+        let tx = start_event_loop(start_store(Rc::clone(&reads)).await);
+        send_rows(&tx, Table::DurableJobs, Vec::new()).await;
+        send_rows(&tx, Table::EntryVms, vec![entry_vm(OWN), entry_vm(PEER)]).await;
+        send_rows(&tx, Table::Configuration, Vec::new()).await;
+        send_rows(&tx, Table::Workers, vec![worker("w", "ready")]).await;
+        let has_read = async {
+            while reads.get() == 0 {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(READS_TIMEOUT, has_read).await.unwrap();
+    });
+}
+
 // Each takeover added a task that read all records again and again, even after its scheduler ended.
 #[test]
 fn the_records_are_not_read_for_a_scheduler_that_has_ended() {
