fix(core/leased): jobs without a place do not hide the jobs behind them

Change: a step that no listed worker could run does not count until a worker or an evacuation changes. At each tick the jobs behind the head get their turn, and the next tick goes on there. A step without a place does not keep other steps of its job from starting. Jobs without a worker are not ahead of new ones in the backlog.

--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -189,6 +189,14 @@
     pub(super) is_over: bool,
 }
 
+/// Steps of a job whose tasks no worker could run.
+#[derive(Debug, Clone, Default)]
+pub(super) struct LackOfWorker {
+    /// Version of the workers to which `steps` refers.
+    pub(super) workers_version: u64,
+    pub(super) steps: Vec<u16>,
+}
+
 /// A job that has not ended.
 #[derive(Debug, Clone)]
 pub(super) struct Job {
@@ -229,6 +237,7 @@
     pub(super) run_samples: Vec<RunSample>,
     /// First wait for a place near the data; `None` if there was none.
     pub(super) near_wait: Option<NearWait>,
+    pub(super) lack_of_worker: LackOfWorker,
 }
 
 impl Job {
@@ -276,6 +285,7 @@
             is_deprioritized: false,
             run_samples: Vec::new(),
             near_wait: None,
+            lack_of_worker: LackOfWorker::default(),
         };
         job.unblock();
         job
@@ -479,6 +489,12 @@
         !task.is_held(now) && now + expected <= self.times.deadline
     }
 
+    /// Whether no worker could run the tasks of a step, as far as is known of the workers of this version.
+    pub(super) fn lacks_worker(&self, step: u16, workers_version: u64) -> bool {
+        let lack = &self.lack_of_worker;
+        lack.workers_version == workers_version && lack.steps.contains(&step)
+    }
+
     /// Processor that the tasks need that can start at `now`, in thousandths of a core.
     pub(super) fn ready_cpu(&self, now: Instant) -> u64 {
         let ready = self.ready.iter().filter(|&&p| self.may_start(p, now));
--- a/crates/geraniumrelay-core/src/leased/placement.rs
+++ b/crates/geraniumrelay-core/src/leased/placement.rs
@@ -231,12 +231,16 @@
     request.job.expected_run(position).mul_f64(factor)
 }
 
-/// Whether the worker could run the task if no other task ran there.
+/// Whether the worker could run the task if no other task ran there, on this side of the bulkheads.
 pub(super) fn could_run(worker: &Worker, job: &Job, position: u32, bulkheads: &Bulkheads) -> bool {
+    bulkheads.may_run(&job.spec.queue, worker.entry.address) && is_suitable(worker, job, position)
+}
+
+/// Whether the worker is listed, and of the service, size and label that the task needs.
+pub(super) fn is_suitable(worker: &Worker, job: &Job, position: u32) -> bool {
     let step = job.step(position);
     worker.is_listed
         && *worker.entry.service == *job.spec.service
-        && bulkheads.may_run(&job.spec.queue, worker.entry.address)
         && worker.entry.capacity.has_room_for(&step.size)
         && step
             .required_label
--- a/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
@@ -25,6 +25,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.evacuated = evacuated;
+        self.workers_version += 1;
         let evacuated = &self.evacuated;
         self.evacuations_in_force
             .retain(|name| evacuated.contains_key(name));
@@ -43,6 +44,7 @@
             if known_for < grace || !self.evacuations_in_force.insert(Arc::clone(name)) {
                 continue;
             }
+            self.workers_version += 1;
             let workers = self.workers.values();
             let workers = workers.filter(|w| w.entry.data_centre == *name);
             let runs = workers.map(|w| w.runs.len()).sum();
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -104,6 +104,12 @@
     /// those that have departed.
     knows_departed: bool,
     sequence: u64,
+    /// Increased whenever a worker comes, leaves or changes, so that it may run other tasks than before.
+    workers_version: u64,
+    /// First job that the last tick has left out of placement; `None` once all have had their turn.
+    scan_resumes_at: Option<(Rank, JobKey)>,
+    /// Whether the next placement pass resumes the scan there.
+    resumes_scan: bool,
     /// Whether waiting tasks may fit now, so that placement runs after the current command.
     has_new_room: bool,
     is_deposed: bool,
@@ -163,6 +169,9 @@
             ended_jobs: BTreeMap::new(),
             knows_departed: true,
             sequence: 0,
+            workers_version: 1,
+            scan_resumes_at: None,
+            resumes_scan: false,
             has_new_room: false,
             is_deposed: false,
         }
@@ -418,6 +427,7 @@
     /// it names another instance than the last report.
     fn worker_seen(&mut self, cx: &Context<'_>, entry: WorkerEntry, out: &mut Vec<Effect>) {
         let key = self.worker_of_entry(cx, &entry);
+        self.workers_version += 1;
         let worker = &mut self.workers[key];
         let instance = entry.instance_started_unix_ms;
         if instance.is_some() && worker.instance.is_some_and(|known| Some(known) != instance) {
@@ -461,6 +471,7 @@
 
     fn worker_gone(&mut self, cx: &Context<'_>, name: &WorkerName, out: &mut Vec<Effect>) {
         let keys = self.by_name.get(name).cloned().unwrap_or_default();
+        self.workers_version += 1;
         for key in keys {
             if self.workers[key].is_listed {
                 self.workers[key].depart(cx.now);
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -6,36 +6,84 @@
 use super::locality::NearPass;
 use crate::context::Context;
 use crate::leased::effect::{Effect, StartCall};
-use crate::leased::job::{JobKey, TaskKey};
+use crate::leased::job::{JobKey, LackOfWorker, Rank, TaskKey};
 use crate::leased::log_event::LogEvent;
 use crate::leased::placement::{self, Choice, PlacementRequest, SpeedRequest};
 use crate::leased::record::RecordState;
 use crate::leased::unanswered_stop::UnansweredStop;
 use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
 
+/// What all decisions of a placement pass share.
+#[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
+struct PlacementPass {
+    /// Whether paused workers are excluded.
+    respects_pauses: bool,
+    /// Whether slow workers only get tasks that can end in time there.
+    respects_slowness: bool,
+    /// Whether the workers list all runs that an earlier scheduler may have started.
+    are_all_runs_reported: bool,
+    /// Whether tasks of durable jobs may start.
+    is_epoch_confirmed: bool,
+    /// How the speeds of the workers are weighed; `None` while no worker differs from the others.
+    speeds: Option<SpeedRequest>,
+    near: NearPass,
+}
+
 impl Scheduler {
-    /// Starts the tasks that fit, in order of job rank, until `scan_limit` jobs did not fit. A
-    /// job that an earlier scheduler may have started waits while runs of the job may be unreported.
+    /// Starts the tasks that fit, in order of job rank, until `scan_limit` jobs did not fit. At a tick the jobs behind
+    /// these get their turn, as many again: the next tick goes on where this one has ended. Load pattern: many jobs wait
+    /// for the same few workers, and jobs that other workers could run are behind them.
     pub(super) fn place_waiting(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let mut pass = self.placement_pass(cx);
+        let left_out = self.place_from(cx, None, &mut pass, out);
+        if std::mem::take(&mut self.resumes_scan) {
+            let resumed = left_out.map(|first| self.scan_resumes_at.map_or(first, |at| at.max(first)));
+            self.scan_resumes_at =
+                resumed.and_then(|from| self.place_from(cx, Some(from), &mut pass, out));
+        }
+    }
+
+    fn placement_pass(&self, cx: &Context<'_>) -> PlacementPass {
         let respects_pauses = self.are_pauses_respected(cx);
-        let respects_slowness = self.is_slowness_respected(cx);
         let grace = cx.cfg.leased.stop_grace;
         let mut workers = self.workers.values();
-        let are_all_runs_reported =
-            self.knows_departed && workers.all(|w| w.reports_all_runs(cx.now, grace));
-        let is_epoch_confirmed = self.is_epoch_confirmed(cx);
         let has_speeds = self.run_times.speeds.has_differences();
-        let is_near_full = has_speeds && self.is_near_full(cx);
-        let mut speeds = has_speeds.then_some(SpeedRequest {
-            is_near_full,
-            waiting: 0,
-        });
+        PlacementPass {
+            respects_pauses,
+            respects_slowness: self.is_slowness_respected(cx),
+            are_all_runs_reported: self.knows_departed
+                && workers.all(|w| w.reports_all_runs(cx.now, grace)),
+            is_epoch_confirmed: self.is_epoch_confirmed(cx),
+            speeds: has_speeds.then(|| SpeedRequest {
+                is_near_full: self.is_near_full(cx),
+                waiting: 0,
+            }),
+            near: NearPass::new(respects_pauses),
+        }
+    }
+
+    /// Places the waiting jobs from one on, or from the first one, until `scan_limit` jobs did not fit; returns the first
+    /// job that was left out. A job that an earlier scheduler may have started waits while runs of the job may be
+    /// unreported.
+    fn place_from(
+        &mut self,
+        cx: &Context<'_>,
+        from: Option<(Rank, JobKey)>,
+        pass: &mut PlacementPass,
+        out: &mut Vec<Effect>,
+    ) -> Option<(Rank, JobKey)> {
         let mut unplaced_jobs = 0;
-        let mut near_pass = NearPass::new(respects_pauses);
-        let order: Vec<_> = self.waiting.iter().copied().collect();
+        let order: Vec<_> = match from {
+            Some(from) => self.waiting.range(from..).copied().collect(),
+            None => self.waiting.iter().copied().collect(),
+        };
         for (rank, key) in order {
+            if unplaced_jobs >= cx.cfg.leased.scan_limit {
+                return Some((rank, key));
+            }
             let earlier_runs_until = self.jobs[key].earlier_runs_until;
-            if !are_all_runs_reported && let Some(until) = earlier_runs_until {
+            if !pass.are_all_runs_reported && let Some(until) = earlier_runs_until {
                 // An entry VM that has passed the job on to a later scheduler, which may have adopted a run and
                 // renewed its lease, gives no signs here any more.
                 let last_sign = self.jobs[key].last_sign();
@@ -49,7 +97,7 @@
             }
             if let Some(record_sync) = &self.jobs[key].record_sync {
                 let is_open = record_sync.state == RecordState::Open && !record_sync.blocks_starts;
-                if !is_open || !is_epoch_confirmed || !self.knows_records {
+                if !is_open || !pass.is_epoch_confirmed || !self.knows_records {
                     continue;
                 }
                 if earlier_runs_until.is_some() {
@@ -60,35 +108,27 @@
             if self.jobs[key].is_sign_outdated(cx.now, cx.cfg.leased.start_ttl) {
                 continue;
             }
-            if !self.place_job(
-                cx,
-                key,
-                (respects_pauses, respects_slowness, is_epoch_confirmed),
-                (speeds, &mut near_pass),
-                out,
-            ) {
+            if !self.place_job(cx, key, pass, out) {
                 unplaced_jobs += 1;
-                if let Some(speeds) = &mut speeds {
+                if let Some(speeds) = &mut pass.speeds {
                     speeds.waiting += self.jobs[key].ready.len();
                 }
             }
             if self.jobs[key].ready.is_empty() {
                 self.waiting.remove(&(rank, key));
             }
-            if unplaced_jobs >= cx.cfg.leased.scan_limit {
-                break;
-            }
         }
+        None
     }
 
-    /// Starts ready tasks of one job; `false` if one has to wait for a worker. A task that waits for a place near its data
-    /// does not count, as it leaves free places to others.
+    /// Starts ready tasks of one job; `false` if one has to wait for room. A task that waits for a place near its data
+    /// does not count, as it leaves free places to others, nor does one that no worker could run. A step without a place
+    /// does not keep the job's other steps from starting.
     fn place_job(
         &mut self,
         cx: &Context<'_>,
         key: JobKey,
-        (respects_pauses, respects_slowness, may_renew_durable): (bool, bool, bool),
-        (speeds, near_pass): (Option<SpeedRequest>, &mut NearPass),
+        pass: &mut PlacementPass,
         out: &mut Vec<Effect>,
     ) -> bool {
         let mut starts = Vec::new();
@@ -97,8 +137,13 @@
         let mut next = 0;
         let (mut near, mut far) = (0, 0);
         let mut waits_near = false;
+        let mut full_steps: Vec<u16> = Vec::new();
         while let Some(&position) = self.jobs[key].ready.get(next) {
-            if !self.jobs[key].may_start(position, cx.now) {
+            let step = self.jobs[key].task(position).step;
+            if !self.jobs[key].may_start(position, cx.now)
+                || full_steps.contains(&step)
+                || self.jobs[key].lacks_worker(step, self.workers_version)
+            {
                 next += 1;
                 continue;
             }
@@ -108,19 +153,19 @@
                 task,
                 now: cx.now,
                 data_centre: &self.data_centre,
-                respects_pauses,
-                respects_slowness,
+                respects_pauses: pass.respects_pauses,
+                respects_slowness: pass.respects_slowness,
                 bulkheads: &self.bulkheads,
                 run_times: &self.run_times,
-                may_renew_durable,
-                speeds: speeds.map(|s| SpeedRequest {
+                may_renew_durable: pass.is_epoch_confirmed,
+                speeds: pass.speeds.map(|s| SpeedRequest {
                     waiting: s.waiting + self.jobs[key].ready.len(),
                     ..s
                 }),
             };
             let choice = placement::choose(&cx.cfg.leased, &self.workers, request);
             if let Choice::Start(worker) | Choice::ReadClock(worker) = choice
-                && self.waits_for_near(cx, task, worker, near_pass, out)
+                && self.waits_for_near(cx, task, worker, &mut pass.near, out)
             {
                 waits_near = true;
                 next += 1;
@@ -135,8 +180,13 @@
                     continue;
                 }
                 Choice::ReadClock(_) | Choice::Wait => {
-                    is_placed = false;
-                    break;
+                    is_placed &= self.find_lack_of_worker(cx, task);
+                    // A task that may crash its worker has conditions of its own.
+                    if !self.jobs[key].task(position).is_suspect() {
+                        full_steps.push(step);
+                    }
+                    next += 1;
+                    continue;
                 }
             };
             let permit = match self.start_gate(cx, task) {
@@ -148,7 +198,7 @@
                 }
             };
             self.start(cx, permit, worker, out);
-            near_pass.started(self, worker);
+            pass.near.started(self, worker);
             let step = self.jobs[key].step(position);
             if step.preferred_rack.is_some() {
                 let is_near = step.is_near(&self.workers[worker]);
@@ -174,6 +224,30 @@
         is_placed
     }
 
+    /// Finds out whether a task without a place waits for a worker to come or change, rather than for room.
+    fn find_lack_of_worker(&mut self, cx: &Context<'_>, task: TaskKey) -> bool {
+        let job = &self.jobs[task.job];
+        let grace = cx.cfg.leased.evacuation_grace;
+        let is_suitable = |w: &Worker| {
+            placement::is_suitable(w, job, task.position)
+                && !w.is_closed_by_evacuation(cx.now, grace)
+        };
+        if self.workers.values().any(is_suitable) {
+            return false;
+        }
+        let workers_version = self.workers_version;
+        let job = &mut self.jobs[task.job];
+        let step = job.task(task.position).step;
+        if job.lack_of_worker.workers_version != workers_version {
+            job.lack_of_worker = LackOfWorker {
+                workers_version,
+                steps: Vec::new(),
+            };
+        }
+        job.lack_of_worker.steps.push(step);
+        true
+    }
+
     /// Whether paused workers are left out of placement: only while they are few.
     fn are_pauses_respected(&self, cx: &Context<'_>) -> bool {
         let snapshot = self.snapshot(cx.now);
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -265,8 +265,13 @@
         let is_held = |j: &Job| j.earlier_runs_until.is_some_and(|until| cx.now < until);
         let queue = &job.spec.queue;
         let shares_workers = |j: &Job| self.bulkheads.share_workers(queue, &j.spec.queue);
-        let ahead =
-            ahead.filter(|j| j.spec.service == *service && !is_held(j) && shares_workers(j));
+        let lacks_worker = |j: &Job| {
+            let mut ready = j.ready.iter();
+            ready.all(|&p| j.lacks_worker(j.task(p).step, self.workers_version))
+        };
+        let ahead = ahead.filter(|j| {
+            j.spec.service == *service && !is_held(j) && shares_workers(j) && !lacks_worker(j)
+        });
         let ahead: Vec<(&Job, u64)> = ahead.map(|j| (j, j.ready_cpu(cx.now))).collect();
         let own = job.ready_cpu(cx.now);
         let position = job.ready.front().copied().unwrap_or(0);
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -64,6 +64,7 @@
             .retain(|_, at| now.saturating_duration_since(*at) < UNMATCHED_END_TTL);
         // Pauses, leases and the wait for earlier runs after a takeover end without a command.
         self.has_new_room = !self.waiting.is_empty();
+        self.resumes_scan = self.has_new_room;
     }
 
     /// Drops the jobs of entry VMs that have not reconnected within `entry_grace`.
