fix(core/leased): jobs from beyond a long cut wait for runs on dropped workers

Change: once such a worker was dropped, a job that another scheduler has had waits for the bound on its runs. Other jobs are not concerned.

Result: a_job_that_moves_back_after_a_long_cut_has_one_run_at_a_time failed on the code before, and passes now.

--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -8,6 +8,7 @@
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{JobKey, LackOfWorker, Rank, TaskKey};
 use crate::leased::log_event::LogEvent;
+use crate::leased::names::FencingToken;
 use crate::leased::placement::{self, Choice, PlacementRequest, SpeedRequest};
 use crate::leased::record::RecordState;
 use crate::leased::unanswered_stop::UnansweredStop;
@@ -83,7 +84,8 @@
                 return Some((rank, key));
             }
             let earlier_runs_until = self.jobs[key].earlier_runs_until;
-            if !pass.are_all_runs_reported && let Some(until) = earlier_runs_until {
+            let are_runs_reported = pass.are_all_runs_reported && !self.may_run_out_of_reach(key);
+            if !are_runs_reported && let Some(until) = earlier_runs_until {
                 // An entry VM that has passed the job on to a later scheduler, which may have adopted a run and
                 // renewed its lease, gives no signs here any more.
                 let last_sign = self.jobs[key].last_sign();
@@ -121,6 +123,13 @@
         None
     }
 
+    /// Whether another scheduler may have started tasks of a job on workers that were dropped here. Load pattern: a cut
+    /// lasts for longer than departed workers are kept, and as it heals, jobs come from the scheduler beyond it.
+    fn may_run_out_of_reach(&self, key: JobKey) -> bool {
+        self.has_dropped_unreachable
+            && self.jobs[key].highest_former_token != FencingToken::default()
+    }
+
     /// Starts ready tasks of one job; `false` if one has to wait for room. A task that waits for a place near its data
     /// does not count, as it leaves free places to others, nor does one that no worker could run. A step without a place
     /// does not keep the job's other steps from starting.
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -154,6 +154,7 @@
         let worker = &self.workers[key];
         if worker.is_removable(cx.now, cx.cfg.leased.departed_ttl) {
             let name = worker.entry.name.clone();
+            self.has_dropped_unreachable |= worker.token_confirmed_at.is_none();
             self.explain_removal(cx, key, out);
             self.workers.remove(key);
             if let Some(keys) = self.by_name.get_mut(&name) {
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -451,3 +451,29 @@
         assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
     }
 }
+
+/// Guards against second runs beside those on workers that a scheduler has not reached for so long that it has dropped
+/// them, while another scheduler went on beyond the cut.
+#[test]
+fn a_job_that_moves_back_after_a_long_cut_has_one_run_at_a_time() {
+    let mut sim = Simulation::new(4, 1);
+    sim.run_for(500 * MS);
+    let next = sim.add_host_with(2, &BTreeSet::from([0, 1]), true);
+    sim.hosts[0].unreachable_workers = BTreeSet::from([2, 3]);
+    for worker in [0, 1] {
+        sim.handle_command(next, Command::WorkerGone(worker_name(worker)));
+    }
+    sim.run_for(sim.cfg.leased.departed_ttl + Duration::from_secs(5));
+    let job = TestJob::new(1, 1, Duration::from_secs(1)).with_slack();
+    let mut again = job.clone().resubmitted();
+    again.former_tokens = vec![sim.hosts[0].token()];
+    sim.submit(0, MS, job);
+    sim.run_for(200 * MS);
+    assert_eq!(sim.start_counts.len(), 1);
+    sim.kill(0);
+    sim.submit(next, MS, again);
+    sim.run_for(Duration::from_secs(4));
+    let trace = sim.trace_of(JobId(1));
+    assert!(sim.concurrent_runs.is_empty(), "{trace}");
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+}
