--- a/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -84,7 +84,12 @@
     /// Takes note that the scheduler with `token` had a known job meanwhile, and may have started it: no refusal may say
     /// any more that it has not run. Load pattern: callers' jobs are sent to one scheduler, then to its successor, and back,
     /// as connections between VMs break.
-    pub(super) fn find_runs_elsewhere(&mut self, cx: &Context<'_>, key: JobKey, token: FencingToken) {
+    pub(super) fn find_runs_elsewhere(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        token: FencingToken,
+    ) {
         let job = &mut self.jobs[key];
         if token <= job.highest_former_token {
             return;
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -438,8 +438,8 @@
             worker.suspect_restart();
         }
         worker.evacuated_since = self.evacuated.get(&entry.data_centre).copied();
-        worker.cold_until =
-            (!entry.cold_remaining.is_zero()).then(|| cx.now + entry.cold_remaining);
+        let cold_until = cx.now.checked_add(entry.cold_remaining);
+        worker.cold_until = cold_until.filter(|_| !entry.cold_remaining.is_zero());
         worker.entry = entry;
         worker.is_listed = true;
         worker.departed = None;
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -39,7 +39,8 @@
         let mut pass = self.placement_pass(cx);
         let left_out = self.place_from(cx, None, &mut pass, out);
         if std::mem::take(&mut self.resumes_scan) {
-            let resumed = left_out.map(|first| self.scan_resumes_at.map_or(first, |at| at.max(first)));
+            let resumed =
+                left_out.map(|first| self.scan_resumes_at.map_or(first, |at| at.max(first)));
             self.scan_resumes_at =
                 resumed.and_then(|from| self.place_from(cx, Some(from), &mut pass, out));
         }
@@ -273,6 +274,10 @@
     }
 
     /// Starts the next run of a task on a worker whose clock is known.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a permit is good for one start"
+    )]
     fn start(
         &mut self,
         cx: &Context<'_>,
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -467,7 +467,6 @@
             }
         }
     }
-
 }
 
 /// Expected run time of the longest chain of dependent steps, with unlimited workers.
--- a/crates/geraniumrelay-core/tests/leased/capacity.rs
+++ b/crates/geraniumrelay-core/tests/leased/capacity.rs
@@ -89,3 +89,15 @@
     sim.run_for(Duration::from_secs(1));
     assert_eq!(sim.outcome(2), Some(JobOutcome::Completed));
 }
+
+/// Guards against a process that ends by an entry of a worker whose time after its start is longer than any clock holds.
+#[test]
+fn a_worker_that_stays_cold_for_ever_ends_no_scheduler() {
+    let mut sim = simulation(2);
+    let mut entry = sim.worker_entry(0);
+    entry.cold_remaining = Duration::MAX;
+    sim.handle_command(0, Command::WorkerSeen(entry));
+    sim.submit(0, MS, job(1, 1, 100 * MS));
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed));
+}
--- a/crates/geraniumrelay/src/leased/tests/directory.rs
+++ b/crates/geraniumrelay/src/leased/tests/directory.rs
@@ -280,3 +280,31 @@
     directory.apply_worker_rows(false, &rows, 4, now);
     assert_eq!(of_rack(&directory, "r1").as_deref(), Some("y"));
 }
+
+/// Guards against VMs that stop following the list of workers at an entry that another writer has left there.
+#[test]
+fn other_entries_are_followed_beside_one_that_can_not_be_read() {
+    let deep = "[".repeat(30_000);
+    let number = worker("odd", "ready").value.unwrap();
+    let number = String::from_utf8(number)
+        .unwrap()
+        .replace("64000", "18446744073709551615");
+    let odd_values = [deep.as_str(), number.as_str(), "", "null", "\u{0}"];
+    let port = worker_at("10.1.2.3:70000", "odd", "ready").value.unwrap();
+    let odd_values = odd_values.map(|v| v.as_bytes().to_vec());
+    for value in odd_values.into_iter().chain([port]) {
+        let (mut directory, now) = (empty_directory(), Instant::now());
+        let odd = |version| Change {
+            key: "odd".to_owned(),
+            value: Some(value.clone()),
+            version,
+        };
+        let rows = [odd(1), worker("w1", "ready")];
+        let changes = directory.apply_worker_rows(true, &rows, 1, now);
+        assert_matches!(&changes[..], [WorkerChange::Seen(w)] if &*w.name.0 == "w1");
+        let rows = [at(2, worker("w2", "ready")), odd(3)];
+        let changes = directory.apply_worker_rows(false, &rows, 3, now);
+        assert_matches!(&changes[..], [WorkerChange::Seen(w)] if &*w.name.0 == "w2");
+        assert_eq!(directory.worker_count(), 2);
+    }
+}
