--- a/crates/geraniumrelay-core/tests/leased/two_schedulers.rs
+++ b/crates/geraniumrelay-core/tests/leased/two_schedulers.rs
@@ -135,3 +135,34 @@
     sim.run_for(Duration::from_secs(2));
     assert_one_run_at_a_time(&sim, "restarted worker");
 }
+
+/// Guards against second runs beside those that a deposed scheduler starts on a worker which has restarted, and so has
+/// forgotten the token of its successor. The successor polls no idle worker.
+#[test]
+fn a_job_of_a_deposed_scheduler_on_a_restarted_worker_has_one_run_at_a_time() {
+    let mut sim = Simulation::new(4, 1);
+    sim.hosts[0].unreachable_workers = BTreeSet::from([0, 1, 2, 3]);
+    let next = sim.add_host_with(2, &BTreeSet::new(), true);
+    let filler = TestJob::new(2, 1, Duration::from_secs(30)).with_cpu(5_000);
+    sim.submit(
+        next,
+        MS,
+        filler.with_remaining_wait(Duration::from_secs(60)),
+    );
+    sim.run_for(500 * MS);
+    let idle = (0..4).find(|&w| sim.workers[w].running().count() == 0);
+    let idle = idle.expect("a worker is idle");
+    sim.restart_worker(idle, 1_000);
+    sim.hosts[0].unreachable_workers.remove(&idle);
+    sim.run_for(Duration::from_secs(3));
+    let job = long_job(1);
+    let mut again = job.clone().resubmitted();
+    again.former_tokens = vec![sim.hosts[0].token()];
+    sim.submit(0, MS, job);
+    sim.run_for(300 * MS);
+    assert_eq!(sim.start_counts.len(), 2);
+    sim.kill(0);
+    sim.submit(next, MS, again);
+    sim.run_for(Duration::from_secs(5));
+    assert_one_run_at_a_time(&sim, "restarted worker");
+}
