--- a/crates/geraniumrelay-core/tests/leased/two_schedulers.rs
+++ b/crates/geraniumrelay-core/tests/leased/two_schedulers.rs
@@ -144,11 +144,7 @@
     sim.hosts[0].unreachable_workers = BTreeSet::from([0, 1, 2, 3]);
     let next = sim.add_host_with(2, &BTreeSet::new(), true);
     let filler = TestJob::new(2, 1, Duration::from_secs(30)).with_cpu(5_000);
-    sim.submit(
-        next,
-        MS,
-        filler.with_remaining_wait(Duration::from_secs(60)),
-    );
+    sim.submit(next, MS, filler.with_remaining_wait(Duration::from_mins(1)));
     sim.run_for(500 * MS);
     let idle = (0..4).find(|&w| sim.workers[w].running().count() == 0);
     let idle = idle.expect("a worker is idle");
