--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -43,12 +43,6 @@
 use crate::context::Context;
 use crate::modules::decaying_sum::DecayingSum;
 
-/// Least time that the restart of a worker and the start of a task there take together.
-const MIN_RESTART_TIME: Duration = Duration::from_millis(50);
-
-/// Least time between two checks of silent workers: after a takeover the jobs of many entry VMs come at once.
-const SILENT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Places the tasks of all jobs on the workers of its data centres.
 #[derive(Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "independent facts")]
@@ -259,53 +253,6 @@
         self.void_confirmations(cx, out);
     }
 
-    /// Polls all workers, and starts nothing on a worker until it has answered: another scheduler had a
-    /// higher token than this one, and may have started tasks on any worker since that last answered
-    /// here. Load pattern: after a cut, jobs of the other side are sent to this scheduler, which has not
-    /// polled the idle workers meanwhile.
-    fn void_confirmations(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
-        let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        for key in keys {
-            let worker = &mut self.workers[key];
-            worker.higher_token_since = None;
-            worker.may_have_followed_other = true;
-            worker.suspect_restart();
-            self.schedule_poll(cx, key, out);
-        }
-    }
-
-    /// Takes note that schedulers with these tokens had a job. One with a lower token may have started it on a worker that
-    /// has restarted since its last report, as the new instance has seen no token.
-    fn note_tokens(&mut self, cx: &Context<'_>, tokens: &[FencingToken], out: &mut Vec<Effect>) {
-        let others = tokens.iter().filter(|&&t| !self.has_had_token(t));
-        let Some(&highest) = others.max() else {
-            return;
-        };
-        if highest > self.token && highest > self.highest_other_token {
-            self.highest_other_token = highest;
-            self.void_confirmations(cx, out);
-        }
-        let age = |at| cx.now.saturating_duration_since(at);
-        if self
-            .silent_checked_at
-            .is_some_and(|at| age(at) < SILENT_CHECK_INTERVAL)
-        {
-            return;
-        }
-        self.silent_checked_at = Some(cx.now);
-        let is_silent = |w: &Worker| w.reported_at.is_some_and(|at| age(at) >= MIN_RESTART_TIME);
-        let workers = self.workers.iter();
-        let silent: Vec<WorkerKey> = workers
-            .filter(|(_, w)| w.token_confirmed_at.is_some() && is_silent(w))
-            .map(|(key, _)| key)
-            .collect();
-        for key in silent {
-            self.workers[key].may_have_followed_other = true;
-            self.workers[key].suspect_restart();
-            self.schedule_poll(cx, key, out);
-        }
-    }
-
     /// Whether a token is, or was, the one of this scheduler, also at a single worker.
     pub fn has_had_token(&self, token: FencingToken) -> bool {
         let highest = self.token.raised_by(RESERVED_ROUNDS);
