--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -189,6 +189,17 @@
     pub(super) is_over: bool,
 }
 
+/// Runs that other schedulers may have started, and that this one may not know.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EarlierRuns {
+    /// Since when the job's tasks wait for them.
+    pub(super) since: Instant,
+    /// When the last of them must have ended.
+    pub(super) until: Instant,
+    /// Whether it is logged why the tasks wait no longer.
+    pub(super) is_exclusion_logged: bool,
+}
+
 /// Steps of a job whose tasks no worker could run.
 #[derive(Debug, Clone, Default)]
 pub(super) struct LackOfWorker {
@@ -214,9 +225,8 @@
     /// Number of tasks that are not done, for each step.
     pub(super) left: Vec<u16>,
     pub(super) has_started: bool,
-    /// Until when runs of an earlier scheduler may go on; `None` if no earlier scheduler can have
-    /// started tasks of the job.
-    pub(super) earlier_runs_until: Option<Instant>,
+    /// What is known of runs by other schedulers; `None` if none can have started tasks of the job.
+    pub(super) earlier_runs: Option<EarlierRuns>,
     /// Highest token of the other schedulers that are known to have had the job.
     pub(super) highest_former_token: FencingToken,
     /// Whether lost runs were counted for what an earlier scheduler may have started.
@@ -274,7 +284,7 @@
             ready: VecDeque::new(),
             left,
             has_started: false,
-            earlier_runs_until: None,
+            earlier_runs: None,
             highest_former_token: FencingToken::default(),
             are_earlier_runs_counted: false,
             record_sync: None,
@@ -341,9 +351,14 @@
         now + self.chain.mul_f64(TOO_LONG_FACTOR) > self.times.deadline
     }
 
+    /// Whether the job waits at `now` for the end of runs by other schedulers.
+    pub(super) fn waits_for_earlier_runs(&self, now: Instant) -> bool {
+        self.earlier_runs.is_some_and(|r| now < r.until)
+    }
+
     /// Whether any task may have started, here or by an earlier scheduler.
     pub(super) fn may_have_run(&self) -> bool {
-        self.has_started || self.earlier_runs_until.is_some()
+        self.has_started || self.earlier_runs.is_some()
     }
 
     /// Adds an entry VM that waits for the job, or replaces what is known of it.
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -9,7 +9,7 @@
 use super::contention::Change;
 use super::effect::JobOutcome;
 use super::locality::Inputs;
-use super::names::{EntryVm, JobId, TaskName, WorkerName};
+use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
 use super::report::EndKind;
 
 /// Why a run was stopped.
@@ -55,6 +55,17 @@
     OtherInstance,
 }
 
+/// Why no run of a job by another scheduler can be at work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum NoRunsEvidence {
+    /// All known workers have reported their runs.
+    #[display("reports")]
+    Reports,
+    /// The longest time that such a run may last has passed.
+    #[display("bound")]
+    Bound,
+}
+
 /// Why the jobs of an entry VM are dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum EntryLossCause {
@@ -217,6 +228,32 @@
         /// Worker that has the run.
         worker: WorkerName,
     },
+    /// The tasks of a job that other schedulers had wait no longer for runs there.
+    EarlierRunsExcluded {
+        /// Job concerned.
+        id: JobId,
+        /// Why no such run can be at work.
+        evidence: NoRunsEvidence,
+        /// Highest token of the other schedulers, 0 if none is known.
+        former: FencingToken,
+        /// Time that the tasks have waited.
+        waited: Duration,
+        /// Number of known workers.
+        workers: usize,
+        /// How many of these have not reported what runs there.
+        unreported: usize,
+        /// Number of workers that were forgotten without such a report.
+        dropped: usize,
+    },
+    /// A worker whose entry was removed is forgotten.
+    WorkerDropped {
+        /// Worker concerned.
+        worker: WorkerName,
+        /// Time since its entry was removed.
+        departed_for: Duration,
+        /// Whether it has reported since that it runs nothing.
+        has_reported: bool,
+    },
     /// A message named an instance of a worker other than the known one.
     InstanceChanged {
         /// Worker concerned.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -40,7 +40,8 @@
 pub use epoch::EpochReply;
 pub use job::JobState;
 pub use log_event::{
-    EndEvidence, EntryLossCause, InstanceSource, LogEvent, SilenceCause, StopCause, WorkerCondition,
+    EndEvidence, EntryLossCause, InstanceSource, LogEvent, NoRunsEvidence, SilenceCause, StopCause,
+    WorkerCondition,
 };
 pub use losses::LostRun;
 pub use names::{EntryVm, FencingToken, JobId, NameError, TaskName, WorkerName};
--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -226,7 +226,7 @@
         out: &mut Vec<Effect>,
     ) {
         let job = &mut self.jobs[key];
-        job.earlier_runs_until = None;
+        job.earlier_runs = None;
         for position in job.ready.clone() {
             job.invalidate_runs(position);
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -5,7 +5,8 @@
 use super::Scheduler;
 use crate::context::Context;
 use crate::leased::effect::Effect;
-use crate::leased::job::{JobKey, TaskKey, TaskState};
+use crate::leased::job::{EarlierRuns, JobKey, TaskKey, TaskState};
+use crate::leased::log_event::{LogEvent, NoRunsEvidence};
 use crate::leased::names::{FencingToken, TaskName};
 use crate::leased::worker::{Run, RunState, UnclaimedRun, Worker, WorkerKey};
 
@@ -135,7 +136,11 @@
         } else {
             cfg.takeover_wait
         };
-        job.earlier_runs_until = Some(cx.now + wait);
+        job.earlier_runs = Some(EarlierRuns {
+            since: cx.now,
+            until: cx.now + wait,
+            is_exclusion_logged: false,
+        });
         for task in &mut job.tasks {
             let before = task.first_valid_run + RUNS_BEFORE_TAKEOVER;
             task.last_run = task.last_run.max(before);
@@ -161,6 +166,33 @@
         self.schedule_check(key);
     }
 
+    /// Logs, once for each wait, why a job's tasks wait no longer for runs by other schedulers.
+    pub(super) fn log_exclusion(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        evidence: NoRunsEvidence,
+        out: &mut Vec<Effect>,
+    ) {
+        let job = &mut self.jobs[key];
+        let Some(runs) = job.earlier_runs.as_mut().filter(|r| !r.is_exclusion_logged) else {
+            return;
+        };
+        runs.is_exclusion_logged = true;
+        let grace = cx.cfg.leased.stop_grace;
+        let workers = self.workers.values();
+        let unreported = workers.filter(|w| !w.reports_all_runs(cx.now, grace));
+        out.push(Effect::LogEvent(LogEvent::EarlierRunsExcluded {
+            id: job.spec.id,
+            evidence,
+            former: job.highest_former_token,
+            waited: cx.now.saturating_duration_since(runs.since),
+            workers: self.workers.len(),
+            unreported: unreported.count(),
+            dropped: self.dropped_unreachable,
+        }));
+    }
+
     /// Attaches to a resubmitted job the runs of its earlier submission: they are being stopped,
     /// and no other run of the same tasks may start before they have ended.
     fn reattach_runs(&mut self, key: JobKey) {
--- a/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/evacuation.rs
@@ -88,7 +88,7 @@
                 able.peek().is_some() && able.all(|w| w.is_closed_by_evacuation(cx.now, grace))
             };
             // Runs of an earlier scheduler may still be found.
-            let is_held = job.earlier_runs_until.is_some_and(|until| cx.now < until);
+            let is_held = job.waits_for_earlier_runs(cx.now);
             job.record_sync.is_none() && !is_held && job.ready.iter().copied().any(is_shut_out)
         };
         let waiting = self.waiting.iter().map(|&(_, key)| key);
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -105,8 +105,9 @@
     /// Whether all workers are known on which an earlier scheduler may have started tasks, also
     /// those that have departed.
     knows_departed: bool,
-    /// Whether a worker was dropped, as its entry was removed long ago, without an answer that shows what runs there.
-    has_dropped_unreachable: bool,
+    /// Number of workers that were dropped, as their entries were removed long ago, without an answer that shows what
+    /// runs there.
+    dropped_unreachable: usize,
     sequence: u64,
     /// Increased whenever a worker comes, leaves or changes, so that it may run other tasks than before.
     workers_version: u64,
@@ -173,7 +174,7 @@
             ended_job_ages: VecDeque::new(),
             ended_jobs: BTreeMap::new(),
             knows_departed: true,
-            has_dropped_unreachable: false,
+            dropped_unreachable: 0,
             sequence: 0,
             workers_version: 1,
             scan_resumes_at: None,
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -6,8 +6,8 @@
 use super::locality::NearPass;
 use crate::context::Context;
 use crate::leased::effect::{Effect, StartCall};
-use crate::leased::job::{JobKey, LackOfWorker, Rank, TaskKey};
-use crate::leased::log_event::LogEvent;
+use crate::leased::job::{EarlierRuns, JobKey, LackOfWorker, Rank, TaskKey};
+use crate::leased::log_event::{LogEvent, NoRunsEvidence};
 use crate::leased::names::FencingToken;
 use crate::leased::placement::{self, Choice, PlacementRequest, SpeedRequest};
 use crate::leased::record::RecordState;
@@ -84,26 +84,31 @@
             if unplaced_jobs >= cx.cfg.leased.scan_limit {
                 return Some((rank, key));
             }
-            let earlier_runs_until = self.jobs[key].earlier_runs_until;
-            let are_runs_reported = pass.are_all_runs_reported && !self.may_run_out_of_reach(key);
-            if !are_runs_reported && let Some(until) = earlier_runs_until {
-                // An entry VM that has passed the job on to a later scheduler, which may have adopted a run and
-                // renewed its lease, gives no signs here any more.
-                let last_sign = self.jobs[key].last_sign();
-                if cx.now < until || last_sign.is_some_and(|at| at < until) {
-                    continue;
-                }
-                self.suspect_earlier_runs(cx, key, out);
-                if !self.jobs.contains_key(key) {
-                    continue;
-                }
+            let earlier_runs = self.jobs[key].earlier_runs;
+            if let Some(EarlierRuns { until, .. }) = earlier_runs {
+                let evidence = if pass.are_all_runs_reported && !self.may_run_out_of_reach(key) {
+                    NoRunsEvidence::Reports
+                } else {
+                    // An entry VM that has passed the job on to a later scheduler, which may have adopted a run and
+                    // renewed its lease, gives no signs here any more.
+                    let last_sign = self.jobs[key].last_sign();
+                    if cx.now < until || last_sign.is_some_and(|at| at < until) {
+                        continue;
+                    }
+                    self.suspect_earlier_runs(cx, key, out);
+                    if !self.jobs.contains_key(key) {
+                        continue;
+                    }
+                    NoRunsEvidence::Bound
+                };
+                self.log_exclusion(cx, key, evidence, out);
             }
             if let Some(record_sync) = &self.jobs[key].record_sync {
                 let is_open = record_sync.state == RecordState::Open && !record_sync.blocks_starts;
                 if !is_open || !pass.is_epoch_confirmed || !self.knows_records {
                     continue;
                 }
-                if earlier_runs_until.is_some() {
+                if earlier_runs.is_some() {
                     self.invalidate_earlier_runs(cx, key, out);
                     continue;
                 }
@@ -127,7 +132,7 @@
     /// Whether another scheduler may have started tasks of a job on workers that were dropped here. Load pattern: a cut
     /// lasts for longer than departed workers are kept, and as it heals, jobs come from the scheduler beyond it.
     fn may_run_out_of_reach(&self, key: JobKey) -> bool {
-        self.has_dropped_unreachable
+        self.dropped_unreachable > 0
             && self.jobs[key].highest_former_token != FencingToken::default()
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -262,7 +262,6 @@
         let service = &job.spec.service;
         let ahead = self.waiting.range(..(job.rank, key));
         let ahead = ahead.map(|&(_, k)| &self.jobs[k]);
-        let is_held = |j: &Job| j.earlier_runs_until.is_some_and(|until| cx.now < until);
         let queue = &job.spec.queue;
         let shares_workers = |j: &Job| self.bulkheads.share_workers(queue, &j.spec.queue);
         let lacks_worker = |j: &Job| {
@@ -270,7 +269,10 @@
             ready.all(|&p| j.lacks_worker(j.task(p).step, self.workers_version))
         };
         let ahead = ahead.filter(|j| {
-            j.spec.service == *service && !is_held(j) && shares_workers(j) && !lacks_worker(j)
+            j.spec.service == *service
+                && !j.waits_for_earlier_runs(cx.now)
+                && shares_workers(j)
+                && !lacks_worker(j)
         });
         let ahead: Vec<(&Job, u64)> = ahead.map(|j| (j, j.ready_cpu(cx.now))).collect();
         let own = job.ready_cpu(cx.now);
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -8,7 +8,7 @@
 use crate::leased::admission;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
 use crate::leased::job::JobKey;
-use crate::leased::log_event::{EndEvidence, EntryLossCause, StopCause};
+use crate::leased::log_event::{EndEvidence, EntryLossCause, LogEvent, StopCause};
 use crate::leased::names::{EntryVm, TaskName};
 use crate::leased::report::EndKind;
 use crate::leased::worker::{Run, RunState, Worker, WorkerKey};
@@ -154,7 +154,14 @@
         let worker = &self.workers[key];
         if worker.is_removable(cx.now, cx.cfg.leased.departed_ttl) {
             let name = worker.entry.name.clone();
-            self.has_dropped_unreachable |= worker.token_confirmed_at.is_none();
+            let has_reported = worker.token_confirmed_at.is_some();
+            self.dropped_unreachable += usize::from(!has_reported);
+            let departed_at = worker.departed.unwrap_or(cx.now);
+            out.push(Effect::LogEvent(LogEvent::WorkerDropped {
+                worker: name.clone(),
+                departed_for: cx.now.saturating_duration_since(departed_at),
+                has_reported,
+            }));
             self.explain_removal(cx, key, out);
             self.workers.remove(key);
             if let Some(keys) = self.by_name.get_mut(&name) {
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -93,12 +93,43 @@
             known_born = known_unix_ms.unwrap_or(0), seen_born = seen_unix_ms.unwrap_or(0), runs;
             "worker_instance_changed"
         ),
+        LogEvent::EarlierRunsExcluded { .. } | LogEvent::WorkerDropped { .. } => {
+            write_earlier_runs_event(cell, event);
+        }
         LogEvent::RunEnded { .. }
         | LogEvent::RunStopped { .. }
         | LogEvent::StopUnanswered { .. } => write_run_event(cell, event),
     }
 }
 
+/// Logs an event about runs that other schedulers may have started.
+fn write_earlier_runs_event(cell: &CellName, event: &LogEvent) {
+    match event {
+        LogEvent::EarlierRunsExcluded {
+            id,
+            evidence,
+            former,
+            waited,
+            workers,
+            unreported,
+            dropped,
+        } => info!(
+            cell:% = cell, id:% = id, evidence:% = evidence, former:% = former,
+            waited_ms = ms(*waited), workers, unreported, dropped;
+            "earlier_runs_excluded"
+        ),
+        LogEvent::WorkerDropped {
+            worker,
+            departed_for,
+            has_reported,
+        } => info!(
+            cell:% = cell, worker:% = worker, departed_ms = ms(*departed_for), has_reported;
+            "worker_dropped"
+        ),
+        _ => {}
+    }
+}
+
 /// Logs the end of a run, or an order to stop it.
 fn write_run_event(cell: &CellName, event: &LogEvent) {
     match event {
--- a/crates/geraniumrelay/src/leased/decision_metrics.rs
+++ b/crates/geraniumrelay/src/leased/decision_metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of decisions on placement and load: evacuations, worker speeds, shares of queues, waits for data.
 
-use geraniumrelay_core::leased::LogEvent;
+use geraniumrelay_core::leased::{LogEvent, NoRunsEvidence};
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
 use super::crossing_reason::CrossingReason;
@@ -55,6 +55,17 @@
                 self.count("task-starts-near-data", *near);
                 self.count("task-starts-far-from-data", *far);
             }
+            LogEvent::EarlierRunsExcluded { evidence, .. } => {
+                let decision = match evidence {
+                    NoRunsEvidence::Reports => "earlier-runs-excluded-by-reports",
+                    NoRunsEvidence::Bound => "earlier-runs-excluded-by-bound",
+                };
+                self.count(decision, 1);
+            }
+            LogEvent::WorkerDropped {
+                has_reported: false,
+                ..
+            } => self.count("worker-dropped-without-report", 1),
             LogEvent::NearWaitBegun { .. } => self.count("job-waits-for-near-place", 1),
             LogEvent::LabelSpeedChanged {
                 is_certain: true, ..
