--- a/crates/geraniumrelay-core/src/configs/leased.rs
+++ b/crates/geraniumrelay-core/src/configs/leased.rs
@@ -54,9 +54,15 @@
     /// Time in which a worker that lists ends of invalidated runs may finish its other runs, before its
     /// leases are left to lapse.
     pub stale_end_drain: Duration,
-    /// Time for which a worker without an entry may still run tasks of another scheduler behind a
-    /// partition; longer than the partitions that callers wait out.
+    /// Time for which a worker without an entry is polled, and holds up the jobs of the last scheduler: it may still
+    /// answer. Longer than the partitions that callers wait out.
     pub departed_ttl: Duration,
+    /// Time for which a worker without an entry is remembered after that, as it may run tasks of a scheduler beyond a
+    /// partition; longer than partitions between regions last.
+    pub absent_ttl: Duration,
+    /// Time after a VM has left a scheduler in which that scheduler counts as one that uses no other workers than are
+    /// known here: longer than the jobs of a dead scheduler take to arrive, and far below `departed_ttl`.
+    pub predecessor_ttl: Duration,
     /// Maximum time for which a stopped run may go on without being listed; the platform's limit and a
     /// margin.
     pub stop_grace: Duration,
@@ -157,6 +163,8 @@
             higher_token_timeout: Duration::from_secs(2),
             stale_end_drain: Duration::from_secs(3),
             departed_ttl: Duration::from_secs(20),
+            absent_ttl: Duration::from_hours(2),
+            predecessor_ttl: Duration::from_secs(5),
             stop_grace: Duration::from_millis(80),
             entry_grace: Duration::from_millis(500),
             confirmation_ttl: Duration::from_millis(1050),
--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -84,6 +84,17 @@
     Unanswered,
 }
 
+/// Which workers are known whose entries were removed before a scheduler's start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DeparturesKnown {
+    /// There may be any that are not known.
+    None,
+    /// Those of the last `departed_ttl`.
+    Recent,
+    /// All that may still run a task.
+    All,
+}
+
 /// An input of the scheduler.
 #[derive(Debug, Clone)]
 pub enum Command {
@@ -125,10 +136,19 @@
     WorkerSeen(WorkerEntry),
     /// A worker's entry was removed.
     WorkerGone(WorkerName),
-    /// All workers that have been listed since the scheduler's start have been passed on.
-    WorkersKnown {
-        /// Whether the workers that had departed before were passed on as well.
-        knows_departed: bool,
+    /// All changes of the workers' entries up to a time after the scheduler's start have been passed on.
+    WorkersListed {
+        /// When the read of the entries began.
+        as_of: Instant,
+        /// Which workers were passed on that had departed before.
+        departures: DeparturesKnown,
+    },
+    /// A worker's entry was removed before the scheduler's start.
+    WorkerDeparted {
+        /// The entry as it was.
+        entry: WorkerEntry,
+        /// When it was removed.
+        at: Instant,
     },
     /// A worker replied to a start order.
     StartReplied {
--- a/crates/geraniumrelay-core/src/leased/election/config.rs
+++ b/crates/geraniumrelay-core/src/leased/election/config.rs
@@ -34,6 +34,9 @@
     /// Minimum time between two tokens of a scheduler that is fenced by single workers; the workers are
     /// polled with the last one within it.
     pub token_raise_interval: Duration,
+    /// Time from the return of the store to a VM by which the workers that were cut off with it are listed again, and what
+    /// it has started there before is over: the platform lists them within two seconds.
+    pub list_return_time: Duration,
     /// Smoothed lag from which a VM counts as overloaded.
     pub lag_limit: Duration,
     /// Time for which the scheduler must lag before it hands over; longer than the throttling of a VM
@@ -67,6 +70,7 @@
             rejoin_wait: Duration::from_millis(700),
             fenced_pause: Duration::from_millis(200),
             token_raise_interval: Duration::from_millis(500),
+            list_return_time: Duration::from_secs(5),
             lag_limit: Self::LAG_LIMIT,
             min_lag_duration: Duration::from_millis(200),
             min_tenure: Duration::from_millis(1_500),
--- a/crates/geraniumrelay-core/src/leased/election/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/election/mod.rs
@@ -285,6 +285,22 @@
         fresh_peers > 0 && fresh_peers * 2 >= self.members.len()
     }
 
+    /// Whether the scheduler uses no workers but those in the store's list: its VM has had the store for so long that what
+    /// it has started without it, as beyond a cut, is over or on listed workers.
+    pub fn is_scheduler_up_to_date(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        let is_long_ago = |at| age(at) >= self.cfg.list_return_time;
+        match self.current {
+            Some((vm, _)) if vm == self.vm => {
+                self.store_lost_at.is_none() && self.store_back_at.is_none_or(is_long_ago)
+            }
+            Some((vm, _)) => self.peers.get(&vm).is_some_and(|p| {
+                p.heartbeat.has_store && p.has_store_since.is_none_or(is_long_ago)
+            }),
+            None => false,
+        }
+    }
+
     /// Whether a connected entry VM schedules with `token`, or follows a scheduler with `token`.
     pub fn is_announced(&self, token: FencingToken) -> bool {
         let mut peers = self.peers.values();
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -196,6 +196,8 @@
     pub(super) since: Instant,
     /// When the last of them must have ended.
     pub(super) until: Instant,
+    /// Whether they may be on workers that are not listed here, as a scheduler that was not followed here had the job.
+    pub(super) may_be_of_stranger: bool,
     /// Whether it is logged why the tasks wait no longer.
     pub(super) is_exclusion_logged: bool,
 }
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -242,8 +242,8 @@
         workers: usize,
         /// How many of these have not reported what runs there.
         unreported: usize,
-        /// Number of workers that were forgotten without such a report.
-        dropped: usize,
+        /// Number of known workers whose entries were removed long ago.
+        absent: usize,
     },
     /// A worker whose entry was removed is forgotten.
     WorkerDropped {
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -35,7 +35,7 @@
 mod worker;
 mod worker_clock;
 
-pub use command::{Command, PollReply, StartReply, StopReply, Submission};
+pub use command::{Command, DeparturesKnown, PollReply, StartReply, StopReply, Submission};
 pub use effect::{Effect, JobOutcome, PollCall, RefusalReason, StartCall, StopCall};
 pub use epoch::EpochReply;
 pub use job::JobState;
--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -405,7 +405,7 @@
         let job = &mut self.jobs[key];
         job.restore_done(&record.done);
         job.unblock();
-        self.find_earlier_runs(cx, key, true);
+        self.find_earlier_runs(cx, key, true, &[]);
         self.merge_record(cx, key, record, out);
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -4,6 +4,7 @@
 
 use super::Scheduler;
 use crate::context::Context;
+use crate::leased::command::DeparturesKnown;
 use crate::leased::effect::Effect;
 use crate::leased::job::{EarlierRuns, JobKey, TaskKey, TaskState};
 use crate::leased::log_event::{LogEvent, NoRunsEvidence};
@@ -20,6 +21,15 @@
 /// Least time between two checks of silent workers: after a takeover the jobs of many entry VMs come at once.
 const SILENT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Whether the workers have reported all runs that other schedulers may have started.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReportedRuns {
+    /// Runs of schedulers that were followed here until a moment ago.
+    of_predecessors: bool,
+    /// Runs of any scheduler, also beyond a cut.
+    of_strangers: bool,
+}
+
 /// Proof that no worker lists another run of a task, so that it may start. Only [`Scheduler::start_gate`] gives it.
 #[derive(Debug)]
 pub(super) struct StartPermit(TaskKey);
@@ -72,6 +82,62 @@
         }
     }
 
+    /// Which runs of other schedulers the workers have reported. A scheduler that was followed here until a moment ago has
+    /// used listed workers, and such as have departed lately. Load pattern: a cut lasts for longer than workers are listed
+    /// or polled, and as it heals, jobs come from the scheduler beyond it, which has used these workers all the time.
+    pub(super) fn reported_runs(&self, cx: &Context<'_>) -> ReportedRuns {
+        let cfg = &cx.cfg.leased;
+        let mut reported = ReportedRuns {
+            of_predecessors: self.departures_known >= DeparturesKnown::Recent,
+            of_strangers: self.departures_known == DeparturesKnown::All,
+        };
+        for worker in self.workers.values() {
+            if worker.reports_all_runs(cx.now, cfg.stop_grace) {
+                continue;
+            }
+            reported.of_strangers = false;
+            reported.of_predecessors &= worker.is_absent(cx.now, cfg.departed_ttl);
+        }
+        reported
+    }
+
+    /// Whether the workers have reported all runs of a job that other schedulers may have started.
+    pub(super) fn are_earlier_runs_reported(&self, key: JobKey, reported: ReportedRuns) -> bool {
+        let runs = self.jobs[key].earlier_runs;
+        if runs.is_some_and(|r| r.may_be_of_stranger) {
+            reported.of_strangers
+        } else {
+            reported.of_predecessors
+        }
+    }
+
+    /// Whether any of these schedulers may use workers that this VM does not count any more.
+    pub(super) fn has_stranger(&self, cx: &Context<'_>, tokens: &[FencingToken]) -> bool {
+        let is_predecessor = |token| {
+            let mut known = self.predecessors.iter();
+            known.any(|&(known, until)| known == token && cx.now < until)
+        };
+        let mut others = tokens.iter().filter(|&&t| !self.has_had_token(t));
+        others.any(|&t| !is_predecessor(t))
+    }
+
+    /// Polls the workers that departed long ago, as a scheduler beyond a cut may have used them.
+    fn seek_absent_workers(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
+        let cfg = &cx.cfg.leased;
+        let until = cx.now + cfg.bounded_runs_wait();
+        let is_sought = |w: &Worker| w.sought_until.is_some_and(|until| cx.now < until);
+        let workers = self.workers.iter();
+        let absent =
+            workers.filter(|(_, w)| w.is_absent(cx.now, cfg.departed_ttl) && !is_sought(w));
+        let absent: Vec<WorkerKey> = absent.map(|(key, _)| key).collect();
+        for key in absent {
+            let worker = &mut self.workers[key];
+            worker.sought_until = Some(until);
+            worker.poll_state.not_before = None;
+            self.schedule_poll(cx, key, out);
+        }
+    }
+
     /// Takes note that schedulers with these tokens had a job. One with a lower token may have started it on a worker that
     /// has restarted since its last report, as the new instance has seen no token.
     pub(super) fn note_tokens(
@@ -88,6 +154,9 @@
             self.highest_other_token = highest;
             self.void_confirmations(cx, out);
         }
+        if self.has_stranger(cx, tokens) {
+            self.seek_absent_workers(cx, out);
+        }
         let age = |at| cx.now.saturating_duration_since(at);
         if self
             .silent_checked_at
@@ -116,17 +185,19 @@
         cx: &Context<'_>,
         key: JobKey,
         may_have_started: bool,
+        former_tokens: &[FencingToken],
     ) {
         self.reattach_runs(key);
         self.adopt_unclaimed_runs(cx, key);
         if may_have_started {
-            self.hold_for_earlier_runs(cx, key);
+            let may_be_of_stranger = self.has_stranger(cx, former_tokens);
+            self.hold_for_earlier_runs(cx, key, may_be_of_stranger);
         }
     }
 
     /// Holds the tasks of a job that are not placed until runs by another scheduler must have ended or
     /// all workers have reported.
-    fn hold_for_earlier_runs(&mut self, cx: &Context<'_>, key: JobKey) {
+    fn hold_for_earlier_runs(&mut self, cx: &Context<'_>, key: JobKey, may_be_of_stranger: bool) {
         let job = &mut self.jobs[key];
         let cfg = &cx.cfg.leased;
         let wait = if job.record_sync.is_some() {
@@ -139,6 +210,7 @@
         job.earlier_runs = Some(EarlierRuns {
             since: cx.now,
             until: cx.now + wait,
+            may_be_of_stranger,
             is_exclusion_logged: false,
         });
         for task in &mut job.tasks {
@@ -161,8 +233,9 @@
             return;
         }
         job.highest_former_token = token;
+        let may_be_of_stranger = self.has_stranger(cx, &[token]);
         self.adopt_unclaimed_runs(cx, key);
-        self.hold_for_earlier_runs(cx, key);
+        self.hold_for_earlier_runs(cx, key, may_be_of_stranger);
         self.schedule_check(key);
     }
 
@@ -182,6 +255,8 @@
         let grace = cx.cfg.leased.stop_grace;
         let workers = self.workers.values();
         let unreported = workers.filter(|w| !w.reports_all_runs(cx.now, grace));
+        let ttl = cx.cfg.leased.departed_ttl;
+        let absent = self.workers.values().filter(|w| w.is_absent(cx.now, ttl));
         out.push(Effect::LogEvent(LogEvent::EarlierRunsExcluded {
             id: job.spec.id,
             evidence,
@@ -189,7 +264,7 @@
             waited: cx.now.saturating_duration_since(runs.since),
             workers: self.workers.len(),
             unreported: unreported.count(),
-            dropped: self.dropped_unreachable,
+            absent: absent.count(),
         }));
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -27,7 +27,7 @@
 
 use super::bulkhead::Bulkheads;
 use super::cells::CellName;
-use super::command::Command;
+use super::command::{Command, DeparturesKnown};
 use super::contention::Contention;
 use super::effect::{Effect, JobOutcome};
 use super::epoch::Epoch;
@@ -102,12 +102,10 @@
     /// Ended durable jobs, with their tasks that have invalidated runs and the first valid run of
     /// each.
     ended_jobs: BTreeMap<JobId, Vec<(TaskName, u32)>>,
-    /// Whether all workers are known on which an earlier scheduler may have started tasks, also
-    /// those that have departed.
-    knows_departed: bool,
-    /// Number of workers that were dropped, as their entries were removed long ago, without an answer that shows what
-    /// runs there.
-    dropped_unreachable: usize,
+    /// Which workers are known that may run tasks of an earlier scheduler although they have departed.
+    departures_known: DeparturesKnown,
+    /// Schedulers that this VM followed before, and until when each counts as using listed workers only.
+    predecessors: Vec<(FencingToken, Instant)>,
     sequence: u64,
     /// Increased whenever a worker comes, leaves or changes, so that it may run other tasks than before.
     workers_version: u64,
@@ -173,8 +171,8 @@
             records_version: 0,
             ended_job_ages: VecDeque::new(),
             ended_jobs: BTreeMap::new(),
-            knows_departed: true,
-            dropped_unreachable: 0,
+            departures_known: DeparturesKnown::All,
+            predecessors: Vec::new(),
             sequence: 0,
             workers_version: 1,
             scan_resumes_at: None,
@@ -198,11 +196,18 @@
         self
     }
 
-    /// Sets whether all workers are known on which an earlier scheduler may have started tasks;
-    /// `true` by default.
+    /// Sets which workers are known that have departed before; [`DeparturesKnown::All`] by default.
     #[must_use]
-    pub fn with_departed_known(mut self, knows_departed: bool) -> Self {
-        self.knows_departed = knows_departed;
+    pub fn with_departures_known(mut self, known: DeparturesKnown) -> Self {
+        self.departures_known = known;
+        self
+    }
+
+    /// Sets the schedulers that this VM followed before, and when each counts as a stranger: from then on it may use
+    /// workers that are not known here.
+    #[must_use]
+    pub fn with_predecessors(mut self, predecessors: Vec<(FencingToken, Instant)>) -> Self {
+        self.predecessors = predecessors;
         self
     }
 
@@ -296,7 +301,8 @@
                 self.drop_entry_jobs(cx, vm, cx.now, loss, out);
             }
             Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
-            Command::WorkersKnown { knows_departed } => self.knows_departed = knows_departed,
+            Command::WorkerDeparted { entry, at } => self.worker_departed(cx, &entry, at, out),
+            Command::WorkersListed { departures, .. } => self.departures_known = departures,
             Command::WorkerGone(name) => self.worker_gone(cx, &name, out),
             Command::StartReplied {
                 worker,
@@ -450,6 +456,20 @@
         })
     }
 
+    /// Adds a worker whose entry was removed at `at`.
+    fn worker_departed(
+        &mut self,
+        cx: &Context<'_>,
+        entry: &WorkerEntry,
+        at: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let key = self.worker_of_entry(cx, entry);
+        self.workers_version += 1;
+        self.workers[key].depart(at);
+        self.schedule_poll(cx, key, out);
+    }
+
     fn worker_gone(&mut self, cx: &Context<'_>, name: &WorkerName, out: &mut Vec<Effect>) {
         let keys = self.by_name.get(name).cloned().unwrap_or_default();
         self.workers_version += 1;
--- a/crates/geraniumrelay-core/src/leased/scheduler/place.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/place.rs
@@ -2,13 +2,12 @@
 
 use super::Scheduler;
 use super::confirmations::limited_lease;
-use super::earlier_runs::{StartGate, StartPermit};
+use super::earlier_runs::{ReportedRuns, StartGate, StartPermit};
 use super::locality::NearPass;
 use crate::context::Context;
 use crate::leased::effect::{Effect, StartCall};
 use crate::leased::job::{EarlierRuns, JobKey, LackOfWorker, Rank, TaskKey};
 use crate::leased::log_event::{LogEvent, NoRunsEvidence};
-use crate::leased::names::FencingToken;
 use crate::leased::placement::{self, Choice, PlacementRequest, SpeedRequest};
 use crate::leased::record::RecordState;
 use crate::leased::unanswered_stop::UnansweredStop;
@@ -16,14 +15,12 @@
 
 /// What all decisions of a placement pass share.
 #[derive(Debug)]
-#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 struct PlacementPass {
     /// Whether paused workers are excluded.
     respects_pauses: bool,
     /// Whether slow workers only get tasks that can end in time there.
     respects_slowness: bool,
-    /// Whether the workers list all runs that an earlier scheduler may have started.
-    are_all_runs_reported: bool,
+    reported_runs: ReportedRuns,
     /// Whether tasks of durable jobs may start.
     is_epoch_confirmed: bool,
     /// How the speeds of the workers are weighed; `None` while no worker differs from the others.
@@ -48,14 +45,11 @@
 
     fn placement_pass(&self, cx: &Context<'_>) -> PlacementPass {
         let respects_pauses = self.are_pauses_respected(cx);
-        let grace = cx.cfg.leased.stop_grace;
-        let mut workers = self.workers.values();
         let has_speeds = self.run_times.speeds.has_differences();
         PlacementPass {
             respects_pauses,
             respects_slowness: self.is_slowness_respected(cx),
-            are_all_runs_reported: self.knows_departed
-                && workers.all(|w| w.reports_all_runs(cx.now, grace)),
+            reported_runs: self.reported_runs(cx),
             is_epoch_confirmed: self.is_epoch_confirmed(cx),
             speeds: has_speeds.then(|| SpeedRequest {
                 is_near_full: self.is_near_full(cx),
@@ -86,7 +80,7 @@
             }
             let earlier_runs = self.jobs[key].earlier_runs;
             if let Some(EarlierRuns { until, .. }) = earlier_runs {
-                let evidence = if pass.are_all_runs_reported && !self.may_run_out_of_reach(key) {
+                let evidence = if self.are_earlier_runs_reported(key, pass.reported_runs) {
                     NoRunsEvidence::Reports
                 } else {
                     // An entry VM that has passed the job on to a later scheduler, which may have adopted a run and
@@ -129,13 +123,6 @@
         None
     }
 
-    /// Whether another scheduler may have started tasks of a job on workers that were dropped here. Load pattern: a cut
-    /// lasts for longer than departed workers are kept, and as it heals, jobs come from the scheduler beyond it.
-    fn may_run_out_of_reach(&self, key: JobKey) -> bool {
-        self.dropped_unreachable > 0
-            && self.jobs[key].highest_former_token != FencingToken::default()
-    }
-
     /// Starts ready tasks of one job; `false` if one has to wait for room. A task that waits for a place near its data
     /// does not count, as it leaves free places to others, nor does one that no worker could run. A step without a place
     /// does not keep the job's other steps from starting.
@@ -274,8 +261,9 @@
     pub(super) fn is_slowness_respected(&self, cx: &Context<'_>) -> bool {
         let cfg = &cx.cfg.leased;
         let is_slow = |w: &&Worker| w.health.slowness(cfg) > 1.0;
-        let slow = self.workers.values().filter(is_slow).count();
-        slow * 100 <= self.workers.len() * cfg.max_paused_percent
+        let listed = self.workers.values().filter(|w| w.is_listed);
+        let slow = listed.clone().filter(is_slow).count();
+        slow * 100 <= listed.count() * cfg.max_paused_percent
     }
 
     /// Starts the next run of a task on a worker whose clock is known.
--- a/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/poll.rs
@@ -382,7 +382,10 @@
         };
         let may_renew = is_confirmed || !worker.has_durable_runs();
         let is_early = worker.poll_state.not_before.is_some_and(|t| cx.now < t);
-        if worker.poll_state.in_flight_since.is_some() || is_early || !needs_poll(worker) {
+        let is_sought = !worker.is_absent(cx.now, cx.cfg.leased.departed_ttl)
+            || worker.sought_until.is_some_and(|until| cx.now < until);
+        if worker.poll_state.in_flight_since.is_some() || is_early || !needs_poll(worker, is_sought)
+        {
             return;
         }
         let has_runs = !worker.runs.is_empty();
@@ -427,10 +430,11 @@
     }
 }
 
-fn needs_poll(worker: &Worker) -> bool {
+/// Whether a worker has to be polled; with `is_sought`, also only to learn what runs there.
+fn needs_poll(worker: &Worker, is_sought: bool) -> bool {
     let has_runs = !worker.runs.is_empty() || !worker.unclaimed_runs.is_empty();
-    let is_unconfirmed =
-        worker.token_confirmed_at.is_none() || (worker.is_listed && worker.poll_state.misses > 0);
+    let is_unconfirmed = (is_sought && worker.token_confirmed_at.is_none())
+        || (worker.is_listed && worker.poll_state.misses > 0);
     has_runs || worker.has_unsent_ack || worker.poll_state.must_read_clock || is_unconfirmed
 }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -90,7 +90,7 @@
             self.make_durable(cx, key);
         }
         self.restore_losses(cx, key, &losses);
-        self.find_earlier_runs(cx, key, may_have_started);
+        self.find_earlier_runs(cx, key, may_have_started, &former_tokens);
         if self.has_given_up(key) && !is_durable {
             self.log_given_up(id, out);
             self.finish(cx, key, JobOutcome::Failed, out);
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -152,10 +152,9 @@
         self.retry_stops(cx, key, out);
         self.stop_stalled(cx, key, out);
         let worker = &self.workers[key];
-        if worker.is_removable(cx.now, cx.cfg.leased.departed_ttl) {
+        if worker.is_removable(cx.now, &cx.cfg.leased) {
             let name = worker.entry.name.clone();
             let has_reported = worker.token_confirmed_at.is_some();
-            self.dropped_unreachable += usize::from(!has_reported);
             let departed_at = worker.departed.unwrap_or(cx.now);
             out.push(Effect::LogEvent(LogEvent::WorkerDropped {
                 worker: name.clone(),
--- a/crates/geraniumrelay-core/src/leased/worker.rs
+++ b/crates/geraniumrelay-core/src/leased/worker.rs
@@ -14,6 +14,7 @@
 use super::spec::Resources;
 use super::unanswered_stop::UnansweredStop;
 use super::worker_clock::{WorkerClock, WorkerTime};
+use crate::configs::leased::LeasedConfig;
 
 slotmap::new_key_type! {
     /// Key of a worker in the scheduler's arena; never reused for another worker.
@@ -242,6 +243,8 @@
     pub(super) is_listed: bool,
     /// When the worker's entry was removed; `None` while the platform lists the worker.
     pub(super) departed: Option<Instant>,
+    /// Until when the worker is polled although it departed long ago.
+    pub(super) sought_until: Option<Instant>,
     /// Start of the instance that answered the last poll, in Unix milliseconds; `None` if unknown.
     pub(super) instance: Option<u64>,
     /// Starts of earlier instances, oldest first.
@@ -311,6 +314,7 @@
             entry,
             is_listed: true,
             departed: None,
+            sought_until: None,
             instance: None,
             superseded: VecDeque::new(),
             reported_at: None,
@@ -669,14 +673,21 @@
         })
     }
 
-    /// Whether the worker can be dropped: its entry was removed and nothing can run on it any more.
-    pub(super) fn is_removable(&self, now: Instant, departed_ttl: Duration) -> bool {
-        let is_certain = |at| {
-            self.token_confirmed_at.is_some() || now.saturating_duration_since(at) >= departed_ttl
+    /// Whether the worker's entry was removed so long ago that only a scheduler beyond a cut can use the worker.
+    pub(super) fn is_absent(&self, now: Instant, departed_ttl: Duration) -> bool {
+        self.departed
+            .is_some_and(|at| now.saturating_duration_since(at) >= departed_ttl)
+    }
+
+    /// Whether the worker can be dropped: its entry was removed and nothing can run on it any more. One that left without
+    /// draining may run tasks of a scheduler beyond a cut, also after it has reported that it runs none.
+    pub(super) fn is_removable(&self, now: Instant, cfg: &LeasedConfig) -> bool {
+        let is_over = |at| {
+            let has_left =
+                self.entry.state == WorkerState::Draining && self.token_confirmed_at.is_some();
+            has_left || now.saturating_duration_since(at) >= cfg.departed_ttl + cfg.absent_ttl
         };
-        self.runs.is_empty()
-            && self.unclaimed_runs.is_empty()
-            && self.departed.is_some_and(is_certain)
+        self.runs.is_empty() && self.unclaimed_runs.is_empty() && self.departed.is_some_and(is_over)
     }
 
     pub(super) fn has_label(&self, label: &str) -> bool {
--- a/crates/geraniumrelay-core/tests/leased/election.rs
+++ b/crates/geraniumrelay-core/tests/leased/election.rs
@@ -364,3 +364,30 @@
     late.on_heartbeat(vm(4), follower, now);
     assert_eq!(tick(&mut late, now), Transition::Unchanged);
 }
+
+/// Guards against second runs beside those that a scheduler has started on unlisted workers beyond a cut, and which its
+/// successor takes for reported as it followed that scheduler last.
+#[test]
+fn a_scheduler_from_beyond_a_cut_counts_as_up_to_date_only_some_time_after_the_heal() {
+    let start = Instant::now();
+    let mut election = eligible_election(2, start);
+    let scheduling = |has_store| Heartbeat {
+        token: Some(FencingToken::new(7, vm(1))),
+        has_store,
+        ..idle_heartbeat()
+    };
+    let mut at = |after: u32, has_store| {
+        let now = start + after * MS;
+        election.on_heartbeat(vm(1), scheduling(has_store), now);
+        election.is_scheduler_up_to_date(now)
+    };
+    assert!(at(0, true), "no cut so far");
+    assert!(at(60, true));
+    assert!(!at(30_000, false), "cut off until now");
+    assert!(!at(30_300, true), "the store has just returned");
+    for after in (30_600..35_300).step_by(300) {
+        assert!(!at(after, true), "{after} ms");
+    }
+    assert!(at(35_300, true));
+    assert!(!at(35_360, false), "the store is lost again");
+}
--- /dev/null
+++ b/crates/geraniumrelay-core/tests/leased/long_cuts.rs
@@ -0,0 +1,130 @@
+//! Cuts that last for longer than the workers beyond them are listed or polled.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use geraniumrelay_core::leased::{JobId, JobOutcome};
+
+use crate::world::{Simulation, TestJob};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Workers beyond the cut.
+const BEYOND: [usize; 2] = [0, 1];
+
+/// Workers on the side with the store.
+const NEAR: [usize; 2] = [2, 3];
+
+/// A cut with a scheduler on each side.
+struct Cut {
+    sim: Simulation,
+    /// Scheduler beyond the cut, without the store.
+    beyond: usize,
+    /// Scheduler with the store.
+    near: usize,
+}
+
+impl Cut {
+    fn begin() -> Self {
+        let mut sim = Simulation::new(4, 1);
+        sim.run_for(500 * MS);
+        let near = sim.add_host_with(2, &BTreeSet::from(BEYOND), true);
+        sim.hosts[0].unreachable_workers = BTreeSet::from(NEAR);
+        sim.hosts[0].is_store_unreachable = true;
+        sim.run_for(Duration::from_secs(4));
+        sim.unlist_workers(&BEYOND);
+        Self {
+            sim,
+            beyond: 0,
+            near,
+        }
+    }
+
+    /// Replaces the scheduler with the store.
+    fn take_over(&mut self) {
+        self.sim.kill(self.near);
+        self.near = self.sim.add_host_with(3, &BTreeSet::from(BEYOND), true);
+    }
+
+    /// Lets the cut last for longer than departed workers are polled.
+    fn last(&mut self) {
+        let ttl = self.sim.cfg.leased.departed_ttl;
+        self.sim.run_for(ttl + Duration::from_secs(5));
+    }
+
+    /// Starts a job beyond the cut, and passes it on to the other scheduler, which reaches the workers there from now on.
+    fn heal_under(&mut self, job: TestJob) {
+        let mut again = job.clone().resubmitted();
+        again.former_tokens = vec![self.sim.hosts[self.beyond].token()];
+        self.sim.submit(self.beyond, MS, job);
+        self.sim.run_for(200 * MS);
+        self.sim.kill(self.beyond);
+        self.sim.hosts[self.near].unreachable_workers.clear();
+        self.sim.submit(self.near, MS, again);
+    }
+}
+
+fn job() -> TestJob {
+    TestJob::new(1, 1, Duration::from_secs(1)).with_slack()
+}
+
+fn assert_one_run_at_a_time(sim: &Simulation) {
+    let trace = sim.trace_of(JobId(1));
+    assert!(sim.concurrent_runs.is_empty(), "{trace}");
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Completed), "{trace}");
+}
+
+/// Guards against second runs beside those on workers that a scheduler has never known, as it took over after they had
+/// been out of reach for long.
+#[test]
+fn a_job_that_moves_to_a_scheduler_that_took_over_late_in_a_long_cut_has_one_run_at_a_time() {
+    let mut cut = Cut::begin();
+    cut.last();
+    cut.take_over();
+    cut.sim.run_for(500 * MS);
+    cut.heal_under(job());
+    cut.sim.run_for(Duration::from_secs(4));
+    assert_one_run_at_a_time(&cut.sim);
+}
+
+/// Guards against second runs beside those on workers that were out of reach at each takeover, also at one before they
+/// were forgotten.
+#[test]
+fn a_job_that_moves_after_several_takeovers_in_a_long_cut_has_one_run_at_a_time() {
+    let mut cut = Cut::begin();
+    cut.sim.run_for(Duration::from_secs(2));
+    cut.take_over();
+    cut.last();
+    cut.take_over();
+    cut.last();
+    cut.heal_under(job());
+    cut.sim.run_for(Duration::from_secs(4));
+    assert_one_run_at_a_time(&cut.sim);
+}
+
+/// Guards against lost work as a long cut heals: a run on a worker that is not listed yet goes on.
+#[test]
+fn a_run_beyond_a_long_cut_is_adopted_before_its_worker_is_listed_again() {
+    let mut cut = Cut::begin();
+    cut.last();
+    cut.heal_under(job());
+    cut.sim.run_for(Duration::from_secs(4));
+    assert_one_run_at_a_time(&cut.sim);
+    assert!(cut.sim.start_counts.values().all(|&n| n == 1));
+}
+
+/// Guards against waits that go on after their reason has ended: the workers beyond an earlier cut are back.
+#[test]
+fn a_job_that_moves_after_the_workers_beyond_a_long_cut_are_back_does_not_wait() {
+    let mut cut = Cut::begin();
+    cut.last();
+    cut.sim.hosts[cut.near].unreachable_workers.clear();
+    cut.sim.list_workers(&BEYOND);
+    cut.sim.run_for(Duration::from_secs(1));
+    let mut again = job().resubmitted();
+    again.former_tokens = vec![cut.sim.hosts[cut.beyond].token()];
+    cut.sim.kill(cut.beyond);
+    cut.sim.submit(cut.near, MS, again);
+    cut.sim.run_for(500 * MS);
+    assert_eq!(cut.sim.start_counts.len(), 1);
+}
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -16,6 +16,7 @@
 mod late_confirmations;
 mod load;
 mod locality;
+mod long_cuts;
 mod queue_scan;
 mod resends;
 mod restarts;
--- a/crates/geraniumrelay-core/tests/leased/restarts/schedules.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts/schedules.rs
@@ -167,11 +167,18 @@
 }
 
 #[test]
-fn restarts_and_late_messages_neither_repeat_nor_lose_a_task() {
+fn restarts_and_late_messages_repeat_no_task() {
+    for seed in SEEDS {
+        let sim = Schedule::new(seed).run();
+        assert_each_task_ran_once_at_a_time(&sim, &format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn restarts_and_late_messages_lose_no_task() {
     for seed in SEEDS {
         let sim = Schedule::new(seed).run();
         let case = format!("seed {seed}");
-        assert_each_task_ran_once_at_a_time(&sim, &case);
         // A task under which two workers have crashed may be given up.
         let is_given_up = |job: &TestJob| {
             let record = sim.records.get(&job.spec.id);
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use geraniumrelay_core::leased::{Command, JobId, JobOutcome, WorkerState};
+use geraniumrelay_core::leased::{Command, DeparturesKnown, JobId, JobOutcome, WorkerState};
 
 use crate::world::{Simulation, TestJob, vm, worker_name};
 
@@ -272,8 +272,7 @@
     sim.run_for(100 * MS);
     let entry = sim.worker_entry(3);
     sim.handle_command(next, Command::WorkerSeen(entry));
-    let knows_departed = true;
-    sim.handle_command(next, Command::WorkersKnown { knows_departed });
+    sim.hosts[next].departures = DeparturesKnown::All;
     sim.run_for(Duration::from_secs(6));
     assert!(sim.concurrent_runs.is_empty(), "{:?}", sim.concurrent_runs);
     assert!(
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -6,6 +6,7 @@
 mod cells;
 mod checks;
 mod crashes;
+mod cuts;
 mod entries;
 mod entry_jobs;
 mod evacuation;
@@ -22,9 +23,9 @@
 use geraniumrelay_core::leased::contention::Change;
 use geraniumrelay_core::leased::evacuation::EvacuatedSince;
 use geraniumrelay_core::leased::{
-    Command, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LogEvent, LostRun,
-    PollCall, RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName, WorkerEntry,
-    WorkerName,
+    Command, DeparturesKnown, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord,
+    LogEvent, LostRun, PollCall, RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName,
+    WorkerEntry, WorkerName,
 };
 use geraniumrelay_core::{Config, Context};
 use rand::rngs::StdRng;
@@ -165,6 +166,12 @@
     pub(crate) is_store_unreachable: bool,
     pub(crate) is_deposed: bool,
     token: FencingToken,
+    /// When the next scheduler of the cell took over.
+    followed_until: Option<Instant>,
+    /// When the scheduler reads the workers' entries next.
+    next_list: Instant,
+    /// Which departed workers the scheduler is told of at its next reads.
+    pub(crate) departures: DeparturesKnown,
 }
 
 /// Simulated cells: their schedulers, workers, jobs and stored records, and the entry VMs.
@@ -255,6 +262,8 @@
     down_workers: BTreeSet<usize>,
     /// Workers that the platform does not list any more.
     removed_entries: BTreeSet<usize>,
+    /// Those of them that are up, and when their entries were removed.
+    unlisted_workers: BTreeMap<usize, Instant>,
     /// Lost runs of the open jobs, as the entry VM keeps them.
     pub(crate) losses: BTreeMap<JobId, Vec<(TaskName, Vec<LostRun>)>>,
     /// Evacuations that a scheduler has reported as in force, and when.
@@ -336,6 +345,7 @@
             near_waits: (Vec::new(), Vec::new()),
             down_workers: BTreeSet::new(),
             removed_entries: BTreeSet::new(),
+            unlisted_workers: BTreeMap::new(),
             losses: BTreeMap::new(),
             evacuations_in_force: Vec::new(),
             confined_queues: Vec::new(),
@@ -392,8 +402,20 @@
         self.trace.push(format!(
             "{ms} ms: host {host} takes over, unreachable workers: {unreachable:?}"
         ));
+        let departures = if knows_departed {
+            DeparturesKnown::All
+        } else {
+            DeparturesKnown::None
+        };
+        let (now, ttl) = (self.now, self.cfg.leased.predecessor_ttl);
+        let mut predecessors = Vec::new();
+        for former in self.hosts.iter_mut().filter(|h| h.cell == cell) {
+            let followed_until = *former.followed_until.get_or_insert(now);
+            predecessors.push((former.token, followed_until + ttl));
+        }
         let scheduler = Scheduler::new(token, "a".into())
-            .with_departed_known(knows_departed)
+            .with_departures_known(departures)
+            .with_predecessors(predecessors)
             .with_cell(self.cell_name(cell));
         self.hosts.push(Host {
             scheduler: Some(scheduler),
@@ -403,15 +425,19 @@
             is_store_unreachable: false,
             is_deposed: false,
             token,
+            followed_until: None,
+            next_list: self.now,
+            departures,
         });
         let evacuated = self.evacuated.clone();
         self.handle_command(host, Command::Evacuated(evacuated));
         let former = self.former_instances.iter().filter(|f| f.is_up);
-        let departed: Vec<_> = former.map(|f| f.entry.clone()).collect();
-        for entry in departed {
-            let name = entry.name.clone();
-            self.handle_command(host, Command::WorkerSeen(entry));
-            self.handle_command(host, Command::WorkerGone(name));
+        let mut departed: Vec<_> = former.map(|f| (f.entry.clone(), self.now)).collect();
+        let unlisted = self.unlisted_workers.iter();
+        let unlisted = unlisted.filter(|&(&worker, _)| self.cell_of(worker) == cell);
+        departed.extend(unlisted.map(|(&worker, &at)| (self.worker_entry(worker), at)));
+        for (entry, at) in departed {
+            self.handle_command(host, Command::WorkerDeparted { entry, at });
         }
         for worker in (0..self.workers.len())
             .filter(|&w| self.is_listed(w) && self.cell_of(w) == cell)
@@ -538,6 +564,7 @@
             Event::ReadRecords { host } => self.deliver_records(host),
             Event::Deliver { host, cmd } => self.handle_command(host, cmd),
             Event::Tick { host } => {
+                self.read_list(host);
                 self.handle_command(host, Command::Tick);
                 self.schedule(self.now + TICK_INTERVAL, Event::Tick { host });
             }
--- a/crates/geraniumrelay/src/leased/cell.rs
+++ b/crates/geraniumrelay/src/leased/cell.rs
@@ -34,6 +34,8 @@
     pub(super) election: Election,
     /// The cell's scheduler, where it runs in this process.
     pub(super) scheduler: Option<Scheduler>,
+    /// When the scheduler here was created.
+    pub(super) scheduling_since: Option<Instant>,
     /// Estimated run times from the last time this process scheduled the cell.
     pub(super) estimates: Estimates,
     /// Speed factors of labels of workers, as last reported by a scheduler of the cell.
@@ -41,6 +43,8 @@
     /// Token of the scheduler that holds the cell's row in the store in place of the scheduler
     /// here, and the time at which this process learned of it.
     pub(super) epoch_lost: Option<(FencingToken, Instant)>,
+    /// Schedulers that this VM has followed or was, and when each was last known to use listed workers only.
+    followed: Vec<(FencingToken, Instant)>,
     /// Load of the cell in percent of its capacity, as reported by its scheduler.
     load_percent: u32,
     /// Time of the last report of the load.
@@ -58,9 +62,11 @@
             name,
             election: Election::new(ElectionConfig::default(), vm, now),
             scheduler: None,
+            scheduling_since: None,
             estimates: Estimates::default(),
             speeds: Vec::new(),
             epoch_lost: None,
+            followed: Vec::new(),
             load_percent: 0,
             load_reported_at: None,
             record_read: JoinSet::new(),
@@ -68,6 +74,25 @@
         }
     }
 
+    /// Records whether the present scheduler uses listed workers only, and forgets those of more than `ttl` ago.
+    pub(super) fn note_scheduler(&mut self, now: Instant, ttl: Duration) {
+        let present = self.election.current().map(|(_, token)| token);
+        let is_kept = |&(token, at): &(FencingToken, Instant)| {
+            Some(token) != present && now.saturating_duration_since(at) < ttl
+        };
+        self.followed.retain(is_kept);
+        if self.election.is_scheduler_up_to_date(now) {
+            self.followed.extend(present.map(|token| (token, now)));
+        }
+    }
+
+    /// Schedulers that were followed here and used listed workers only within the last `ttl`, and when this time is over
+    /// for each.
+    pub(super) fn predecessors(&self, now: Instant, ttl: Duration) -> Vec<(FencingToken, Instant)> {
+        let until = self.followed.iter().map(|&(token, at)| (token, at + ttl));
+        until.filter(|&(_, until)| now < until).collect()
+    }
+
     /// The cell's part of the heartbeat to the other entry VMs; `successor` is set on a hand-over.
     pub(super) fn heartbeat(&mut self, successor: Option<EntryVm>, now: Instant) -> CellBeat {
         let own = self.election.own_heartbeat(successor);
@@ -165,6 +190,7 @@
     /// Drops the scheduler, and keeps its estimated run times and speeds of workers for a later takeover.
     pub(super) fn drop_scheduler(&mut self) {
         self.record_read.abort_all();
+        self.scheduling_since = None;
         if let Some(scheduler) = self.scheduler.take() {
             self.estimates = scheduler.estimates().clone();
             self.speeds = scheduler.label_speeds();
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -112,10 +112,10 @@
             waited,
             workers,
             unreported,
-            dropped,
+            absent,
         } => info!(
             cell:% = cell, id:% = id, evidence:% = evidence, former:% = former,
-            waited_ms = ms(*waited), workers, unreported, dropped;
+            waited_ms = ms(*waited), workers, unreported, absent;
             "earlier_runs_excluded"
         ),
         LogEvent::WorkerDropped {
--- a/crates/geraniumrelay/src/leased/directory.rs
+++ b/crates/geraniumrelay/src/leased/directory.rs
@@ -8,8 +8,9 @@
 use geraniumrelay_adapter::Change;
 use geraniumrelay_adapter::worker_entry::worker_entry;
 use geraniumrelay_core::collections::{Map, Set};
+use geraniumrelay_core::configs::leased::LeasedConfig;
 use geraniumrelay_core::leased::cells::{CellName, CellPlan};
-use geraniumrelay_core::leased::{EntryVm, WorkerEntry, WorkerName, WorkerState};
+use geraniumrelay_core::leased::{DeparturesKnown, EntryVm, WorkerEntry, WorkerName, WorkerState};
 use log::{info, warn};
 
 /// Key of the plan of cells in the entry VMs' table.
@@ -43,7 +44,10 @@
     /// the time of their departure: the entry was removed in the state `Ready`, or names another
     /// address.
     departed: Map<(WorkerName, SocketAddr), (WorkerEntry, Instant)>,
+    /// Time for which departed workers are polled.
     departed_ttl: Duration,
+    /// Time for which they are remembered after that.
+    absent_ttl: Duration,
     is_first_start: bool,
     members: BTreeMap<String, SocketAddr>,
     knows_members: bool,
@@ -51,14 +55,15 @@
 }
 
 impl Directory {
-    pub(super) fn new(departed_ttl: Duration, is_first_start: bool) -> Self {
+    pub(super) fn new(cfg: &LeasedConfig, is_first_start: bool) -> Self {
         Self {
             workers: Map::default(),
             labels: Map::default(),
             workers_version: 0,
             workers_since: None,
             departed: Map::default(),
-            departed_ttl,
+            departed_ttl: cfg.departed_ttl,
+            absent_ttl: cfg.absent_ttl,
             is_first_start,
             members: BTreeMap::new(),
             knows_members: false,
@@ -71,12 +76,20 @@
         !self.workers.is_empty() && self.knows_members
     }
 
-    /// Whether every worker that may still run a task is known: after `departed_ttl` of watching,
-    /// or at once where no entry process has run before.
-    pub(super) fn knows_departed(&self, now: Instant) -> bool {
-        self.workers_since.is_some_and(|(since, _)| {
-            self.is_first_start || now.saturating_duration_since(since) >= self.departed_ttl
-        })
+    /// Which workers are known that may still run a task although they have departed, by the time of watching; all at
+    /// once where no entry process has run before.
+    pub(super) fn departures_known(&self, now: Instant) -> DeparturesKnown {
+        let Some((since, _)) = self.workers_since else {
+            return DeparturesKnown::None;
+        };
+        let watched = now.saturating_duration_since(since);
+        if self.is_first_start || watched >= self.departed_ttl + self.absent_ttl {
+            DeparturesKnown::All
+        } else if watched >= self.departed_ttl {
+            DeparturesKnown::Recent
+        } else {
+            DeparturesKnown::None
+        }
     }
 
     /// Number of listed workers of all cells.
@@ -145,14 +158,18 @@
             .collect()
     }
 
-    /// Workers of a cell that departed within `departed_ttl`; drops those that departed before.
-    pub(super) fn departed_of(&mut self, cell: &CellName, now: Instant) -> Vec<WorkerEntry> {
-        let ttl = self.departed_ttl;
+    /// Workers of a cell that have departed and may still run a task, and when each departed; drops the others.
+    pub(super) fn departed_of(
+        &mut self,
+        cell: &CellName,
+        now: Instant,
+    ) -> Vec<(WorkerEntry, Instant)> {
+        let ttl = self.departed_ttl + self.absent_ttl;
         self.departed
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < ttl);
-        let departed = self.departed.values().map(|(entry, _)| entry);
+        let departed = self.departed.values();
         departed
-            .filter(|w| self.cell_of(w) == *cell)
+            .filter(|(w, _)| self.cell_of(w) == *cell)
             .cloned()
             .collect()
     }
--- a/crates/geraniumrelay/src/leased/event_loop/election.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/election.rs
@@ -7,7 +7,7 @@
 use geraniumrelay_core::collections::Map;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::election::{Fitness, SchedulerStatus, Transition};
-use geraniumrelay_core::leased::{Command, FencingToken, Scheduler};
+use geraniumrelay_core::leased::{Command, DeparturesKnown, FencingToken, Scheduler};
 use log::{info, warn};
 
 use super::EventLoop;
@@ -76,30 +76,30 @@
         );
         self.components.metrics.count_takeover();
         self.components.metrics.set_token(token.0);
-        let knows_departed = self.directory.knows_departed(now);
         let data_centre = Arc::clone(&self.components.data_centre);
+        let ttl = self.components.cfg.leased.predecessor_ttl;
         let Some(cell) = self.cells.get_mut(name) else {
             return;
         };
         let scheduler = Scheduler::new(token, data_centre)
             .with_estimates(cell.estimates.clone())
             .with_speeds(&cell.speeds)
-            .with_departed_known(false)
+            .with_departures_known(DeparturesKnown::None)
+            .with_predecessors(cell.predecessors(now, ttl))
             .with_records(name.clone());
         cell.scheduler = Some(scheduler);
+        cell.scheduling_since = Some(now);
         cell.epoch_lost = None;
         let evacuated = self.evacuations.evacuated().clone();
         self.handle_command(name, Command::Evacuated(evacuated));
         // A worker may have departed from one address and be listed at another one.
-        for entry in departed {
-            let worker = entry.name.clone();
-            self.handle_command(name, Command::WorkerSeen(entry));
-            self.handle_command(name, Command::WorkerGone(worker));
+        for (entry, at) in departed {
+            self.handle_command(name, Command::WorkerDeparted { entry, at });
         }
         for entry in workers {
             self.handle_command(name, Command::WorkerSeen(entry));
         }
-        self.read_workers(name, token, knows_departed);
+        self.read_workers(name);
         // The tick sends the claim of the cell's row without delay.
         self.handle_command(name, Command::Tick);
         self.send_heartbeat(None);
@@ -111,7 +111,7 @@
     pub(super) fn set_fitness(&mut self, now: Instant) {
         let is_ineligible = !self.can_schedule();
         let has_store = self.store_health.has_store();
-        let knows_departed = self.directory.knows_departed(now);
+        let knows_departed = self.directory.departures_known(now) >= DeparturesKnown::Recent;
         let peer_fresh =
             self.follower_heartbeat_interval() * FRESH_HEARTBEATS + Duration::from_millis(50);
         let scheduled_cells = self
@@ -197,6 +197,7 @@
         let Some(cell) = self.cells.get_mut(name) else {
             return;
         };
+        cell.note_scheduler(now, self.components.cfg.leased.predecessor_ttl);
         let transition = match cell.outrank_holder(now) {
             Some(transition) => transition,
             None => cell.election.tick(now, SystemTime::now()),
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -25,7 +25,7 @@
 use geraniumrelay_core::leased::config_transfer::{ConfigDownload, ConfigUploads};
 use geraniumrelay_core::leased::evacuation::Evacuations;
 use geraniumrelay_core::leased::{
-    Command, Effect, EntryVm, FencingToken, JobId, Scheduler, Submission,
+    Command, DeparturesKnown, Effect, EntryVm, FencingToken, JobId, Scheduler, Submission,
 };
 use geraniumrelay_core::{Config, Context};
 use geraniumrelay_wire::leased::Beat;
@@ -141,10 +141,7 @@
         let now = Instant::now();
         let vm = components.vm;
         let pause = PauseDetector::new((components.boot_clock)());
-        let directory = Directory::new(
-            components.cfg.leased.departed_ttl,
-            components.is_first_start,
-        );
+        let directory = Directory::new(&components.cfg.leased, components.is_first_start);
         let mut event_loop = Self {
             components,
             cells: BTreeMap::new(),
@@ -257,11 +254,12 @@
                 let _ = reply.send(pending.sum());
             }
             Input::Rows {
+                as_of,
                 table,
                 is_snapshot,
                 rows,
                 revision,
-            } => self.apply_rows(table, is_snapshot, &rows, revision),
+            } => self.apply_rows(table, is_snapshot, &rows, (revision, as_of)),
             Input::StoreHealth { table, is_healthy } => self.on_store_health(table, is_healthy),
             Input::Peer {
                 from,
@@ -389,7 +387,7 @@
         let heartbeat = Beat {
             has_store: self.store_health.has_store(),
             is_barred: !self.can_schedule(),
-            knows_departed: self.directory.knows_departed(Instant::now()),
+            knows_departed: self.directory.departures_known(now) >= DeparturesKnown::Recent,
             data_centre: self.components.data_centre.to_string(),
             cpu_tenths: self.components.cpu_tenths,
             config_version: self.config_version(),
--- a/crates/geraniumrelay/src/leased/event_loop/tables.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/tables.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_adapter::{Change, Table};
+use geraniumrelay_core::leased::Command;
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{Command, FencingToken};
 use log::{info, warn};
 use tokio::task::spawn_local;
 
@@ -28,7 +28,7 @@
         table: Table,
         is_snapshot: bool,
         rows: &[Change],
-        revision: u64,
+        (revision, as_of): (u64, Instant),
     ) {
         if is_snapshot {
             info!(table:% = table, revision, rows = rows.len(); "table_read");
@@ -48,6 +48,7 @@
                 for change in changes {
                     self.on_worker_change(change);
                 }
+                self.on_workers_listed(as_of, now);
             }
             Table::DurableJobs => {
                 self.store_health.records_read();
@@ -64,6 +65,17 @@
         }
     }
 
+    /// Tells the schedulers here that all entries of workers as of a time after their start are known.
+    fn on_workers_listed(&mut self, as_of: Instant, now: Instant) {
+        let departures = self.directory.departures_known(now);
+        for name in self.cell_names() {
+            let since = self.cells.get(&name).and_then(|c| c.scheduling_since);
+            if since.is_some_and(|since| since <= as_of) {
+                self.handle_command(&name, Command::WorkersListed { as_of, departures });
+            }
+        }
+    }
+
     /// Passes a changed or removed worker to the scheduler of its cell, if it runs here.
     pub(super) fn on_worker_change(&mut self, change: WorkerChange) {
         match change {
@@ -80,30 +92,27 @@
 
     /// Reads a snapshot of the workers for a new scheduler: a standby VM reads them rarely, and the
     /// previous scheduler may have used a worker that is not known here yet.
-    pub(super) fn read_workers(&self, cell: &CellName, token: FencingToken, knows_departed: bool) {
-        let (store, tx, cell) = (
-            self.components.store.clone(),
-            self.components.tx.clone(),
-            cell.clone(),
-        );
+    pub(super) fn read_workers(&self, cell: &CellName) {
+        let (store, tx) = (self.components.store.clone(), self.components.tx.clone());
+        let cell = cell.clone();
         spawn_local(async move {
+            let as_of = Instant::now();
             let listing = match store.list(Table::Workers).await {
                 Ok(listing) => listing,
                 Err(e) => {
-                    // Jobs of the previous scheduler wait until its leases have expired.
+                    // Jobs of the previous scheduler wait until its leases have expired, or the watch has read the table.
                     warn!(cell:% = cell, reason:% = e; "workers_not_read");
                     return;
                 }
             };
             tx.send(Input::Rows {
+                as_of,
                 table: Table::Workers,
                 is_snapshot: true,
                 rows: listing.rows,
                 revision: listing.revision,
             })
             .await;
-            let command = Command::WorkersKnown { knows_departed };
-            tx.reply(cell, token, command).await;
         });
     }
 
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -1,7 +1,7 @@
 //! The bounded input queue of the event loop, and the inputs it carries.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::{Receiver, Sender};
 use geraniumrelay_adapter::{Change, Table};
@@ -56,6 +56,8 @@
     },
     /// Rows of a table: all rows of a snapshot, or the rows changed since the last read.
     Rows {
+        /// When the read began.
+        as_of: Instant,
         table: Table,
         is_snapshot: bool,
         rows: Vec<Change>,
--- a/crates/geraniumrelay/src/leased/table_watch.rs
+++ b/crates/geraniumrelay/src/leased/table_watch.rs
@@ -171,8 +171,9 @@
                     pause = FIRST_PAUSE;
                     let is_snapshot = revision.is_none();
                     revision = Some(listing.revision);
-                    if is_snapshot || !listing.rows.is_empty() {
+                    if is_snapshot || !listing.rows.is_empty() || table == Table::Workers {
                         tx.send(Input::Rows {
+                            as_of: began,
                             table,
                             is_snapshot,
                             rows: listing.rows,
--- a/crates/geraniumrelay/src/leased/tests/directory.rs
+++ b/crates/geraniumrelay/src/leased/tests/directory.rs
@@ -4,12 +4,14 @@
 
 use assert_matches::assert_matches;
 use geraniumrelay_adapter::Change;
-use geraniumrelay_core::leased::EntryVm;
+use geraniumrelay_core::configs::leased::LeasedConfig;
 use geraniumrelay_core::leased::cells::CellName;
+use geraniumrelay_core::leased::{DeparturesKnown, EntryVm};
 
 use crate::leased::directory::{Directory, WorkerChange};
 
 const TTL: Duration = Duration::from_secs(20);
+const ABSENT_TTL: Duration = Duration::from_mins(1);
 
 pub(super) fn worker(name: &str, state: &str) -> Change {
     worker_at("10.1.2.3:80", name, state)
@@ -48,8 +50,16 @@
     }
 }
 
+fn config() -> LeasedConfig {
+    LeasedConfig {
+        departed_ttl: TTL,
+        absent_ttl: ABSENT_TTL,
+        ..LeasedConfig::default()
+    }
+}
+
 fn empty_directory() -> Directory {
-    Directory::new(TTL, false)
+    Directory::new(&config(), false)
 }
 
 #[test]
@@ -137,7 +147,9 @@
     directory.apply_worker_rows(false, &rows, 3, now);
     let departed = directory.departed_of(&cell, now + TTL / 2);
     assert_eq!(departed.len(), 1, "a drained worker has ended its tasks");
-    assert!(directory.departed_of(&cell, now + TTL).is_empty());
+    assert_eq!(directory.departed_of(&cell, now + TTL).len(), 1);
+    let over = now + TTL + ABSENT_TTL;
+    assert!(directory.departed_of(&cell, over).is_empty());
 }
 
 /// Nothing says that the process at the former address has ended.
@@ -156,13 +168,14 @@
         directory.apply_worker_rows(true, &[worker("a", "ready")], 1, now);
         directory.apply_worker_rows(false, &rows, 3, now);
         let departed = directory.departed_of(&cell, now);
-        let addresses: Vec<_> = departed.iter().map(|w| w.address).collect();
+        let addresses: Vec<_> = departed.iter().map(|(w, _)| w.address).collect();
         assert_eq!(addresses, [former], "{rows:?}");
         let back = [at(4, worker("a", "ready"))];
         directory.apply_worker_rows(false, &back, 4, now);
         let departed = directory.departed_of(&cell, now);
-        assert!(departed.iter().all(|w| w.address != former));
-        assert!(directory.departed_of(&cell, now + TTL).is_empty());
+        assert!(departed.iter().all(|(w, _)| w.address != former));
+        let over = now + TTL + ABSENT_TTL;
+        assert!(directory.departed_of(&cell, over).is_empty());
     }
 }
 
@@ -180,11 +193,14 @@
     let now = Instant::now();
     let mut restarted = empty_directory();
     restarted.apply_worker_rows(true, &[], 1, now);
-    assert!(!restarted.knows_departed(now));
-    assert!(restarted.knows_departed(now + TTL));
-    let mut first = Directory::new(TTL, true);
+    let known_after = |wait| restarted.departures_known(now + wait);
+    assert_eq!(known_after(Duration::ZERO), DeparturesKnown::None);
+    assert_eq!(known_after(TTL), DeparturesKnown::Recent);
+    assert_eq!(known_after(TTL + ABSENT_TTL), DeparturesKnown::All);
+    let mut first = Directory::new(&config(), true);
+    assert_eq!(first.departures_known(now), DeparturesKnown::None);
     first.apply_worker_rows(true, &[], 1, now);
-    assert!(first.knows_departed(now));
+    assert_eq!(first.departures_known(now), DeparturesKnown::All);
 }
 
 #[test]
--- a/crates/geraniumrelay/src/leased/tests/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/tests/evacuation.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
 use geraniumrelay_adapter::{Change, Table};
@@ -56,6 +56,7 @@
         version: revision,
     };
     tx.send(Input::Rows {
+        as_of: Instant::now(),
         table: Table::Configuration,
         is_snapshot: false,
         rows: zones.iter().map(row).collect(),
@@ -500,6 +501,7 @@
             version: 2,
         };
         tx.send(Input::Rows {
+            as_of: Instant::now(),
             table: Table::Configuration,
             is_snapshot: false,
             rows: vec![configuration],
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
 use base64::Engine as _;
@@ -140,6 +140,7 @@
 
 pub(super) async fn send_rows(tx: &InputTx, table: Table, rows: Vec<Change>) {
     let rows = Input::Rows {
+        as_of: Instant::now(),
         table,
         is_snapshot: true,
         rows,
@@ -457,6 +458,7 @@
         send_rows(&tx, Table::EntryVms, rows).await;
         accept(&former).await;
         tx.send(Input::Rows {
+            as_of: Instant::now(),
             table: Table::EntryVms,
             is_snapshot: false,
             rows: vec![entry(&present, 2)],
