fix(core/leased): jobs from beyond a cut wait until the list of workers is read again

What callers saw: a job ran twice at once, where a worker had come during a cut, and the scheduler that had no store until then got the job before it had read that worker's entry. Change: each read of the workers' table tells when it began; a job of a scheduler that was not followed here starts on reports only once a read has begun after it came.

--- a/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -101,11 +101,12 @@
         reported
     }
 
-    /// Whether the workers have reported all runs of a job that other schedulers may have started.
+    /// Whether the workers have reported all runs of a job that other schedulers may have started. The list of the workers
+    /// must be as young as the job is here: a scheduler beyond a cut may have used workers that came meanwhile.
     pub(super) fn are_earlier_runs_reported(&self, key: JobKey, reported: ReportedRuns) -> bool {
         let runs = self.jobs[key].earlier_runs;
-        if runs.is_some_and(|r| r.may_be_of_stranger) {
-            reported.of_strangers
+        if let Some(runs) = runs.filter(|r| r.may_be_of_stranger) {
+            reported.of_strangers && self.workers_listed_as_of >= Some(runs.since)
         } else {
             reported.of_predecessors
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -104,6 +104,8 @@
     ended_jobs: BTreeMap<JobId, Vec<(TaskName, u32)>>,
     /// Which workers are known that may run tasks of an earlier scheduler although they have departed.
     departures_known: DeparturesKnown,
+    /// Time up to which all changes of the workers' entries are known; `None` before the first read.
+    workers_listed_as_of: Option<Instant>,
     /// Schedulers that this VM followed before, and until when each counts as using listed workers only.
     predecessors: Vec<(FencingToken, Instant)>,
     sequence: u64,
@@ -172,6 +174,7 @@
             ended_job_ages: VecDeque::new(),
             ended_jobs: BTreeMap::new(),
             departures_known: DeparturesKnown::All,
+            workers_listed_as_of: None,
             predecessors: Vec::new(),
             sequence: 0,
             workers_version: 1,
@@ -302,7 +305,10 @@
             }
             Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
             Command::WorkerDeparted { entry, at } => self.worker_departed(cx, &entry, at, out),
-            Command::WorkersListed { departures, .. } => self.departures_known = departures,
+            Command::WorkersListed { as_of, departures } => {
+                self.workers_listed_as_of = Some(as_of);
+                self.departures_known = departures;
+            }
             Command::WorkerGone(name) => self.worker_gone(cx, &name, out),
             Command::StartReplied {
                 worker,
--- a/crates/geraniumrelay-core/tests/leased/long_cuts.rs
+++ b/crates/geraniumrelay-core/tests/leased/long_cuts.rs
@@ -102,6 +102,42 @@
     assert_one_run_at_a_time(&cut.sim);
 }
 
+/// A cut heals for jobs and workers before it heals for the store: until then the scheduler that was cut off does not know
+/// a worker that has come meanwhile. `phase` shifts the moment against the polls of the workers that were out of reach.
+fn cut_with_new_worker(phase: Duration) -> Simulation {
+    let mut sim = Simulation::new(4, 1);
+    sim.run_for(500 * MS);
+    let cut_off = sim.add_host_with(2, &BTreeSet::from(NEAR), true);
+    sim.hosts[cut_off].is_store_unreachable = true;
+    sim.hosts[0].unreachable_workers = BTreeSet::from(BEYOND);
+    sim.run_for(sim.cfg.leased.predecessor_ttl + phase);
+    let added = sim.add_worker_in_cut();
+    let mut job = TestJob::new(1, 3, Duration::from_secs(1)).with_slack();
+    job.spec.steps[0].size.cpu_milli = 64_000;
+    let mut again = job.clone().resubmitted();
+    again.former_tokens = vec![sim.hosts[0].token()];
+    sim.submit(0, MS, job);
+    sim.run_for(200 * MS);
+    assert!(sim.workers_running(1).contains(&added));
+    sim.kill(0);
+    sim.hosts[cut_off].unreachable_workers.clear();
+    sim.submit(cut_off, MS, again);
+    sim.run_for(600 * MS);
+    sim.hosts[cut_off].is_store_unreachable = false;
+    sim.announce_worker(cut_off, added);
+    sim.run_for(Duration::from_secs(4));
+    sim
+}
+
+/// Guards against second runs beside those on workers that came during a cut, and that the scheduler without the store
+/// has not read yet as jobs move to it.
+#[test]
+fn a_job_that_moves_before_the_list_of_workers_is_read_again_has_one_run_at_a_time() {
+    for phase in (0..10).map(|n| 200 * MS * n) {
+        assert_one_run_at_a_time(&cut_with_new_worker(phase));
+    }
+}
+
 /// Guards against lost work as a long cut heals: a run on a worker that is not listed yet goes on.
 #[test]
 fn a_run_beyond_a_long_cut_is_adopted_before_its_worker_is_listed_again() {
--- a/crates/geraniumrelay-core/tests/leased/world/cuts.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/cuts.rs
@@ -5,6 +5,7 @@
 use geraniumrelay_core::leased::Command;
 
 use super::{Simulation, worker_name};
+use crate::worker::FakeWorker;
 
 /// Time between two reads of the workers' entries by a scheduler.
 const LIST_INTERVAL: Duration = Duration::from_millis(250);
@@ -34,6 +35,18 @@
         }
     }
 
+    /// Adds an idle worker that schedulers learn of unless they can't reach the store.
+    pub(crate) fn add_worker_in_cut(&mut self) -> usize {
+        let worker = self.workers.len();
+        let mut added = FakeWorker::new(self.now, 64_000);
+        added.instance_started_unix_ms = self.workers[0].instance_started_unix_ms;
+        self.workers.push(added);
+        for host in self.hosts_with_store(worker) {
+            self.announce_worker(host, worker);
+        }
+        worker
+    }
+
     /// Lets a scheduler that reaches the store know that it has all entries, from time to time.
     pub(super) fn read_list(&mut self, host: usize) {
         if self.now < self.hosts[host].next_list || self.is_store_unavailable(host) {
