fix(core/leased): ends of known best-effort runs are acknowledged without the store

What callers saw: in a cut of half a minute jobs were refused for overload on the side without the store, beside workers that had room (277 of 1,000 answers there, 1 of 2,645 on the other side). Cause: until the records are read, an end of an unknown job is not acknowledged. An end is listed again until it is acknowledged, and by then its job had ended here, so it counted as unknown; it was never acknowledged, and each poll of its worker was put off by 50 ms. Change: an end that was processed before, or of a run that was started here for a best-effort job, is not unknown.

--- a/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/ends.rs
@@ -8,7 +8,7 @@
 use crate::leased::names::TaskName;
 use crate::leased::record::RecordState;
 use crate::leased::report::{EndKind, EndedRun, WorkerReport};
-use crate::leased::worker::{UnclaimedRun, WorkerKey};
+use crate::leased::worker::{UnclaimedRun, Worker, WorkerKey};
 
 /// Condition under which an end may be acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,7 +50,7 @@
         end: &EndedRun,
         out: &mut Vec<Effect>,
     ) {
-        let ack_condition = self.ack_condition(end);
+        let ack_condition = self.ack_condition(key, end);
         let worker = &mut self.workers[key];
         worker.full_until = None;
         let has_ended = |u: &UnclaimedRun| u.name == end.task && u.run == end.run;
@@ -87,7 +87,7 @@
         }
     }
 
-    fn ack_condition(&self, end: &EndedRun) -> AckCondition {
+    fn ack_condition(&self, key: WorkerKey, end: &EndedRun) -> AckCondition {
         let id = end.task.job;
         if let Some(invalidated) = self.ended_jobs.get(&id) {
             let is_invalidated =
@@ -100,7 +100,7 @@
             };
         }
         let Some(&key) = self.by_id.get(&id) else {
-            return if self.knows_records {
+            return if self.knows_records || Self::is_classified(&self.workers[key], end) {
                 AckCondition::Immediate
             } else {
                 AckCondition::AwaitsRecords
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Whether an end whose job is not open is known not to belong to a durable job: a listed end that was processed before,
+    /// or one of a run that was started here.
+    fn is_classified(worker: &Worker, end: &EndedRun) -> bool {
+        let run = worker.run_position(end.task, end.run);
+        worker.processed_ends.contains(&end.number)
+            || run.is_some_and(|p| !worker.runs[p].is_durable && !worker.runs[p].is_adopted)
+    }
+
     /// Marks a task as done whose successful run an earlier scheduler started; if the job is unknown,
     /// keeps the end for it. The end of a blocked task shows that the steps before it are done; for a durable job its
     /// record tells.
--- a/crates/geraniumrelay-core/tests/leased/long_cuts.rs
+++ b/crates/geraniumrelay-core/tests/leased/long_cuts.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use geraniumrelay_core::leased::{JobId, JobOutcome};
+use geraniumrelay_core::leased::{Command, JobId, JobOutcome};
 
-use crate::world::{Simulation, TestJob};
+use crate::world::{Simulation, TestJob, vm};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -64,6 +64,28 @@
     }
 }
 
+/// Guards against ends that are listed for the rest of a cut and slow down the polls: a scheduler without the store can't
+/// read the records of durable jobs, but knows that its own runs belong to none.
+#[test]
+fn ends_of_known_best_effort_runs_are_acknowledged_without_the_store() {
+    let mut sim = Simulation::new(1, 1);
+    sim.kill(0);
+    let host = sim.add_host_with_records(2, &BTreeSet::new());
+    sim.hosts[host].is_store_unreachable = true;
+    sim.run_for(Duration::from_secs(2));
+    for id in 1..=20 {
+        sim.submit(host, MS, TestJob::new(id, 2, 50 * MS).with_slack());
+        sim.run_for(30 * MS);
+    }
+    let withdrawn = TestJob::new(21, 2, Duration::from_secs(1)).with_slack();
+    sim.submit(host, MS, withdrawn);
+    sim.run_for(100 * MS);
+    let (id, origin) = (JobId(21), vm(100));
+    sim.handle_command(host, Command::Withdraw { id, origin });
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.workers[0].listed_end_count(), 0);
+}
+
 fn job() -> TestJob {
     TestJob::new(1, 1, Duration::from_secs(1)).with_slack()
 }
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -131,6 +131,11 @@
     }
 
     /// Number of runs that have failed so far.
+    /// Number of ends that no poll has acknowledged.
+    pub(crate) fn listed_end_count(&self) -> usize {
+        self.ended.len()
+    }
+
     pub(crate) fn failed_run_count(&self) -> usize {
         self.failed_runs
     }
