test(core/leased): random long cuts between two data centres

Cause: the search in virtual time had cuts of up to 2.5 s and jobs of one step, so that no schedule lasted for longer than workers beyond a cut are listed or polled.

Change: schedulers run on the VMs of the entry VMs, each with the list of workers, the departures and the former schedulers that it knows itself. Cuts end on both sides of each time constant; links, calls, replies, the store and the entries of workers come back each at its own moment, with takeovers, raised tokens, restarts, new workers and second cuts meanwhile. Entry VMs pass their jobs on again once their scheduler has raised its token, as production does. Two directed tests guard the case that the search found: a VM that has followed the scheduler beyond the cut only since the heal takes over from it before its workers are listed again.

--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -16,6 +16,8 @@
 mod late_confirmations;
 mod load;
 mod locality;
+mod long_cut_search;
+mod long_cut_successors;
 mod long_cuts;
 mod queue_scan;
 mod resends;
--- a/crates/geraniumrelay-core/tests/leased/world/cuts.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/cuts.rs
@@ -53,6 +53,10 @@
             return;
         }
         self.hosts[host].next_list = self.now + LIST_INTERVAL;
+        if let Some(vm) = self.vm_of_host(host) {
+            self.read_store(vm);
+            self.hosts[host].departures = self.departures_known(vm);
+        }
         let (as_of, departures) = (self.now, self.hosts[host].departures);
         self.handle_command(host, Command::WorkersListed { as_of, departures });
     }
--- a/crates/geraniumrelay-core/tests/leased/world/heartbeats.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/heartbeats.rs
@@ -100,9 +100,10 @@
         if !vm.is_up || token < *highest {
             return;
         }
-        *highest = token;
+        let is_raised = std::mem::replace(highest, token) < token;
         let former = vm.followed.insert(cell, (host, now));
-        if former.is_none_or(|f| f.0 != host) {
+        // Answers with a raised token count only for jobs that were sent with it.
+        if is_raised || former.is_none_or(|f| f.0 != host) {
             self.entry_vms.mark_unsent(entry, host);
             self.send_unsent_jobs(entry);
         }
@@ -136,6 +137,7 @@
                 self.entry_vms.callers.remove(&id);
             }
         }
+        self.note_followed(entry);
         self.send_unsent_jobs(entry);
         self.send_confirmations(entry);
         let at = now + TICK_INTERVAL;
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -15,6 +15,7 @@
 mod job;
 mod links;
 mod store;
+mod vms;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -34,6 +35,7 @@
 pub(crate) use self::crashes::{CrashMode, Return};
 use self::entries::{EntryEvent, EntryVms};
 pub(crate) use self::job::TestJob;
+use self::vms::Vm;
 use crate::worker::FakeWorker;
 
 /// Network latency in one direction between a scheduler and a worker.
@@ -195,6 +197,8 @@
     /// Cells of the workers that are not in cell 0.
     worker_cells: BTreeMap<usize, usize>,
     pub(crate) entry_vms: EntryVms,
+    /// The VMs of the entry VMs, in tests where schedulers run on them.
+    pub(crate) vms: Vec<Vm>,
     pub(crate) jobs: BTreeMap<JobId, TestJob>,
     /// First outcome of each job, and its time.
     pub(crate) answers: BTreeMap<JobId, (JobOutcome, Instant)>,
@@ -312,6 +316,7 @@
             hosts: Vec::new(),
             worker_cells: BTreeMap::new(),
             entry_vms: EntryVms::default(),
+            vms: Vec::new(),
             jobs: BTreeMap::new(),
             answers: BTreeMap::new(),
             start_counts: BTreeMap::new(),
