test(core/leased): a restart right after a check of silent workers

Cause: a scheduler checks its silent workers at most once in 0.25 s. A worker that restarts right after a check may get a run of a deposed scheduler, whose job then arrives before the next check.

--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -22,6 +22,7 @@
 mod queue_scan;
 mod resends;
 mod restarts;
+mod silent_checks;
 mod speeds;
 mod stops;
 mod superseded;
