fix(core/leased): a wait for workers beyond a cut does not end as the job comes again

Cause: a second submission of a job, from the last scheduler, replaced the wait for one from beyond a cut by the shorter rule, which ignores workers that departed long ago. Change: the wait keeps that a scheduler from beyond a cut had the job. A late read of the list does not set its time back.

--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -58,7 +58,7 @@
 /// Why no run of a job by another scheduler can be at work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum NoRunsEvidence {
-    /// All known workers have reported their runs.
+    /// All workers that the other schedulers may have used, as far as they are known, have reported their runs.
     #[display("reports")]
     Reports,
     /// The longest time that such a run may last has passed.
@@ -234,7 +234,7 @@
         id: JobId,
         /// Why no such run can be at work.
         evidence: NoRunsEvidence,
-        /// Highest token of the other schedulers, 0 if none is known.
+        /// Highest token of the other schedulers, 0 if none is known; the wait may be for another one of them.
         former: FencingToken,
         /// Time that the tasks have waited.
         waited: Duration,
@@ -251,7 +251,7 @@
         worker: WorkerName,
         /// Time since its entry was removed.
         departed_for: Duration,
-        /// Whether it has reported since that it runs nothing.
+        /// Whether it obeys this scheduler's token, as far as is known.
         has_reported: bool,
     },
     /// A message named an instance of a worker other than the known one.
--- a/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/earlier_runs.rs
@@ -208,10 +208,11 @@
         } else {
             cfg.takeover_wait
         };
+        let known = job.earlier_runs;
         job.earlier_runs = Some(EarlierRuns {
             since: cx.now,
             until: cx.now + wait,
-            may_be_of_stranger,
+            may_be_of_stranger: may_be_of_stranger || known.is_some_and(|r| r.may_be_of_stranger),
             is_exclusion_logged: false,
         });
         for task in &mut job.tasks {
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -306,7 +306,7 @@
             Command::WorkerSeen(entry) => self.worker_seen(cx, entry, out),
             Command::WorkerDeparted { entry, at } => self.worker_departed(cx, &entry, at, out),
             Command::WorkersListed { as_of, departures } => {
-                self.workers_listed_as_of = Some(as_of);
+                self.workers_listed_as_of = self.workers_listed_as_of.max(Some(as_of));
                 self.departures_known = departures;
             }
             Command::WorkerGone(name) => self.worker_gone(cx, &name, out),
--- a/crates/geraniumrelay-core/tests/leased/long_cuts.rs
+++ b/crates/geraniumrelay-core/tests/leased/long_cuts.rs
@@ -124,6 +124,28 @@
     assert_one_run_at_a_time(&cut.sim);
 }
 
+/// Guards against a wait for workers beyond a cut that ends as the job comes again, from the last scheduler.
+#[test]
+fn a_job_that_comes_from_beyond_a_cut_and_then_from_the_last_scheduler_has_one_run_at_a_time() {
+    let mut cut = Cut::begin();
+    cut.last();
+    let last = cut.sim.hosts[cut.near].token();
+    cut.take_over();
+    cut.sim.run_for(300 * MS);
+    let (beyond, near) = (cut.beyond, cut.near);
+    let mut again = job().resubmitted();
+    again.former_tokens = vec![cut.sim.hosts[beyond].token()];
+    cut.sim.submit(beyond, MS, job());
+    cut.sim.run_for(200 * MS);
+    cut.sim.kill(beyond);
+    cut.sim.submit(near, MS, again.clone());
+    cut.sim.run_for(50 * MS);
+    again.former_tokens.push(last);
+    cut.sim.submit(near, MS, again);
+    cut.sim.run_for(Duration::from_secs(4));
+    assert_one_run_at_a_time(&cut.sim);
+}
+
 /// A cut heals for jobs and workers before it heals for the store: until then the scheduler that was cut off does not know
 /// a worker that has come meanwhile. `phase` shifts the moment against the polls of the workers that were out of reach.
 fn cut_with_new_worker(phase: Duration) -> Simulation {
--- a/crates/geraniumrelay-core/tests/leased/restarts/schedules.rs
+++ b/crates/geraniumrelay-core/tests/leased/restarts/schedules.rs
@@ -174,9 +174,22 @@
     }
 }
 
+/// Seed of a schedule in which a worker restarts after a run there has ended, before the end was reported.
+const RESTART_AFTER_END_SEED: u64 = 111;
+
 #[test]
 fn restarts_and_late_messages_lose_no_task() {
-    for seed in SEEDS {
+    assert_no_task_is_lost(SEEDS.filter(|&seed| seed != RESTART_AFTER_END_SEED));
+}
+
+/// Guards against a restart that counts as a crash under a task whose run had ended there.
+#[test]
+fn a_restart_after_the_end_of_a_run_is_no_crash_of_its_task() {
+    assert_no_task_is_lost([RESTART_AFTER_END_SEED]);
+}
+
+fn assert_no_task_is_lost(seeds: impl IntoIterator<Item = u64>) {
+    for seed in seeds {
         let sim = Schedule::new(seed).run();
         let case = format!("seed {seed}");
         // A task under which two workers have crashed may be given up.
--- a/crates/geraniumrelay-core/tests/leased/worker.rs
+++ b/crates/geraniumrelay-core/tests/leased/worker.rs
@@ -130,12 +130,12 @@
         self.runs.iter().map(|r| r.size.cpu_milli).sum()
     }
 
-    /// Number of runs that have failed so far.
     /// Number of ends that no poll has acknowledged.
     pub(crate) fn listed_end_count(&self) -> usize {
         self.ended.len()
     }
 
+    /// Number of runs that have failed so far.
     pub(crate) fn failed_run_count(&self) -> usize {
         self.failed_runs
     }
