--- a/crates/geraniumrelay-core/src/leased/election/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/election/mod.rs
@@ -285,7 +285,7 @@
         fresh_peers > 0 && fresh_peers * 2 >= self.members.len()
     }
 
-    /// Whether the scheduler uses no workers but those in the store's list: its VM has had the store for so long that what
+    /// Whether the scheduler starts tasks on listed workers only: its VM has had the store for so long that what
     /// it has started without it, as beyond a cut, is over or on listed workers.
     pub fn is_scheduler_up_to_date(&self, now: Instant) -> bool {
         let age = |at| now.saturating_duration_since(at);
