feat(leased): log lines that tell who acted on a cancel

Which VM passed a cancel on, whether the message was sent, which one received it, and on what evidence a DELETE was answered could not be told from the logs. No change of behaviour.

--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -203,10 +203,15 @@
                     self.handle_command(&name, Command::Cancel { id });
                 }
                 Some((vm, _)) => {
-                    let (id, cell) = (id.0, name.to_string());
-                    self.send(vm, Body::Cancel(Cancel { id, cell }));
+                    let cell = name.to_string();
+                    let message = links::frame(Body::Cancel(Cancel { id: id.0, cell }));
+                    let link = self.links.get(&vm);
+                    let is_sent = link.is_some_and(|link| link.send(message));
+                    info!(id:% = id, cell:% = name, to:% = vm, is_sent; "cancel_passed_on");
+                }
+                None => {
+                    info!(id:% = id, cell:% = name, reason = "no-scheduler"; "cancel_not_passed_on");
                 }
-                None => {}
             }
         }
     }
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -429,13 +429,9 @@
             }
             Body::Confirm(confirm) => self.on_confirmation(from, confirm),
             Body::Cancel(cancel) => {
-                let cell = CellName(cancel.cell.into());
-                self.handle_command(
-                    &cell,
-                    Command::Cancel {
-                        id: JobId(cancel.id),
-                    },
-                );
+                let (id, cell) = (JobId(cancel.id), CellName(cancel.cell.into()));
+                info!(id:% = id, cell:% = cell, from:% = from; "cancel_received");
+                self.handle_command(&cell, Command::Cancel { id });
             }
             Body::Answer(answer) => {
                 let (id, outcome) = convert::answer_from_wire(&answer);
--- a/crates/geraniumrelay/src/leased/request_handler.rs
+++ b/crates/geraniumrelay/src/leased/request_handler.rs
@@ -205,11 +205,18 @@
         let (reply, answer) = oneshot::channel();
         self.tx.try_send(Input::Cancel { id, reply });
         if answer.await.unwrap_or(false) {
+            info!(id:% = id, evidence = "pending-here", status = 200; "cancel_answered");
             return status_response(StatusCode::OK);
         }
         match self.durable_jobs.cancel(id).await {
-            Ok(true) => status_response(StatusCode::OK),
-            Ok(false) => status_response(StatusCode::GONE),
+            Ok(true) => {
+                info!(id:% = id, evidence = "record", status = 200; "cancel_answered");
+                status_response(StatusCode::OK)
+            }
+            Ok(false) => {
+                info!(id:% = id, evidence = "no-record", status = 410; "cancel_answered");
+                status_response(StatusCode::GONE)
+            }
             Err(e) => {
                 info!(id:% = id, reason:% = e; "cancel_unknown");
                 refusal_response(StatusCode::SERVICE_UNAVAILABLE, RETRY_UNAVAILABLE)
