fix(core/leased): a copy that arrives after the cancel of its job is not started

Callers saw tasks of a job started after their cancel had been acknowledged, if a copy of the submission reached the scheduler later, for example from an entry VM that had been paused.

Cause: a cancel of a job that the scheduler did not have was forgotten at once, and one of a best-effort job that it had ended counted only for copies that said that they might have started.

A best-effort copy is answered as cancelled; a durable one is stored as cancelled, so that it is accepted and never starts.

Before: jobs::a_copy_that_arrives_after_the_cancel_is_not_started failed (Completed, not Cancelled), and so did durable::a_durable_copy_that_arrives_after_the_cancel_is_stored_as_cancelled. After: both pass.

takeover::a_resubmitted_job_whose_runs_are_being_stopped_keeps_the_order_of_its_steps brought its state about by a cancel and expected the next submission to run, which an acknowledged cancel rules out. It now uses a withdrawal, the event of a caller that leaves and sends its job again; its checks are unchanged.

--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -22,13 +22,19 @@
 const LATE_JOB_RANK_OFFSET: Duration = Duration::from_hours(24);
 
 impl Scheduler {
-    /// Marks a job as durable, with no record stored yet.
+    /// Marks a job as durable, with no record stored yet; its first record is already cancelled where a caller has
+    /// cancelled the job.
     pub(super) fn make_durable(&mut self, cx: &Context<'_>, key: JobKey) {
         self.has_durable_jobs = true;
+        let state = if self.is_cancelled(self.jobs[key].spec.id) {
+            RecordState::Cancelled
+        } else {
+            RecordState::Open
+        };
         self.jobs[key].record_sync = Some(RecordSync {
             version: 0,
             is_accepted: false,
-            state: RecordState::Open,
+            state,
             is_dirty: true,
             in_flight_since: None,
             attempt: 0,
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler: a state machine that takes commands and emits effects.
 
+mod cancel;
 mod confirmations;
 mod contention;
 mod demand;
@@ -25,6 +26,8 @@
 
 use slotmap::SlotMap;
 
+use self::cancel::Cancellations;
+
 use super::bulkhead::Bulkheads;
 use super::cells::CellName;
 use super::command::{Command, DeparturesKnown};
@@ -86,6 +89,7 @@
     outcomes: BTreeMap<JobId, (Instant, JobOutcome)>,
     /// Keys of `outcomes`, oldest first.
     outcome_ages: VecDeque<(Instant, JobId)>,
+    cancellations: Cancellations,
     /// Entry VMs whose connections have broken, and when.
     disconnected_entries: Vec<(EntryVm, Instant)>,
     cell: CellName,
@@ -165,6 +169,7 @@
             unmatched_ends: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             outcome_ages: VecDeque::new(),
+            cancellations: Cancellations::default(),
             disconnected_entries: Vec::new(),
             cell: CellName::single(),
             epoch: None,
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -12,7 +12,6 @@
 use crate::leased::log_event::{EntryLossCause, LogEvent};
 use crate::leased::names::{EntryVm, JobId};
 use crate::leased::placement;
-use crate::leased::record::RecordState;
 use crate::leased::spec::JobSpec;
 
 /// Minimum retry delay given to a refused caller.
@@ -79,6 +78,15 @@
             });
             return;
         }
+        if !is_durable && self.is_cancelled(id) {
+            let outcome = JobOutcome::Cancelled;
+            out.push(Effect::Answer {
+                origin,
+                id,
+                outcome,
+            });
+            return;
+        }
         let origin = Origin {
             vm: origin,
             confirmed: cx.now,
@@ -418,15 +426,6 @@
         }
     }
 
-    /// Cancels a job; a durable one ends once the cancellation is stored.
-    pub(super) fn cancel(&mut self, cx: &Context<'_>, id: JobId, out: &mut Vec<Effect>) {
-        if let Some(&key) = self.by_id.get(&id)
-            && !self.record_changed(cx, key, RecordState::Cancelled, out)
-        {
-            self.finish(cx, key, JobOutcome::Cancelled, out);
-        }
-    }
-
     /// Withdraws the jobs that an entry VM has not submitted again since `lost_at`; the log names the cause
     /// and its begin.
     pub(super) fn drop_entry_jobs(
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -56,6 +56,7 @@
         self.drop_disconnected_entries(cx, out);
         self.drop_unconfirmed_jobs(cx, out);
         self.expire_outcomes(cx);
+        self.expire_cancellations(cx);
         let now = cx.now;
         self.tick_bulkheads(cx, out);
         let by_id = &self.by_id;
--- a/crates/geraniumrelay-core/tests/leased/durable.rs
+++ b/crates/geraniumrelay-core/tests/leased/durable.rs
@@ -316,6 +316,18 @@
     assert!(sim.workers.iter().all(|w| w.running().count() == 0));
 }
 
+/// UNASKED: a copy that another entry VM had passed on late was stored as open after the acknowledged cancel.
+#[test]
+fn a_durable_copy_that_arrives_after_the_cancel_is_stored_as_cancelled() {
+    let mut sim = Simulation::new(4, 1);
+    sim.handle_command(0, Command::Cancel { id: JobId(1) });
+    sim.submit(0, MS, TestJob::new(1, 4, 50 * MS).durable());
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Accepted));
+    assert_eq!(record_state(&sim, 1), RecordState::Cancelled);
+    assert!(sim.start_counts.is_empty(), "{:?}", sim.start_counts);
+}
+
 /// An entry VM cancels a job by a write to the store, which reaches the scheduler by the feed of
 /// records.
 #[test]
--- a/crates/geraniumrelay-core/tests/leased/jobs.rs
+++ b/crates/geraniumrelay-core/tests/leased/jobs.rs
@@ -88,6 +88,17 @@
     assert!(sim.workers.iter().all(|w| w.running().count() == 0));
 }
 
+/// UNASKED: a copy that another entry VM had passed on late was started after the acknowledged cancel.
+#[test]
+fn a_copy_that_arrives_after_the_cancel_is_not_started() {
+    let mut sim = Simulation::new(4, 1);
+    sim.handle_command(0, Command::Cancel { id: JobId(1) });
+    sim.submit(0, MS, TestJob::new(1, 4, 50 * MS));
+    sim.run_for(Duration::from_secs(1));
+    assert_eq!(sim.outcome(1), Some(JobOutcome::Cancelled));
+    assert!(sim.start_counts.is_empty(), "{:?}", sim.start_counts);
+}
+
 #[test]
 fn a_withdrawn_job_stops() {
     let mut sim = Simulation::new(4, 1);
--- a/crates/geraniumrelay-core/tests/leased/takeover.rs
+++ b/crates/geraniumrelay-core/tests/leased/takeover.rs
@@ -64,7 +64,8 @@
     let job = TestJob::new(1, 2, 300 * MS).with_next_step();
     sim.submit(0, MS, job.clone());
     sim.run_for(400 * MS);
-    sim.handle_command(0, Command::Cancel { id: JobId(1) });
+    let (id, origin) = (JobId(1), vm(100));
+    sim.handle_command(0, Command::Withdraw { id, origin });
     sim.answers.clear();
     sim.submit(0, MS, job);
     sim.run_for(Duration::from_secs(2));
