fix(leased): a cancel is acknowledged once it lasts

Cause: a DELETE that found a request of the job waiting at the VM was answered with 200 after a message to the scheduler, without a write to the store. Evidence, by the log lines of the commit before: evidence=pending-here status=200 beside cancel_not_passed_on reason=no-scheduler, at the moment of waking; no job_cancelled and no cancel_received in any log. Ruled out by them: a record that is cancelled and ignored, a message that is lost on a link or ignored.

Change: a durable job's cancel is acknowledged by its record, which is created as cancelled if a request waits here and none is stored yet. A best-effort job's cancel ends the wait of its callers here, is sent to all schedulers until they confirm, and is answered with 503 and Retry-After if they have not within 1 s; so is the 410 of an unknown job.

Why it works: nothing that is acknowledged rests on a message any more, and no other answer is given before all that could start the job have said that they won't.

Before: the tests of leased::tests::cancels failed on the code before (4 of 5: Open or no record, 200 or 410 without a scheduler's word).

--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -325,6 +325,62 @@
     #[prost(string, tag = "2")]
     pub cell: ::prost::alloc::string::String,
 }
+/// Confirms that the scheduler of a cell has processed a cancellation. Schedulers of entry VMs before this message send
+/// none.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CancelReply {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(string, tag = "2")]
+    pub cell: ::prost::alloc::string::String,
+    #[prost(enumeration = "cancel_reply::Found", tag = "3")]
+    pub found: i32,
+}
+/// Nested message and enum types in `CancelReply`.
+pub mod cancel_reply {
+    #[derive(
+        Clone,
+        Copy,
+        Debug,
+        PartialEq,
+        Eq,
+        Hash,
+        PartialOrd,
+        Ord,
+        ::prost::Enumeration
+    )]
+    #[repr(i32)]
+    pub enum Found {
+        /// The scheduler had no such job.
+        None = 0,
+        /// The job has ended; its runs are being stopped.
+        Ended = 1,
+        /// The job is durable, and its record is yet to be stored as cancelled.
+        Durable = 2,
+    }
+    impl Found {
+        /// String value of the enum field names used in the ProtoBuf definition.
+        ///
+        /// The values are not transformed in any way and thus are considered stable
+        /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+        pub fn as_str_name(&self) -> &'static str {
+            match self {
+                Self::None => "NONE",
+                Self::Ended => "ENDED",
+                Self::Durable => "DURABLE",
+            }
+        }
+        /// Creates an enum from field names used in the ProtoBuf definition.
+        pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+            match value {
+                "NONE" => Some(Self::None),
+                "ENDED" => Some(Self::Ended),
+                "DURABLE" => Some(Self::Durable),
+                _ => None,
+            }
+        }
+    }
+}
 /// Outcome of a job.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Answer {
@@ -432,7 +488,10 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "peer_message::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+    )]
     pub body: ::core::option::Option<peer_message::Body>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -461,5 +520,7 @@
         Losses(super::Losses),
         #[prost(message, tag = "11")]
         Confirm(super::Confirm),
+        #[prost(message, tag = "12")]
+        CancelReply(super::CancelReply),
     }
 }
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -16,11 +16,13 @@
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::job_record::State as StoredState;
 use geraniumrelay_wire::leased::{
-    Answer, Beat, CellBeat, ConfigurationPart, FetchConfiguration, JobRecord as StoredRecord,
-    LabelSpeed, Losses, LostRun as WireLostRun, QueueCount, Step, Submit, TaskLosses,
-    TaskProgress as StoredProgress,
+    Answer, Beat, CancelReply, CellBeat, ConfigurationPart, FetchConfiguration,
+    JobRecord as StoredRecord, LabelSpeed, Losses, LostRun as WireLostRun, QueueCount, Step,
+    Submit, TaskLosses, TaskProgress as StoredProgress, cancel_reply,
 };
 
+use super::cancellations::Confirmation;
+
 /// All refusal reasons, to look one up by its text.
 const REASONS: [RefusalReason; 7] = [
     RefusalReason::Overload,
@@ -419,3 +421,19 @@
 fn micros(d: Duration) -> u64 {
     u64::try_from(d.as_micros()).unwrap_or(u64::MAX)
 }
+
+pub(super) fn confirmation_to_wire(found: Confirmation) -> cancel_reply::Found {
+    match found {
+        Confirmation::NotFound | Confirmation::Missing => cancel_reply::Found::None,
+        Confirmation::Ended => cancel_reply::Found::Ended,
+        Confirmation::Durable => cancel_reply::Found::Durable,
+    }
+}
+
+pub(super) fn confirmation_from_wire(reply: &CancelReply) -> Confirmation {
+    match reply.found() {
+        cancel_reply::Found::None => Confirmation::NotFound,
+        cancel_reply::Found::Ended => Confirmation::Ended,
+        cancel_reply::Found::Durable => Confirmation::Durable,
+    }
+}
--- a/crates/geraniumrelay/src/leased/durable_jobs.rs
+++ b/crates/geraniumrelay/src/leased/durable_jobs.rs
@@ -200,17 +200,22 @@
         Ok(record.map(|(record, _)| record.state))
     }
 
-    /// Cancels a job; `false` where there is no record of it.
-    pub(super) async fn cancel(&self, id: JobId) -> Result<bool, StoreError> {
+    /// Cancels a job; `false` where there is no record of it. A job that waits here and may not be stored yet is
+    /// passed as `unstored`: its record is created as cancelled, so that no scheduler can store it as open.
+    pub(super) async fn cancel(
+        &self,
+        id: JobId,
+        unstored: Option<&JobRecord>,
+    ) -> Result<bool, StoreError> {
         let row = self.store.row(Table::DurableJobs, &id.to_string()).await?;
         let mut stored = row.as_ref().and_then(decode);
         for _ in 0..CANCEL_ATTEMPTS {
-            let Some((mut record, version)) = stored else {
-                return Ok(self.state(id).await?.is_some());
+            let (mut record, version) = match (stored, unstored) {
+                (Some((record, _)), _) if record.state != RecordState::Open => return Ok(true),
+                (Some(stored), _) => stored,
+                (None, Some(record)) => (record.clone(), 0),
+                (None, None) => return Ok(self.state(id).await?.is_some()),
             };
-            if record.state != RecordState::Open {
-                return Ok(true);
-            }
             record.state = RecordState::Cancelled;
             match self.store(&record, version, None).await {
                 RecordReply::Stored { version } => {
--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -10,7 +10,7 @@
     Command, EntryVm, FencingToken, JobId, JobOutcome, JobState, RefusalReason, Submission,
 };
 use geraniumrelay_wire::leased::peer_message::Body;
-use geraniumrelay_wire::leased::{Cancel, Submit, Withdraw};
+use geraniumrelay_wire::leased::{Submit, Withdraw};
 use log::{info, warn};
 
 use super::EventLoop;
@@ -193,29 +193,6 @@
         self.components.metrics.count_unsent_withdrawal(reason);
     }
 
-    /// Sends a cancellation to the schedulers of all cells, because the job may have been submitted
-    /// at another VM.
-    pub(super) fn cancel(&mut self, id: JobId) {
-        for name in self.cell_names() {
-            let current = self.cells.get(&name).and_then(|c| c.election.current());
-            match current {
-                Some((vm, _)) if vm == self.components.vm => {
-                    self.handle_command(&name, Command::Cancel { id });
-                }
-                Some((vm, _)) => {
-                    let cell = name.to_string();
-                    let message = links::frame(Body::Cancel(Cancel { id: id.0, cell }));
-                    let link = self.links.get(&vm);
-                    let is_sent = link.is_some_and(|link| link.send(message));
-                    info!(id:% = id, cell:% = name, to:% = vm, is_sent; "cancel_passed_on");
-                }
-                None => {
-                    info!(id:% = id, cell:% = name, reason = "no-scheduler"; "cancel_not_passed_on");
-                }
-            }
-        }
-    }
-
     /// Sends a message to another entry VM; dropped and logged where no link accepts it.
     pub(super) fn send(&self, to: EntryVm, body: Body) {
         let message = links::frame(body);
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop: owns the elections, the schedulers and the pending jobs of this process, and
 //! executes the effects of their decisions.
 
+mod cancellations;
 mod configuration;
 mod confirmations;
 mod connections;
@@ -39,6 +40,7 @@
 use self::heartbeat_clock::HeartbeatClock;
 use crate::leased::Routes;
 use crate::leased::archive::Archive;
+use crate::leased::cancellations::Cancellations;
 use crate::leased::cell::Cell;
 use crate::leased::convert;
 use crate::leased::decision_log;
@@ -106,6 +108,7 @@
     cells: BTreeMap<CellName, Cell>,
     directory: Directory,
     pending_jobs: PendingJobs,
+    cancellations: Cancellations,
     links: Map<EntryVm, Link>,
     link_load: TotalLoad,
     /// The last connection from each entry VM, while it is established.
@@ -147,6 +150,7 @@
             cells: BTreeMap::new(),
             directory,
             pending_jobs: PendingJobs::default(),
+            cancellations: Cancellations::default(),
             links: Map::default(),
             link_load: TotalLoad::default(),
             connections: Map::default(),
@@ -239,11 +243,14 @@
                 }
             }
             Input::Abandoned { id } => self.abandon(id),
-            Input::Cancel { id, reply } => {
-                let is_pending = self.pending_jobs.contains(id);
-                self.cancel(id);
+            Input::Cancel {
+                id,
+                reply,
+                confirmed,
+            } => {
                 // The send fails only where the requester has dropped its receiver.
-                let _ = reply.send(is_pending);
+                let _ = reply.send(self.cancel_waiting(id));
+                self.cancel(id, confirmed);
             }
             Input::StateOf { id, reply } => {
                 let _ = reply.send(self.state_of(id));
@@ -326,6 +333,7 @@
             self.answer(id, outcome);
         }
         self.send_unsent_jobs();
+        self.resend_cancellations(now);
         self.tick_configuration(now);
         self.set_readiness(now);
         self.propose_plan(now);
@@ -430,8 +438,12 @@
             Body::Confirm(confirm) => self.on_confirmation(from, confirm),
             Body::Cancel(cancel) => {
                 let (id, cell) = (JobId(cancel.id), CellName(cancel.cell.into()));
-                info!(id:% = id, cell:% = cell, from:% = from; "cancel_received");
-                self.handle_command(&cell, Command::Cancel { id });
+                self.on_cancel(id, &cell, from);
+            }
+            Body::CancelReply(reply) => {
+                let (id, cell) = (JobId(reply.id), CellName(reply.cell.as_str().into()));
+                let found = convert::confirmation_from_wire(&reply);
+                self.cancellations.confirm(id, &cell, found);
             }
             Body::Answer(answer) => {
                 let (id, outcome) = convert::answer_from_wire(&answer);
--- a/crates/geraniumrelay/src/leased/input.rs
+++ b/crates/geraniumrelay/src/leased/input.rs
@@ -13,6 +13,7 @@
 use log::warn;
 use tokio::sync::oneshot;
 
+use super::cancellations::{Confirmation, WaitingJob};
 use super::metrics::LeasedMetrics;
 
 /// Maximum number of queued inputs: some seconds of load on the busiest entry VM.
@@ -38,10 +39,11 @@
     },
     /// A caller closed its request before the answer.
     Abandoned { id: JobId },
-    /// A caller cancels a job; the reply says whether a caller at this VM waits for the job.
+    /// A caller cancels a job. The first reply is sent at once, the second when the schedulers have confirmed.
     Cancel {
         id: JobId,
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<WaitingJob>,
+        confirmed: oneshot::Sender<Confirmation>,
     },
     /// A caller asks for the state of a job; the reply is `None` where the job is unknown here.
     StateOf {
--- a/crates/geraniumrelay/src/leased/link_load.rs
+++ b/crates/geraniumrelay/src/leased/link_load.rs
@@ -35,6 +35,7 @@
         Body::Submit(_) => "submit",
         Body::Withdraw(_) => "withdraw",
         Body::Cancel(_) => "cancel",
+        Body::CancelReply(_) => "cancel-reply",
         Body::Answer(_) => "answer",
         Body::Configuration(_) => "configuration",
         Body::FetchConfiguration(_) => "fetch-configuration",
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -6,6 +6,7 @@
 
 mod archive;
 mod call_retry;
+mod cancellations;
 mod cell;
 mod convert;
 mod crossing_reason;
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -157,6 +157,11 @@
         self.jobs.contains_key(&id)
     }
 
+    /// A pending job as its caller has submitted it.
+    pub(super) fn spec_of(&self, id: JobId) -> Option<&JobSpec> {
+        self.jobs.get(&id).map(|j| &j.spec)
+    }
+
     /// Whether a job is pending that has no scheduler.
     pub(super) fn is_unsent(&self, id: JobId) -> bool {
         self.jobs.get(&id).is_some_and(|j| j.sent_to.is_none())
@@ -318,7 +323,7 @@
 
     /// Sends the outcome to all callers of a job, and removes the job.
     pub(super) fn answer(&mut self, id: JobId, outcome: JobOutcome) -> Option<AnsweredJob> {
-        if outcome == JobOutcome::TimedOut {
+        if matches!(outcome, JobOutcome::TimedOut | JobOutcome::Cancelled) {
             self.note_departure(id);
         }
         let job = self.jobs.remove(&id)?;
--- a/crates/geraniumrelay/src/leased/request_handler.rs
+++ b/crates/geraniumrelay/src/leased/request_handler.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use super::Routes;
+use super::cancellations::{Confirmation, WaitingJob};
 use super::durable_jobs::DurableJobStore;
 use super::input::{Input, InputTx};
 use super::metrics::LeasedMetrics;
@@ -201,27 +202,51 @@
         }
     }
 
+    /// Acknowledges a cancellation once it lasts: a durable job's record says so, or all schedulers that may have a
+    /// best-effort job have confirmed.
     async fn cancel(&self, id: JobId) -> HttpResponse {
-        let (reply, answer) = oneshot::channel();
-        self.tx.try_send(Input::Cancel { id, reply });
-        if answer.await.unwrap_or(false) {
-            info!(id:% = id, evidence = "pending-here", status = 200; "cancel_answered");
-            return status_response(StatusCode::OK);
+        let (evidence, status) = self.cancel_with_evidence(id).await;
+        info!(id:% = id, evidence, status = status.as_u16(); "cancel_answered");
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            refusal_response(status, RETRY_UNAVAILABLE)
+        } else {
+            status_response(status)
         }
-        match self.durable_jobs.cancel(id).await {
-            Ok(true) => {
-                info!(id:% = id, evidence = "record", status = 200; "cancel_answered");
-                status_response(StatusCode::OK)
-            }
-            Ok(false) => {
-                info!(id:% = id, evidence = "no-record", status = 410; "cancel_answered");
-                status_response(StatusCode::GONE)
-            }
-            Err(e) => {
-                info!(id:% = id, reason:% = e; "cancel_unknown");
-                refusal_response(StatusCode::SERVICE_UNAVAILABLE, RETRY_UNAVAILABLE)
+    }
+
+    async fn cancel_with_evidence(&self, id: JobId) -> (&'static str, StatusCode) {
+        let (reply, waiting) = oneshot::channel();
+        let (confirmed, confirmation) = oneshot::channel();
+        self.tx.try_send(Input::Cancel {
+            id,
+            reply,
+            confirmed,
+        });
+        let Ok(waiting) = waiting.await else {
+            return ("queue-full", StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let is_best_effort = matches!(waiting, WaitingJob::BestEffort);
+        if !is_best_effort {
+            let unstored = match &waiting {
+                WaitingJob::Durable(record) => Some(&**record),
+                _ => None,
+            };
+            match self.durable_jobs.cancel(id, unstored).await {
+                Ok(true) => return ("record", StatusCode::OK),
+                Ok(false) => {}
+                Err(e) => {
+                    info!(id:% = id, reason:% = e; "cancel_unknown");
+                    return ("store-failed", StatusCode::SERVICE_UNAVAILABLE);
+                }
             }
         }
+        match confirmation.await.unwrap_or(Confirmation::Missing) {
+            Confirmation::Ended => ("scheduler", StatusCode::OK),
+            Confirmation::NotFound if is_best_effort => ("waited-here", StatusCode::OK),
+            Confirmation::NotFound => ("not-found", StatusCode::GONE),
+            Confirmation::Durable => ("not-stored-yet", StatusCode::SERVICE_UNAVAILABLE),
+            Confirmation::Missing => ("not-confirmed", StatusCode::SERVICE_UNAVAILABLE),
+        }
     }
 
     async fn pending(&self, route: &Route) -> HttpResponse {
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod archive;
 mod call_retry;
+mod cancels;
 mod cell;
 mod convert;
 mod directory;
--- a/crates/geraniumrelay/src/leased/tests/withdrawals.rs
+++ b/crates/geraniumrelay/src/leased/tests/withdrawals.rs
@@ -39,7 +39,7 @@
 const SCHEDULER_LOST: Duration = Duration::from_millis(500);
 
 /// Time in which a VM that sends heartbeats notices that a connection has been closed.
-const LINK_LOST: Duration = Duration::from_millis(500);
+pub(super) const LINK_LOST: Duration = Duration::from_millis(500);
 
 /// Time in which a scheduler that can be reached must learn of a withdrawal; callers send their jobs again
 /// after 1.3 s.
@@ -149,25 +149,31 @@
     }
 
     /// Closes the connection from the event loop, and accepts no other.
-    async fn close_link(&mut self) {
+    pub(super) async fn close_link(&mut self) {
         let listening = self.listening.take().unwrap();
         listening.abort();
         assert!(listening.await.unwrap_err().is_cancelled());
     }
 
     /// Accepts connections again.
-    async fn open_link(&mut self) {
+    pub(super) async fn open_link(&mut self) {
         let listener = TcpListener::bind(self.address).await.unwrap();
         self.listen(listener);
     }
 
+    /// Submits a best-effort job.
     pub(super) async fn submit(&mut self, id: u64) {
-        let (reply, answer) = oneshot::channel();
         let spec = JobSpec {
             is_durable: false,
             payload: "".into(),
             ..spec(id)
         };
+        self.submit_spec(spec).await;
+    }
+
+    pub(super) async fn submit_spec(&mut self, spec: JobSpec) {
+        let (reply, answer) = oneshot::channel();
+        let id = spec.id.0;
         let max_wait = Duration::from_secs(30);
         let job = Input::Job {
             spec,
@@ -399,12 +405,21 @@
     routes
 }
 
-/// Starts the server of an event loop's callers.
+/// Starts the server of an event loop's callers, without a store.
 pub(super) async fn serve_callers(peer: &Peer) -> (SocketAddr, Server) {
+    let free = free_address().await;
+    serve_callers_with(peer, free).await
+}
+
+async fn free_address() -> SocketAddr {
     let free = TcpListener::bind((OWN.0, 0)).await.unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
-    let store = StoreClient::new(Rc::new(HttpClient::new()), address);
+    free.local_addr().unwrap()
+}
+
+/// Starts the server of an event loop's callers, with the store at `store`.
+pub(super) async fn serve_callers_with(peer: &Peer, store: SocketAddr) -> (SocketAddr, Server) {
+    let address = free_address().await;
+    let store = StoreClient::new(Rc::new(HttpClient::new()), store);
     let handler = RequestHandler::new(
         DurableJobStore::start(store),
         routes(),
