--- a/crates/geraniumrelay/tests/leased_soak/fleet.rs
+++ b/crates/geraniumrelay/tests/leased_soak/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -82,6 +82,16 @@
 
 impl Fleet {
     pub(crate) async fn start(options: FleetOptions, platform: &Platform, seed: u64) -> Self {
+        Self::start_with(options, platform, seed, &json!({})).await
+    }
+
+    /// Starts processes with these settings beside the usual ones.
+    pub(crate) async fn start_with(
+        options: FleetOptions,
+        platform: &Platform,
+        seed: u64,
+        further_settings: &Value,
+    ) -> Self {
         let pid = std::process::id();
         let name = options.name;
         let dir = std::env::temp_dir().join(format!("geraniumrelay-soak-{name}-{pid}-{seed}"));
@@ -99,13 +109,17 @@
                 Proxy::start_between_vms(at, to)
             });
             let settings = dir.join(format!("vm-{number}.json"));
-            let text = json!({"vm": format!("vm-{number}"), "data_centre": data_centre,
+            let mut text = json!({"vm": format!("vm-{number}"), "data_centre": data_centre,
                 "address": address, "listen": format!("{address}:{FRONT_PORT}"),
                 "readiness_listen": format!("{address}:{READINESS_PORT}"),
                 "peer_ports": [FIRST_PEER_PORT, FIRST_PEER_PORT + 5], "cores": 0.25,
                 "is_first_start": false, "store": store.address, "max_row_bytes": options.max_row_bytes,
                 "stop_grace_s": STOP_GRACE.as_secs_f64(),
                 "max_lease_ms": 1000, "resend_ms": 1300});
+            let further = further_settings.as_object().cloned();
+            text.as_object_mut()
+                .unwrap()
+                .extend(further.unwrap_or_default());
             std::fs::write(&settings, text.to_string()).unwrap();
             let log = dir.join(format!("vm-{number}.log"));
             platform
@@ -152,6 +166,12 @@
         proxy.expect("a fleet with peer proxies")
     }
 
+    /// Id of a VM's present process.
+    #[allow(dead_code, reason = "not used by every test program")]
+    pub(crate) fn process_id(&self, vm: usize) -> u32 {
+        self.vms[vm].child.id()
+    }
+
     /// Sets the mode of all links into a VM, from the store and from the other VMs.
     pub(crate) fn set_links(&self, vm: usize, mode: Mode) {
         self.store_proxy(vm).set(mode);
