fix: clients' connections hold a bounded part of the machine together

Callers and operators saw: clients within the limits of a single request filled the memory of a process until it was ended.

Cause: bodies, heads, waiting jobs, unread answers and connections had limits for each request, and none, or one that does not know the machine, for their sum. A body was kept as a list of chunks, each of which kept the buffer that it came in.

Change: the module intake accounts for what clients' connections hold, before they hold it, within a quarter of the machine's memory (at most 64 MiB) and half of the descriptors. Beyond that the connection that holds most for longest is closed, or gets 503 before its job is handed in. A body has one buffer, sized by what has arrived. Queries and cancels of callers read the store 32 at a time, as each takes a connection.

Why it works: nothing that a client sends is kept that is not accounted for, whatever its form, and ordinary requests, which hold little for a short time, are never the first to make room.

--- a/crates/geraniumrelay-core/src/leased/spec.rs
+++ b/crates/geraniumrelay-core/src/leased/spec.rs
@@ -119,6 +119,16 @@
 }
 
 impl JobSpec {
+    /// Memory of the job beside the value itself, in bytes; an estimate.
+    pub fn heap_bytes(&self) -> usize {
+        let step_bytes = |step: &StepSpec| {
+            let labels = [&step.required_label, &step.preferred_rack];
+            let labels = labels.into_iter().flatten().map(|l| l.len());
+            size_of::<StepSpec>() + step.after.len() * size_of::<u16>() + labels.sum::<usize>()
+        };
+        self.payload.len() + self.steps.iter().map(step_bytes).sum::<usize>()
+    }
+
     /// Names of all tasks, ordered by step and index.
     pub fn task_names(&self) -> impl Iterator<Item = TaskName> {
         let steps = (0..).zip(&self.steps);
--- a/crates/geraniumrelay/src/http/jobs.rs
+++ b/crates/geraniumrelay/src/http/jobs.rs
@@ -8,11 +8,11 @@
     Clock, JobSpec, Origin, Query, Reason, Rejection, Reply, Ticket, Verdict,
 };
 use geraniumrelay_wire::{JobAnswer, JobRequest, Tickets};
-use hyper::body::Incoming;
 use hyper::{StatusCode, Uri};
 use tokio::time::timeout;
 
 use crate::convert;
+use crate::http::body::UnreadBody;
 use crate::http::params::{InvalidParam, parse_param};
 use crate::http::problem;
 use crate::http::response::{self, Response};
@@ -60,7 +60,7 @@
         &self,
         ticket: &str,
         team: Option<TeamName>,
-        body: Incoming,
+        body: UnreadBody<'_>,
     ) -> Response {
         let Ok(ticket) = ticket.parse() else {
             return invalid_ticket();
@@ -83,9 +83,9 @@
     pub(super) async fn read_job(
         &self,
         team: Option<TeamName>,
-        body: Incoming,
+        body: UnreadBody<'_>,
     ) -> Result<(u128, JobSpec), Response> {
-        let job = self.body_reader.read_json::<JobRequest>(body).await;
+        let job = body.read_json::<JobRequest>(self.body_limits).await;
         let mut job = job.map_err(problem::from_body_error)?;
         assign_team(&mut job, team).map_err(|refusal| *refusal)?;
         let digest = convert::body_digest(&job);
--- a/crates/geraniumrelay/src/http/keys.rs
+++ b/crates/geraniumrelay/src/http/keys.rs
@@ -7,9 +7,9 @@
 use geraniumrelay_platform::{KeyOutcome, RequestedBinding, key_row};
 use geraniumrelay_wire::KeyBinding;
 use hyper::HeaderMap;
-use hyper::body::Incoming;
 
 use crate::convert;
+use crate::http::body::UnreadBody;
 use crate::http::problem;
 use crate::http::response::Response;
 use crate::http::server::CallerApi;
@@ -31,7 +31,7 @@
         &self,
         headers: &HeaderMap,
         team: Option<TeamName>,
-        body: Incoming,
+        body: UnreadBody<'_>,
     ) -> Response {
         let Some(key) = idempotency_key(headers) else {
             return invalid_key();
--- a/crates/geraniumrelay/src/http/listener.rs
+++ b/crates/geraniumrelay/src/http/listener.rs
@@ -1,8 +1,9 @@
 //! Callers' connections: accepts and serves them, and closes them without aborting requests.
 
+use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,23 +15,24 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::warn;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::sync::watch;
+use tokio::task::{JoinSet, LocalSet};
 
 use crate::http::server::CallerApi;
+use crate::intake::{ClientStream, Connection, Intake, IntakeLimits, answer_bytes};
 
 /// Maximum number of connections that wait to be accepted; sized for bursts at opening hour.
 const LISTEN_BACKLOG: u32 = 4_096;
 
-/// Maximum number of open connections; further ones wait in the backlog.
-const MAX_CONNECTIONS: u32 = 16_384;
-
 /// Maximum size of a request's head, and of the buffer of each connection.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// Maximum number of header lines of a request.
 const MAX_HEADERS: usize = 64;
 
+/// Time for the refusal of a request whose connection is closed to make room.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -52,6 +54,7 @@
     pub fn start<C: Clock + 'static>(
         listen: SocketAddr,
         api: CallerApi<C>,
+        limits: IntakeLimits,
     ) -> anyhow::Result<Self> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -63,7 +66,8 @@
         let (close, close_rx) = watch::channel(false);
         let (closed_tx, closed) = flume::bounded(1);
         let run = move || {
-            let acceptor = Acceptor::new(Rc::new(api), close_rx);
+            let intake = Intake::new(limits, api.metrics.intake());
+            let acceptor = Acceptor::new(Rc::new(api), close_rx, intake);
             LocalSet::new().block_on(&runtime, acceptor.run(listener, closed_tx));
         };
         thread::Builder::new()
@@ -95,16 +99,17 @@
 struct Acceptor<C> {
     api: Rc<CallerApi<C>>,
     close: watch::Receiver<bool>,
-    permits: Arc<Semaphore>,
+    intake: Intake,
+    connections: RefCell<JoinSet<()>>,
 }
 
 impl<C: Clock + 'static> Acceptor<C> {
-    fn new(api: Rc<CallerApi<C>>, close: watch::Receiver<bool>) -> Self {
-        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
+    fn new(api: Rc<CallerApi<C>>, close: watch::Receiver<bool>, intake: Intake) -> Self {
         Self {
             api,
             close,
-            permits,
+            intake,
+            connections: RefCell::default(),
         }
     }
 
@@ -117,16 +122,20 @@
         // Connections from the backlog are still served; each closes after one response.
         let _ = tokio::time::timeout(FINAL_ACCEPT_TIME, self.accept_all(&listener)).await;
         drop(listener);
-        // Each open connection holds a permit, so all are free once every connection has ended.
-        let _ = self.permits.acquire_many(MAX_CONNECTIONS).await;
+        let mut connections = self.connections.into_inner();
+        while connections.join_next().await.is_some() {}
         // The send fails only if the `HttpServer` is already dropped, when nothing waits.
         let _ = closed.send(());
     }
 
     async fn accept_all(&self, listener: &TcpListener) {
-        while let Ok(permit) = Arc::clone(&self.permits).acquire_owned().await {
+        loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.spawn(stream, permit),
+                Ok((stream, _)) => {
+                    if let Some(connection) = self.intake.admit().await {
+                        self.spawn(stream, connection);
+                    }
+                }
                 Err(e) => {
                     warn!(error = e.to_string().as_str(); "accept_failed");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -135,31 +144,57 @@
         }
     }
 
-    fn spawn(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    fn spawn(&self, stream: TcpStream, connection: Connection) {
         let (api, close) = (Rc::clone(&self.api), self.close.clone());
-        spawn_local(async move {
-            serve(stream, &api, close).await;
-            drop(permit);
-        });
+        let mut connections = self.connections.borrow_mut();
+        while connections.try_join_next().is_some() {}
+        connections.spawn_local(async move { serve(stream, connection, &api, close).await });
     }
 }
 
-async fn serve<C: Clock>(stream: TcpStream, api: &CallerApi<C>, mut close: watch::Receiver<bool>) {
+async fn serve<C: Clock>(
+    stream: TcpStream,
+    connection: Connection,
+    api: &CallerApi<C>,
+    mut close: watch::Receiver<bool>,
+) {
     // Nagle's algorithm would delay small responses until the caller acknowledges earlier data.
     let _ = stream.set_nodelay(true);
-    let connection = http1::Builder::new()
+    let connection = Rc::new(connection);
+    let (stream, head) = ClientStream::new(stream, Rc::clone(&connection));
+    let service = service_fn(|req| {
+        let (connection, head) = (&connection, &head);
+        async move {
+            head.end();
+            connection.begin_request();
+            let res = api.serve(req, connection).await;
+            connection.end_request(answer_bytes(&res));
+            head.begin_next();
+            Ok::<_, Infallible>(res)
+        }
+    });
+    let http = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(api.head_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service_fn(|req| api.serve(req)));
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(TokioIo::new(stream), service);
+    let mut http = std::pin::pin!(http);
     // A connection error affects only its caller, so it is ignored.
     tokio::select! {
-        _ = connection.as_mut() => {}
+        _ = http.as_mut() => return,
+        () = connection.evicted() => {}
         _ = close.wait_for(|is_closing| *is_closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            http.as_mut().graceful_shutdown();
+            tokio::select! {
+                _ = http.as_mut() => return,
+                () = connection.evicted() => {}
+            }
         }
     }
+    if head.is_in_request() {
+        // The request is being refused.
+        http.as_mut().graceful_shutdown();
+        let _ = tokio::time::timeout(REFUSAL_TIME, http).await;
+    }
 }
--- a/crates/geraniumrelay/src/http/mod.rs
+++ b/crates/geraniumrelay/src/http/mod.rs
@@ -13,6 +13,6 @@
 mod server;
 mod teams;
 
-pub use body::BodyReader;
+pub use body::BodyLimits;
 pub use listener::HttpServer;
 pub use server::CallerApi;
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -1,6 +1,5 @@
 //! Routes of the HTTP server for callers.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,9 +11,10 @@
 use hyper::{Method, Request, StatusCode};
 
 use crate::credentials::Credentials;
-use crate::http::body::BodyReader;
+use crate::http::body::{BodyLimits, UnreadBody};
 use crate::http::problem;
 use crate::http::response::{self, Response};
+use crate::intake::{Connection, Work};
 use crate::journal_reader::JournalReaderTx;
 use crate::key_binder::KeyBinderTx;
 use crate::metrics::Metrics;
@@ -40,8 +40,8 @@
     pub journal: JournalReaderTx,
     /// Time from the issue of a ticket within which its first submission is accepted.
     pub ticket_ttl: Duration,
-    /// Reads request bodies within limits of size, time and memory.
-    pub body_reader: BodyReader,
+    /// Limits of request bodies.
+    pub body_limits: BodyLimits,
     /// Maximum time for the head of a request to arrive, and for a connection to stay idle.
     pub head_timeout: Duration,
     /// Metrics of this process, exported at `/metrics`.
@@ -51,8 +51,14 @@
 }
 
 impl<C: Clock> CallerApi<C> {
-    async fn route(&self, req: Request<Incoming>) -> Response {
+    async fn route(&self, req: Request<Incoming>, connection: &Connection) -> Response {
         let (head, body) = req.into_parts();
+        match head.method {
+            Method::GET => connection.begin_answer(Work::Query),
+            Method::PUT | Method::POST => {}
+            _ => connection.begin_answer(Work::Command),
+        }
+        let body = UnreadBody { body, connection };
         let path = head.uri.path();
         let team = match self.authenticate(&head.headers) {
             Ok(team) => team,
@@ -103,13 +109,13 @@
     }
 
     /// Routes one request; closes the connection after the response while this VM stops.
-    pub(super) async fn serve(&self, req: Request<Incoming>) -> Result<Response, Infallible> {
-        let mut res = self.route(req).await;
-        if self.is_stopping.load(Ordering::SeqCst) {
+    pub(super) async fn serve(&self, req: Request<Incoming>, connection: &Connection) -> Response {
+        let mut res = self.route(req, connection).await;
+        if self.is_stopping.load(Ordering::SeqCst) || connection.is_evicted() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
-        Ok(res)
+        res
     }
 }
 
--- a/crates/geraniumrelay/src/leased/durable_jobs.rs
+++ b/crates/geraniumrelay/src/leased/durable_jobs.rs
@@ -1,5 +1,7 @@
 //! Records of durable jobs in the platform's store, written in batched conditional transactions.
 
+use std::sync::Arc;
+
 use geraniumrelay_adapter::{
     Change as Row, ExpectedRow, RowChange, StoreClient, StoreError, Table, WriteOutcome,
 };
@@ -10,7 +12,7 @@
 use geraniumrelay_wire::leased::JobRecord as StoredRecord;
 use log::{info, warn};
 use prost::Message as _;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::task::spawn_local;
 
 use super::convert;
@@ -25,6 +27,9 @@
 /// encoding adds a third.
 const BATCH_BYTES: usize = 512 * 1024;
 
+/// Maximum number of callers' requests that read the store at a time, each on a connection of its own; the others wait.
+const MAX_CALLER_READS: usize = 32;
+
 /// Maximum number of queued changes; each scheduler has at most one change of a job in progress.
 const QUEUE_CAPACITY: usize = 4_096;
 
@@ -52,13 +57,18 @@
 pub(super) struct DurableJobStore {
     store: StoreClient,
     tx: flume::Sender<RecordChange>,
+    caller_reads: Arc<Semaphore>,
 }
 
 impl DurableJobStore {
     /// Starts the writer task: changes queued during one transaction are written by the next.
     pub(super) fn start(store: StoreClient) -> Self {
         let (tx, rx) = flume::bounded(QUEUE_CAPACITY);
-        let durable_jobs = Self { store, tx };
+        let durable_jobs = Self {
+            store,
+            tx,
+            caller_reads: Arc::new(Semaphore::new(MAX_CALLER_READS)),
+        };
         let writer = durable_jobs.clone();
         spawn_local(async move {
             while let Ok(first) = rx.recv_async().await {
@@ -191,6 +201,12 @@
 
     /// State of a job; `None` where the job was never accepted, or its record has expired.
     pub(super) async fn state(&self, id: JobId) -> Result<Option<RecordState>, StoreError> {
+        // The semaphore is never closed.
+        let _permit = self.caller_reads.acquire().await;
+        self.read_state(id).await
+    }
+
+    async fn read_state(&self, id: JobId) -> Result<Option<RecordState>, StoreError> {
         let key = id.to_string();
         let mut row = self.store.row(Table::DurableJobs, &key).await?;
         if row.is_none() {
@@ -207,6 +223,7 @@
         id: JobId,
         unstored: Option<&JobRecord>,
     ) -> Result<bool, StoreError> {
+        let _permit = self.caller_reads.acquire().await;
         let row = self.store.row(Table::DurableJobs, &id.to_string()).await?;
         let mut stored = row.as_ref().map(readable).transpose()?;
         for _ in 0..CANCEL_ATTEMPTS {
@@ -214,7 +231,7 @@
                 (Some((record, _)), _) if record.state != RecordState::Open => return Ok(true),
                 (Some(stored), _) => stored,
                 (None, Some(record)) => (record.clone(), 0),
-                (None, None) => return Ok(self.state(id).await?.is_some()),
+                (None, None) => return Ok(self.read_state(id).await?.is_some()),
             };
             record.state = RecordState::Cancelled;
             match self.store(&record, version, None).await {
--- a/crates/geraniumrelay/src/leased/metrics.rs
+++ b/crates/geraniumrelay/src/leased/metrics.rs
@@ -23,6 +23,7 @@
 use super::decision_metrics::DecisionMetrics;
 use super::run_metrics::RunMetrics;
 use super::server;
+use crate::intake::IntakeMetrics;
 
 /// Port of the metrics endpoint; the same as in `deploy/system.toml`.
 const PORT: u16 = 9464;
@@ -71,6 +72,7 @@
     link_queued: IntGauge,
     link_dropped: IntCounter,
     resident: IntGauge,
+    intake: IntakeMetrics,
 }
 
 impl LeasedMetrics {
@@ -136,6 +138,7 @@
                 "Messages refused as the queue of a link was full",
             )?,
             resident: gauge("resident_bytes", "Resident memory; 0 if unknown")?,
+            intake: IntakeMetrics::new(&registry, "")?,
             requests: counters("requests_total", "Jobs by outcome", "outcome")?,
             starts: counters("starts_total", "Orders to start by reply", "reply")?,
             polls: counters("looks_total", "Looks at workers by reply", "reply")?,
@@ -164,6 +167,11 @@
         })
     }
 
+    /// Metrics of what clients' connections hold.
+    pub(super) fn intake(&self) -> IntakeMetrics {
+        self.intake.clone()
+    }
+
     pub(super) fn count_request(&self, outcome: &str) {
         self.requests.with_label_values(&[outcome]).inc();
     }
--- a/crates/geraniumrelay/src/leased/mod.rs
+++ b/crates/geraniumrelay/src/leased/mod.rs
@@ -54,6 +54,8 @@
 use request_handler::RequestHandler;
 use worker_calls::WorkerCalls;
 
+use crate::intake::{Intake, IntakeLimits};
+
 /// Largest part of the grace period, from the stop signal until the process is killed, that a stop
 /// uses.
 const STOP_GRACE_SHARE: f64 = 0.85;
@@ -127,7 +129,9 @@
         tx.clone(),
         Arc::clone(&metrics),
     ));
-    let server = server::Server::start(settings.listen, &handler).context("listen")?;
+    let limits = IntakeLimits::new(settings.client_memory_mb, settings.max_connections);
+    let intake = Intake::new(limits, metrics.intake());
+    let server = server::Server::start(settings.listen, &handler, intake).context("listen")?;
     readiness::start(settings.readiness_listen, Rc::clone(&readiness))
         .context("readiness_listen")?;
     metrics::start(settings.address, Arc::clone(&metrics)).context("metrics")?;
--- a/crates/geraniumrelay/src/leased/request_handler.rs
+++ b/crates/geraniumrelay/src/leased/request_handler.rs
@@ -1,6 +1,5 @@
 //! HTTP API for callers: submits, queries and cancels jobs.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,11 +8,11 @@
 use geraniumrelay_adapter::ingress::{self, JobError, MAX_WAIT_HEADER};
 use geraniumrelay_core::leased::routes::Route;
 use geraniumrelay_core::leased::{JobId, JobOutcome, JobState, RecordState, RefusalReason};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use log::info;
+use log::{debug, info};
 use tokio::sync::oneshot;
 
 use super::Routes;
@@ -22,6 +21,7 @@
 use super::input::{Input, InputTx};
 use super::metrics::LeasedMetrics;
 use super::readiness::Readiness;
+use crate::intake::{BodyError, Connection, Work, read_body};
 
 /// Maximum wait of a caller that sends none, on a route without a time-out.
 const DEFAULT_MAX_WAIT: Duration = Duration::from_secs(30);
@@ -87,16 +87,20 @@
     }
 
     /// Handles one request; closes the connection after the response if the caller should connect to another VM.
-    pub(super) async fn serve(&self, req: Request<Incoming>) -> Result<HttpResponse, Infallible> {
-        let mut res = self.route(req).await;
-        if self.readiness.closes_connections() {
+    pub(super) async fn serve(
+        &self,
+        req: Request<Incoming>,
+        connection: &Connection,
+    ) -> HttpResponse {
+        let mut res = self.route(req, connection).await;
+        if self.readiness.closes_connections() || connection.is_evicted() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
-        Ok(res)
+        res
     }
 
-    async fn route(&self, req: Request<Incoming>) -> HttpResponse {
+    async fn route(&self, req: Request<Incoming>, connection: &Connection) -> HttpResponse {
         let arrived = Instant::now();
         let (head, body) = req.into_parts();
         let host = head
@@ -112,6 +116,11 @@
         let Some((route, rest)) = routes.find(&host.unwrap_or_default(), path) else {
             return status_response(StatusCode::NOT_FOUND);
         };
+        match head.method {
+            Method::GET => connection.begin_answer(Work::Query),
+            Method::POST => {}
+            _ => connection.begin_answer(Work::Command),
+        }
         if rest.is_empty() && head.method == Method::GET {
             return self.pending(route).await;
         }
@@ -120,15 +129,14 @@
         };
         match head.method {
             Method::POST => {
-                let body = Limited::new(body, routes.limits.max_body).collect();
-                let Ok(body) = tokio::time::timeout(BODY_TIMEOUT, body).await else {
-                    return status_response(StatusCode::REQUEST_TIMEOUT);
-                };
-                let Ok(body) = body else {
-                    return status_response(StatusCode::PAYLOAD_TOO_LARGE);
+                let max_body = routes.limits.max_body;
+                let body = match read_body(body, max_body, BODY_TIMEOUT, connection).await {
+                    Ok(body) => body,
+                    Err(e) => return self.refuse_body(id, e),
                 };
+                connection.begin_answer(Work::Command);
                 let max_wait = max_wait(&head.headers, route);
-                self.submit(id, route, &body.to_bytes(), arrived, max_wait)
+                self.submit((id, route), (body, connection), arrived, max_wait)
                     .await
             }
             Method::GET => self.state(id).await,
@@ -137,15 +145,29 @@
         }
     }
 
+    fn refuse_body(&self, id: JobId, e: BodyError) -> HttpResponse {
+        match e {
+            BodyError::TooLarge => status_response(StatusCode::PAYLOAD_TOO_LARGE),
+            BodyError::Truncated => status_response(StatusCode::BAD_REQUEST),
+            BodyError::TimedOut => status_response(StatusCode::REQUEST_TIMEOUT),
+            BodyError::NoMemory => self.refuse_without_memory(id),
+        }
+    }
+
+    fn refuse_without_memory(&self, id: JobId) -> HttpResponse {
+        debug!(id:% = id, reason = "no memory"; "job_rejected");
+        self.metrics.count_request("refused-no-memory");
+        refusal_response(StatusCode::SERVICE_UNAVAILABLE, RETRY_UNAVAILABLE)
+    }
+
     async fn submit(
         &self,
-        id: JobId,
-        route: &Route,
-        body: &[u8],
+        (id, route): (JobId, &Route),
+        (body, connection): (Vec<u8>, &Connection),
         arrived: Instant,
         max_wait: Duration,
     ) -> HttpResponse {
-        let spec = match ingress::job(id, route, body) {
+        let spec = match ingress::job(id, route, &body) {
             Ok(spec) => spec,
             Err(e) => {
                 info!(id:% = id, queue = &*route.name, reason = e.to_string().as_str(); "job_rejected");
@@ -158,6 +180,12 @@
                 };
             }
         };
+        // The body is free from here on, and the connection accounts for the job instead.
+        let further = spec.heap_bytes().saturating_sub(body.capacity());
+        drop(body);
+        if connection.hold(further).await.is_err() {
+            return self.refuse_without_memory(id);
+        }
         // What can't end before this process is refused, and what does not end in time is answered.
         let time_left = self.readiness.time_left(arrived);
         let time_left = time_left.map(|left| left.saturating_sub(STOP_ANSWER_MARGIN));
--- a/crates/geraniumrelay/src/leased/server.rs
+++ b/crates/geraniumrelay/src/leased/server.rs
@@ -1,6 +1,7 @@
 //! HTTP server for callers.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,9 +13,10 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, spawn_local};
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use super::request_handler::RequestHandler;
+use crate::intake::{ClientStream, Connection, Intake, answer_bytes};
 
 /// Length of the listen backlog, in connections: a burst of new callers of one entry VM.
 const BACKLOG: u32 = 1_024;
@@ -26,6 +28,9 @@
 /// connection.
 const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time for the refusal of a request whose connection is closed to make room.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// Largest head of a request.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -63,10 +68,11 @@
 }
 
 impl Server {
-    /// Binds `address` and serves connections until [`Server::close`].
+    /// Binds `address` and serves the connections that `intake` admits until [`Server::close`].
     pub(super) fn start(
         address: SocketAddr,
         handler: &Rc<RequestHandler>,
+        intake: Intake,
     ) -> std::io::Result<Self> {
         let listener = bind(address)?;
         let (close, closing) = watch::channel(false);
@@ -74,9 +80,13 @@
         let (set, handler) = (Rc::clone(&connections), Rc::clone(handler));
         spawn_local(async move {
             while let Some(stream) = accept(&listener).await {
+                let Some(connection) = intake.admit().await else {
+                    continue;
+                };
                 let mut set = set.borrow_mut();
                 while set.try_join_next().is_some() {}
-                set.spawn_local(serve(stream, Rc::clone(&handler), closing.clone()));
+                let handler = Rc::clone(&handler);
+                set.spawn_local(serve(stream, connection, handler, closing.clone()));
             }
         });
         Ok(Self { close, connections })
@@ -101,19 +111,46 @@
     }
 }
 
-async fn serve(stream: TcpStream, handler: Rc<RequestHandler>, mut closing: watch::Receiver<bool>) {
-    let connection = http1::Builder::new()
+async fn serve(
+    stream: TcpStream,
+    connection: Connection,
+    handler: Rc<RequestHandler>,
+    mut closing: watch::Receiver<bool>,
+) {
+    let connection = Rc::new(connection);
+    let (stream, head) = ClientStream::new(stream, Rc::clone(&connection));
+    let service = service_fn(|req| {
+        let (handler, connection, head) = (&handler, &connection, &head);
+        async move {
+            head.end();
+            connection.begin_request();
+            let res = handler.serve(req, connection).await;
+            connection.end_request(answer_bytes(&res));
+            head.begin_next();
+            Ok::<_, Infallible>(res)
+        }
+    });
+    let http = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service_fn(|req| handler.serve(req)));
-    let mut connection = std::pin::pin!(connection);
+        .serve_connection(TokioIo::new(stream), service);
+    let mut http = std::pin::pin!(http);
     // An error of a connection affects only its caller.
     tokio::select! {
-        _ = connection.as_mut() => {}
+        _ = http.as_mut() => return,
+        () = connection.evicted() => {}
         _ = closing.wait_for(|is_closing| *is_closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            http.as_mut().graceful_shutdown();
+            tokio::select! {
+                _ = http.as_mut() => return,
+                () = connection.evicted() => {}
+            }
         }
     }
+    if head.is_in_request() {
+        // The request is being refused.
+        http.as_mut().graceful_shutdown();
+        let _ = timeout(REFUSAL_TIME, http).await;
+    }
 }
--- a/crates/geraniumrelay/src/leased/tests/withdrawals.rs
+++ b/crates/geraniumrelay/src/leased/tests/withdrawals.rs
@@ -28,6 +28,7 @@
     start_store,
 };
 use super::{MS, block_on, spec};
+use crate::intake::{Intake, IntakeLimits};
 use crate::leased::Routes;
 use crate::leased::durable_jobs::DurableJobStore;
 use crate::leased::input::{Input, InputTx};
@@ -427,7 +428,9 @@
         peer.tx.clone(),
         Arc::clone(peer.tx.metrics()),
     );
-    let server = Server::start(address, &Rc::new(handler)).unwrap();
+    let limits = IntakeLimits::new(None, None);
+    let intake = Intake::new(limits, peer.tx.metrics().intake());
+    let server = Server::start(address, &Rc::new(handler), intake).unwrap();
     (address, server)
 }
 
--- a/crates/geraniumrelay/src/lib.rs
+++ b/crates/geraniumrelay/src/lib.rs
@@ -18,6 +18,7 @@
 mod durable_metrics;
 mod handover_wire;
 mod http;
+mod intake;
 mod journal;
 mod journal_reader;
 mod key_binder;
--- a/crates/geraniumrelay/src/metrics.rs
+++ b/crates/geraniumrelay/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
 use crate::durable_metrics::DurableMetrics;
+use crate::intake::IntakeMetrics;
 use crate::load_metrics::LoadMetrics;
 use crate::peer_metrics::PeerMetrics;
 use crate::registrar::Registrar;
@@ -34,9 +35,15 @@
     /// Metrics of the reads and writes of rows in the platform's table.
     pub durable: DurableMetrics,
     certificate_expiry: IntGauge,
+    intake: IntakeMetrics,
 }
 
 impl Metrics {
+    /// Metrics of what callers' connections hold.
+    pub(crate) fn intake(&self) -> IntakeMetrics {
+        self.intake.clone()
+    }
+
     /// Registers all metrics.
     ///
     /// # Errors
@@ -45,6 +52,7 @@
         let registry = Registry::new();
         let registrar = Registrar::new(&registry);
         Ok(Self {
+            intake: IntakeMetrics::new(&registry, "geraniumrelay_")?,
             load: LoadMetrics::new(registrar)?,
             task_starts: registrar
                 .counter("geraniumrelay_task_starts_total", "Starts sent to targets")?,
--- a/crates/geraniumrelay/src/process.rs
+++ b/crates/geraniumrelay/src/process.rs
@@ -21,7 +21,8 @@
 use crate::decision::{DecisionThread, Outputs};
 use crate::dispatch::DispatchTx;
 use crate::durable::DurableStorage;
-use crate::http::{BodyReader, CallerApi, HttpServer};
+use crate::http::{BodyLimits, CallerApi, HttpServer};
+use crate::intake::IntakeLimits;
 use crate::journal::JournalTx;
 use crate::limits;
 use crate::metrics::Metrics;
@@ -153,12 +154,17 @@
             keys: durable.keys.clone(),
             journal: durable.reader.clone(),
             ticket_ttl: self.cfg.claim_table.ticket_ttl,
-            body_reader: BodyReader::new(settings.max_body, settings.body_timeout),
+            body_limits: BodyLimits {
+                max_bytes: settings.max_body,
+                timeout: settings.body_timeout,
+            },
             head_timeout: settings.head_timeout,
             metrics: Arc::clone(&self.metrics),
             is_stopping: Arc::clone(is_stopping),
         };
-        HttpServer::start(settings.listen, api)
+        let limits = IntakeLimits::new(settings.client_memory_mb, settings.max_connections);
+        let limits = limits.with_largest_request(settings.max_body);
+        HttpServer::start(settings.listen, api, limits)
     }
 }
 
--- a/crates/geraniumrelay/src/settings.rs
+++ b/crates/geraniumrelay/src/settings.rs
@@ -83,6 +83,15 @@
     #[arg(long, env = "GERANIUMRELAY_MAX_BODY", default_value_t = 1 << 20)]
     pub max_body: usize,
 
+    /// Memory that callers' connections may hold together, in MiB: unfinished requests, and answers that are not read.
+    /// By default a quarter of the machine's memory, at most 64; always at least two bodies of the maximum size.
+    #[arg(long, env = "GERANIUMRELAY_CLIENT_MEMORY_MB")]
+    pub client_memory_mb: Option<u64>,
+
+    /// Maximum number of open connections of callers. By default half of the descriptors that the process may open.
+    #[arg(long, env = "GERANIUMRELAY_MAX_CONNECTIONS")]
+    pub max_connections: Option<usize>,
+
     /// Maximum time to receive the head of a request, and maximum idle time of a kept-alive
     /// connection.
     #[arg(long, env = "GERANIUMRELAY_HEAD_TIMEOUT", default_value = "30s", value_parser = humantime::parse_duration)]
@@ -151,6 +160,15 @@
         if !(1..=64 << 20).contains(&self.max_body) {
             faults.push("--max-body: must be 1 to 67108864 bytes".to_owned());
         }
+        if self
+            .client_memory_mb
+            .is_some_and(|mb| !(1..=65_536).contains(&mb))
+        {
+            faults.push("--client-memory-mb: must be 1 to 65536".to_owned());
+        }
+        if self.max_connections == Some(0) {
+            faults.push("--max-connections: must be at least 1".to_owned());
+        }
         if self.key_ttl < MIN_KEY_TTL {
             faults.push("--key-ttl: must be at least 1h".to_owned());
         }
