fix(leased): only the present scheduler of a cell confirms a cancel

By reading: the late confirmation of a former scheduler would have counted, although the present one may get the job from the VM at which its caller waits. Now the sender must be the scheduler that this VM follows.

--- a/crates/geraniumrelay/src/leased/event_loop/cancellations.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/cancellations.rs
@@ -88,6 +88,17 @@
         Some(found)
     }
 
+    /// Handles the confirmation of a cell's scheduler. A former scheduler can't confirm: the present one may get the job
+    /// from another VM.
+    pub(super) fn on_cancel_reply(&mut self, reply: &CancelReply, from: EntryVm) {
+        let (id, cell) = (JobId(reply.id), CellName(reply.cell.as_str().into()));
+        let current = self.cells.get(&cell).and_then(|c| c.election.current());
+        if current.is_some_and(|(vm, _)| vm == from) {
+            let found = convert::confirmation_from_wire(reply);
+            self.cancellations.confirm(id, &cell, found);
+        }
+    }
+
     /// Handles a cancellation that another VM has passed on; it is sent again if this VM does not schedule the cell.
     pub(super) fn on_cancel(&mut self, id: JobId, cell: &CellName, from: EntryVm) {
         let found = self.cancel_here(id, cell);
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -440,11 +440,7 @@
                 let (id, cell) = (JobId(cancel.id), CellName(cancel.cell.into()));
                 self.on_cancel(id, &cell, from);
             }
-            Body::CancelReply(reply) => {
-                let (id, cell) = (JobId(reply.id), CellName(reply.cell.as_str().into()));
-                let found = convert::confirmation_from_wire(&reply);
-                self.cancellations.confirm(id, &cell, found);
-            }
+            Body::CancelReply(reply) => self.on_cancel_reply(&reply, from),
             Body::Answer(answer) => {
                 let (id, outcome) = convert::answer_from_wire(&answer);
                 let cell = CellName(answer.cell.into());
