--- a/crates/geraniumrelay/src/http/listener.rs
+++ b/crates/geraniumrelay/src/http/listener.rs
@@ -1,7 +1,6 @@
 //! Callers' connections: accepts and serves them, and closes them without aborting requests.
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::thread;
@@ -11,15 +10,14 @@
 use flume::{Receiver, Sender};
 use geraniumrelay_core::Clock;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use log::warn;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, LocalSet};
 
 use crate::http::server::CallerApi;
-use crate::intake::{ClientStream, Connection, Intake, IntakeLimits, answer_bytes};
+use crate::intake::{Connection, Intake, IntakeLimits, serve_connection};
 
 /// Maximum number of connections that wait to be accepted; sized for bursts at opening hour.
 const LISTEN_BACKLOG: u32 = 4_096;
@@ -30,9 +28,6 @@
 /// Maximum number of header lines of a request.
 const MAX_HEADERS: usize = 64;
 
-/// Time for the refusal of a request whose connection is closed to make room.
-const REFUSAL_TIME: Duration = Duration::from_secs(1);
-
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -100,15 +95,22 @@
     api: Rc<CallerApi<C>>,
     close: watch::Receiver<bool>,
     intake: Intake,
+    http: http1::Builder,
     connections: RefCell<JoinSet<()>>,
 }
 
 impl<C: Clock + 'static> Acceptor<C> {
     fn new(api: Rc<CallerApi<C>>, close: watch::Receiver<bool>, intake: Intake) -> Self {
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(api.head_timeout)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .max_headers(MAX_HEADERS);
         Self {
             api,
             close,
             intake,
+            http,
             connections: RefCell::default(),
         }
     }
@@ -148,53 +150,12 @@
         let (api, close) = (Rc::clone(&self.api), self.close.clone());
         let mut connections = self.connections.borrow_mut();
         while connections.try_join_next().is_some() {}
-        connections.spawn_local(async move { serve(stream, connection, &api, close).await });
-    }
-}
-
-async fn serve<C: Clock>(
-    stream: TcpStream,
-    connection: Connection,
-    api: &CallerApi<C>,
-    mut close: watch::Receiver<bool>,
-) {
-    // Nagle's algorithm would delay small responses until the caller acknowledges earlier data.
-    let _ = stream.set_nodelay(true);
-    let connection = Rc::new(connection);
-    let (stream, head) = ClientStream::new(stream, Rc::clone(&connection));
-    let service = service_fn(|req| {
-        let (connection, head) = (&connection, &head);
-        async move {
-            head.end();
-            connection.begin_request();
-            let res = api.serve(req, connection).await;
-            connection.end_request(answer_bytes(&res));
-            head.begin_next();
-            Ok::<_, Infallible>(res)
-        }
-    });
-    let http = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(api.head_timeout)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut http = std::pin::pin!(http);
-    // A connection error affects only its caller, so it is ignored.
-    tokio::select! {
-        _ = http.as_mut() => return,
-        () = connection.evicted() => {}
-        _ = close.wait_for(|is_closing| *is_closing) => {
-            http.as_mut().graceful_shutdown();
-            tokio::select! {
-                _ = http.as_mut() => return,
-                () = connection.evicted() => {}
-            }
-        }
-    }
-    if head.is_in_request() {
-        // The request is being refused.
-        http.as_mut().graceful_shutdown();
-        let _ = tokio::time::timeout(REFUSAL_TIME, http).await;
+        let http = self.http.clone();
+        connections.spawn_local(async move {
+            // Nagle's algorithm would delay small responses until the caller acknowledges earlier data.
+            let _ = stream.set_nodelay(true);
+            let answer = async |req, connection: &_| api.serve(req, connection).await;
+            serve_connection(stream, connection, &http, close, answer).await;
+        });
     }
 }
--- a/crates/geraniumrelay/src/http/server.rs
+++ b/crates/geraniumrelay/src/http/server.rs
@@ -111,7 +111,7 @@
     /// Routes one request; closes the connection after the response while this VM stops.
     pub(super) async fn serve(&self, req: Request<Incoming>, connection: &Connection) -> Response {
         let mut res = self.route(req, connection).await;
-        if self.is_stopping.load(Ordering::SeqCst) || connection.is_evicted() {
+        if self.is_stopping.load(Ordering::SeqCst) {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/geraniumrelay/src/intake/body.rs
+++ b/crates/geraniumrelay/src/intake/body.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::{Body, Bytes, Incoming};
 use tokio::select;
 use tokio::time::timeout;
@@ -32,12 +31,6 @@
     }
 }
 
-/// Size of the body of an answer.
-pub(crate) fn answer_bytes<B: Body>(res: &Response<B>) -> usize {
-    let bytes = res.body().size_hint().lower();
-    usize::try_from(bytes).unwrap_or(usize::MAX)
-}
-
 /// Reads a body of at most `max_bytes` bytes that arrives within `max_time`. Its buffer grows with what has arrived,
 /// whatever length is declared, and the connection accounts for it until the request ends.
 ///
--- a/crates/geraniumrelay/src/intake/mod.rs
+++ b/crates/geraniumrelay/src/intake/mod.rs
@@ -9,14 +9,15 @@
 mod ledger;
 mod limits;
 mod metrics;
+mod serve;
 mod stream;
 
-pub(crate) use body::{BodyError, answer_bytes, read_body};
+pub(crate) use body::{BodyError, read_body};
 pub(crate) use connection::{Connection, Intake};
 pub(crate) use ledger::Work;
 pub(crate) use limits::IntakeLimits;
 pub(crate) use metrics::IntakeMetrics;
-pub(crate) use stream::ClientStream;
+pub(crate) use serve::serve_connection;
 
 #[cfg(test)]
 mod tests;
--- a/crates/geraniumrelay/src/leased/request_handler.rs
+++ b/crates/geraniumrelay/src/leased/request_handler.rs
@@ -93,7 +93,7 @@
         connection: &Connection,
     ) -> HttpResponse {
         let mut res = self.route(req, connection).await;
-        if self.readiness.closes_connections() || connection.is_evicted() {
+        if self.readiness.closes_connections() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/geraniumrelay/src/leased/server.rs
+++ b/crates/geraniumrelay/src/leased/server.rs
@@ -1,22 +1,20 @@
 //! HTTP server for callers.
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, spawn_local};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
 use super::request_handler::RequestHandler;
-use crate::intake::{ClientStream, Connection, Intake, answer_bytes};
+use crate::intake::{Intake, serve_connection};
 
 /// Length of the listen backlog, in connections: a burst of new callers of one entry VM.
 const BACKLOG: u32 = 1_024;
@@ -28,9 +26,6 @@
 /// connection.
 const HEAD_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Time for the refusal of a request whose connection is closed to make room.
-const REFUSAL_TIME: Duration = Duration::from_secs(1);
-
 /// Largest head of a request.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -78,6 +73,10 @@
         let (close, closing) = watch::channel(false);
         let connections = Rc::new(RefCell::new(JoinSet::new()));
         let (set, handler) = (Rc::clone(&connections), Rc::clone(handler));
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES);
         spawn_local(async move {
             while let Some(stream) = accept(&listener).await {
                 let Some(connection) = intake.admit().await else {
@@ -85,8 +84,11 @@
                 };
                 let mut set = set.borrow_mut();
                 while set.try_join_next().is_some() {}
-                let handler = Rc::clone(&handler);
-                set.spawn_local(serve(stream, connection, handler, closing.clone()));
+                let (handler, http, closing) = (Rc::clone(&handler), http.clone(), closing.clone());
+                set.spawn_local(async move {
+                    let answer = async |req, connection: &_| handler.serve(req, connection).await;
+                    serve_connection(stream, connection, &http, closing, answer).await;
+                });
             }
         });
         Ok(Self { close, connections })
@@ -110,47 +112,3 @@
         }
     }
 }
-
-async fn serve(
-    stream: TcpStream,
-    connection: Connection,
-    handler: Rc<RequestHandler>,
-    mut closing: watch::Receiver<bool>,
-) {
-    let connection = Rc::new(connection);
-    let (stream, head) = ClientStream::new(stream, Rc::clone(&connection));
-    let service = service_fn(|req| {
-        let (handler, connection, head) = (&handler, &connection, &head);
-        async move {
-            head.end();
-            connection.begin_request();
-            let res = handler.serve(req, connection).await;
-            connection.end_request(answer_bytes(&res));
-            head.begin_next();
-            Ok::<_, Infallible>(res)
-        }
-    });
-    let http = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut http = std::pin::pin!(http);
-    // An error of a connection affects only its caller.
-    tokio::select! {
-        _ = http.as_mut() => return,
-        () = connection.evicted() => {}
-        _ = closing.wait_for(|is_closing| *is_closing) => {
-            http.as_mut().graceful_shutdown();
-            tokio::select! {
-                _ = http.as_mut() => return,
-                () = connection.evicted() => {}
-            }
-        }
-    }
-    if head.is_in_request() {
-        // The request is being refused.
-        http.as_mut().graceful_shutdown();
-        let _ = timeout(REFUSAL_TIME, http).await;
-    }
-}
--- a/crates/geraniumrelay/src/leased/tests/cancels.rs
+++ b/crates/geraniumrelay/src/leased/tests/cancels.rs
@@ -29,9 +29,10 @@
 use tokio::time::{sleep, timeout};
 
 use super::event_loop::{FORMER, OWN, from_peer};
-use super::withdrawals::{LINK_LOST, Peer, serve_callers, serve_callers_with};
+use super::withdrawals::{LINK_LOST, Peer, serve_callers_with};
 use super::{MS, block_on, spec};
 use crate::leased::convert;
+use crate::leased::server::Server;
 
 /// Longest wait for an answer, on a busy machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -151,17 +152,45 @@
     }
 }
 
-/// Status of the answer to a request without a body.
-async fn call(address: SocketAddr, method: &str, id: u64) -> u16 {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await.unwrap();
-        let head = format!("{method} /q/{id:016x} HTTP/1.1\r\nHost: a.example\r\n\r\n");
-        stream.write_all(head.as_bytes()).await.unwrap();
-        let mut buf = [0; 12];
-        stream.read_exact(&mut buf).await.unwrap();
-        std::str::from_utf8(&buf[9..]).unwrap().parse().unwrap()
-    };
-    timeout(ANSWER_TIMEOUT, exchange).await.expect("no answer")
+/// A VM whose cell a peer schedules, with its store.
+struct Vm {
+    peer: Peer,
+    store: Rc<Store>,
+    address: SocketAddr,
+    _server: Server,
+}
+
+impl Vm {
+    async fn start() -> Self {
+        let peer = Peer::start().await;
+        let (store, store_address) = Store::start().await;
+        let (address, server) = serve_callers_with(&peer, store_address).await;
+        Self {
+            peer,
+            store,
+            address,
+            _server: server,
+        }
+    }
+
+    /// Breaks the link to the scheduler, and waits until that is noticed.
+    async fn break_link(&mut self) {
+        self.peer.close_link().await;
+        sleep(LINK_LOST).await;
+    }
+
+    /// Status of the answer to a request without a body.
+    async fn call(&self, method: &str, id: u64) -> u16 {
+        let exchange = async {
+            let mut stream = TcpStream::connect(self.address).await.unwrap();
+            let head = format!("{method} /q/{id:016x} HTTP/1.1\r\nHost: a.example\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            let mut buf = [0; 12];
+            stream.read_exact(&mut buf).await.unwrap();
+            std::str::from_utf8(&buf[9..]).unwrap().parse().unwrap()
+        };
+        timeout(ANSWER_TIMEOUT, exchange).await.expect("no answer")
+    }
 }
 
 /// Lets the peer's scheduler confirm all cancellations.
@@ -186,16 +215,13 @@
 #[test]
 fn a_cancel_beside_a_waiting_copy_is_acknowledged_once_the_record_is_cancelled() {
     block_on(async {
-        let mut peer = Peer::start().await;
-        let (store, store_address) = Store::start().await;
-        let (address, _server) = serve_callers_with(&peer, store_address).await;
-        peer.submit_spec(spec(1)).await;
-        peer.submissions_up_to(1).await;
-        store.put_open(1);
-        peer.close_link().await;
-        sleep(LINK_LOST).await;
-        assert_eq!(call(address, "DELETE", 1).await, 200);
-        assert_eq!(store.state(1), Some(RecordState::Cancelled));
+        let mut vm = Vm::start().await;
+        vm.peer.submit_spec(spec(1)).await;
+        vm.peer.submissions_up_to(1).await;
+        vm.store.put_open(1);
+        vm.break_link().await;
+        assert_eq!(vm.call("DELETE", 1).await, 200);
+        assert_eq!(vm.store.state(1), Some(RecordState::Cancelled));
     });
 }
 
@@ -203,15 +229,12 @@
 #[test]
 fn a_cancel_of_a_job_that_is_not_stored_yet_is_stored_first() {
     block_on(async {
-        let mut peer = Peer::start().await;
-        let (store, store_address) = Store::start().await;
-        let (address, _server) = serve_callers_with(&peer, store_address).await;
-        peer.submit_spec(spec(1)).await;
-        peer.submissions_up_to(1).await;
-        peer.close_link().await;
-        sleep(LINK_LOST).await;
-        assert_eq!(call(address, "DELETE", 1).await, 200);
-        assert_eq!(store.state(1), Some(RecordState::Cancelled));
+        let mut vm = Vm::start().await;
+        vm.peer.submit_spec(spec(1)).await;
+        vm.peer.submissions_up_to(1).await;
+        vm.break_link().await;
+        assert_eq!(vm.call("DELETE", 1).await, 200);
+        assert_eq!(vm.store.state(1), Some(RecordState::Cancelled));
     });
 }
 
@@ -219,16 +242,14 @@
 #[test]
 fn a_cancelled_best_effort_job_is_not_sent_again() {
     block_on(async {
-        let mut peer = Peer::start().await;
-        let (address, _server) = serve_callers(&peer).await;
-        peer.submit(1).await;
-        peer.submit(2).await;
-        peer.submissions_up_to(2).await;
-        peer.close_link().await;
-        sleep(LINK_LOST).await;
-        assert_eq!(call(address, "DELETE", 1).await, 503, "no scheduler knows");
-        peer.open_link().await;
-        assert_eq!(peer.submissions_up_to(2).await, [2]);
+        let mut vm = Vm::start().await;
+        vm.peer.submit(1).await;
+        vm.peer.submit(2).await;
+        vm.peer.submissions_up_to(2).await;
+        vm.break_link().await;
+        assert_eq!(vm.call("DELETE", 1).await, 503, "no scheduler knows");
+        vm.peer.open_link().await;
+        assert_eq!(vm.peer.submissions_up_to(2).await, [2]);
     });
 }
 
@@ -236,31 +257,26 @@
 #[test]
 fn a_cancel_at_another_vm_is_acknowledged_once_the_scheduler_has_confirmed() {
     block_on(async {
-        let mut peer = Peer::start().await;
-        let (_store, store_address) = Store::start().await;
-        let (address, _server) = serve_callers_with(&peer, store_address).await;
-        peer.submit(2).await;
-        peer.submissions_up_to(2).await;
-        peer.close_link().await;
-        sleep(LINK_LOST).await;
-        assert_eq!(call(address, "DELETE", 1).await, 503, "no link");
-        peer.open_link().await;
-        peer.submissions_up_to(2).await;
-        assert_eq!(call(address, "DELETE", 1).await, 503, "no reply");
-        confirm_cancels(&peer, cancel_reply::Found::Ended);
-        assert_eq!(call(address, "DELETE", 1).await, 200);
+        let mut vm = Vm::start().await;
+        vm.peer.submit(2).await;
+        vm.peer.submissions_up_to(2).await;
+        vm.break_link().await;
+        assert_eq!(vm.call("DELETE", 1).await, 503, "no link");
+        vm.peer.open_link().await;
+        vm.peer.submissions_up_to(2).await;
+        assert_eq!(vm.call("DELETE", 1).await, 503, "no reply");
+        confirm_cancels(&vm.peer, cancel_reply::Found::Ended);
+        assert_eq!(vm.call("DELETE", 1).await, 200);
     });
 }
 
 #[test]
 fn a_cancel_of_a_job_that_no_scheduler_has_is_answered_with_410() {
     block_on(async {
-        let peer = Peer::start().await;
-        let (_store, store_address) = Store::start().await;
-        let (address, _server) = serve_callers_with(&peer, store_address).await;
+        let vm = Vm::start().await;
         sleep(LINK_LOST).await;
-        confirm_cancels(&peer, cancel_reply::Found::None);
-        assert_eq!(call(address, "DELETE", 1).await, 410);
+        confirm_cancels(&vm.peer, cancel_reply::Found::None);
+        assert_eq!(vm.call("DELETE", 1).await, 410);
     });
 }
 
@@ -268,12 +284,10 @@
 #[test]
 fn a_job_with_an_unreadable_record_is_not_answered_with_410() {
     block_on(async {
-        let peer = Peer::start().await;
-        let (store, store_address) = Store::start().await;
-        let (address, _server) = serve_callers_with(&peer, store_address).await;
-        store.put(1, STANDARD.encode([0xff; 9]));
+        let vm = Vm::start().await;
+        vm.store.put(1, STANDARD.encode([0xff; 9]));
         sleep(50 * MS).await;
-        assert_eq!(call(address, "GET", 1).await, 503);
-        assert_eq!(call(address, "DELETE", 1).await, 503);
+        assert_eq!(vm.call("GET", 1).await, 503);
+        assert_eq!(vm.call("DELETE", 1).await, 503);
     });
 }
