fix(http): a request that is refused for want of memory may be sent again

Callers saw 503 with MayHaveRun and without Retry-After, which by docs/operators/callers.md says that the submission is not started again, although nothing was decided.

Before: http::problem::tests::a_body_that_is_refused_for_want_of_memory_may_be_sent_again failed.

--- a/crates/geraniumrelay/src/http/problem.rs
+++ b/crates/geraniumrelay/src/http/problem.rs
@@ -12,6 +12,9 @@
 /// Media type of problem details.
 const PROBLEM_JSON: &str = "application/problem+json";
 
+/// `Retry-After` of a request that was not read as callers' connections hold too much memory, in seconds.
+const OVERLOADED_RETRY_AFTER_S: u32 = 1;
+
 /// Builds the response to a request that was rejected with a [`Reason`]. `next_ticket` is a ticket
 /// for the caller's next submission.
 pub fn from_rejection(rejection: Rejection, next_ticket: Option<Ticket>) -> Response {
@@ -30,14 +33,22 @@
 /// Builds the response to a request whose body was not read or not parsed. The verdict is
 /// [`Verdict::MayHaveRun`]: this request started nothing, but an earlier submission may have run.
 pub fn from_body_error(e: BodyError) -> Response {
+    let retry_after_s = if e == BodyError::Overloaded {
+        OVERLOADED_RETRY_AFTER_S
+    } else {
+        0
+    };
     let (status, detail) = match e {
         BodyError::TooLarge => (413, "the body is too large".to_owned()),
         BodyError::TimedOut => (408, "the body did not come in time".to_owned()),
-        BodyError::Overloaded => (503, "too many bodies are being read".to_owned()),
+        BodyError::Overloaded => (503, "callers' requests hold too much memory".to_owned()),
         BodyError::Truncated => (400, "the body broke off".to_owned()),
         BodyError::Malformed(detail) => (400, detail),
     };
-    request_error(status, "body-unusable", Verdict::MayHaveRun, detail)
+    problem_response(Problem {
+        retry_after_s,
+        ..request_problem(status, "body-unusable", Verdict::MayHaveRun, detail)
+    })
 }
 
 /// Builds the response to a request that was refused before it reached the dispatcher. `verdict` is
@@ -48,14 +59,23 @@
     verdict: Verdict,
     detail: impl Into<String>,
 ) -> Response {
-    problem_response(Problem {
+    problem_response(request_problem(status, reason, verdict, detail))
+}
+
+fn request_problem(
+    status: u16,
+    reason: &str,
+    verdict: Verdict,
+    detail: impl Into<String>,
+) -> Problem {
+    Problem {
         title: "the request can't be used".to_owned(),
         status: status.into(),
         detail: detail.into(),
         verdict: verdict.to_string(),
         reason: reason.to_owned(),
         ..Problem::default()
-    })
+    }
 }
 
 fn problem_response(problem: Problem) -> Response {
@@ -122,3 +142,16 @@
         | Reason::Overloaded => 503,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A caller without `Retry-After` is told that its request is not started again.
+    #[test]
+    fn a_body_that_is_refused_for_want_of_memory_may_be_sent_again() {
+        let res = from_body_error(BodyError::Overloaded);
+        assert_eq!(res.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(res.headers().contains_key(RETRY_AFTER));
+    }
+}
