--- /dev/null
+++ b/review/standin-3/src/cases.rs
@@ -0,0 +1,393 @@
+//! The cases: each plays a small deployment, and judges by what callers and workers saw.
+
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::fleet::{self, Fleet};
+use crate::record::Record;
+use crate::store::Store;
+use crate::worker::{Jobs, StepDef, Workers};
+use crate::Verdict;
+
+pub const SERVICE: &str = "rental-desk";
+
+/// `finish_s` of the small deployments.
+const FINISH: Duration = Duration::from_secs(14);
+
+/// `visible_ms` and the 2 s that the rule adds.
+const VISIBLE: Duration = Duration::from_millis(3_000 + 2_000);
+
+/// Time for which a job must have nothing running, by the rule LOST.
+const IDLE: Duration = Duration::from_secs(3);
+
+/// Callers, each with one job at a time, and the pause of a caller between two jobs.
+const CALLERS: usize = 35;
+const CALLER_PAUSE: Duration = Duration::from_millis(150);
+
+pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Verdict {
+    let played = match case {
+        "growth" => growth(has_trouble, record, folder),
+        "crashes" => crashes(has_trouble, record, folder),
+        "starved" => starved(has_trouble, record, folder),
+        "pending" => pending(has_trouble, record, folder),
+        "refused" => refused(has_trouble, record, folder),
+        _ => match case.strip_prefix("explore-").and_then(|s| s.parse().ok()) {
+            Some(seed) => crate::explore::explore(seed, has_trouble, record, folder),
+            None => Err(format!("there is no case {case}")),
+        },
+    };
+    played.unwrap_or_else(Verdict::NotRun)
+}
+
+/// Jobs that were refused, with the status and the time of the answer.
+type Refusals = Arc<Mutex<Vec<(String, u16, u64)>>>;
+
+struct World {
+    fleet: Fleet,
+    workers: Arc<Workers>,
+    jobs: Jobs,
+}
+
+/// Starts the store, workers with these labels, and the entry processes; waits until they are ready.
+fn world(
+    record: &Arc<Record>,
+    folder: &Path,
+    zones: &[&str],
+    labels: &[&[&str]],
+    cpu: u64,
+    entries: usize,
+) -> Result<World, String> {
+    let (store, address) = Store::start();
+    store.set("op", "config", &fleet::configuration(SERVICE, true));
+    let jobs = Jobs::default();
+    let workers = Workers::start(store, Arc::clone(&jobs), Arc::clone(record), SERVICE, true);
+    for (i, labels) in labels.iter().enumerate() {
+        workers.add(zones[i % zones.len()], cpu, labels);
+    }
+    let (of_fleet, of_record) = (Arc::clone(&jobs), Arc::clone(record));
+    let fleet = Fleet::start(entries, zones, address, folder, of_fleet, of_record);
+    let fleet = fleet.map_err(|e| format!("the entry processes do not start: {e}"))?;
+    if !fleet.wait_ready(Duration::from_secs(15)) {
+        return Err("the entry processes are not ready within 15 s".to_owned());
+    }
+    // Traffic starts 10 s after the machines do; two heartbeats of the workers suffice here.
+    std::thread::sleep(Duration::from_secs(4));
+    record.line("ready");
+    Ok(World { fleet, workers, jobs })
+}
+
+fn step(count: u32, cpu: u64, run_ms: u64) -> StepDef {
+    StepDef {
+        count,
+        cpu,
+        run_ms,
+        estimated_ms: run_ms,
+        after: Vec::new(),
+        requirements: None,
+    }
+}
+
+fn id(number: u64) -> String {
+    format!("5c0e7a21{number:08x}")
+}
+
+impl World {
+    /// Whether the job's task whose turn it is has capacity twice over on workers with the label, while under half of the
+    /// service's capacity is in use.
+    fn has_capacity(&self, cpu: u64, label: Option<&str>) -> bool {
+        let (used, all) = self.workers.load();
+        let free = self.workers.free();
+        let suitable = free.iter().filter(|(labels, _)| {
+            label.is_none_or(|label| labels.iter().any(|l| l == label))
+        });
+        let room: u64 = suitable.map(|(_, free)| free / cpu).sum();
+        room >= 2 && used * 2 < all
+    }
+
+    /// Whether an accepted job has nothing running for 3 s, though a task's turn has come and there is room.
+    fn is_left(&self, id: &str, cpu: u64, label: Option<&str>) -> bool {
+        let until = Instant::now() + IDLE;
+        while Instant::now() < until {
+            if !self.workers.running(id).is_empty() || !self.has_capacity(cpu, label) {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        true
+    }
+
+    /// Asks all entry processes for a job's state until one answers 200 or 410.
+    fn state(&self, id: &str) -> Option<(u16, String)> {
+        let answers = (0..self.fleet.entries.len()).filter_map(|i| self.fleet.state(i, id));
+        answers.into_iter().find(|a| a.0 == 200 || a.0 == 410)
+    }
+}
+
+/// LOST: workers are added while jobs that are kept are open.
+fn growth(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
+    let zones = ["viti-a", "viti-b", "viti-c"];
+    let labels: Vec<&[&str]> = vec![&["a"]; 88];
+    let mut world = world(record, folder, &zones, &labels, 32_000, 3)?;
+    let begun = Instant::now();
+    let mut accepted = Vec::new();
+    let mut number = 0;
+    let mut added = 0;
+    while begun.elapsed() < Duration::from_secs(12) {
+        let due = begun.elapsed().saturating_sub(Duration::from_secs(2)).as_millis() as usize;
+        if has_trouble && due > 0 {
+            if added == 0 {
+                record.line("22 empty workers are added to 88, over 2 s");
+            }
+            while added < 22.min(1 + due * 22 / 2_000) {
+                world.workers.add(zones[added % zones.len()], 32_000, &["a"]);
+                added += 1;
+            }
+        }
+        number += 1;
+        let second = StepDef { after: vec![0], ..step(2, 1_000, 300) };
+        let steps = [step(2, 1_000, 600), second];
+        let id = id(number);
+        let entry = number as usize % 3;
+        if world.fleet.submit(entry, &id, &steps).is_some_and(|s| s / 100 == 2) {
+            accepted.push(id);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    record.line(&format!("end of the traffic: {} jobs accepted", accepted.len()));
+    std::thread::sleep(FINISH);
+    let mut left = Vec::new();
+    for id in &accepted {
+        match world.state(id) {
+            Some((200, state)) if state == "completed" => {}
+            other => {
+                record.line(&format!("{id} is not completed: {other:?}"));
+                left.push(id.clone());
+            }
+        }
+    }
+    if left.is_empty() {
+        return Ok(Verdict::Held);
+    }
+    let until = Instant::now() + IDLE;
+    while Instant::now() < until {
+        left.retain(|id| world.workers.running(id).is_empty() && world.has_capacity(1_000, None));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    left.retain(|id| !matches!(world.state(id), Some((200, s)) if s == "completed"));
+    if left.is_empty() {
+        return Ok(Verdict::Held);
+    }
+    for i in 0..3 {
+        if !world.fleet.is_up(i) {
+            record.line(&format!("entry {i} has ended"));
+        }
+    }
+    Ok(Verdict::Broken(format!(
+        "LOST: {} of {} accepted jobs are not completed {} s after the end of the traffic, and had nothing running for 3 s",
+        left.len(), accepted.len(), FINISH.as_secs()
+    )))
+}
+
+/// LOST: a job that is kept is shown as failed, though no run of it has failed.
+fn crashes(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
+    let labels: Vec<&[&str]> = vec![&["a"]; 8];
+    let world = world(record, folder, &["viti-a", "viti-b", "viti-c"], &labels, 32_000, 3)?;
+    let id = id(1);
+    if world.fleet.submit(0, &id, &[step(1, 4_000, 6_000)]) != Some(200) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let begun = Instant::now();
+    let mut crashed: Vec<usize> = Vec::new();
+    let mut returns: Vec<(Instant, usize)> = Vec::new();
+    let mut next_crash = Instant::now() + Duration::from_secs(2);
+    let mut asked = Instant::now();
+    while begun.elapsed() < Duration::from_secs(60) {
+        std::thread::sleep(Duration::from_millis(20));
+        if has_trouble && crashed.len() < 2 && Instant::now() >= next_crash {
+            if let Some((index, ..)) = world.workers.running(&id).first() {
+                crashed.push(*index);
+                world.workers.crash(&world.workers.all()[*index]);
+                returns.push((Instant::now() + Duration::from_millis(4_500), *index));
+                next_crash = Instant::now() + Duration::from_secs(6);
+            }
+        }
+        let due = returns.iter().position(|(at, _)| Instant::now() >= *at);
+        if let Some(due) = due {
+            let (_, index) = returns.remove(due);
+            record.line(&format!("machine {index} is back"));
+            world.workers.boot(&world.workers.all()[index]);
+        }
+        if asked.elapsed() < Duration::from_millis(500) {
+            continue;
+        }
+        asked = Instant::now();
+        match world.fleet.state(1, &id) {
+            Some((200, state)) if state == "completed" => return Ok(Verdict::Held),
+            Some((200, state)) if state == "failed" => {
+                let events = world.workers.events_of(&id);
+                let failed = events.iter().filter(|e| e.what == "failed").count();
+                let crashed = events.iter().filter(|e| e.what == "crashed").count();
+                if failed > 0 {
+                    return Ok(Verdict::Held);
+                }
+                return Ok(Verdict::Broken(format!(
+                    "LOST: the job is shown as failed; no run of it ended failed, {crashed} were lost as their workers crashed"
+                )));
+            }
+            _ => {}
+        }
+    }
+    Ok(Verdict::Held)
+}
+
+/// LOST: a task whose run has failed once is not started again while its worker is never empty.
+fn starved(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
+    let mut labels: Vec<&[&str]> = vec![&["a"]; 11];
+    labels.push(&["b"]);
+    let world = world(record, folder, &["viti-a", "viti-b", "viti-c"], &labels, 32_000, 3)?;
+    let on_b = |s: StepDef| StepDef { requirements: Some("b".to_owned()), ..s };
+    let (long, short) = (id(1), id(2));
+    if world.fleet.submit(0, &long, &[on_b(step(1, 1_000, 25_000))]) != Some(200) {
+        return Err("the long job was not accepted".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    if world.workers.running(&long).is_empty() {
+        return Err("the long job has not begun".to_owned());
+    }
+    if has_trouble {
+        record.line("the worker with label b fails the next run");
+        world.workers.fail_next(&world.workers.all()[11], 1);
+    }
+    if world.fleet.submit(1, &short, &[on_b(step(1, 1_000, 600))]) != Some(200) {
+        return Err("the short job was not accepted".to_owned());
+    }
+    record.line("end of the traffic");
+    std::thread::sleep(FINISH);
+    let is_completed = |id: &str| matches!(world.state(id), Some((200, s)) if s == "completed");
+    if is_completed(&short) {
+        return Ok(Verdict::Held);
+    }
+    if !world.is_left(&short, 1_000, Some("b")) || is_completed(&short) {
+        return Ok(Verdict::Held);
+    }
+    let events = world.workers.events_of(&short);
+    Ok(Verdict::Broken(format!(
+        "LOST: the job had nothing running for 3 s, {} s after the end of the traffic, after one failed run of 3 that it may have; runs: {}",
+        FINISH.as_secs(), events.iter().filter(|e| e.what == "start").count()
+    )))
+}
+
+/// MIXED: the count of pending jobs leaves out jobs that have not begun.
+fn pending(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
+    let mut labels: Vec<&[&str]> = vec![&["a"]; 7];
+    labels.push(&["b"]);
+    let world = world(record, folder, &["viti-a", "viti-b", "viti-c"], &labels, 32_000, 3)?;
+    let on_b = |s: StepDef| StepDef { requirements: Some("b".to_owned()), ..s };
+    let first = id(1);
+    if world.fleet.submit(0, &first, &[on_b(step(1, 1_000, 300))]) != Some(200) {
+        return Err("the first job was not accepted".to_owned());
+    }
+    let begun = Instant::now();
+    while !matches!(world.fleet.state(0, &first), Some((200, s)) if s == "completed") {
+        if begun.elapsed() > Duration::from_secs(5) {
+            return Err("the first job has not ended".to_owned());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    if has_trouble {
+        world.workers.crash(&world.workers.all()[7]);
+    }
+    let second = id(2);
+    if world.fleet.submit(0, &second, &[on_b(step(1, 1_000, 300))]) != Some(200) {
+        return Err("the second job was not accepted".to_owned());
+    }
+    std::thread::sleep(VISIBLE + Duration::from_secs(2));
+    let has_begun = !world.workers.events_of(&second).is_empty();
+    let mut broken = Vec::new();
+    for i in 0..3 {
+        let answer = world.fleet.pending(i);
+        let is_low = matches!(answer, Some((200, Some(0))));
+        if is_low && !has_begun {
+            broken.push(i);
+        }
+    }
+    if broken.is_empty() {
+        return Ok(Verdict::Held);
+    }
+    Ok(Verdict::Broken(format!(
+        "MIXED: entries {broken:?} give 0 pending jobs, 7 s after a job was accepted that has not begun"
+    )))
+}
+
+/// REFUSED: a job runs whose only submission was refused.
+fn refused(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
+    let labels: Vec<&[&str]> = vec![&["a"]; 8];
+    let zones = ["viti-a", "viti-b", "viti-c"];
+    let world = world(record, folder, &zones, &labels, 8_000, 7)?;
+    let fronts = world.fleet.fronts();
+    let begun = Instant::now();
+    let rounds = 4u32;
+    let length = Duration::from_secs(9) * rounds;
+    let next = Arc::new(AtomicU64::new(1));
+    let refusals: Refusals = Refusals::default();
+    let mut callers = Vec::new();
+    for k in 0..CALLERS {
+        let (jobs, record, next) = (Arc::clone(&world.jobs), Arc::clone(record), Arc::clone(&next));
+        let (refusals, front) = (Arc::clone(&refusals), fronts[k % fronts.len()]);
+        callers.push(std::thread::spawn(move || {
+            while begun.elapsed() < length {
+                let id = id(next.fetch_add(1, Ordering::Relaxed));
+                let body = fleet::submission(&jobs, &id, &[step(4, 2_000, 400)]);
+                let status = fleet::call(front, "POST", &id, &body).map(|a| a.0);
+                let at = record.line(&format!("{id}@{} {}", k % 7, fleet::shown(status)));
+                if let Some(status @ (429 | 503)) = status {
+                    refusals.lock().unwrap().push((id, status, at));
+                }
+                std::thread::sleep(CALLER_PAUSE);
+            }
+        }));
+    }
+    for round in 0..rounds as usize {
+        std::thread::sleep(Duration::from_secs(2));
+        let scheduler = world.workers.holder();
+        let mut others = (0..fronts.len()).filter(|&i| {
+            let [_, b, c, d] = world.fleet.entries[i].ip.octets();
+            scheduler != u64::from(u32::from_be_bytes([0, b, c, d]))
+        });
+        let follower = others.nth(round % (fronts.len() - 1));
+        if let Some(i) = follower.filter(|_| has_trouble) {
+            world.fleet.signal(i, "STOP");
+            std::thread::sleep(Duration::from_millis(4_000));
+            world.fleet.signal(i, "CONT");
+        } else {
+            std::thread::sleep(Duration::from_millis(4_000));
+        }
+        std::thread::sleep(Duration::from_secs(3));
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    std::thread::sleep(Duration::from_secs(8));
+    let refusals = refusals.lock().unwrap();
+    let mut run = Vec::new();
+    for (id, status, at) in refusals.iter() {
+        let starts: Vec<_> = world.workers.events_of(id);
+        if let Some(start) = starts.iter().find(|e| e.what == "start") {
+            record.line(&format!("{id} was answered {status} at {at} ms, and starts at {} ms", start.at_ms));
+            run.push(id.clone());
+        }
+    }
+    record.line(&format!("{} jobs refused, {} of them started", refusals.len(), run.len()));
+    if refusals.is_empty() {
+        return Err("no job was refused".to_owned());
+    }
+    if run.is_empty() {
+        return Ok(Verdict::Held);
+    }
+    Ok(Verdict::Broken(format!(
+        "REFUSED: {} of {} jobs started whose only submission was refused",
+        run.len(), refusals.len()
+    )))
+}
