test(review): a job runs whose only submission was refused

Promise: REFUSED, a job that was answered 429 or 503 never runs. Case: review/12, an entry VM wakes from a freeze of 4 s; jobs that wait there are sent to the scheduler twice, the first copy is refused and the second one is stored.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -24,7 +24,7 @@
 
 /// Callers, each with one job at a time, and the pause of a caller between two jobs.
 const CALLERS: usize = 35;
-const CALLER_PAUSE: Duration = Duration::from_millis(150);
+const CALLER_PAUSE: Duration = Duration::from_millis(250);
 
 pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Verdict {
     let played = match case {
@@ -328,8 +328,8 @@
     let world = world(record, folder, &zones, &labels, 8_000, 7)?;
     let fronts = world.fleet.fronts();
     let begun = Instant::now();
-    let rounds = 4u32;
-    let length = Duration::from_secs(9) * rounds;
+    let rounds = 9u32;
+    let length = Duration::from_millis(6_500) * rounds;
     let next = Arc::new(AtomicU64::new(1));
     let refusals: Refusals = Refusals::default();
     let mut callers = Vec::new();
@@ -350,7 +350,7 @@
         }));
     }
     for round in 0..rounds as usize {
-        std::thread::sleep(Duration::from_secs(2));
+        std::thread::sleep(Duration::from_millis(1_000));
         let scheduler = world.workers.holder();
         let mut others = (0..fronts.len()).filter(|&i| {
             let [_, b, c, d] = world.fleet.entries[i].ip.octets();
@@ -364,7 +364,7 @@
         } else {
             std::thread::sleep(Duration::from_millis(4_000));
         }
-        std::thread::sleep(Duration::from_secs(3));
+        std::thread::sleep(Duration::from_millis(1_500));
     }
     for caller in callers {
         let _ = caller.join();
