--- a/review/standin-3/src/explore.rs
+++ b/review/standin-3/src/explore.rs
@@ -258,6 +258,7 @@
         estimated_ms: 60 + random() % 900,
         after: if k > 0 { vec![k as u32 - 1] } else { Vec::new() },
         requirements: (random() % 6 == 0).then(|| "b".to_owned()),
+        max_per_server: None,
     });
     steps.collect()
 }
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -28,6 +28,7 @@
     pub estimated_ms: u64,
     pub after: Vec<u32>,
     pub requirements: Option<String>,
+    pub max_per_server: Option<u32>,
 }
 
 /// All jobs that callers have submitted, by id.
