--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -28,6 +28,7 @@
 
 pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Verdict {
     let played = match case {
+        "bound" => bound(has_trouble, record, folder),
         "apart" => apart(has_trouble, record, folder),
         "starved" => starved(has_trouble, record, folder),
         "pending" => pending(has_trouble, record, folder),
@@ -125,6 +126,65 @@
     }
 }
 
+/// LOST: a job is accepted during a takeover by a cell none of whose workers it can use.
+fn bound(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
+    let zones = ["viti-a", "viti-b", "viti-c"];
+    let racks: [&[&str]; 3] = [&["a", "r1"], &["a", "r2"], &["a", "r3"]];
+    let labels: Vec<&[&str]> = (0..102).map(|i| racks[i % 3]).collect();
+    let mut world = world(record, folder, &zones, &labels, 32_000, 6)?;
+    let plain: Vec<String> = (1..=6).map(id).collect();
+    for (i, id) in plain.iter().enumerate() {
+        if world.fleet.submit(i, id, &[step(2, 1_000, 300)]) != Some(200) {
+            return Err("a plain job was not accepted".to_owned());
+        }
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    if has_trouble {
+        for i in 0..6 {
+            world.fleet.kill(i);
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        for i in 0..6 {
+            world.fleet.boot(i).map_err(|e| e.to_string())?;
+        }
+    }
+    let fronts = world.fleet.fronts();
+    let mut callers = Vec::new();
+    for k in 0..150 {
+        let (jobs, record, id) = (Arc::clone(&world.jobs), Arc::clone(record), id(100 + k));
+        let entry = if k % 2 == 0 { 0 } else { 3 };
+        let front = fronts[entry];
+        callers.push(std::thread::spawn(move || {
+            let on_rack = StepDef { requirements: Some("r3".to_owned()), ..step(1, 1_000, 500) };
+            let body = fleet::submission(&jobs, &id, &[on_rack]);
+            let status = fleet::call(front, "POST", &id, &body).map(|a| a.0);
+            record.line(&format!("submit {id} at entry {entry}: {}", fleet::shown(status)));
+            (id, status)
+        }));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let answers: Vec<_> = callers.into_iter().filter_map(|c| c.join().ok()).collect();
+    record.line("end of the traffic");
+    let accepted = answers.into_iter().filter(|(_, s)| s.is_some_and(|s| s / 100 == 2));
+    let accepted: Vec<String> = accepted.map(|(id, _)| id).chain(plain).collect();
+    std::thread::sleep(FINISH);
+    let is_completed = |id: &str| matches!(world.state(id), Some((200, s)) if s == "completed");
+    let mut left: Vec<&String> = accepted.iter().filter(|id| !is_completed(id)).collect();
+    let until = Instant::now() + IDLE;
+    while Instant::now() < until && !left.is_empty() {
+        left.retain(|id| world.workers.running(id).is_empty() && world.has_capacity(1_000, Some("r3")));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    left.retain(|id| !is_completed(id));
+    if left.is_empty() {
+        return Ok(Verdict::Held);
+    }
+    Ok(Verdict::Broken(format!(
+        "LOST: {} of {} accepted jobs had nothing running for 3 s, {} s after the end of the traffic, beside idle workers that they can use",
+        left.len(), accepted.len(), FINISH.as_secs()
+    )))
+}
+
 /// LOST: a task that was lost twice with crashed workers is not started again while each worker runs anything.
 fn apart(has_trouble: bool, record: &Arc<Record>, folder: &Path) -> Result<Verdict, String> {
     let labels: Vec<&[&str]> = vec![&["a"]; 8];
--- a/review/standin-3/src/fleet.rs
+++ b/review/standin-3/src/fleet.rs
@@ -17,6 +17,9 @@
 const PROGRAM: &str = "target/release/geraniumrelay";
 const ROLE: &str = "leased";
 
+/// Port that no entry process uses.
+const GUARD_PORT: u16 = 7_799;
+
 /// A process that this one has started ends with it, also if this one is killed.
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
@@ -39,6 +42,8 @@
     pub entries: Vec<Entry>,
     jobs: Jobs,
     record: Arc<Record>,
+    /// Keeps other scripts off the network.
+    _guard: TcpListener,
 }
 
 impl Fleet {
@@ -51,8 +56,8 @@
         jobs: Jobs,
         record: Arc<Record>,
     ) -> std::io::Result<Self> {
-        let mut fleet = Self { entries: Vec::new(), jobs, record };
-        let net = free_net(count);
+        let (net, guard) = free_net(count);
+        let mut fleet = Self { entries: Vec::new(), jobs, record, _guard: guard };
         for i in 0..count {
             let ip = Ipv4Addr::new(127, net.0, net.1, 10 + i as u8);
             let settings = folder.join(format!("entry-{i}.json"));
@@ -239,19 +244,20 @@
     )
 }
 
-/// The second and third number of a loopback network of which the first addresses are free. The same one is tried
-/// first each time, as the order in which the program handles its links depends on the addresses.
-fn free_net(count: usize) -> (u8, u8) {
+/// The second and third number of a loopback network of which the first addresses are free, and a listener that keeps
+/// other scripts off it. The same network is tried first each time, as the order in which the program handles its links
+/// depends on the addresses.
+fn free_net(count: usize) -> ((u8, u8), TcpListener) {
     let mut seed = 4u32;
     loop {
         seed = seed.wrapping_mul(1_103_515_245).wrapping_add(12_345);
         let net = (20 + (seed >> 8) as u8 % 200, (seed >> 16) as u8);
-        let is_free = |i: usize| {
-            let ip = Ipv4Addr::new(127, net.0, net.1, 10 + i as u8);
-            [8161, 8167, 7720, 9464].iter().all(|&p| TcpListener::bind((ip, p)).is_ok())
-        };
+        let ip = |i: usize| Ipv4Addr::new(127, net.0, net.1, 10 + i as u8);
+        let Ok(guard) = TcpListener::bind((ip(0), GUARD_PORT)) else { continue };
+        let is_free =
+            |i: usize| [8161, 8167, 7720, 9464].iter().all(|&p| TcpListener::bind((ip(i), p)).is_ok());
         if (0..count).all(is_free) {
-            return net;
+            return (net, guard);
         }
     }
 }
