--- a/crates/geraniumrelay-core/src/leased/command.rs
+++ b/crates/geraniumrelay-core/src/leased/command.rs
@@ -5,7 +5,7 @@
 use super::epoch::EpochReply;
 use super::evacuation::EvacuatedSince;
 use super::losses::LostRun;
-use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
+use super::names::{EntryVm, FencingToken, JobId, SubmissionId, TaskName, WorkerName};
 use super::record::{JobRecord, RecordReply};
 use super::report::WorkerReport;
 use super::spec::JobSpec;
@@ -19,6 +19,8 @@
     pub spec: JobSpec,
     /// Entry VM that holds the caller's connection.
     pub origin: EntryVm,
+    /// Name of this copy, which its answer repeats. `None` if the entry VM's version does not tell.
+    pub name: Option<SubmissionId>,
     /// Time since the caller's request arrived.
     pub waited: Duration,
     /// Time for which the caller still waits for the answer.
--- a/crates/geraniumrelay-core/src/leased/effect.rs
+++ b/crates/geraniumrelay-core/src/leased/effect.rs
@@ -8,7 +8,7 @@
 
 use super::log_event::LogEvent;
 use super::losses::LostRun;
-use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
+use super::names::{EntryVm, FencingToken, JobId, SubmissionId, TaskName, WorkerName};
 use super::record::JobRecord;
 use super::worker::{PollNumber, WorkerKey};
 use super::worker_clock::WorkerTime;
@@ -137,6 +137,8 @@
         origin: EntryVm,
         /// Job that the caller waits for.
         id: JobId,
+        /// Last copy of the submission that has arrived from the entry VM, as far as it is named.
+        submission: Option<SubmissionId>,
         /// Outcome for the caller.
         outcome: JobOutcome,
     },
--- a/crates/geraniumrelay-core/src/leased/job.rs
+++ b/crates/geraniumrelay-core/src/leased/job.rs
@@ -6,7 +6,7 @@
 
 use super::admission::Backlog;
 use super::losses::{LostRun, Verdict};
-use super::names::{EntryVm, FencingToken, TaskName};
+use super::names::{EntryVm, FencingToken, SubmissionId, TaskName};
 use super::record::{RecordState, TaskProgress};
 use super::spec::{JobSpec, StepSpec};
 use super::speed::RunSample;
@@ -138,6 +138,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Origin {
     pub(super) vm: EntryVm,
+    /// Last copy of the submission that the entry VM has sent; `None` if it does not tell.
+    pub(super) submission: Option<SubmissionId>,
     /// When the entry VM last passed the job on, or confirmed that its caller waits.
     pub(super) confirmed: Instant,
     /// When the caller was known to wait: the entry VM has sent its last message after that. `None` if it
--- a/crates/geraniumrelay-core/src/leased/log_event.rs
+++ b/crates/geraniumrelay-core/src/leased/log_event.rs
@@ -9,9 +9,23 @@
 use super::contention::Change;
 use super::effect::JobOutcome;
 use super::locality::Inputs;
-use super::names::{EntryVm, FencingToken, JobId, TaskName, WorkerName};
+use super::names::{EntryVm, FencingToken, JobId, SubmissionId, TaskName, WorkerName};
 use super::report::EndKind;
 
+/// What a scheduler does with a further copy of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum CopyHandling {
+    /// It has the job; the copy changes nothing.
+    #[display("job-known")]
+    JobKnown,
+    /// It has ended the job, and answers the copy with the outcome.
+    #[display("outcome-repeated")]
+    OutcomeRepeated,
+    /// It takes the job as one that another scheduler may have started.
+    #[display("job-added")]
+    JobAdded,
+}
+
 /// Why a run was stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum StopCause {
@@ -154,10 +168,23 @@
 /// An event for the log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LogEvent {
+    /// A further copy of a submission has arrived.
+    CopyReceived {
+        /// Job of the submission.
+        id: JobId,
+        /// Entry VM that has sent the copy.
+        origin: EntryVm,
+        /// Name of the copy.
+        submission: SubmissionId,
+        /// What is done with it.
+        handling: CopyHandling,
+    },
     /// A job has ended.
     JobEnded {
         /// Job that ended.
         id: JobId,
+        /// Entry VMs that are answered, and the last copies that have arrived from them.
+        submissions: Vec<(EntryVm, SubmissionId)>,
         /// Outcome of the job.
         outcome: JobOutcome,
         /// Backlog when the job arrived, and the wait expected from it.
--- a/crates/geraniumrelay-core/src/leased/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/mod.rs
@@ -5,6 +5,7 @@
 //! token lower than the highest they have received, and runs without renewal end with their lease.
 
 pub mod admission;
+pub mod attempt;
 mod bulkhead;
 pub mod cell_choice;
 pub mod cells;
@@ -40,11 +41,13 @@
 pub use epoch::EpochReply;
 pub use job::JobState;
 pub use log_event::{
-    EndEvidence, EntryLossCause, InstanceSource, LogEvent, NoRunsEvidence, SilenceCause, StopCause,
-    WorkerCondition,
+    CopyHandling, EndEvidence, EntryLossCause, InstanceSource, LogEvent, NoRunsEvidence,
+    SilenceCause, StopCause, WorkerCondition,
 };
 pub use losses::LostRun;
-pub use names::{EntryVm, FencingToken, JobId, NameError, TaskName, WorkerName};
+pub use names::{
+    AttemptId, EntryVm, FencingToken, JobId, NameError, SubmissionId, TaskName, WorkerName,
+};
 pub use record::{ENDED_TTL, JobRecord, RecordReply, RecordState, TaskProgress};
 pub use report::{EndKind, EndedRun, RunningTask, WorkerReport};
 pub use scheduler::{Scheduler, Snapshot};
--- a/crates/geraniumrelay-core/src/leased/names.rs
+++ b/crates/geraniumrelay-core/src/leased/names.rs
@@ -86,6 +86,23 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
 pub struct EntryVm(pub Ipv4Addr);
 
+/// An attempt of an entry VM to have a job admitted, unique among those of the VM. It begins with a caller's request,
+/// and anew when the job is offered to another cell; it ends with the answer to its last copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From)]
+#[display("{_0:016x}")]
+pub struct AttemptId(pub u64);
+
+/// Names one copy of a submission. The entry VM sends a further copy after each link that is set up anew, each raised
+/// token and each takeover.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[display("{attempt}/{copy}")]
+pub struct SubmissionId {
+    /// Attempt that all copies belong to.
+    pub attempt: AttemptId,
+    /// Number of the copy, from 1.
+    pub copy: u32,
+}
+
 /// Fencing token of a scheduler: workers reject orders with a lower token than the highest received.
 ///
 /// The high bits are a round that increases with each takeover, the low bits those of the entry VM's
--- a/crates/geraniumrelay-core/src/leased/scheduler/confirmations.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/confirmations.rs
@@ -55,14 +55,17 @@
         }
         // An answer that was sent before a heartbeat which has arrived is lost, not on its way.
         for id in confirmed {
-            let outcome = self.outcomes.get(&id).filter(|(at, _)| *at < as_of);
-            if let Some(&(_, outcome)) = outcome.filter(|_| !self.by_id.contains_key(&id)) {
-                out.push(Effect::Answer {
-                    origin,
-                    id,
-                    outcome,
-                });
-            }
+            let ended = self.outcomes.job(id).filter(|ended| ended.at < as_of);
+            let Some(ended) = ended.filter(|_| !self.by_id.contains_key(&id)) else {
+                continue;
+            };
+            let (submission, outcome) = ended.answer_to(origin);
+            out.push(Effect::Answer {
+                origin,
+                id,
+                submission,
+                outcome,
+            });
         }
     }
 
--- a/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/durable.rs
@@ -49,7 +49,7 @@
     pub(super) fn answer_accepted(&mut self, key: JobKey, out: &mut Vec<Effect>) {
         let job = &mut self.jobs[key];
         for origin in job.origins.drain(..) {
-            out.push(accepted(job.spec.id, origin.vm));
+            out.push(accepted(job.spec.id, &origin));
         }
     }
 
@@ -379,6 +379,7 @@
         }
         let no_origin = Origin {
             vm: EntryVm([0, 0, 0, 0].into()),
+            submission: None,
             confirmed: cx.now,
             as_of: None,
         };
@@ -476,10 +477,11 @@
     }
 }
 
-fn accepted(id: JobId, origin: EntryVm) -> Effect {
+fn accepted(id: JobId, origin: &Origin) -> Effect {
     Effect::Answer {
-        origin,
+        origin: origin.vm,
         id,
+        submission: origin.submission,
         outcome: JobOutcome::Accepted,
     }
 }
--- a/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/finish.rs
@@ -33,13 +33,18 @@
         if job.record_sync.is_some() && !self.is_epoch_lost() {
             self.release_ends(job.spec.id);
         }
-        self.outcomes.insert(job.spec.id, (cx.now, outcome));
-        self.outcome_ages.push_back((cx.now, job.spec.id));
+        self.outcomes
+            .add(job.spec.id, outcome, &job.origins, cx.now);
         if job.near_wait.is_some_and(|w| !w.is_over) {
             out.push(near_wait_ended(cx, &job, (0, 0)));
         }
         out.push(Effect::LogEvent(LogEvent::JobEnded {
             id: job.spec.id,
+            submissions: job
+                .origins
+                .iter()
+                .filter_map(|o| Some((o.vm, o.submission?)))
+                .collect(),
             outcome,
             admission: job.admission,
             slack: job
@@ -60,6 +65,7 @@
             out.push(Effect::Answer {
                 origin: origin.vm,
                 id: job.spec.id,
+                submission: origin.submission,
                 outcome,
             });
         }
--- a/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod finish;
 mod locality;
 mod losses;
+mod outcomes;
 mod pace;
 mod place;
 mod poll;
@@ -27,12 +28,13 @@
 use slotmap::SlotMap;
 
 use self::cancel::Cancellations;
+use self::outcomes::Outcomes;
 
 use super::bulkhead::Bulkheads;
 use super::cells::CellName;
 use super::command::{Command, DeparturesKnown};
 use super::contention::Contention;
-use super::effect::{Effect, JobOutcome};
+use super::effect::Effect;
 use super::epoch::Epoch;
 use super::estimates::Estimates;
 use super::evacuation::EvacuatedSince;
@@ -85,10 +87,7 @@
     /// Successful ends of tasks whose jobs have not been submitted to this scheduler yet, and when
     /// each was reported.
     unmatched_ends: BTreeMap<TaskName, Instant>,
-    /// Outcomes of ended jobs, kept for `outcome_ttl` and answered to repeated submissions.
-    outcomes: BTreeMap<JobId, (Instant, JobOutcome)>,
-    /// Keys of `outcomes`, oldest first.
-    outcome_ages: VecDeque<(Instant, JobId)>,
+    outcomes: Outcomes,
     cancellations: Cancellations,
     /// Entry VMs whose connections have broken, and when.
     disconnected_entries: Vec<(EntryVm, Instant)>,
@@ -167,8 +166,7 @@
             losses: Losses::default(),
             bulkheads: Bulkheads::default(),
             unmatched_ends: BTreeMap::new(),
-            outcomes: BTreeMap::new(),
-            outcome_ages: VecDeque::new(),
+            outcomes: Outcomes::default(),
             cancellations: Cancellations::default(),
             disconnected_entries: Vec::new(),
             cell: CellName::single(),
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -9,8 +9,8 @@
 use crate::leased::contention::Verdict;
 use crate::leased::effect::{Effect, JobOutcome, RefusalReason};
 use crate::leased::job::{Job, JobKey, Origin, Rank, Times};
-use crate::leased::log_event::{EntryLossCause, LogEvent};
-use crate::leased::names::{EntryVm, JobId};
+use crate::leased::log_event::{CopyHandling, EntryLossCause, LogEvent};
+use crate::leased::names::{EntryVm, FencingToken, JobId};
 use crate::leased::placement;
 use crate::leased::spec::JobSpec;
 
@@ -21,7 +21,7 @@
 pub(super) const DURABLE_MAX_WAIT: Duration = Duration::from_hours(24 * 365);
 
 impl Scheduler {
-    /// Processes a submission: adds a waiting entry VM to a known job, answers an ended one, and
+    /// Processes a submission: answers an attempt or a job that has ended, adds a waiting entry VM to a known job, and
     /// admits or refuses a new one.
     pub(super) fn submit(
         &mut self,
@@ -29,69 +29,69 @@
         submission: Submission,
         out: &mut Vec<Effect>,
     ) {
+        self.note_tokens(cx, &submission.former_tokens, out);
+        let others = submission.former_tokens.iter().copied();
+        let highest_other = others.filter(|&t| !self.has_had_token(t)).max();
+        if let Some(outcome) = self.known_outcome(&submission) {
+            log_copy(&submission, CopyHandling::OutcomeRepeated, out);
+            out.push(Effect::Answer {
+                origin: submission.origin,
+                id: submission.spec.id,
+                submission: submission.name,
+                outcome: conclusive(outcome, highest_other.is_some()),
+            });
+        } else if let Some(&key) = self.by_id.get(&submission.spec.id) {
+            log_copy(&submission, CopyHandling::JobKnown, out);
+            self.join(cx, key, &submission, highest_other, out);
+        } else {
+            log_copy(&submission, CopyHandling::JobAdded, out);
+            self.submit_new(cx, submission, highest_other, out);
+        }
+    }
+
+    /// Adds the entry VM of a submission to those that wait for a known job.
+    fn join(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        submission: &Submission,
+        highest_other: Option<FencingToken>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.restore_losses(cx, key, &submission.losses);
+        self.jobs[key].add_origin(origin_of(cx, submission));
+        if let Some(token) = highest_other.filter(|_| self.jobs[key].record_sync.is_none()) {
+            self.find_runs_elsewhere(cx, key, token);
+        }
+        if self.jobs[key]
+            .record_sync
+            .is_some_and(|sync| sync.is_accepted)
+        {
+            self.answer_accepted(key, out);
+        }
+    }
+
+    /// Admits or refuses a job that is not known.
+    fn submit_new(
+        &mut self,
+        cx: &Context<'_>,
+        submission: Submission,
+        highest_other: Option<FencingToken>,
+        out: &mut Vec<Effect>,
+    ) {
+        let origin = origin_of(cx, &submission);
         let Submission {
             spec,
-            origin,
             waited,
             remaining_wait,
-            as_of,
             may_have_started,
             former_tokens,
             has_alternative,
             losses,
+            ..
         } = submission;
-        let as_of = as_of.map(|at| at.min(cx.now));
-        self.note_tokens(cx, &former_tokens, out);
-        let others = former_tokens.iter().filter(|&&t| !self.has_had_token(t));
-        let highest_other = others.max().copied();
-        if let Some(&key) = self.by_id.get(&spec.id) {
-            self.restore_losses(cx, key, &losses);
-            self.jobs[key].add_origin(Origin {
-                vm: origin,
-                confirmed: cx.now,
-                as_of,
-            });
-            if let Some(token) = highest_other.filter(|_| self.jobs[key].record_sync.is_none()) {
-                self.find_runs_elsewhere(cx, key, token);
-            }
-            if self.jobs[key]
-                .record_sync
-                .is_some_and(|sync| sync.is_accepted)
-            {
-                self.answer_accepted(key, out);
-            }
-            return;
-        }
         let id = spec.id;
         let is_durable = spec.is_durable;
-        if let Some(outcome) = self.known_outcome(id, is_durable, may_have_started) {
-            let is_refused = matches!(outcome, JobOutcome::Refused { .. });
-            let outcome = if is_refused && highest_other.is_some() {
-                JobOutcome::TimedOut
-            } else {
-                outcome
-            };
-            out.push(Effect::Answer {
-                origin,
-                id,
-                outcome,
-            });
-            return;
-        }
-        if !is_durable && self.is_cancelled(id) {
-            let outcome = JobOutcome::Cancelled;
-            out.push(Effect::Answer {
-                origin,
-                id,
-                outcome,
-            });
-            return;
-        }
-        let origin = Origin {
-            vm: origin,
-            confirmed: cx.now,
-            as_of,
-        };
         let key = self.add_job(cx, spec, origin, (waited, remaining_wait));
         self.jobs[key].highest_former_token = highest_other.unwrap_or_default();
         if is_durable {
@@ -346,8 +346,7 @@
         backlog
     }
 
-    /// Ends a job as refused; the retry delay is the expected wait, at least [`MIN_RETRY_AFTER`]. Under overload it
-    /// covers the excess of the job's queue as well.
+    /// Ends a job as refused, with all copies of the attempts that wait for it.
     pub(super) fn refuse(
         &mut self,
         cx: &Context<'_>,
@@ -355,14 +354,27 @@
         reason: RefusalReason,
         out: &mut Vec<Effect>,
     ) {
+        let refusal = self.refusal_outcome(cx, key, reason);
+        let origins = &self.jobs[key].origins;
+        self.outcomes.add_refusal(refusal, origins, cx.now);
+        self.finish(cx, key, refusal, out);
+    }
+
+    /// Outcome of a job that is refused. The retry delay is the expected wait, at least [`MIN_RETRY_AFTER`]; under overload
+    /// it covers the excess of the job's queue as well.
+    fn refusal_outcome(
+        &mut self,
+        cx: &Context<'_>,
+        key: JobKey,
+        reason: RefusalReason,
+    ) -> JobOutcome {
         let wait = admission::expected_wait(&self.backlog(cx, key));
         let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
         let retry_after = self.contended_retry_after(cx, key, wait).unwrap_or(wait);
-        let outcome = JobOutcome::Refused {
+        JobOutcome::Refused {
             reason,
             retry_after,
-        };
-        self.finish(cx, key, outcome, out);
+        }
     }
 
     /// Schedules the next check of a job: at its latest start, or at its deadline once tasks may
@@ -407,23 +419,31 @@
         }
     }
 
-    /// Outcome of an earlier submission of a job, if this submission is to be answered with it.
-    fn known_outcome(
-        &self,
-        id: JobId,
-        is_durable: bool,
-        is_resubmitted: bool,
-    ) -> Option<JobOutcome> {
-        let &(_, outcome) = self.outcomes.get(&id)?;
-        match outcome {
-            // A caller's retry after a refusal goes through admission again.
-            JobOutcome::Refused { .. } => (is_resubmitted && !is_durable).then_some(outcome),
-            // The job was dropped as its entry VM followed another scheduler, and its caller still waits.
-            JobOutcome::TimedOut => None,
-            _ if is_durable => Some(JobOutcome::Accepted),
-            JobOutcome::Completed | JobOutcome::Failed => Some(outcome),
-            _ => is_resubmitted.then_some(outcome),
+    /// Outcome with which a submission is answered at once: that of its attempt, or of the job if that has ended.
+    fn known_outcome(&self, submission: &Submission) -> Option<JobOutcome> {
+        let (id, is_durable) = (submission.spec.id, submission.spec.is_durable);
+        let refusal = self.outcomes.refusal_of(submission.origin, submission.name);
+        if refusal.is_some() {
+            return refusal;
         }
+        if self.by_id.contains_key(&id) {
+            return None;
+        }
+        let known = match self.outcomes.job(id).map(|ended| ended.outcome) {
+            // A caller's retry after a refusal goes through admission again. Without a name it is not told from a copy.
+            Some(refusal @ JobOutcome::Refused { .. }) => {
+                let is_copy = submission.may_have_started && submission.name.is_none();
+                is_copy.then_some(refusal)
+            }
+            // The job was dropped as its entry VM followed another scheduler, and its caller still waits.
+            None | Some(JobOutcome::TimedOut) => None,
+            Some(_) if is_durable => Some(JobOutcome::Accepted),
+            Some(outcome @ (JobOutcome::Completed | JobOutcome::Failed)) => Some(outcome),
+            // The callers of the earlier attempts have left.
+            Some(JobOutcome::Cancelled | JobOutcome::Accepted) => None,
+        };
+        let is_cancelled = !is_durable && self.is_cancelled(id);
+        known.or(is_cancelled.then_some(JobOutcome::Cancelled))
     }
 
     /// Withdraws the jobs that an entry VM has not submitted again since `lost_at`; the log names the cause
@@ -464,12 +484,44 @@
             if self.jobs[key].may_have_run() {
                 self.finish(cx, key, JobOutcome::TimedOut, out);
             } else {
-                self.refuse(cx, key, RefusalReason::NoScheduler, out);
+                // The entry VM may have sent a further copy, which is taken as if it were the first one.
+                let outcome = self.refusal_outcome(cx, key, RefusalReason::NoScheduler);
+                self.finish(cx, key, outcome, out);
             }
         }
     }
 }
 
+/// An outcome as it may be answered: no refusal if another scheduler may have started the job.
+fn conclusive(outcome: JobOutcome, was_elsewhere: bool) -> JobOutcome {
+    match outcome {
+        JobOutcome::Refused { .. } if was_elsewhere => JobOutcome::TimedOut,
+        outcome => outcome,
+    }
+}
+
+/// Logs what is done with a copy of a submission, other than the first one.
+fn log_copy(submission: &Submission, handling: CopyHandling, out: &mut Vec<Effect>) {
+    if let Some(name) = submission.name.filter(|n| n.copy > 1) {
+        out.push(Effect::LogEvent(LogEvent::CopyReceived {
+            id: submission.spec.id,
+            origin: submission.origin,
+            submission: name,
+            handling,
+        }));
+    }
+}
+
+/// The entry VM that waits for the answer to a submission.
+fn origin_of(cx: &Context<'_>, submission: &Submission) -> Origin {
+    Origin {
+        vm: submission.origin,
+        submission: submission.name,
+        confirmed: cx.now,
+        as_of: submission.as_of.map(|at| at.min(cx.now)),
+    }
+}
+
 /// Expected run time of the longest chain of dependent steps, with unlimited workers.
 fn longest_chain_time(spec: &JobSpec, expected: &[Duration]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(expected.len());
--- a/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/tick.rs
@@ -55,7 +55,7 @@
         self.tick_records(cx, out);
         self.drop_disconnected_entries(cx, out);
         self.drop_unconfirmed_jobs(cx, out);
-        self.expire_outcomes(cx);
+        self.outcomes.expire(cx.now, cx.cfg.leased.outcome_ttl);
         self.expire_cancellations(cx);
         let now = cx.now;
         self.tick_bulkheads(cx, out);
@@ -85,23 +85,6 @@
         }
     }
 
-    fn expire_outcomes(&mut self, cx: &Context<'_>) {
-        let ttl = cx.cfg.leased.outcome_ttl;
-        while let Some(&(at, id)) = self.outcome_ages.front() {
-            if cx.now.saturating_duration_since(at) < ttl {
-                return;
-            }
-            self.outcome_ages.pop_front();
-            if self
-                .outcomes
-                .get(&id)
-                .is_some_and(|&(since, _)| since == at)
-            {
-                self.outcomes.remove(&id);
-            }
-        }
-    }
-
     /// Handles the jobs whose checks are due: deprioritizes, ends, extends or refuses them.
     fn check_deadlines(&mut self, cx: &Context<'_>, out: &mut Vec<Effect>) {
         while let Some(&(at, key)) = self.checks.first() {
--- a/crates/geraniumrelay-core/tests/leased/late_confirmations.rs
+++ b/crates/geraniumrelay-core/tests/leased/late_confirmations.rs
@@ -36,6 +36,7 @@
     let submission = Submission {
         spec: job.spec.clone(),
         origin: vm(origin),
+        name: None,
         waited: job.waited,
         remaining_wait: job.remaining_wait,
         as_of: Some(as_of),
--- a/crates/geraniumrelay-core/tests/leased/main.rs
+++ b/crates/geraniumrelay-core/tests/leased/main.rs
@@ -1,11 +1,13 @@
 //! Leased jobs on simulated workers in virtual time.
 
+mod attempt;
 mod capacity;
 mod cell_choice;
 mod cell_moves;
 mod config_transfer;
 mod confirmations;
 mod contention;
+mod copies;
 mod deadly_tasks;
 mod durable;
 mod election;
--- a/crates/geraniumrelay-core/tests/leased/superseded.rs
+++ b/crates/geraniumrelay-core/tests/leased/superseded.rs
@@ -139,6 +139,7 @@
     cell.handle(Command::Submit(Submission {
         spec: job.spec,
         origin: vm(100),
+        name: None,
         waited: Duration::ZERO,
         remaining_wait: Duration::from_secs(4),
         as_of: None,
--- a/crates/geraniumrelay-core/tests/leased/world/callers.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/callers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use geraniumrelay_core::leased::JobId;
+use geraniumrelay_core::leased::{JobId, JobOutcome};
 
 use super::entries::EntryEvent;
 use super::{Event, Simulation, TestJob};
@@ -10,6 +10,9 @@
 /// Time after which a caller whose connection has broken sends its job again.
 const RESEND_TIME: Duration = Duration::from_millis(1_300);
 
+/// Time after which a caller whose job was refused sends it again.
+const RETURN_TIME: Duration = Duration::from_secs(1);
+
 /// A caller that has no answer yet.
 #[derive(Debug)]
 pub(crate) struct Caller {
@@ -71,11 +74,28 @@
         }
     }
 
+    /// Answers a caller that its job has not run and never will.
+    pub(super) fn refuse_caller(&mut self, entry: usize, id: JobId, refusal: JobOutcome) {
+        self.log(&format!("entry VM {entry} refuses job {id}"));
+        *self.entry_vms.refused_requests.entry(id).or_default() += 1;
+        if self.random() < self.entry_vms.return_share {
+            self.send_after(id, RETURN_TIME);
+        } else {
+            self.entry_vms.callers.remove(&id);
+            self.entry_vms.answers.insert(id, refusal);
+        }
+    }
+
     pub(super) fn resend_later(&mut self, id: JobId) {
+        self.entry_vms.unanswered_jobs.insert(id);
+        self.send_after(id, RESEND_TIME);
+    }
+
+    fn send_after(&mut self, id: JobId, time: Duration) {
         if let Some(caller) = self.entry_vms.callers.get_mut(&id) {
             caller.entry = None;
             let event = EntryEvent::CallerSends { id };
-            self.schedule(self.now + RESEND_TIME, Event::EntryVm(event));
+            self.schedule(self.now + time, Event::EntryVm(event));
         }
     }
 
--- a/crates/geraniumrelay-core/tests/leased/world/checks.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/checks.rs
@@ -48,6 +48,16 @@
             .collect()
     }
 
+    /// Jobs whose callers were refused each time, although at least one task had started or started later.
+    pub(crate) fn refused_jobs_that_ran(&self) -> Vec<JobId> {
+        let answers = self.entry_vms.answers.iter();
+        let refused = answers.filter(|(_, a)| matches!(a, JobOutcome::Refused { .. }));
+        let refused = refused.map(|(&id, _)| id);
+        let refused = refused.filter(|id| !self.entry_vms.unanswered_jobs.contains(id));
+        let has_run = |id: &JobId| self.start_counts.keys().any(|name| name.job == *id);
+        refused.filter(has_run).collect()
+    }
+
     /// Tasks of durable jobs that were started again after an acknowledged end as done. Ends that
     /// were acknowledged only after the lease of their worker had lapsed don't count.
     pub(crate) fn tasks_restarted_after_ack(&self) -> Vec<TaskName> {
--- a/crates/geraniumrelay-core/tests/leased/world/entries.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/entries.rs
@@ -1,17 +1,21 @@
 //! Entry VMs: their processes, and what they know.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use geraniumrelay_core::leased::{Command, EntryVm, FencingToken, JobId, JobOutcome};
+use geraniumrelay_core::leased::attempt::Attempt;
+use geraniumrelay_core::leased::{Command, EntryVm, FencingToken, JobId, JobOutcome, SubmissionId};
 
 use super::callers::Caller;
-use super::links::Link;
+use super::links::{LINK_TIMEOUT, Link};
 use super::{Event, Simulation, vm};
 
 /// Time after a pause in which an entry VM reads the ends of its callers' connections.
 const CALLER_READ_TIME: Duration = Duration::from_millis(50);
 
+/// Time within which an entry VM sets its connections up again after a pause, once it passes jobs on.
+const MAX_RECONNECT_SPREAD: Duration = Duration::from_millis(30);
+
 /// An event of entry VMs, their links and their callers.
 #[derive(Debug, Clone)]
 pub(crate) enum EntryEvent {
@@ -50,8 +54,10 @@
     Answer {
         entry: usize,
         id: JobId,
+        submission: Option<SubmissionId>,
         outcome: JobOutcome,
-        token: FencingToken,
+        /// Cell and token of the scheduler.
+        from: (usize, FencingToken),
     },
     LinkTimedOut {
         entry: usize,
@@ -67,6 +73,11 @@
         entry: usize,
         host: usize,
     },
+    /// The connection from an entry VM is set up anew, while that to it goes on.
+    OutgoingReset {
+        entry: usize,
+        host: usize,
+    },
     /// A caller sends its job to any entry VM.
     CallerSends {
         id: JobId,
@@ -91,6 +102,7 @@
             | Self::Tick { entry, .. }
             | Self::HostHeard { entry, .. }
             | Self::Answer { entry, .. }
+            | Self::OutgoingReset { entry, .. }
             | Self::JobArrives { entry, .. }
             | Self::CallerLeft { entry, .. } => Some(entry),
             _ => None,
@@ -104,10 +116,7 @@
     pub(super) arrived: Instant,
     pub(super) wait_until: Instant,
     pub(super) cell: Option<usize>,
-    /// Tokens of all schedulers to which the job was sent.
-    pub(super) tokens: Vec<FencingToken>,
-    /// Token of the scheduler that has the job; `None` where the job must be sent again.
-    pub(super) sent_to: Option<FencingToken>,
+    pub(super) attempt: Attempt,
 }
 
 #[derive(Debug, Default)]
@@ -122,6 +131,8 @@
     pub(super) followed: BTreeMap<usize, (usize, Instant)>,
     pub(super) highest_tokens: BTreeMap<usize, FencingToken>,
     pub(super) jobs: BTreeMap<JobId, EntryJob>,
+    /// The last attempt that has begun.
+    pub(super) last_attempt: u64,
 }
 
 /// The entry VMs, their links and their callers.
@@ -134,6 +145,14 @@
     pub(super) callers: BTreeMap<JobId, Caller>,
     /// Answers to the callers.
     pub(crate) answers: BTreeMap<JobId, JobOutcome>,
+    /// Requests that were refused, by job.
+    pub(crate) refused_requests: BTreeMap<JobId, u32>,
+    /// Jobs with a request that got no answer, or none that tells whether the job runs.
+    pub(crate) unanswered_jobs: BTreeSet<JobId>,
+    /// Share of the refused callers that send their job again.
+    pub(crate) return_share: f64,
+    /// Whether the outgoing connections of an entry VM are set up anew after a freeze that has broken them.
+    pub(crate) reconnects_after_freeze: bool,
     /// Number of jobs that callers have sent again.
     pub(crate) resent_jobs: u32,
     /// Interval between two heartbeats of an entry VM, by the size of the group.
@@ -152,6 +171,10 @@
             heard: BTreeMap::new(),
             callers: BTreeMap::new(),
             answers: BTreeMap::new(),
+            refused_requests: BTreeMap::new(),
+            unanswered_jobs: BTreeSet::new(),
+            return_share: 0.0,
+            reconnects_after_freeze: false,
             resent_jobs: 0,
             beat_interval: Duration::from_millis(150),
             cell_choices: VecDeque::new(),
@@ -205,7 +228,7 @@
         let is_of_host = |cell| followed.get(&cell).is_some_and(|f| f.0 == host);
         for job in jobs.values_mut() {
             if job.cell.is_some_and(is_of_host) {
-                job.sent_to = None;
+                job.attempt.send_again();
             }
         }
     }
@@ -238,9 +261,12 @@
                 self.silence_link(entry, host);
             }
         }
-        let life = self.entry_vms.entries[entry].life;
+        let Entry {
+            life, last_attempt, ..
+        } = self.entry_vms.entries[entry];
         self.entry_vms.entries[entry] = Entry {
             life,
+            last_attempt,
             ..Entry::default()
         };
         self.break_callers_of(entry);
@@ -265,6 +291,14 @@
         ));
         let frozen_until = &mut self.entry_vms.entries[entry].frozen_until;
         *frozen_until = (*frozen_until).max(Some(self.now + pause));
+        if self.entry_vms.reconnects_after_freeze && pause >= LINK_TIMEOUT {
+            let awake = self.now + pause + CALLER_READ_TIME;
+            for host in 0..self.hosts.len() {
+                let at = awake + MAX_RECONNECT_SPREAD.mul_f64(self.random());
+                let event = EntryEvent::OutgoingReset { entry, host };
+                self.schedule(at, Event::EntryVm(event));
+            }
+        }
     }
 
     /// Ends a scheduler; entry VMs learn it at once if `is_noticed`.
@@ -302,14 +336,16 @@
             EntryEvent::Answer {
                 entry,
                 id,
+                submission,
                 outcome,
-                token,
-            } => self.answer_heard(entry, id, outcome, token),
+                from,
+            } => self.answer_heard(entry, (id, submission), outcome, from),
             EntryEvent::LinkTimedOut { entry, host, since } => {
                 self.link_timed_out(entry, host, since);
             }
             EntryEvent::LinkBroke { entry, host } => self.link_broke(entry, host),
             EntryEvent::Reconnect { entry, host } => self.reconnect(entry, host),
+            EntryEvent::OutgoingReset { entry, host } => self.reset_outgoing(entry, host),
             EntryEvent::CallerSends { id } => self.send_by_caller(id),
             EntryEvent::JobArrives { entry, id } => self.accept_job(entry, id),
             EntryEvent::CallerLeft { entry, id } => self.withdraw(entry, id),
--- a/crates/geraniumrelay-core/tests/leased/world/entry_jobs.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/entry_jobs.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use geraniumrelay_core::leased::{Command, EntryVm, FencingToken, JobId, JobOutcome};
+use geraniumrelay_core::leased::attempt::{Answer, Attempt, Evidence};
+use geraniumrelay_core::leased::{
+    AttemptId, Command, EntryVm, FencingToken, JobId, JobOutcome, SubmissionId,
+};
 
 use super::Simulation;
 use super::entries::{EntryEvent, EntryJob};
@@ -16,12 +19,14 @@
         if !self.entry_vms.is_caller_at(entry, id) {
             return;
         }
+        let is_durable = self.jobs[&id].spec.is_durable;
+        let last_attempt = &mut self.entry_vms.entries[entry].last_attempt;
+        *last_attempt += 1;
         let job = EntryJob {
+            attempt: Attempt::new(AttemptId(*last_attempt), is_durable),
             arrived: self.now,
             wait_until: self.now + self.jobs[&id].remaining_wait,
             cell: None,
-            tokens: Vec::new(),
-            sent_to: None,
         };
         self.entry_vms.entries[entry].jobs.insert(id, job);
         self.log(&format!("entry VM {entry} gets job {id}"));
@@ -33,7 +38,7 @@
             return;
         }
         let jobs = self.entry_vms.entries[entry].jobs.iter();
-        let unsent = jobs.filter(|(_, job)| job.sent_to.is_none());
+        let unsent = jobs.filter(|(_, job)| job.attempt.is_due());
         let unsent: Vec<_> = unsent.map(|(&id, job)| (id, job.cell)).collect();
         for (id, cell) in unsent {
             let Some(cell) = cell.or_else(|| self.choose_cell(entry)) else {
@@ -63,17 +68,16 @@
         let token = self.hosts[host].token;
         let cell = self.hosts[host].cell;
         let job = self.entry_vms.entries[entry].jobs.get_mut(&id).unwrap();
-        let may_have_started = !job.tokens.is_empty();
-        let former_tokens: Vec<_> = job.tokens.iter().copied().filter(|&t| t != token).collect();
-        if former_tokens.len() == job.tokens.len() {
-            job.tokens.push(token);
-        }
-        (job.cell, job.sent_to) = (Some(cell), Some(token));
+        let may_have_started = job.attempt.was_sent();
+        let former_tokens = job.attempt.former_tokens(token);
+        let name = job.attempt.send_to(token);
+        job.cell = Some(cell);
         self.log(&format!(
-            "entry VM {entry} sends job {id} to host {host} of cell {cell}, may have started: {may_have_started}"
+            "entry VM {entry} sends job {id} to host {host} of cell {cell} as {name}, may have started: {may_have_started}"
         ));
         let origin = self.entry_vms.vm(entry);
         let mut submission = self.submission(id, origin, may_have_started, former_tokens);
+        submission.name = Some(name);
         submission.as_of = self.entry_vms.entries[entry].heard.get(&host).copied();
         let cmd = Command::Submit(submission);
         self.send_over_link(entry, host, EntryEvent::Command { host, cmd });
@@ -92,7 +96,7 @@
         }
         let mut confirmations = Vec::new();
         for (&cell, &(host, _)) in &vm.followed {
-            let is_of_cell = |job: &EntryJob| job.cell == Some(cell) && !job.tokens.is_empty();
+            let is_of_cell = |job: &EntryJob| job.cell == Some(cell) && job.attempt.was_sent();
             let jobs = vm.jobs.iter().filter(|(_, job)| is_of_cell(job));
             let jobs: Vec<JobId> = jobs.map(|(&id, _)| id).collect();
             if let Some(&as_of) = vm.heard.get(&host).filter(|_| !jobs.is_empty()) {
@@ -131,17 +135,17 @@
         &mut self,
         host: usize,
         origin: EntryVm,
-        id: JobId,
+        (id, submission): (JobId, Option<SubmissionId>),
         outcome: JobOutcome,
     ) {
         let mut entries = 0..self.entry_vms.entries.len();
         if let Some(entry) = entries.find(|&e| self.entry_vms.vm(e) == origin) {
-            let token = self.hosts[host].token;
             let message = EntryEvent::Answer {
                 entry,
                 id,
+                submission,
                 outcome,
-                token,
+                from: (self.hosts[host].cell, self.hosts[host].token),
             };
             self.send_over_link(entry, host, message);
         }
@@ -150,32 +154,40 @@
     pub(super) fn answer_heard(
         &mut self,
         entry: usize,
-        id: JobId,
+        (id, submission): (JobId, Option<SubmissionId>),
         outcome: JobOutcome,
-        token: FencingToken,
+        (cell, token): (usize, FencingToken),
     ) {
         let Some(job) = self.entry_vms.entries[entry].jobs.get(&id) else {
             return;
         };
-        let is_end = matches!(outcome, JobOutcome::Completed | JobOutcome::Failed);
-        let is_conclusive = job.tokens.windows(2).all(|t| t[0].is_of_same_vm(t[1]));
-        let is_refused = matches!(outcome, JobOutcome::Refused { .. });
-        if job.sent_to == Some(token) {
-            self.entry_vms.entries[entry].jobs.remove(&id);
-        } else if is_end {
-            self.withdraw(entry, id);
-        } else {
-            return;
+        let evidence = job.attempt.judge(&Answer {
+            submission,
+            outcome,
+            token: (job.cell == Some(cell)).then_some(token),
+        });
+        match evidence {
+            Evidence::OfOtherCopy => return,
+            Evidence::Ended | Evidence::NotRun => {
+                self.entry_vms.entries[entry].jobs.remove(&id);
+            }
+            Evidence::EndedElsewhere | Evidence::GivenUp | Evidence::MayHaveRun => {
+                self.withdraw(entry, id);
+            }
         }
         if !self.entry_vms.is_caller_at(entry, id) {
             return;
         }
-        if is_end || (is_refused && is_conclusive) {
-            self.entry_vms.callers.remove(&id);
-            self.entry_vms.answers.insert(id, outcome);
-        } else {
-            self.log(&format!("entry VM {entry} answers job {id} with 504"));
-            self.resend_later(id);
+        match evidence {
+            Evidence::Ended | Evidence::EndedElsewhere => {
+                self.entry_vms.callers.remove(&id);
+                self.entry_vms.answers.insert(id, outcome);
+            }
+            Evidence::NotRun => self.refuse_caller(entry, id, outcome),
+            _ => {
+                self.log(&format!("entry VM {entry} answers job {id} with 504"));
+                self.resend_later(id);
+            }
         }
     }
 }
--- a/crates/geraniumrelay-core/tests/leased/world/heartbeats.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/heartbeats.rs
@@ -127,13 +127,15 @@
             self.entry_vms.lose_scheduler(entry, host);
         }
         let is_overdue = |job: &EntryJob| {
-            now >= job.wait_until || (job.tokens.is_empty() && now >= job.arrived + SCHEDULER_WAIT)
+            now >= job.wait_until
+                || (!job.attempt.was_sent() && now >= job.arrived + SCHEDULER_WAIT)
         };
         let jobs = self.entry_vms.entries[entry].jobs.iter();
         let overdue: Vec<JobId> = jobs.filter(|j| is_overdue(j.1)).map(|j| *j.0).collect();
         for id in overdue {
             self.withdraw(entry, id);
             if self.entry_vms.is_caller_at(entry, id) {
+                self.entry_vms.unanswered_jobs.insert(id);
                 self.entry_vms.callers.remove(&id);
             }
         }
--- a/crates/geraniumrelay-core/tests/leased/world/links.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/links.rs
@@ -88,6 +88,23 @@
         self.reconnect_later(entry, host);
     }
 
+    /// Sets up the connection from an entry VM to a scheduler anew: both go on, and answers still arrive.
+    pub(crate) fn reset_outgoing(&mut self, entry: usize, host: usize) {
+        let is_up = self.entry_vms.is_up(entry) && self.hosts[host].scheduler.is_some();
+        let link = self.link(entry, host);
+        if !is_up || link.is_broken || link.cut_since.is_some() {
+            return;
+        }
+        self.log(&format!(
+            "disruption: entry VM {entry} connects to host {host} again"
+        ));
+        let event = EntryEvent::LinkBroke { entry, host };
+        self.schedule(self.now + LINK_LATENCY, Event::EntryVm(event));
+        self.entry_vms.heard.insert((host, entry), self.now);
+        self.entry_vms.mark_unsent(entry, host);
+        self.send_unsent_jobs(entry);
+    }
+
     pub(super) fn link_timed_out(&mut self, entry: usize, host: usize, since: Instant) {
         if self.link(entry, host).cut_since == Some(since) {
             self.silence_link(entry, host);
--- a/crates/geraniumrelay-core/tests/leased/world/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/world/mod.rs
@@ -25,8 +25,8 @@
 use geraniumrelay_core::leased::evacuation::EvacuatedSince;
 use geraniumrelay_core::leased::{
     Command, DeparturesKnown, Effect, EntryVm, FencingToken, JobId, JobOutcome, JobRecord,
-    LogEvent, LostRun, PollCall, RecordReply, Scheduler, StartCall, StopCall, Submission, TaskName,
-    WorkerEntry, WorkerName,
+    LogEvent, LostRun, PollCall, RecordReply, Scheduler, StartCall, StopCall, Submission,
+    SubmissionId, TaskName, WorkerEntry, WorkerName,
 };
 use geraniumrelay_core::{Config, Context};
 use rand::rngs::StdRng;
@@ -200,6 +200,8 @@
     /// The VMs of the entry VMs, in tests where schedulers run on them.
     pub(crate) vms: Vec<Vm>,
     pub(crate) jobs: BTreeMap<JobId, TestJob>,
+    /// All answers of schedulers: the entry VM, the copy that is answered, and the outcome.
+    pub(crate) named_answers: Vec<(EntryVm, JobId, Option<SubmissionId>, JobOutcome)>,
     /// First outcome of each job, and its time.
     pub(crate) answers: BTreeMap<JobId, (JobOutcome, Instant)>,
     /// Number of accepted starts of each task.
@@ -318,6 +320,7 @@
             entry_vms: EntryVms::default(),
             vms: Vec::new(),
             jobs: BTreeMap::new(),
+            named_answers: Vec::new(),
             answers: BTreeMap::new(),
             start_counts: BTreeMap::new(),
             concurrent_runs: Vec::new(),
@@ -598,6 +601,7 @@
         Submission {
             spec: job.spec.clone(),
             origin,
+            name: None,
             waited: job.waited,
             remaining_wait: job.remaining_wait,
             as_of: job.heartbeat_age.and_then(|age| self.now.checked_sub(age)),
@@ -627,9 +631,11 @@
             Effect::Answer {
                 origin,
                 id,
+                submission,
                 outcome,
             } => {
-                self.send_answer(host, origin, id, outcome);
+                self.named_answers.push((origin, id, submission, outcome));
+                self.send_answer(host, origin, (id, submission), outcome);
                 self.answers.entry(id).or_insert((outcome, self.now));
                 self.losses.remove(&id);
             }
--- a/crates/geraniumrelay-wire/src/leased.rs
+++ b/crates/geraniumrelay-wire/src/leased.rs
@@ -184,6 +184,12 @@
     /// `sent_ms` of the last heartbeat of the receiver that has reached the sender; 0 if it does not tell.
     #[prost(uint64, tag = "19")]
     pub as_of_ms: u64,
+    /// Attempt of the sender to have the job admitted, unique among its attempts; 0 if it does not tell.
+    #[prost(fixed64, tag = "20")]
+    pub attempt: u64,
+    /// Number of this copy among those of the attempt, from 1.
+    #[prost(uint32, tag = "21")]
+    pub copy: u32,
 }
 /// Run that ended together with its worker.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -399,6 +405,12 @@
     pub token: u64,
     #[prost(string, tag = "6")]
     pub cell: ::prost::alloc::string::String,
+    /// Attempt and copy of the last submission of the receiver that has arrived; 0 if the sender does not tell, or answers
+    /// no submission.
+    #[prost(fixed64, tag = "7")]
+    pub attempt: u64,
+    #[prost(uint32, tag = "8")]
+    pub copy: u32,
 }
 /// Nested message and enum types in `Answer`.
 pub mod answer {
--- a/crates/geraniumrelay/src/leased/convert.rs
+++ b/crates/geraniumrelay/src/leased/convert.rs
@@ -10,8 +10,8 @@
 use geraniumrelay_core::leased::config_transfer::{Part, PartRequest};
 use geraniumrelay_core::leased::election::{Fitness, Heartbeat};
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, LostRun, RecordState,
-    RefusalReason, Resources, StepSpec, Submission, TaskName, TaskProgress,
+    AttemptId, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, JobSpec, LostRun, RecordState,
+    RefusalReason, Resources, StepSpec, Submission, SubmissionId, TaskName, TaskProgress,
 };
 use geraniumrelay_wire::leased::answer::Outcome;
 use geraniumrelay_wire::leased::job_record::State as StoredState;
@@ -185,14 +185,23 @@
         has_alternative: submission.has_alternative,
         losses: losses_to(&submission.losses),
         as_of_ms: 0,
+        attempt: submission.name.map_or(0, |n| n.attempt.0),
+        copy: submission.name.map_or(0, |n| n.copy),
     }
 }
 
+/// Name of a copy; `None` if the peer's version does not tell it.
+fn submission_id(attempt: u64, copy: u32) -> Option<SubmissionId> {
+    let attempt = AttemptId(attempt);
+    (attempt.0 > 0).then_some(SubmissionId { attempt, copy })
+}
+
 /// Reads a submission; its `as_of` is left to the host, which knows the clock.
 pub(super) fn submission_from_wire(submit: Submit, origin: EntryVm) -> Submission {
     let losses = losses_from(JobId(submit.id), &submit.losses);
     Submission {
         losses,
+        name: submission_id(submit.attempt, submit.copy),
         spec: JobSpec {
             id: JobId(submit.id),
             queue: submit.queue.into(),
@@ -221,6 +230,7 @@
     let submission = Submission {
         spec: record.spec.clone(),
         origin: vm_from_address(0),
+        name: None,
         waited: Duration::ZERO,
         remaining_wait: Duration::ZERO,
         as_of: None,
@@ -371,7 +381,7 @@
 }
 
 pub(super) fn answer_to_wire(
-    id: JobId,
+    (id, submission): (JobId, Option<SubmissionId>),
     outcome: JobOutcome,
     cell: &CellName,
     token: FencingToken,
@@ -394,10 +404,13 @@
         retry_after_ms: refusal.map_or(0, |(_, after)| micros(after) / 1_000),
         token: token.0,
         cell: cell.to_string(),
+        attempt: submission.map_or(0, |s| s.attempt.0),
+        copy: submission.map_or(0, |s| s.copy),
     }
 }
 
-pub(super) fn answer_from_wire(answer: &Answer) -> (JobId, JobOutcome) {
+/// The job, the copy of its submission that is answered, and the outcome.
+pub(super) fn answer_from_wire(answer: &Answer) -> (JobId, Option<SubmissionId>, JobOutcome) {
     let outcome = match answer.outcome() {
         Outcome::TimedOut => JobOutcome::TimedOut,
         Outcome::Completed => JobOutcome::Completed,
@@ -409,7 +422,8 @@
             retry_after: Duration::from_millis(answer.retry_after_ms),
         },
     };
-    (JobId(answer.id), outcome)
+    let submission = submission_id(answer.attempt, answer.copy);
+    (JobId(answer.id), submission, outcome)
 }
 
 /// Reads a reason; a reason added by a newer version is read as the most general one.
--- a/crates/geraniumrelay/src/leased/decision_log.rs
+++ b/crates/geraniumrelay/src/leased/decision_log.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{LogEvent, TaskName, WorkerName};
+use geraniumrelay_core::leased::{EntryVm, LogEvent, SubmissionId, TaskName, WorkerName};
 use log::info;
 
 /// Logs an event of the scheduler of `cell`.
@@ -12,6 +12,7 @@
     match event {
         LogEvent::JobEnded {
             id,
+            submissions,
             outcome,
             admission,
             slack,
@@ -25,7 +26,7 @@
                 backlog.as_ref().map_or(0, f)
             };
             info!(
-                cell:% = cell, id:% = id, outcome:? = outcome,
+                cell:% = cell, id:% = id, submissions = submission_list(submissions).as_str(), outcome:? = outcome,
                 is_late = took > objective, took_ms = ms(*took), objective_ms = ms(*objective),
                 slack_ms = ms(*slack), first_start_ms:? = waited.map(ms),
                 expected_wait_ms:? = wait.flatten().map(ms), free_cpu = backlog_cpu(|b| b.free),
@@ -56,15 +57,9 @@
         | LogEvent::WorkerSpeedsChanged { .. }
         | LogEvent::NearWaitBegun { .. }
         | LogEvent::NearWaitEnded { .. } => write_load_event(cell, event),
-        LogEvent::EntryJobsDropped {
-            vm,
-            jobs,
-            cause,
-            lost_for,
-        } => info!(
-            cell:% = cell, vm:% = vm, jobs, cause:% = cause, for_ms = ms(*lost_for);
-            "entry_jobs_dropped"
-        ),
+        LogEvent::EntryJobsDropped { .. } | LogEvent::CopyReceived { .. } => {
+            write_entry_event(cell, event);
+        }
         LogEvent::TasksStarted {
             id,
             starts,
@@ -306,6 +301,31 @@
     workers.join(",")
 }
 
+/// Logs what an entry VM has sent again, or has not.
+fn write_entry_event(cell: &CellName, event: &LogEvent) {
+    match event {
+        LogEvent::EntryJobsDropped {
+            vm,
+            jobs,
+            cause,
+            lost_for,
+        } => info!(
+            cell:% = cell, vm:% = vm, jobs, cause:% = cause, for_ms = ms(*lost_for);
+            "entry_jobs_dropped"
+        ),
+        LogEvent::CopyReceived {
+            id,
+            origin,
+            submission,
+            handling,
+        } => info!(
+            cell:% = cell, id:% = id, from:% = origin, submission:% = submission, handling:% = handling;
+            "copy_received"
+        ),
+        _ => {}
+    }
+}
+
 /// Starts of one job, each as `STEP.INDEX:RUN@WORKER`, separated by commas.
 fn start_list(starts: &[(TaskName, u32, WorkerName)]) -> String {
     let mut list = String::new();
@@ -321,6 +341,12 @@
     list
 }
 
+/// Last copies of a job's submissions, each as `ATTEMPT/COPY@VM`, separated by commas.
+fn submission_list(submissions: &[(EntryVm, SubmissionId)]) -> String {
+    let submissions = submissions.iter().map(|(vm, name)| format!("{name}@{vm}"));
+    submissions.collect::<Vec<_>>().join(",")
+}
+
 /// Runs, each as `TASK:RUN`, separated by commas.
 fn run_list(runs: &[(TaskName, u32)]) -> String {
     let runs: Vec<String> = runs
--- a/crates/geraniumrelay/src/leased/event_loop/jobs.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/jobs.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use geraniumrelay_core::collections::Set;
+use geraniumrelay_core::leased::attempt::Evidence;
 use geraniumrelay_core::leased::cell_choice::{self, Candidate, Request};
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
     Command, EntryVm, FencingToken, JobId, JobOutcome, JobState, RefusalReason, Submission,
+    SubmissionId,
 };
 use geraniumrelay_wire::leased::peer_message::Body;
 use geraniumrelay_wire::leased::{Submit, Withdraw};
@@ -118,11 +120,15 @@
         submission: Submission,
         as_of_ms: u64,
     ) -> bool {
+        let id = submission.spec.id;
+        if let Some(name) = submission.name.filter(|n| n.copy > 1) {
+            let may_have_started = submission.may_have_started;
+            info!(id:% = id, cell:% = cell, to:% = to, submission:% = name, may_have_started; "job_sent_again");
+        }
         if to == self.components.vm {
             self.handle_command(cell, Command::Submit(submission));
             return true;
         }
-        let id = submission.spec.id;
         let submit = Submit {
             as_of_ms,
             ..convert::submission_to_wire(&submission, cell)
@@ -131,7 +137,7 @@
         let is_sent = self.links.get(&to).is_some_and(|link| link.send(message));
         if !is_sent {
             warn!(id:% = id, to:% = to; "job_not_passed_on");
-            self.pending_jobs.unassign(&submission);
+            self.pending_jobs.unassign(id);
         }
         is_sent
     }
@@ -208,54 +214,64 @@
         known.or_else(|| self.pending_jobs.contains(id).then_some(JobState::Queued))
     }
 
-    /// Handles a scheduler's answer on a job. Where the job has been assigned to another scheduler
-    /// since, only an answer that the job has ended is accepted.
+    /// Handles a scheduler's answer on a job.
     pub(super) fn on_answer(
         &mut self,
-        id: JobId,
+        (id, submission): (JobId, Option<SubmissionId>),
         outcome: JobOutcome,
         cell: &CellName,
         token: FencingToken,
     ) {
-        let is_overload = matches!(
-            outcome,
-            JobOutcome::Refused {
-                reason: RefusalReason::Overload,
-                ..
-            }
-        );
-        if self.pending_jobs.is_assigned_to(id, cell, token) {
-            if matches!(outcome, JobOutcome::Refused { .. })
-                && !self.pending_jobs.is_refusal_conclusive(id)
-            {
+        self.log_answer_of_other_copy((id, submission), outcome, cell);
+        let from = (cell, token);
+        let Some(evidence) = self.pending_jobs.judge(id, submission, outcome, from) else {
+            return;
+        };
+        match evidence {
+            Evidence::OfOtherCopy => {}
+            Evidence::NotRun => self.on_refused(id, outcome, cell),
+            Evidence::MayHaveRun => {
                 warn!(id:% = id, cell:% = cell, token:% = token; "refusal_inconclusive");
                 self.withdraw(id);
                 self.answer(id, JobOutcome::TimedOut);
-                return;
             }
-            let is_evacuated = matches!(
-                outcome,
-                JobOutcome::Refused {
-                    reason: RefusalReason::Evacuated,
-                    ..
-                }
-            );
-            if is_evacuated {
-                self.on_refused_by_evacuation(id, cell);
-                return;
+            Evidence::Ended => self.answer(id, outcome),
+            Evidence::EndedElsewhere | Evidence::GivenUp => {
+                self.withdraw(id);
+                self.answer(id, outcome);
             }
-            if is_overload && self.cells.len() > 1 && self.pending_jobs.try_other_cell(id) {
-                self.send_refused_job(id, outcome);
-                return;
+        }
+    }
+
+    /// Sends a job to another scheduler that one has refused, or answers its callers. No copy of it is left anywhere.
+    fn on_refused(&mut self, id: JobId, refusal: JobOutcome, cell: &CellName) {
+        let JobOutcome::Refused { reason, .. } = refusal else {
+            return;
+        };
+        match reason {
+            RefusalReason::Evacuated => self.on_refused_by_evacuation(id, cell),
+            RefusalReason::Overload
+                if self.cells.len() > 1 && self.pending_jobs.try_other_cell(id) =>
+            {
+                self.send_refused_job(id, refusal);
             }
-            if outcome == JobOutcome::TimedOut {
-                // The answer may be to an earlier copy of the job, which was passed on again since.
-                self.withdraw(id);
+            RefusalReason::NoScheduler if self.pending_jobs.begin_anew(id) => {
+                self.send_unsent_jobs();
             }
-            self.answer(id, outcome);
-        } else if matches!(outcome, JobOutcome::Completed | JobOutcome::Failed) {
-            self.withdraw(id);
-            self.answer(id, outcome);
+            _ => self.answer(id, refusal),
+        }
+    }
+
+    /// Logs an answer that names another copy than the last one that was sent.
+    fn log_answer_of_other_copy(
+        &self,
+        (id, submission): (JobId, Option<SubmissionId>),
+        outcome: JobOutcome,
+        cell: &CellName,
+    ) {
+        let last = self.pending_jobs.last_submission(id);
+        if let Some((answered, last)) = submission.zip(last).filter(|(a, l)| a != l) {
+            info!(id:% = id, cell:% = cell, answered:% = answered, last:% = last, outcome:? = outcome; "answer_of_other_copy");
         }
     }
 
@@ -269,10 +285,13 @@
 
     /// Sends the outcome to the job's callers, and logs it.
     pub(super) fn answer(&mut self, id: JobId, outcome: JobOutcome) {
+        let last = self.pending_jobs.last_submission(id);
         let Some(job) = self.pending_jobs.answer(id, outcome) else {
             return;
         };
         let took_ms = job.took.as_millis();
+        let submission = last.map_or_else(|| "none".to_owned(), |last| last.to_string());
+        let submission = submission.as_str();
         let (queue, tasks, estimate_ms) = (&*job.queue, job.tasks, job.estimate.as_millis());
         match outcome {
             JobOutcome::Refused {
@@ -280,10 +299,10 @@
                 retry_after,
             } => {
                 let retry_after_ms = retry_after.as_millis();
-                info!(id:% = id, outcome = "refused", reason:% = reason, retry_after_ms, took_ms, queue, tasks, estimate_ms; "job_answered");
+                info!(id:% = id, submission, outcome = "refused", reason:% = reason, retry_after_ms, took_ms, queue, tasks, estimate_ms; "job_answered");
             }
             other => {
-                info!(id:% = id, outcome:? = other, took_ms, queue, tasks, estimate_ms; "job_answered");
+                info!(id:% = id, submission, outcome:? = other, took_ms, queue, tasks, estimate_ms; "job_answered");
             }
         }
     }
--- a/crates/geraniumrelay/src/leased/event_loop/mod.rs
+++ b/crates/geraniumrelay/src/leased/event_loop/mod.rs
@@ -149,7 +149,7 @@
             components,
             cells: BTreeMap::new(),
             directory,
-            pending_jobs: PendingJobs::default(),
+            pending_jobs: PendingJobs::new(rand::random()),
             cancellations: Cancellations::default(),
             links: Map::default(),
             link_load: TotalLoad::default(),
@@ -442,9 +442,9 @@
             }
             Body::CancelReply(reply) => self.on_cancel_reply(&reply, from),
             Body::Answer(answer) => {
-                let (id, outcome) = convert::answer_from_wire(&answer);
+                let (id, submission, outcome) = convert::answer_from_wire(&answer);
                 let cell = CellName(answer.cell.into());
-                self.on_answer(id, outcome, &cell, FencingToken(answer.token));
+                self.on_answer((id, submission), outcome, &cell, FencingToken(answer.token));
             }
             Body::Losses(losses) => {
                 let id = JobId(losses.id);
@@ -524,12 +524,14 @@
             Effect::Answer {
                 origin,
                 id,
+                submission,
                 outcome,
             } => {
                 if origin == self.components.vm {
-                    self.on_answer(id, outcome, name, token);
+                    self.on_answer((id, submission), outcome, name, token);
                 } else {
-                    let answer = convert::answer_to_wire(id, outcome, name, token);
+                    let submission = (id, submission);
+                    let answer = convert::answer_to_wire(submission, outcome, name, token);
                     self.send(origin, Body::Answer(answer));
                 }
             }
--- a/crates/geraniumrelay/src/leased/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/pending_jobs.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use geraniumrelay_core::leased::attempt::{Answer, Attempt, Evidence};
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobSpec, LostRun, RefusalReason, StepSpec,
-    Submission, TaskName,
+    AttemptId, EntryVm, FencingToken, JobId, JobOutcome, JobSpec, LostRun, RefusalReason, StepSpec,
+    Submission, SubmissionId, TaskName,
 };
 use tokio::sync::oneshot;
 
@@ -33,6 +34,7 @@
     arrived: Instant,
     wait_until: Instant,
     replies: Vec<oneshot::Sender<JobOutcome>>,
+    attempt: Attempt,
     /// Cell to which the job was assigned last.
     cell: Option<CellName>,
     /// Cells that have refused the job.
@@ -45,14 +47,6 @@
     losses: Vec<(TaskName, Vec<LostRun>)>,
     /// Whether the last submission said that another cell has room.
     had_alternative: bool,
-    /// Tokens of all schedulers to which the job was sent since it was last refused.
-    tokens: Vec<FencingToken>,
-    /// Whether the last of `tokens` was added by the last assignment.
-    is_last_token_new: bool,
-    /// Token of the cell's scheduler that has the job; `None` where the job must be sent again.
-    sent_to: Option<FencingToken>,
-    /// Whether the job was sent to any scheduler of the cell, so that tasks may have started there.
-    was_sent: bool,
     /// When a scheduler was last told that callers wait for the job.
     confirmed_at: Instant,
 }
@@ -66,15 +60,13 @@
 
     /// Whether the job was sent to the cell last, so that the cell may have it.
     fn may_be_in(&self, cell: &CellName) -> bool {
-        self.was_sent && self.cell.as_ref() == Some(cell)
+        self.attempt.was_sent() && self.cell.as_ref() == Some(cell)
     }
 
     /// Lets the job be sent to another cell. After a refusal no task has started, so another cell is safe.
-    fn forget_assignment(&mut self) {
+    fn begin_attempt(&mut self, id: AttemptId) {
         self.had_alternative = false;
-        self.sent_to = None;
-        self.was_sent = false;
-        self.tokens.clear();
+        self.attempt = Attempt::new(id, self.spec.is_durable);
     }
 }
 
@@ -108,6 +100,8 @@
 /// Jobs whose callers wait at this entry VM.
 #[derive(Debug, Default)]
 pub(super) struct PendingJobs {
+    /// The last attempt that has begun.
+    last_attempt: u64,
     /// An ordered map, because callers choose the ids.
     jobs: BTreeMap<JobId, OpenJob>,
     /// When a job last left a cell that may go on with it, by cell.
@@ -115,6 +109,21 @@
 }
 
 impl PendingJobs {
+    /// Creates pending jobs whose attempts are numbered from above `last_attempt`, which must differ from that of any
+    /// earlier process of this VM.
+    pub(super) fn new(last_attempt: u64) -> Self {
+        Self {
+            last_attempt,
+            ..Self::default()
+        }
+    }
+
+    /// Begins an attempt; 0 is the number of none.
+    fn next_attempt(&mut self) -> AttemptId {
+        self.last_attempt = self.last_attempt.wrapping_add(1).max(1);
+        AttemptId(self.last_attempt)
+    }
+
     /// Adds a job; `false` where its id is pending already, so that both callers get one outcome.
     pub(super) fn add(
         &mut self,
@@ -129,6 +138,7 @@
         }
         let id = spec.id;
         let job = OpenJob {
+            attempt: Attempt::new(self.next_attempt(), spec.is_durable),
             spec,
             arrived: now,
             wait_until: now + remaining_wait,
@@ -139,10 +149,6 @@
             declined_by: Vec::new(),
             losses: Vec::new(),
             had_alternative: false,
-            tokens: Vec::new(),
-            is_last_token_new: false,
-            sent_to: None,
-            was_sent: false,
             confirmed_at: now,
         };
         self.jobs.insert(id, job);
@@ -164,7 +170,7 @@
 
     /// Whether a job is pending that has no scheduler.
     pub(super) fn is_unsent(&self, id: JobId) -> bool {
-        self.jobs.get(&id).is_some_and(|j| j.sent_to.is_none())
+        self.jobs.get(&id).is_some_and(|j| j.attempt.is_due())
     }
 
     /// The cell to which the job was assigned last.
@@ -172,19 +178,35 @@
         self.jobs.get(&id)?.cell.clone()
     }
 
-    /// Whether the job is assigned to the scheduler of `cell` with `token`.
-    pub(super) fn is_assigned_to(&self, id: JobId, cell: &CellName, token: FencingToken) -> bool {
-        let job = self.jobs.get(&id);
-        job.is_some_and(|j| j.cell.as_ref() == Some(cell) && j.sent_to == Some(token))
+    /// Name of the last copy of a job's submission that has left this VM.
+    pub(super) fn last_submission(&self, id: JobId) -> Option<SubmissionId> {
+        self.jobs.get(&id)?.attempt.last_submission()
+    }
+
+    /// What an answer of the scheduler of `cell` with `token` says about a pending job.
+    pub(super) fn judge(
+        &self,
+        id: JobId,
+        submission: Option<SubmissionId>,
+        outcome: JobOutcome,
+        (cell, token): (&CellName, FencingToken),
+    ) -> Option<Evidence> {
+        let job = self.jobs.get(&id)?;
+        let is_of_cell = job.cell.as_ref() == Some(cell);
+        Some(job.attempt.judge(&Answer {
+            submission,
+            outcome,
+            token: is_of_cell.then_some(token),
+        }))
     }
 
     /// Jobs that have no scheduler, or whose scheduler has changed.
     pub(super) fn unsent(&self) -> Vec<UnsentJob> {
-        let unsent = self.jobs.iter().filter(|(_, j)| j.sent_to.is_none());
+        let unsent = self.jobs.iter().filter(|(_, j)| j.attempt.is_due());
         unsent
             .map(|(&id, job)| UnsentJob {
                 id,
-                cell: job.cell.clone().filter(|_| job.was_sent),
+                cell: job.cell.clone().filter(|_| job.attempt.was_sent()),
                 refused_by: job.refused_by.clone(),
                 is_refused: job.refused_by.len() > job.evacuated_cells,
                 declined_by: job.declined_by.clone(),
@@ -204,21 +226,16 @@
         now: Instant,
     ) -> Option<Submission> {
         let job = self.jobs.get_mut(&id)?;
-        let may_have_started = job.was_sent;
+        let may_have_started = job.attempt.was_sent();
         job.had_alternative =
             has_alternative && !may_have_started && !job.declined_by.contains(cell);
-        let former_tokens: Vec<_> = job.tokens.iter().copied().filter(|&t| t != token).collect();
-        job.is_last_token_new = former_tokens.len() == job.tokens.len();
-        if job.is_last_token_new {
-            job.tokens.push(token);
-        }
+        let former_tokens = job.attempt.former_tokens(token);
         job.cell = Some(cell.clone());
-        job.sent_to = Some(token);
-        job.was_sent = true;
         job.confirmed_at = now;
         Some(Submission {
             spec: job.spec.clone(),
             origin,
+            name: Some(job.attempt.send_to(token)),
             waited: now.saturating_duration_since(job.arrived),
             remaining_wait: job.wait_until.saturating_duration_since(now),
             as_of: None,
@@ -266,33 +283,31 @@
     pub(super) fn mark_unsent(&mut self, cell: &CellName) {
         let of_cell = |j: &&mut OpenJob| j.cell.as_ref() == Some(cell);
         for job in self.jobs.values_mut().filter(of_cell) {
-            job.sent_to = None;
+            job.attempt.send_again();
         }
     }
 
     /// Reverts the assignment of a job whose submission could not be queued for its scheduler.
-    pub(super) fn unassign(&mut self, submission: &Submission) {
-        if let Some(job) = self.jobs.get_mut(&submission.spec.id) {
-            job.sent_to = None;
-            job.was_sent = submission.may_have_started;
-            if std::mem::take(&mut job.is_last_token_new) {
-                job.tokens.pop();
-            }
+    pub(super) fn unassign(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.attempt.revert_send();
         }
     }
 
-    /// Whether a refusal by the job's present scheduler says that the job has not run: `false` once the
-    /// job was sent to schedulers on several VMs, as another one may have started it.
-    pub(super) fn is_refusal_conclusive(&self, id: JobId) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
-            return true;
+    /// Lets a job that its former scheduler has not run be sent to the present one as a new job.
+    pub(super) fn begin_anew(&mut self, id: JobId) -> bool {
+        let next = self.next_attempt();
+        let Some(job) = self.jobs.get_mut(&id).filter(|j| j.attempt.is_due()) else {
+            return false;
         };
-        job.tokens.windows(2).all(|t| t[0].is_of_same_vm(t[1]))
+        job.begin_attempt(next);
+        true
     }
 
     /// Records that the job's cell has refused it, or left it to another cell; `true` where another
     /// cell may be tried.
     pub(super) fn try_other_cell(&mut self, id: JobId) -> bool {
+        let next = self.next_attempt();
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
@@ -303,13 +318,14 @@
         } else {
             job.refused_by.extend(job.cell.take());
         }
-        job.forget_assignment();
+        job.begin_attempt(next);
         true
     }
 
     /// Records that the job's cell is evacuated; `true` where the job is pending. Such a refusal says nothing of the
     /// load, so it does not count towards the cells that a job is offered to.
     pub(super) fn leave_evacuated_cell(&mut self, id: JobId) -> bool {
+        let next = self.next_attempt();
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
@@ -317,7 +333,7 @@
         job.refused_by.extend(job.cell.take());
         // The cell that left the job to this one is in the same data centre, to which the job is not tied any more.
         job.declined_by.clear();
-        job.forget_assignment();
+        job.begin_attempt(next);
         true
     }
 
@@ -352,7 +368,7 @@
     /// Jobs without a caller: all have closed their requests. With `only_unsent`, those that have no scheduler.
     pub(super) fn without_caller(&self, only_unsent: bool) -> Vec<JobId> {
         let is_left = |job: &OpenJob| job.replies.iter().all(oneshot::Sender::is_closed);
-        let is_asked_for = |job: &OpenJob| !only_unsent || job.sent_to.is_none();
+        let is_asked_for = |job: &OpenJob| !only_unsent || job.attempt.is_due();
         let jobs = self.jobs.iter();
         let left = jobs.filter(|(_, j)| is_asked_for(j) && is_left(j));
         left.map(|(&id, _)| id).collect()
@@ -374,7 +390,7 @@
 
     /// Records that a job leaves its cell without an answer that ends it there.
     fn note_departure(&mut self, id: JobId) {
-        let job = self.jobs.get(&id).filter(|j| j.was_sent);
+        let job = self.jobs.get(&id).filter(|j| j.attempt.was_sent());
         if let Some(cell) = job.and_then(|j| j.cell.clone()) {
             self.departures.insert(cell, Instant::now());
         }
@@ -387,7 +403,8 @@
             retry_after: RETRY_AFTER,
         };
         let outcome = |job: &OpenJob| {
-            if !job.was_sent && now >= (job.arrived + SCHEDULER_WAIT).min(job.wait_until) {
+            if !job.attempt.was_sent() && now >= (job.arrived + SCHEDULER_WAIT).min(job.wait_until)
+            {
                 return Some(refusal);
             }
             (now >= job.wait_until + ANSWER_MARGIN).then_some(JobOutcome::TimedOut)
--- a/crates/geraniumrelay/src/leased/tests/convert.rs
+++ b/crates/geraniumrelay/src/leased/tests/convert.rs
@@ -4,8 +4,8 @@
 
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LostRun, RecordState, RefusalReason,
-    Submission, TaskName, TaskProgress,
+    AttemptId, EntryVm, FencingToken, JobId, JobOutcome, JobRecord, LostRun, RecordState,
+    RefusalReason, Submission, SubmissionId, TaskName, TaskProgress,
 };
 
 use super::{MS, spec};
@@ -35,6 +35,10 @@
     let submission = Submission {
         spec: spec(7),
         origin,
+        name: Some(SubmissionId {
+            attempt: AttemptId(u64::MAX),
+            copy: 2,
+        }),
         waited: 3 * MS,
         remaining_wait: Duration::from_secs(2),
         as_of: None,
@@ -54,6 +58,7 @@
     assert!(decoded.may_have_started && decoded.has_alternative);
     assert_eq!(decoded.former_tokens, submission.former_tokens);
     assert_eq!(decoded.losses, submission.losses);
+    assert_eq!(decoded.name, submission.name);
 }
 
 #[test]
@@ -112,10 +117,18 @@
         JobOutcome::Cancelled,
         JobOutcome::Accepted,
     ];
+    let name = SubmissionId {
+        attempt: AttemptId(9),
+        copy: 3,
+    };
+    let cell = CellName::single();
     for outcome in refused.into_iter().chain(others) {
-        let answer =
-            convert::answer_to_wire(JobId(7), outcome, &CellName::single(), FencingToken(5));
-        assert_eq!(answer.token, 5);
-        assert_eq!(convert::answer_from_wire(&answer), (JobId(7), outcome));
+        for name in [None, Some(name)] {
+            let submission = (JobId(7), name);
+            let answer = convert::answer_to_wire(submission, outcome, &cell, FencingToken(5));
+            assert_eq!(answer.token, 5);
+            let decoded = convert::answer_from_wire(&answer);
+            assert_eq!(decoded, (JobId(7), name, outcome));
+        }
     }
 }
--- a/crates/geraniumrelay/src/leased/tests/evacuation.rs
+++ b/crates/geraniumrelay/src/leased/tests/evacuation.rs
@@ -205,6 +205,7 @@
         retry_after_ms: 1_000,
         token: TOKEN,
         cell: cell.to_owned(),
+        ..Answer::default()
     };
     tx.send(from_peer(FORMER, Body::Answer(answer))).await;
 }
--- a/crates/geraniumrelay/src/leased/tests/event_loop.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop.rs
@@ -492,6 +492,7 @@
         let submission = Submission {
             spec,
             origin: PEER,
+            name: None,
             waited: Duration::ZERO,
             remaining_wait: Duration::from_secs(9),
             as_of: None,
--- a/crates/geraniumrelay/src/leased/tests/event_loop_crossings.rs
+++ b/crates/geraniumrelay/src/leased/tests/event_loop_crossings.rs
@@ -3,12 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use flume::Receiver;
 use geraniumrelay_adapter::{Change, Table};
 use geraniumrelay_core::leased::cells::CellName;
-use geraniumrelay_core::leased::{FencingToken, JobId, JobOutcome, RefusalReason};
+use geraniumrelay_core::leased::{
+    AttemptId, FencingToken, JobId, JobOutcome, RefusalReason, SubmissionId,
+};
 use geraniumrelay_wire::leased::peer_message::Body;
-use geraniumrelay_wire::leased::{Beat, CellBeat};
-use tokio::io::{copy, sink};
+use geraniumrelay_wire::leased::{Beat, CellBeat, PeerMessage, Submit};
+use prost::Message as _;
+use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -25,12 +29,24 @@
 
 /// Starts an event loop, with heartbeats of the peer that report these loads of the cells y/0 and z/0.
 async fn start(y: u32, z: u32) -> InputTx {
+    start_with_submissions(y, z).await.0
+}
+
+/// The same, with the copies that the peer gets.
+async fn start_with_submissions(y: u32, z: u32) -> (InputTx, Receiver<Submit>) {
     let tx = start_event_loop(start_store(Rc::default()).await);
     let listener = TcpListener::bind((PEER.0, 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
+    let (submit_tx, submissions) = flume::unbounded();
     spawn_local(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let _ = copy(&mut stream, &mut sink()).await;
+        while let Ok(size) = stream.read_u32().await {
+            let mut buf = vec![0; size as usize];
+            stream.read_exact(&mut buf).await.unwrap();
+            if let Some(Body::Submit(submit)) = PeerMessage::decode(&buf[..]).unwrap().body {
+                let _ = submit_tx.send(submit);
+            }
+        }
     });
     let peer = Change {
         value: Some(address.to_string().into_bytes()),
@@ -51,7 +67,7 @@
         }
     });
     sleep(Duration::from_millis(100)).await;
-    tx
+    (tx, submissions)
 }
 
 fn beat(y: u32, z: u32) -> Body {
@@ -86,12 +102,17 @@
 
 /// Refuses the job in a cell because of overload, as the cell's scheduler does.
 async fn refuse(tx: &InputTx, cell: &str) {
+    refuse_copy(tx, cell, None).await;
+}
+
+/// The same for a copy.
+async fn refuse_copy(tx: &InputTx, cell: &str, submission: Option<SubmissionId>) {
     let outcome = JobOutcome::Refused {
         reason: RefusalReason::Overload,
         retry_after: Duration::from_secs(1),
     };
     let (cell, token) = (CellName(cell.into()), FencingToken(TOKEN));
-    let answer = convert::answer_to_wire(JobId(1), outcome, &cell, token);
+    let answer = convert::answer_to_wire((JobId(1), submission), outcome, &cell, token);
     tx.send(from_peer(FORMER, Body::Answer(answer))).await;
     sleep(Duration::from_millis(20)).await;
 }
@@ -146,3 +167,38 @@
         assert_eq!(crossings(&tx, "job-leaves-without-near-cell"), 1);
     });
 }
+
+/// The refusal of a first copy sent the job to a second cell as one that had not started, while its second copy was under
+/// way in the first cell.
+#[test]
+fn a_refusal_of_the_former_cell_is_not_that_of_the_next_one() {
+    block_on(async {
+        let (tx, submissions) = start_with_submissions(10, 90).await;
+        let mut answer = submit(&tx).await;
+        assert!(tx.try_send(Input::LinkUp { to: PEER }));
+        sleep(Duration::from_millis(50)).await;
+        let copies: Vec<Submit> = submissions.drain().collect();
+        let [first, second] = &copies[..] else {
+            panic!("{copies:?}");
+        };
+        let name = |copy: &Submit| {
+            Some(SubmissionId {
+                attempt: AttemptId(copy.attempt),
+                copy: copy.copy,
+            })
+        };
+        refuse_copy(&tx, "z/0", name(first)).await;
+        assert!(submissions.is_empty(), "the second copy has no answer");
+        refuse_copy(&tx, "z/0", name(second)).await;
+        let next = submissions.try_recv().unwrap();
+        assert_eq!((next.cell.as_str(), next.copy), ("y/0", 1));
+        assert!(!next.may_have_started && next.attempt != first.attempt);
+        for late in [first, second] {
+            refuse_copy(&tx, "z/0", name(late)).await;
+            assert!(answer.try_recv().is_err(), "y/0 has not answered");
+        }
+        refuse_copy(&tx, "y/0", name(&next)).await;
+        let outcome = timeout(Duration::from_secs(1), answer).await;
+        assert!(matches!(outcome, Ok(Ok(JobOutcome::Refused { .. }))));
+    });
+}
--- a/crates/geraniumrelay/src/leased/tests/mod.rs
+++ b/crates/geraniumrelay/src/leased/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cancels;
 mod cell;
 mod convert;
+mod copies;
 mod directory;
 mod evacuation;
 mod event_loop;
--- a/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
+++ b/crates/geraniumrelay/src/leased/tests/pending_jobs.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use geraniumrelay_core::leased::attempt::Evidence;
 use geraniumrelay_core::leased::cells::CellName;
 use geraniumrelay_core::leased::{
-    EntryVm, FencingToken, JobId, JobOutcome, LostRun, RefusalReason, TaskName,
+    EntryVm, FencingToken, JobId, JobOutcome, LostRun, RefusalReason, SubmissionId, TaskName,
 };
 use tokio::sync::oneshot;
 
@@ -28,6 +29,15 @@
     (jobs, rx)
 }
 
+/// What a refusal of the last copy by the scheduler of `cell` with `token` says.
+fn judge_refusal(jobs: &PendingJobs, cell: &CellName, token: FencingToken) -> Option<Evidence> {
+    let refusal = JobOutcome::Refused {
+        reason: RefusalReason::Overload,
+        retry_after: Duration::from_secs(1),
+    };
+    jobs.judge(ID, jobs.last_submission(ID), refusal, (cell, token))
+}
+
 #[test]
 fn a_job_is_sent_to_each_scheduler_once() {
     let now = Instant::now();
@@ -79,8 +89,19 @@
     jobs.assign(ID, (&cell, false), OLD, vm(), now);
     jobs.mark_unsent(&cell);
     jobs.assign(ID, (&cell, false), NEW, vm(), now);
-    assert!(!jobs.is_assigned_to(ID, &cell, OLD));
-    assert!(jobs.is_assigned_to(ID, &cell, NEW));
+    let refusal = JobOutcome::Refused {
+        reason: RefusalReason::Overload,
+        retry_after: Duration::from_secs(1),
+    };
+    let judge = |copy, token| {
+        let submission = jobs.last_submission(ID).map(|s| SubmissionId { copy, ..s });
+        let named = jobs.judge(ID, submission, refusal, (&cell, token));
+        (named, jobs.judge(ID, None, refusal, (&cell, token)))
+    };
+    let is_ignored = Some(Evidence::OfOtherCopy);
+    assert_eq!(judge(1, OLD), (is_ignored, is_ignored));
+    let is_taken = Some(Evidence::MayHaveRun);
+    assert_eq!(judge(2, NEW), (is_taken, is_taken));
 }
 
 #[test]
@@ -162,7 +183,7 @@
     let (mut jobs, _rx) = one_pending_job(now);
     let cell = CellName::single();
     let submission = jobs.assign(ID, (&cell, false), OLD, vm(), now).unwrap();
-    jobs.unassign(&submission);
+    jobs.unassign(submission.spec.id);
     assert_matches!(
         jobs.overdue(now + 700 * MS)[..],
         [(ID, JobOutcome::Refused { .. })]
@@ -170,7 +191,7 @@
     jobs.assign(ID, (&cell, false), OLD, vm(), now);
     jobs.mark_unsent(&cell);
     let submission = jobs.assign(ID, (&cell, false), NEW, vm(), now).unwrap();
-    jobs.unassign(&submission);
+    jobs.unassign(submission.spec.id);
     assert_eq!(jobs.unsent().len(), 1);
     assert!(jobs.overdue(now + 1_900 * MS).is_empty());
 }
@@ -185,10 +206,11 @@
     jobs.assign(ID, (&cell, false), token(1), vm(), now);
     jobs.mark_unsent(&cell);
     let again = jobs.assign(ID, (&cell, false), token(1), vm(), now);
-    jobs.unassign(&again.unwrap());
+    jobs.unassign(again.unwrap().spec.id);
     let next = jobs.assign(ID, (&cell, false), token(2), vm(), now);
     assert_eq!(next.unwrap().former_tokens, [token(1)]);
-    assert!(!jobs.is_refusal_conclusive(ID));
+    let evidence = judge_refusal(&jobs, &cell, token(2));
+    assert_eq!(evidence, Some(Evidence::MayHaveRun));
 }
 
 /// A scheduler that had the job before its successor did, and has it again, knows nothing of runs that
@@ -202,19 +224,21 @@
     let token = |round, ip: [u8; 4]| FencingToken::new(round, EntryVm(ip.into()));
     let submission = jobs.assign(ID, (&cell, false), token(1, first), vm(), now);
     assert!(submission.unwrap().former_tokens.is_empty());
-    assert!(jobs.is_refusal_conclusive(ID));
+    let evidence = |jobs: &PendingJobs, token| judge_refusal(jobs, &cell, token).unwrap();
+    assert_eq!(evidence(&jobs, token(1, first)), Evidence::NotRun);
     jobs.mark_unsent(&cell);
     let submission = jobs.assign(ID, (&cell, false), token(3, first), vm(), now);
     assert_eq!(submission.unwrap().former_tokens, [token(1, first)]);
-    assert!(jobs.is_refusal_conclusive(ID), "the same VM");
+    let is_of_same_vm = evidence(&jobs, token(3, first));
+    assert_eq!(is_of_same_vm, Evidence::NotRun, "the same VM");
     jobs.mark_unsent(&cell);
     jobs.assign(ID, (&cell, false), token(2, second), vm(), now);
-    assert!(!jobs.is_refusal_conclusive(ID));
+    assert_eq!(evidence(&jobs, token(2, second)), Evidence::MayHaveRun);
     jobs.mark_unsent(&cell);
     let submission = jobs.assign(ID, (&cell, false), token(3, first), vm(), now);
     let former = submission.unwrap().former_tokens;
     assert_eq!(former, [token(1, first), token(2, second)]);
-    assert!(!jobs.is_refusal_conclusive(ID));
+    assert_eq!(evidence(&jobs, token(3, first)), Evidence::MayHaveRun);
 }
 
 #[test]
@@ -279,8 +303,39 @@
     jobs.assign(ID, (&cell, false), OLD, vm(), now);
     jobs.mark_unsent(&cell);
     let submission = jobs.assign(ID, (&cell, false), OLD, vm(), now).unwrap();
-    jobs.unassign(&submission);
+    jobs.unassign(submission.spec.id);
     let submission = jobs.assign(ID, (&cell, false), NEW, vm(), now).unwrap();
     assert!(submission.may_have_started);
     assert_eq!(submission.former_tokens, [OLD]);
 }
+
+/// Decisions of before a suspension are taken by what has left this VM, not by the time that has passed.
+#[test]
+fn a_vm_that_wakes_refuses_only_jobs_of_which_no_copy_has_left_it() {
+    let now = Instant::now();
+    let (mut jobs, _rx) = one_pending_job(now);
+    let cell = CellName::single();
+    jobs.assign(ID, (&cell, false), OLD, vm(), now);
+    jobs.mark_unsent(&cell);
+    jobs.suspended(Duration::from_secs(4));
+    assert_eq!(jobs.overdue(now), [(ID, JobOutcome::TimedOut)]);
+    let (mut jobs, _rx) = one_pending_job(now);
+    jobs.suspended(Duration::from_secs(4));
+    assert_matches!(jobs.overdue(now)[..], [(ID, JobOutcome::Refused { .. })]);
+}
+
+/// The scheduler has given the job up without a start, and the link behind its only copy is down: the present scheduler
+/// gets it as a new one.
+#[test]
+fn a_job_that_its_former_scheduler_has_not_run_is_sent_as_a_new_one() {
+    let now = Instant::now();
+    let (mut jobs, _rx) = one_pending_job(now);
+    let cell = CellName::single();
+    let first = jobs.assign(ID, (&cell, false), OLD, vm(), now).unwrap();
+    assert!(!jobs.begin_anew(ID), "the answer is for the last copy");
+    jobs.mark_unsent(&cell);
+    assert!(jobs.begin_anew(ID));
+    let next = jobs.assign(ID, (&cell, false), NEW, vm(), now).unwrap();
+    assert!(!next.may_have_started && next.former_tokens.is_empty());
+    assert_ne!(next.name.unwrap().attempt, first.name.unwrap().attempt);
+}
