test(leased): search for refused jobs that run, in virtual time; copies of refused tickets

Jobs under overload, kept and best-effort, in one cell and in three, while entry VMs freeze, connect anew and lose links, and refused callers come back.

For tickets: a further copy of a refused one stays refused.

--- a/crates/geraniumrelay-core/tests/leased/resends/mod.rs
+++ b/crates/geraniumrelay-core/tests/leased/resends/mod.rs
@@ -5,6 +5,7 @@
 mod former_schedulers;
 mod late_answers;
 mod longer_leases;
+mod refusals;
 mod returns;
 mod search;
 mod takeovers;
--- a/crates/geraniumrelay-core/tests/load.rs
+++ b/crates/geraniumrelay-core/tests/load.rs
@@ -72,11 +72,20 @@
     }
 
     fn submit(&mut self, kind: &str, tasks: usize) -> (Ticket, Waiter) {
+        let ticket = self.mint.mint().unwrap();
+        (
+            ticket,
+            self.submit_copy(ticket, kind, tasks, Origin::Caller),
+        )
+    }
+
+    /// Submits a copy of a job, sent by a caller or passed on by another entry VM.
+    fn submit_copy(&mut self, ticket: Ticket, kind: &str, tasks: usize, origin: Origin) -> Waiter {
         let task = TaskSpec {
             payload: "x".into(),
             expected_ms: None,
         };
-        let (ticket, waiter) = (self.mint.mint().unwrap(), Waiter(self.next_waiter));
+        let waiter = Waiter(self.next_waiter);
         self.next_waiter += 1;
         self.handle(Command::Submit {
             ticket,
@@ -89,9 +98,9 @@
                 tasks: vec![task; tasks],
             },
             waiter,
-            origin: Origin::Caller,
+            origin,
         });
-        (ticket, waiter)
+        waiter
     }
 
     fn end_task(&mut self, task: TaskKey, outcome: TaskOutcome) {
@@ -158,6 +167,31 @@
     assert_eq!(vm.start_count(bulk), 0, "a refusal is permanent");
 }
 
+/// REFUSED: a copy that arrives late from another entry VM must not run although there is room by then.
+#[test]
+fn a_further_copy_of_a_refused_job_is_refused_although_there_is_room() {
+    let mut cfg = Config::default();
+    cfg.admission.max_queued_tasks = 4;
+    let mut vm = Vm::new(1, cfg);
+    vm.submit("hold", 4);
+    vm.submit("report", 4);
+    let (refused, first) = vm.submit("report", 4);
+    let running = std::mem::take(&mut vm.started);
+    for (_, task) in running {
+        vm.end_task(task, completed());
+    }
+    let copies = [Origin::Caller, Origin::Peer];
+    let copies = copies.map(|origin| vm.submit_copy(refused, "report", 4, origin));
+    for waiter in [first].into_iter().chain(copies) {
+        assert_matches!(
+            vm.reply_for(waiter),
+            Some(Reply::Rejected(rejection)) if (rejection.verdict, rejection.reason)
+                == (Verdict::NotRun, Reason::QueueFull)
+        );
+    }
+    assert_eq!(vm.start_count(refused), 0);
+}
+
 #[test]
 fn queued_job_that_cannot_meet_its_deadline_is_refused_before_the_deadline() {
     let mut vm = Vm::new(1, Config::default());
