--- a/crates/geraniumrelay/tests/leased_cuts/main.rs
+++ b/crates/geraniumrelay/tests/leased_cuts/main.rs
@@ -74,6 +74,7 @@
     cpu_milli: 8_000,
     answer_timeout: Duration::from_secs(6),
     leaving: 0.1,
+    is_kept: false,
 };
 
 /// Maximum time until the fleet is ready.
--- a/crates/geraniumrelay/tests/leased_resend/soak.rs
+++ b/crates/geraniumrelay/tests/leased_resend/soak.rs
@@ -37,6 +37,7 @@
     cpu_milli: 8_000,
     answer_timeout: Duration::from_secs(6),
     leaving: 0.3,
+    is_kept: false,
 };
 
 /// Time in which faults are injected.
--- a/crates/geraniumrelay/tests/leased_soak/callers.rs
+++ b/crates/geraniumrelay/tests/leased_soak/callers.rs
@@ -28,6 +28,8 @@
     pub(crate) answer_timeout: Duration,
     /// Probability that a caller gives a request up within the run time of a task.
     pub(crate) leaving: f64,
+    /// Whether the jobs are kept: answered once they are stored.
+    pub(crate) is_kept: bool,
 }
 
 /// Jobs that take a fraction of their deadline.
@@ -36,6 +38,7 @@
     cpu_milli: 27_000,
     answer_timeout: Duration::from_secs(2),
     leaving: 0.0,
+    is_kept: false,
 };
 
 /// Time-out of a request whose caller only gives up on a process that never answers.
@@ -51,6 +54,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Outcomes {
     pub(crate) served: u32,
+    /// Kept jobs that were accepted.
+    pub(crate) accepted: BTreeSet<u64>,
     /// Jobs all of whose sends were refused.
     pub(crate) refused: BTreeSet<u64>,
     /// Requests that ended without an answer or a refusal although the process ran on.
@@ -148,7 +153,8 @@
     let (ms, cpu) = (rng.random_range(shortest..limit), workload.cpu_milli);
     let step = json!({"count": rng.random_range(1..5), "cpu": cpu, "mem_mb": 1,
         "estimated_ms": ms});
-    let body = json!({"spec": format!("{ms} {cpu}"), "best_effort": true, "steps": [step]});
+    let body =
+        json!({"spec": format!("{ms} {cpu}"), "best_effort": !workload.is_kept, "steps": [step]});
     let mut is_only_refused = true;
     for _ in 0..MAX_SENDS {
         let target = &targets[rng.random_range(0..targets.len())];
@@ -186,7 +192,11 @@
         }
         match answer {
             Ok(200) => {
-                outcomes.borrow_mut().served += 1;
+                let mut outcomes = outcomes.borrow_mut();
+                outcomes.served += 1;
+                if workload.is_kept {
+                    outcomes.accepted.insert(id);
+                }
                 return;
             }
             Ok(429 | 503) => break,
--- a/crates/geraniumrelay/tests/leased_soak/main.rs
+++ b/crates/geraniumrelay/tests/leased_soak/main.rs
@@ -14,6 +14,7 @@
 mod deadly_tasks;
 mod evacuations;
 mod fleet;
+mod kept_jobs;
 mod life;
 #[path = "../../../../platform/tests/stand_in/platform.rs"]
 mod platform;
