fix(leased): a lost refusal of a further copy is told again by its name

Cause: a scheduler that repeats a refusal to a further copy kept the name of the first one for confirmations.

Change: a repeated outcome takes over the name of the copy. a_confirmation_is_answered_for_the_last_copy_that_has_arrived fails without it.

--- a/crates/geraniumrelay-core/src/leased/scheduler/outcomes.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/outcomes.rs
@@ -58,6 +58,21 @@
         self.job_ages.push_back((now, id));
     }
 
+    /// Records that the outcome of a job was repeated to a further copy.
+    pub(super) fn repeated(
+        &mut self,
+        id: JobId,
+        outcome: JobOutcome,
+        origin: EntryVm,
+        submission: Option<SubmissionId>,
+    ) {
+        let ended = self.jobs.get_mut(&id).filter(|e| e.outcome == outcome);
+        if let Some(ended) = ended {
+            ended.answered.retain(|(vm, _)| *vm != origin);
+            ended.answered.push((origin, submission));
+        }
+    }
+
     /// Records that the attempts of a job are refused.
     pub(super) fn add_refusal(&mut self, refusal: JobOutcome, origins: &[Origin], now: Instant) {
         for origin in origins {
--- a/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/submit.rs
@@ -34,10 +34,12 @@
         let highest_other = others.filter(|&t| !self.has_had_token(t)).max();
         if let Some(outcome) = self.known_outcome(&submission) {
             log_copy(&submission, CopyHandling::OutcomeRepeated, out);
+            let (id, origin, name) = (submission.spec.id, submission.origin, submission.name);
+            self.outcomes.repeated(id, outcome, origin, name);
             out.push(Effect::Answer {
-                origin: submission.origin,
-                id: submission.spec.id,
-                submission: submission.name,
+                origin,
+                id,
+                submission: name,
                 outcome: conclusive(outcome, highest_other.is_some()),
             });
         } else if let Some(&key) = self.by_id.get(&submission.spec.id) {
--- a/crates/geraniumrelay-core/tests/leased/copies.rs
+++ b/crates/geraniumrelay-core/tests/leased/copies.rs
@@ -226,6 +226,24 @@
     assert_eq!(*of_other_vm, expected, "it was not refused to this VM");
 }
 
+/// The link to the entry VM broke behind both answers. Only one that names the last copy counts there.
+#[test]
+fn a_confirmation_is_answered_for_the_last_copy_that_has_arrived() {
+    let mut sim = busy_for(3_000 * MS);
+    for copy in [1, 2] {
+        send(&mut sim, 0, &urgent(1, true), (ENTRY, 5, copy), &[]);
+    }
+    sim.run_for(100 * MS);
+    let cmd = Command::Confirm {
+        origin: vm(ENTRY),
+        as_of: sim.now,
+        jobs: vec![JobId(1)],
+    };
+    sim.handle_command(0, cmd);
+    let expected = [1, 2, 2].map(|copy| (name(5, copy), true));
+    assert_eq!(answered(&sim, 1, vm(ENTRY)), expected);
+}
+
 /// The callers of the first request have left; the next one was answered as if it had been cancelled.
 #[test]
 fn a_copy_of_the_next_request_after_a_withdrawal_is_not_cancelled() {
