--- a/crates/geraniumrelay-core/src/leased/attempt.rs
+++ b/crates/geraniumrelay-core/src/leased/attempt.rs
@@ -21,9 +21,9 @@
 /// What an answer says about an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Evidence {
-    /// The job has ended or is stored, and no other scheduler has it.
+    /// The job has ended or is stored, and no further copy is under way.
     Ended,
-    /// The job has ended or is stored, but the last copy may be at another scheduler.
+    /// The job has ended or is stored, but the last copy may be under way, or at another scheduler.
     EndedElsewhere,
     /// The scheduler has given the job up; what it started is being stopped.
     GivenUp,
@@ -140,7 +140,8 @@
     pub fn judge(&self, answer: &Answer) -> Evidence {
         match answer.outcome {
             JobOutcome::Completed | JobOutcome::Failed | JobOutcome::Accepted => {
-                if answer.token.is_some_and(|token| self.is_sent_to(token)) {
+                let is_at_scheduler = answer.token.is_some_and(|token| self.is_sent_to(token));
+                if is_at_scheduler && self.is_answered_by(answer) {
                     Evidence::Ended
                 } else {
                     Evidence::EndedElsewhere
--- a/crates/geraniumrelay-core/src/leased/scheduler/outcomes.rs
+++ b/crates/geraniumrelay-core/src/leased/scheduler/outcomes.rs
@@ -18,13 +18,15 @@
 }
 
 impl EndedJob {
-    /// What an entry VM that has got no answer is told: the outcome, and the copy that it belongs to. A refusal was said to
-    /// the entry VMs whose attempts it ended, and says nothing of others.
+    /// What an entry VM that has got no answer is told: the outcome, and the copy that it belongs to. An entry VM that was
+    /// not answered before has another attempt, to which only the end and the acceptance of the job apply.
     pub(super) fn answer_to(&self, origin: EntryVm) -> (Option<SubmissionId>, JobOutcome) {
         let answered = self.answered.iter().find(|(vm, _)| *vm == origin);
         match (answered, self.outcome) {
             (Some(&(_, submission)), outcome) => (submission, outcome),
-            (None, JobOutcome::Refused { .. }) => (None, JobOutcome::TimedOut),
+            (None, JobOutcome::Refused { .. } | JobOutcome::Cancelled) => {
+                (None, JobOutcome::TimedOut)
+            }
             (None, outcome) => (None, outcome),
         }
     }
--- a/crates/geraniumrelay-core/tests/leased/attempt.rs
+++ b/crates/geraniumrelay-core/tests/leased/attempt.rs
@@ -91,11 +91,13 @@
         JobOutcome::Accepted,
     ];
     for outcome in outcomes {
-        for submission in [copy(ATTEMPT, 1), copy(AttemptId(6), 3)] {
-            let of_present = judge(&attempt, Some(submission), outcome, scheduler);
-            assert_eq!(of_present, Evidence::Ended, "{outcome:?}");
-            let of_other = judge(&attempt, Some(submission), outcome, token(2, 2));
-            assert_eq!(of_other, Evidence::EndedElsewhere, "{outcome:?}");
+        let last = Some(copy(ATTEMPT, 1));
+        let of_last = judge(&attempt, last, outcome, scheduler);
+        assert_eq!(of_last, Evidence::Ended, "{outcome:?}");
+        let of_other_scheduler = judge(&attempt, last, outcome, token(2, 2));
+        let of_other_attempt = judge(&attempt, Some(copy(AttemptId(6), 3)), outcome, scheduler);
+        for evidence in [of_other_scheduler, of_other_attempt] {
+            assert_eq!(evidence, Evidence::EndedElsewhere, "{outcome:?}");
         }
     }
 }
--- a/crates/geraniumrelay-core/tests/leased/copies.rs
+++ b/crates/geraniumrelay-core/tests/leased/copies.rs
@@ -244,6 +244,26 @@
     assert_eq!(answered(&sim, 1, vm(ENTRY)), expected);
 }
 
+/// The callers of another entry VM have left; the request that waits here was answered as if it had been cancelled.
+#[test]
+fn a_confirmation_after_the_withdrawal_of_another_attempt_is_not_answered_as_cancelled() {
+    let mut sim = busy_for(3_000 * MS);
+    let job = TestJob::new(1, 1, 100 * MS).with_slack();
+    let job = job.with_remaining_wait(6_000 * MS);
+    send(&mut sim, 0, &job, (102, 5, 1), &[]);
+    let id = JobId(1);
+    let origin = vm(102);
+    sim.handle_command(0, Command::Withdraw { id, origin });
+    sim.run_for(100 * MS);
+    let cmd = Command::Confirm {
+        origin: vm(ENTRY),
+        as_of: sim.now,
+        jobs: vec![id],
+    };
+    sim.handle_command(0, cmd);
+    assert_eq!(last_answer(&sim, 1), Some(JobOutcome::TimedOut));
+}
+
 /// The callers of the first request have left; the next one was answered as if it had been cancelled.
 #[test]
 fn a_copy_of_the_next_request_after_a_withdrawal_is_not_cancelled() {
